--- /dev/null
+++ b/src/balance/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the decisions.
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,162 @@
+//! The types by which callers reach the decisions in `balance`.
+//!
+//! Times are seconds. Nodes, keys, path groups, zones and accounts are small indices that the front gives
+//! out: path groups and accounts in the order of the settings, the others as they first appear.
+
+use std::collections::BTreeMap;
+
+/// One value of the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Text(String),
+    Flag(bool),
+}
+
+/// The settings: a plain map from dotted names (`classes.0.credit`, `limits.max_attempts`) to values. Names
+/// are the wire's; durations are in seconds, their names ending in `_s`.
+pub type Named = BTreeMap<String, Value>;
+
+/// A hit in hand. Everything that happens to it later is a call on this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HitHandle {
+    /// Its place in the slab.
+    pub place: u32,
+    /// How often the place had been used before: an old handle finds nothing.
+    pub turn: u32,
+}
+
+/// What is known of a hit when it is taken.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrival {
+    pub group: usize,
+    pub key: Option<usize>,
+    pub account: usize,
+    /// Time until the client gives up.
+    pub remaining: f64,
+    /// Estimated work; 0 when there is none.
+    pub hint: f64,
+}
+
+/// What is to be done with a hit now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// Send it to this node, with this time-out.
+    Forward { node: usize, limit: f64 },
+    /// Call `resume` on the handle after this time.
+    Wait { pause: f64 },
+    /// Final: nothing ran; the client may come back after this time (0: no advice).
+    Bounce { again_after: f64 },
+    /// Final: it failed, and may have run.
+    GiveUp,
+    /// Nothing: it is on its way, or over.
+    Nothing,
+}
+
+/// How a forward ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Delivered,
+    /// The node answered with an error.
+    Errored,
+    /// Turned away unseen.
+    TurnedAway,
+    NoAnswer,
+    NoConnection,
+    /// The connection broke.
+    Broken,
+    CalledOff,
+    NeverSent,
+}
+
+/// A forward's end. `load` is the node's report of the hits it holds, where one came.
+#[derive(Clone, Copy, Debug)]
+pub struct Return {
+    pub ending: Ending,
+    pub spent: f64,
+    /// Whether the hit is over, by this or earlier.
+    pub over: bool,
+    pub load: Option<f64>,
+}
+
+/// One line of the node list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub node: usize,
+    /// Running and open to new hits; else it drains or is gone.
+    pub open: bool,
+    pub build: u32,
+    pub zone: usize,
+    pub cell: i64,
+    pub rating: f64,
+    /// When it last started; 0: long ago.
+    pub up_since: f64,
+}
+
+/// How a build stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    #[default]
+    Trial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+/// The platform's word on the newest build.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct News {
+    pub build: u32,
+    pub stage: usize,
+    pub phase: Phase,
+    /// Time since this state began.
+    pub since: f64,
+    pub cap: f64,
+}
+
+/// How a vote was received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    Counted,
+    /// Not the present build or stage.
+    Moot,
+    /// Turned away or failed: does not count.
+    Refused,
+    /// No answer: it may count.
+    Unknown,
+}
+
+/// The platform's sampled count of one build and path group over a past period.
+#[derive(Clone, Copy, Debug)]
+pub struct Tally {
+    pub build: u32,
+    pub group: usize,
+    pub many: f64,
+    pub failed: f64,
+}
+
+/// What a vote says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Clear,
+    On,
+    Hold,
+    Back,
+}
+
+/// A vote to cast.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vote {
+    pub verdict: Verdict,
+    pub build: u32,
+    pub stage: usize,
+}
+
+/// What a regular review asks for, and when the next one is due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Review {
+    pub vote: Option<Vote>,
+    /// Ask the node list to push its changes (again).
+    pub follow: bool,
+    pub again_in: f64,
+}
