Fade stale reports, cap tallies, ask slowness to last

Cause: a cold trial node's old report kept an agent from ever sending there again; one stall in a tally sent good builds back; bursts paused the trial.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -165,7 +165,7 @@
         if self.dropped.is_some() || z0 == 0.0 || z1 == 0.0 {
             return;
         }
-        let (c0, c1) = (self.radius(v0, n), self.radius(v1, n));
+        let (c0, c1) = (self.radius(v0, n.min(z0)), self.radius(v1, n.min(z1)));
         const LEAST: f64 = 10.0; // the design's: stage outcomes before the trial may drop
         if r1 + c1 < r0 - c0 && self.outcomes >= LEAST {
             self.dropped = Some(TRIAL);
@@ -188,15 +188,15 @@
     pub(crate) faults: Vec<f64>,
     pub(crate) tallied: Vec<f64>,
     pub(crate) complaints: f64,
-    /// Times against the calm seconds at equal load, both arms, this stage.
-    pub(crate) times: [Count; 2],
+    /// How much slower the trial's nodes are than the others, 1 being too much.
+    pub(crate) slower: f64,
     /// How often a pause of the trial made a slowdown go.
     pub(crate) abated: u32,
 }
 
 impl Evidence {
     pub(crate) fn lean(score: &mut f64, faults: f64, passes: f64, usual: f64, bad: f64) {
-        let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
+        let step = (faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln()).min(2.4); // one tally is one stall at most
         *score = (*score + step).max(0.0);
     }
     /// The strongest of all scores, 1 being enough to send the build back.
@@ -205,15 +205,8 @@
         const ENOUGH: f64 = 6.0;
         let strongest =
             self.faults.iter().chain(&self.tallied).fold(self.complaints, |a, b| a.max(*b)) / ENOUGH;
-        let [earlier, trial] = &self.times;
-        let mut slower = 0.0;
-        if earlier.z >= 10.0 && trial.z >= 10.0 {
-            // A good build may be slower by a fifth; the gap beyond that in standard errors, 3 convince.
-            let error = (earlier.variance() / earlier.z + trial.variance() / trial.z).sqrt().max(1e-3);
-            slower = (trial.mean() - earlier.mean() - 0.2) / error / 3.0;
-        }
         // Two pauses that each made a slowdown go are no chance; one may be.
-        strongest.max(slower).max(f64::from(self.abated) / 2.0)
+        strongest.max(self.slower).max(if self.abated >= 2 { 1.0 } else { 0.0 })
     }
 }
 
@@ -231,6 +224,8 @@
     strikes: i32,
     ramp: f64,
     ramp_at: f64,
+    /// Its times against the calm seconds at equal load, this stage.
+    times: Count,
 }
 
 #[derive(Clone, Copy)]
@@ -298,9 +293,11 @@
     duel: Duel,
     evidence: Evidence,
     usual_faults: f64,
+    tallied_faults: f64,
     present: Count,
     doubt: Doubt,
     doubt_again: f64,
+    slow_ticks: u32,
     keys: Vec<(u32, u32)>,
     keyed_hits: f64,
     held_share: f64,
@@ -380,9 +377,12 @@
             duel: Duel::new(count, 0.0),
             evidence: Evidence::fresh(count),
             usual_faults: 0.0,
+            tallied_faults: 0.0,
             present: Count::default(),
             doubt: Doubt::None,
             doubt_again: now,
+            slow_ticks: 0,
+
             keys: Vec::new(),
             keyed_hits: 0.0,
             held_share: 0.0,
@@ -442,7 +442,7 @@
         if old.is_none_or(|o| (o.build, o.stage, o.phase) != (news.build, news.stage, news.phase)) {
             self.told_at = self.now;
             self.duel = Duel::new(self.groups.len(), self.rate);
-            self.evidence.times = Default::default();
+            self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             self.vote_again = self.now;
         }
         if old.is_none_or(|o| o.build != news.build) {
@@ -474,10 +474,17 @@
     /// A tally from the platform.
     pub fn tallied(&mut self, now: f64, tally: Tally) {
         self.now = now.max(self.now);
-        if self.news.is_some_and(|n| n.build == tally.build) && tally.group < self.groups.len() {
-            let (usual, bad) = self.rates();
+        let Some(news) = self.news.filter(|n| n.phase == Phase::Trial && tally.group < self.groups.len())
+        else {
+            return;
+        };
+        if tally.build == news.build {
+            // A tally counts overload as failure too: the trial has to be far worse than the others in it.
+            let usual = (2.0 * self.tallied_faults).clamp(0.01, 0.25);
             let passes = (tally.many - tally.failed).max(0.0);
-            Evidence::lean(&mut self.evidence.tallied[tally.group], tally.failed, passes, usual * 2.0, bad);
+            Evidence::lean(&mut self.evidence.tallied[tally.group], tally.failed, passes, usual, 4.0 * usual);
+        } else if tally.build < news.build && tally.many > 0.0 {
+            self.tallied_faults += 0.2 * (tally.failed / tally.many - self.tallied_faults);
         }
     }
 
@@ -528,7 +535,7 @@
             }
             self.keys[key].0 += 1;
             self.keyed_hits += 1.0;
-            held = self.keys[key].1 > 0 && self.holding(key).is_some();
+            held = self.holding(key).is_some_and(|b| self.news.is_some_and(|n| n.build == b));
         }
         self.held_share += 0.02 * (f64::from(u8::from(held)) - self.held_share);
         let next = if self.too_busy(place) { self.finish(place) } else { self.route(place) };
@@ -731,7 +738,7 @@
         if hit.forwards == 0 && open && !paused && self.welcome(&hit) && self.duel.favours_trial() {
             if let Some(node) = self.choose(place, Standing::OnTrial, 0) {
                 // Arms are compared at like load: a trial node far busier than the alternative is no fair pull.
-                let even = earlier.is_none_or(|e| self.load(node) <= 2.0 * self.load(e).max(1.0));
+                let even = earlier.is_none_or(|e| self.step(node) <= self.step(e) + 1);
                 if even {
                     return self.send(place, node, true);
                 }
@@ -911,9 +918,7 @@
         }
         let x = (x - calm.mean()).clamp(-2.5, 2.5);
         if !flying.cold {
-            if trial_on && flying.sent >= self.told_at {
-                self.evidence.times[usize::from(on_trial)].add(x);
-            }
+            self.nodes[flying.node].times.add(x);
             if !on_trial {
                 self.present.add(x);
             }
@@ -936,7 +941,17 @@
         self.done_lately *= keep;
         self.accounts.iter_mut().for_each(|a| a.1 *= keep);
         self.present.fade(keep);
+        // What is not heard again is forgotten: reports within a span or so, slowness within ten.
+        for n in &mut self.nodes {
+            n.others *= keep;
+            n.slow *= 1.0 - 0.1 * (1.0 - keep);
+        }
+        self.slow_ticks = if self.slowed() { self.slow_ticks + 1 } else { 0 };
+
         self.compare();
+        if let Some(news) = self.news.filter(|n| n.phase == Phase::Trial) {
+            self.evidence.slower = self.slower(news.build);
+        }
         let follow = !self.following && self.now >= self.follow_at;
         if follow {
             // An answer always comes; should it not, the question is put again.
@@ -946,9 +961,9 @@
     }
 
     fn slowed(&self) -> bool {
-        // A quarter slower than before the trial, beyond two standard errors.
-        self.present.z >= 10.0
-            && self.present.mean() > 0.25 + 2.0 * (self.present.variance() / self.present.z).sqrt()
+        // Four tenths slower than before the trial, beyond two standard errors.
+        self.present.z >= 15.0
+            && self.present.mean() > 0.35 + 2.0 * (self.present.variance() / self.present.z).sqrt()
     }
 
     /// Mechanism 5. Earlier nodes slower than before the trial, at equal load: is it the build? The agent pauses
@@ -960,7 +975,7 @@
         match self.doubt {
             _ if !on_trial => self.doubt = Doubt::None,
             Doubt::None => {
-                if self.now >= self.doubt_again && self.duel.outcomes >= 3.0 && self.slowed() {
+                if self.now >= self.doubt_again && self.duel.outcomes >= 3.0 && self.slow_ticks >= 10 {
                     // Long enough for hits in hand to end and the present to fill with new ones.
                     let until = self.now + 1.5 + 2.0 * self.pressure().min(1.0);
                     self.doubt = Doubt::Paused { until, level: self.present.mean() };
@@ -976,6 +991,27 @@
         }
     }
 
+    /// Mechanism 6, more work: whether the trial's nodes are slower than the others at equal load. Nodes are
+    /// compared, not answers: one slow or backed-up node is no build, and its answers are not independent.
+    fn slower(&self, build: u32) -> f64 {
+        let (mut sides, mut noise) = ([Count::default(); 2], [0.0; 2]);
+        for n in &self.nodes {
+            if let Some(l) = n.listed.filter(|l| l.open && l.build <= build && n.times.z >= 4.0) {
+                let side = usize::from(l.build == build);
+                sides[side].add(n.times.mean());
+                noise[side] += n.times.variance() / n.times.z;
+            }
+        }
+        let [earlier, trial] = sides;
+        if earlier.z < 3.0 || trial.z < 3.0 {
+            return 0.0;
+        }
+        // A good build may be slower by a fifth; beyond that three standard errors of like nodes convince.
+        let like = earlier.variance();
+        let error = (like / earlier.z + like.max(noise[1] / trial.z) / trial.z).sqrt().max(0.05);
+        (trial.mean() - earlier.mean() - 0.2) / error / 3.0
+    }
+
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
