Time-outs spare heavy hits; bounces go by the chosen node's expected time

Cause: half the target latency cut off hits that are as heavy when sent again; the fleet's mean time bounced hits that a free node could take.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -85,6 +85,9 @@
     fn variance(&self) -> f64 {
         (self.squares / self.z.max(1.0) - self.mean() * self.mean()).max(0.0)
     }
+    fn with(&self, other: &Count) -> Count {
+        Count { z: self.z + other.z, sum: self.sum + other.sum, squares: self.squares + other.squares }
+    }
     fn fade(&mut self, keep: f64) {
         (self.z, self.sum, self.squares) = (self.z * keep, self.sum * keep, self.squares * keep);
     }
@@ -234,6 +237,7 @@
     build: u32,
     sent: f64,
     step: usize,
+    load: f64,
     cold: bool,
     first: bool,
 }
@@ -282,6 +286,10 @@
     taken_lately: f64,
     done_rate: f64,
     done_lately: f64,
+    /// Lately's mean time of a forward and load of its node: their ratio tells the time at any load.
+    spent: f64,
+    loads: f64,
+
     flying: u32,
     accounts: Vec<(f64, f64)>,
     retries: f64,
@@ -367,6 +375,9 @@
             taken_lately: 0.0,
             done_rate: 0.0,
             done_lately: 0.0,
+            spent: 0.0,
+            loads: 1.0,
+
             flying: 0,
             accounts,
             retries: 3.0,
@@ -538,7 +549,7 @@
             held = self.holding(key).is_some_and(|b| self.news.is_some_and(|n| n.build == b));
         }
         self.held_share += 0.02 * (f64::from(u8::from(held)) - self.held_share);
-        let next = if self.too_busy(place) { self.finish(place) } else { self.route(place) };
+        let next = self.route(place);
         (HitHandle { place: place as u32, turn }, next)
     }
 
@@ -577,13 +588,13 @@
         f64::from(self.flying) / self.done_rate.max(1.0)
     }
 
-    /// Mechanism 4. Bounces early while answers take longer than a part of the target latency: a small part for
+    /// Mechanism 4. Bounces early when the chosen node would take longer than a part of the target latency: a small part for
     /// the least benefit, all of it for the most. Holds against bursts, lost nodes, shared slowdowns. May hurt
     /// when a few silent nodes hold many hits.
-    fn too_busy(&self, place: usize) -> bool {
+    fn too_busy(&mut self, place: usize, node: usize) -> bool {
         let hit = &self.hits[place];
         let group = &self.groups[hit.arrival.group];
-        if self.now - self.started < 2.0 || f64::from(self.flying) < 2.0 * self.done_rate.sqrt() {
+        if hit.forwards > 0 || self.now - self.started < 1.0 {
             return false;
         }
         let over = self.accounts.get(hit.arrival.account).is_some_and(|a| a.1 > a.0 * RATE_SPAN * 1.1);
@@ -592,7 +603,17 @@
         if over {
             part *= number(&self.named, "over_share_worth", 1.0).max(0.4);
         }
-        self.pressure() > part * group.target.min(hit.due - self.now)
+        let busy = self.load(node) * self.spent / self.loads > part * group.target.min(hit.due - self.now);
+        if busy {
+            // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
+            self.spent *= 1.0 - 0.1 * self.weight();
+        }
+        busy
+    }
+
+    /// What one answer counts among lately's: the last half second or ten answers.
+    fn weight(&self) -> f64 {
+        1.0 / (0.5 * self.done_rate).clamp(10.0, 200.0)
     }
 
     /// Hits in hand for its power: what two choices are compared by.
@@ -613,15 +634,15 @@
     }
 
     /// Mechanism 2. Fills the allowance of a cold node: this agent's own rate, shared out by size, times its
-    /// warmth. All agents doing so send it what its part of all traffic is, a little more for choice.
+    /// warmth. All agents doing so send it its part of all traffic, which its power can take when warm.
     fn ramp(&mut self, node: usize, total: f64) -> bool {
         let Some(line) = self.nodes[node].listed else { return false };
         let warmth = self.warmth(&line);
         if warmth >= 1.0 {
             return true;
         }
-        const PUSH: f64 = 1.3; // half of the mildest multiple seen to push a node over
-        let rate = PUSH * warmth * self.rate * line.rating.max(0.1) / total.max(0.1);
+
+        let rate = warmth * self.rate * line.rating.max(0.1) / total.max(0.1);
         let n = &mut self.nodes[node];
         n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate);
         n.ramp_at = self.now;
@@ -765,8 +786,12 @@
     }
 
     fn send(&mut self, place: usize, node: usize, trial: bool) -> Next {
+        if self.too_busy(place, node) {
+            return self.finish(place);
+        }
         let now = self.now;
-        let step = self.step(node);
+        let (step, load) = (self.step(node), self.load(node));
+
         let n = &mut self.nodes[node];
         let Some(line) = n.listed else { return self.finish(place) };
         if n.flying == 0 {
@@ -778,17 +803,19 @@
         if trial {
             self.tokens -= 1.0;
         }
-        let cold = self.warmth(&line) < 1.0;
+        // For the comparisons a node is cold a span longer: what piled up has to go first.
+        let full = number(&self.named, "obligations.cold_s", 0.0);
+        let cold = line.up_since > 0.0 && now < line.up_since + full + RATE_SPAN;
         let hit = &mut self.hits[place];
         hit.flying =
-            Some(Flying { node, build: line.build, sent: now, step, cold, first: hit.forwards == 0 });
+            Some(Flying { node, build: line.build, sent: now, step, load, cold, first: hit.forwards == 0 });
         hit.forwards += 1;
         let hit = *hit;
         Next::Forward { node, limit: self.limit(&hit) }
     }
 
     /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to the
-    /// target, but no less than twice the mean time; else the client's own.
+    /// target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
     fn limit(&self, hit: &Hit) -> f64 {
         let group = &self.groups[hit.arrival.group];
         let left = (hit.due - self.now).max(0.0);
@@ -798,8 +825,10 @@
         if group.repeat == Repeat::Mutating || !more || on_time <= 0.0 {
             return left;
         }
-        let half = (0.5 * on_time).max(2.0 * self.pressure());
-        if half > 0.8 * on_time {
+        let calm = group.calm.iter().fold(Count::default(), |a, c| a.with(c));
+        let usual = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 } * calm.mean().exp();
+        let half = (0.5 * on_time).max(5.0 * usual).max(2.0 * self.pressure());
+        if calm.z < 20.0 || half > 0.8 * on_time {
             return left;
         }
         half.min(left)
@@ -840,6 +869,11 @@
         self.flying = self.flying.saturating_sub(1);
         self.done_lately += 1.0;
         let answered = matches!(end.ending, Ending::Delivered | Ending::Errored);
+        if matches!(end.ending, Ending::Delivered | Ending::NoAnswer) {
+            let weight = self.weight();
+            self.spent += weight * (end.spent - self.spent);
+            self.loads += weight * (flying.load - self.loads);
+        }
         let slow = self.time(hit, flying, end);
         let jitter = self.chance.gen_range(0.8..1.2);
         let quick = 0.5 * self.pressure();
@@ -941,9 +975,12 @@
         self.done_lately *= keep;
         self.accounts.iter_mut().for_each(|a| a.1 *= keep);
         self.present.fade(keep);
-        // What is not heard again is forgotten: reports within a span or so, slowness within ten.
+        // What is not heard again is forgotten: reports within a span or so (other agents are taken to hold
+        // as much as this one), slowness within ten.
+        let agents = number(&self.named, "peers_total", 1.0).max(1.0);
+        let usual = (agents - 1.0) * f64::from(self.flying) / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
-            n.others *= keep;
+            n.others += (1.0 - keep) * (usual - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
         self.slow_ticks = if self.slowed() { self.slow_ticks + 1 } else { 0 };
