--- a/src/balance.rs
+++ b/src/balance.rs
@@ -458,7 +458,10 @@
         }
         if old.is_none_or(|o| o.build != news.build) {
             self.evidence = Evidence::fresh(self.groups.len());
-            (self.tokens, self.doubt, self.doubt_again) = (0.0, Doubt::None, self.now);
+            (self.doubt, self.doubt_again) = (Doubt::None, self.now);
+            // Nothing has gone to a build that comes while this agent runs; after a restart something may have.
+            self.tokens =
+                if old.is_some() { number(&self.named, "family_info.spare_tries", 0.0) } else { 0.0 };
         }
         let back = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
         if back && !self.void.contains(&news.build) {
@@ -759,7 +762,7 @@
         if hit.forwards == 0 && open && !paused && self.welcome(&hit) && self.duel.favours_trial() {
             if let Some(node) = self.choose(place, Standing::OnTrial, 0) {
                 // Arms are compared at like load: a trial node far busier than the alternative is no fair pull.
-                let even = earlier.is_none_or(|e| self.step(node) <= self.step(e) + 1);
+                let even = earlier.is_none_or(|e| self.load(node) <= 1.25 * self.load(e));
                 if even {
                     return self.send(place, node, true);
                 }
@@ -1043,10 +1046,10 @@
         if earlier.z < 3.0 || trial.z < 3.0 {
             return 0.0;
         }
-        // A good build may be slower by a fifth; beyond that three standard errors of like nodes convince.
+        // A good build may be slower by a fifth; beyond three tenths, four standard errors of like nodes convince.
         let like = earlier.variance();
         let error = (like / earlier.z + like.max(noise[1] / trial.z) / trial.z).sqrt().max(0.05);
-        (trial.mean() - earlier.mean() - 0.2) / error / 3.0
+        (trial.mean() - earlier.mean() - 0.3) / error / 4.0
     }
 
     /// What this agent's vote should be.
@@ -1065,7 +1068,7 @@
         let soak = number(&self.named, "family_info.soak_s", 0.0);
         let up = |n: &Node| n.listed.filter(|l| l.open && l.build == news.build).map(|l| l.up_since);
         let newest = self.nodes.iter().filter_map(up).fold(self.told_at - news.since, f64::max);
-        let least = (news.cap * self.rate * (soak + 1.0)).clamp(3.0, 10.0);
+        let least = (news.cap * self.rate * (soak + 1.0)).clamp(2.0, 10.0);
         let ripe = self.duel.outcomes >= least || self.duel.dropped == Some(EARLIER);
         if ripe && self.now >= newest + soak {
             Verdict::On
