--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod balance;
 pub mod interface;
+mod state;
