--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,19 +18,12 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub use crate::state::Balancer;
+
 pub(crate) const EARLIER: usize = 0;
 pub(crate) const TRIAL: usize = 1;
 
-/// The design's rule on two arms. Payoffs are kept by path group: the earlier arm is weighed in the trial's mix.
-#[derive(Default)]
-pub(crate) struct Duel {
-    pub(crate) arms: [Vec<Count>; 2],
-    pub(crate) round: i32,
-    pub(crate) dropped: Option<usize>,
-    pub(crate) outcomes: f64,
-    pub(crate) horizon: f64,
-}
-
+/// The design's rule.
 impl Duel {
     pub(crate) fn new(groups: usize, rate: f64) -> Duel {
         let arms = [vec![Count::default(); groups], vec![Count::default(); groups]];
@@ -93,21 +86,7 @@
 /// What speaks against a build beyond its payoffs: sums of log likelihood ratios, held above zero, of a bad rate
 /// against the usual. Covers builds that fail outright, in one path group, late or when busy, and wrong answers.
 /// May hurt where something fails only for the nodes that happen to be new.
-#[derive(Default)]
-pub(crate) struct Evidence {
-    /// Errors by path group, then all together; the same of tallies; complaints.
-    pub(crate) faults: Vec<f64>,
-    pub(crate) tallied: Vec<f64>,
-    pub(crate) complaints: f64,
-    pub(crate) slower: f64,
-    /// How often in a row a pause of the trial made a slowdown go.
-    pub(crate) abated: u32,
-}
-
 impl Evidence {
-    fn new(groups: usize) -> Evidence {
-        Evidence { faults: vec![0.0; groups + 1], tallied: vec![0.0; groups], ..Evidence::default() }
-    }
     pub(crate) fn lean(score: &mut f64, faults: f64, passes: f64, usual: f64, bad: f64) {
         let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
         *score = (*score + step.min(2.4)).max(0.0); // a tally full of faults may be one stall: it counts as one
@@ -127,40 +106,6 @@
 /// Complaints per answer, usual and bad: a right answer is hardly ever complained of, a wrong one often.
 const WRONG: (f64, f64) = (0.003, 0.03);
 
-/// One agent's decisions.
-#[derive(Default)]
-pub struct Balancer {
-    named: Named,
-    chance: Chance,
-    now: f64,
-    started: f64,
-    zone: Option<usize>,
-    groups: Vec<PathGroup>,
-    nodes: Vec<Node>,
-    fit: Vec<usize>,
-    slab: Slab,
-    flying: u32,
-    lately: Lately,
-    retries: f64,
-    /// Times of service that nodes report in calm seconds.
-    service: Count,
-    news: Option<News>,
-    stage_began: f64,
-    tokens: f64,
-    void: Vec<u32>,
-    duel: Duel,
-    evidence: Evidence,
-    usual_faults: f64,
-    tallied_faults: f64,
-    doubt: Doubt,
-    /// By key: hits seen and the newest build that answered.
-    keys: Vec<(u32, u32)>,
-    keyed_hits: f64,
-    held_share: f64,
-    cast: Cast,
-    following: Following,
-}
-
 impl Balancer {
     /// Starts with nothing but the settings. `zone` is this agent's. Settings that can't be worked with are an
     /// error that says what is expected.
@@ -170,23 +115,10 @@
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         b.duel = Duel::new(b.groups.len(), 0.0);
         b.evidence = Evidence::new(b.groups.len());
+        b.lately.read(&b.named);
         b.following.on = text(&b.named, "discovery") != "on_request";
-        let agents = b.set("peers_total", 1.0).max(1.0);
-        while let Some(Value::Number(n)) =
-            b.named.get(&format!("accounts.{}.allowance_per_s", b.lately.accounts.len()))
-        {
-            b.lately.accounts.push((0.0, n / agents));
-        }
-        Ok(b)
-    }
-
-    fn set(&self, name: &str, otherwise: f64) -> f64 {
-        number(&self.named, name, otherwise)
-    }
 
-    /// Time never runs backwards here, whatever a caller says.
-    fn at(&mut self, now: f64) {
-        self.now = now.max(self.now);
+        Ok(b)
     }
 
     // ---- the list and the platform's word ----
@@ -197,21 +129,7 @@
         if fresh {
             (self.following.on, self.following.failures) = (true, 0);
         }
-        if whole {
-            self.nodes.iter_mut().filter_map(|n| n.listed.as_mut()).for_each(|l| l.open = false);
-        }
-        for line in lines {
-            if line.node >= self.nodes.len() {
-                self.nodes.resize(line.node + 1, Node::default());
-            }
-            let node = &mut self.nodes[line.node];
-            // An id that comes back with another build or start is another process: nothing learnt holds.
-            if node.listed.is_none_or(|l| l.build != line.build || l.up_since != line.up_since) {
-                let (flying, owes_since) = (node.flying, self.now);
-                *node = Node { flying, owes_since, ramp: 1.0, ramp_at: self.now, ..Node::default() };
-            }
-            node.listed = Some(*line);
-        }
+        self.list(whole, lines);
     }
 
     /// A call to the list failed or its pushes ended: asks again at growing, spread-out intervals.
@@ -262,10 +180,6 @@
         }
     }
 
-    fn trial(&self) -> Option<News> {
-        self.news.filter(|n| n.phase == Phase::Trial)
-    }
-
     /// A tally. It counts time-outs and overload too: the trial must be far worse in it than the others.
     pub fn tallied(&mut self, now: f64, tally: Tally) {
         self.at(now);
@@ -277,8 +191,8 @@
             let passes = (tally.many - tally.failed).max(0.0);
             Evidence::lean(&mut self.evidence.tallied[tally.group], tally.failed, passes, usual, 4.0 * usual);
         } else if tally.build < news.build {
+            // The last five or so.
             self.tallied_faults += 0.2 * (tally.failed / tally.many - self.tallied_faults);
-            // the last five or so
         }
     }
 
@@ -308,18 +222,10 @@
         // A bucket no deeper than the free count keeps the cap in every window, wherever it lies.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         self.tokens = (self.tokens + cap).min(self.set("family_info.spare_tries", 0.0));
-        let mut held = 0.0;
-        if let Some(key) = arrival.key {
-            if key >= self.keys.len() {
-                self.keys.resize(key + 1, (0, 0));
-            }
-            self.keys[key].0 += 1;
-            self.keyed_hits += 1.0;
-            held = f64::from(u8::from(
-                self.holding(key).is_some_and(|b| self.news.is_some_and(|n| n.build == b)),
-            ));
-        }
-        self.held_share += 0.02 * (held - self.held_share); // the last fifty hits
+        self.note(arrival.key);
+        let build = arrival.key.and_then(|k| self.holding(k));
+        let held = build.is_some() && build == self.news.map(|n| n.build);
+        self.held_share += 0.02 * (f64::from(u8::from(held)) - self.held_share); // the last fifty hits
         (handle, self.route(handle.place as usize))
     }
 
@@ -339,16 +245,11 @@
             return Next::GiveUp;
         }
         // Come back when what is in hand now has been worked off.
-        let most = self.set("limits.max_retry_after_s", 0.0)
-            * f64::from(u8::from(flag(&self.named, "limits.retry_after")));
+        let told = flag(&self.named, "limits.retry_after");
+        let most = if told { self.set("limits.max_retry_after_s", 0.0) } else { 0.0 };
         Next::Bounce { again_after: self.pressure().clamp(0.05, 1.0).min(most) }
     }
 
-    /// Mean time in hand by Little's law: hits in flight over answers a second.
-    fn pressure(&self) -> f64 {
-        f64::from(self.flying) * SPAN / self.lately.done.max(1.0)
-    }
-
     /// What one answer counts among lately's: the last half second or ten answers.
     fn weight(&self) -> f64 {
         1.0 / (0.5 * self.lately.done / SPAN).clamp(10.0, 200.0)
@@ -365,7 +266,12 @@
         }
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
         let mut part = 0.6 + 0.4 * group.benefit / most; // six tenths leave room for a heavy hit
-        if self.lately.accounts.get(hit.arrival.account).is_some_and(|a| a.0 > 1.1 * a.1 * SPAN) {
+        if self
+            .lately
+            .accounts
+            .get(hit.arrival.account)
+            .is_some_and(|a| a.0 > 1.1 * a.1 * SPAN / self.set("peers_total", 1.0))
+        {
             part *= self.set("over_share_worth", 1.0).max(0.4); // beyond its share by more than chance
         }
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
@@ -384,13 +290,6 @@
         (f64::from(n.flying) + n.others + 1.0) / power
     }
 
-    /// The load step of a node, for comparing times at equal load.
-    fn step(&self, node: usize) -> usize {
-        let n = &self.nodes[node];
-        let load = (f64::from(n.flying) + n.others) / n.listed.map_or(1.0, |l| l.rating.max(0.1));
-        ((1.0 + load).log2().round() as usize).min(LOADS - 1)
-    }
-
     /// The part of its power that a node has at least, by its age.
     fn warmth(&self, line: &Listed) -> f64 {
         let (full, from) = (self.set("obligations.cold_s", 0.0), self.set("obligations.cold_share", 1.0));
@@ -441,21 +340,12 @@
         for (any_build, unfit) in [(false, false), (true, false), (true, true)] {
             fit.clear();
             for i in 0..self.nodes.len() {
-                let Some(line) = self.nodes[i].listed.filter(|l| l.open && l.build >= least_build) else {
-                    continue;
-                };
-                let same = match (hit.risk, scope) {
-                    (Some((_, zone, _)), Scope::Zone) => zone == line.zone,
-                    (Some((_, _, cell)), Scope::Cell) => cell == line.cell,
-                    _ => true,
-                };
+                let listed = self.nodes[i].listed.filter(|l| l.open && l.build >= least_build);
+                let Some(line) = listed else { continue };
+                let same = repeat == Repeat::Repeatable || hit.within(scope, &line);
                 let able = if unfit { repeat != Repeat::Mutating } else { self.fit(i, repeat) };
-                if (same || repeat == Repeat::Repeatable)
-                    && (any_build || line.build == newest)
-                    && able
-                    && self.standing(line.build) == standing
-                    && self.ramp(i, total)
-                {
+                let wanted = self.standing(line.build) == standing && (any_build || line.build == newest);
+                if same && wanted && able && self.ramp(i, total) {
                     fit.push(i);
                 }
             }
@@ -477,13 +367,9 @@
         // Crossing zones has a price where one is set: a far node must be half as loaded to be chosen.
         let load = |b: &Balancer, i: usize| b.load(i) * if far(b, i) { 2.0 } else { 1.0 };
         let first = fit[self.chance.0.gen_range(0..fit.len())];
-        let near = fit.iter().filter(|i| crossing && !far(self, **i)).count();
-        let second = if near > 0 {
-            let skip = self.chance.0.gen_range(0..near);
-            *fit.iter().filter(|i| !far(self, **i)).nth(skip)?
-        } else {
-            fit[self.chance.0.gen_range(0..fit.len())]
-        };
+        let near = fit.iter().filter(|i| !far(self, **i)).count();
+        let skip = self.chance.0.gen_range(0..if near > 0 { near } else { fit.len() });
+        let second = *fit.iter().filter(|i| near == 0 || !far(self, **i)).nth(skip)?;
         Some(if load(self, second) < load(self, first) { second } else { first })
     }
 
@@ -496,28 +382,22 @@
             return self.finish(place); // within a millisecond nothing reaches a node and returns
         }
         let held = hit.arrival.key.and_then(|k| self.holding(k));
-        let least_build = held.unwrap_or(0);
         let trial = self.trial();
         let closed = trial.is_some_and(|n| (n.stage as f64) < self.set("family_info.closed_stages", 0.0));
         let allowed = trial.is_some() && (repeat == Repeat::Repeatable || !closed);
         let open = allowed && self.tokens >= 1.0;
         if held.is_some() && held == trial.map(|n| n.build) {
             // One way: the key may go nowhere else. It waits a little for its turn, while in time.
-            if let Some(node) =
-                Some(()).filter(|_| open).and_then(|()| self.choose(place, Standing::OnTrial, least_build))
-            {
+            let node = if open { self.choose(place, Standing::OnTrial, 0) } else { None };
+            if let Some(node) = node {
                 return self.send(place, node, true);
             }
             let wait = allowed && self.now < hit.taken + 0.5 * target;
             return if wait { Next::Wait { pause: 0.01 } } else { self.finish(place) };
         }
-        let earlier = self.choose(place, Standing::Open, least_build);
-        if open
-            && hit.forwards == 0
-            && self.doubt.paused_at.is_none()
-            && self.welcome(&hit)
-            && self.duel.favours_trial()
-        {
+        let earlier = self.choose(place, Standing::Open, held.unwrap_or(0));
+        let first = hit.forwards == 0 && self.doubt.paused_at.is_none();
+        if open && first && self.welcome(&hit) && self.duel.favours_trial() {
             // Arms are compared at like load: a trial node busier than the alternative is no fair pull.
             let node = self.choose(place, Standing::OnTrial, 0);
             if let Some(n) = node.filter(|n| earlier.is_none_or(|e| self.load(*n) <= 1.25 * self.load(e))) {
@@ -534,10 +414,8 @@
     /// ones stay within the cap.
     fn welcome(&self, hit: &Hit) -> bool {
         let cap = self.news.map_or(0.0, |n| n.cap);
-        let Some(key) = hit.arrival.key.filter(|_| cap < 1.0 && flag(&self.named, "family_info.one_way"))
-        else {
-            return true;
-        };
+        let bound = cap < 1.0 && flag(&self.named, "family_info.one_way");
+        let Some(key) = hit.arrival.key.filter(|_| bound) else { return true };
         let usual = (self.keyed_hits / self.keys.len().max(1) as f64).max(1.0);
         f64::from(self.keys[key].0) <= usual && self.held_share < 0.7 * cap && self.tokens >= 1.5
     }
@@ -550,24 +428,15 @@
         // For the comparisons a node is cold a span longer: what piled up has to go first.
         let cold = line.up_since > 0.0 && sent < line.up_since + self.set("obligations.cold_s", 0.0) + SPAN;
         self.tokens -= f64::from(u8::from(trial));
-        self.flying += 1;
-        let n = &mut self.nodes[node];
-        if n.flying == 0 {
-            n.owes_since = sent;
-        }
-        n.flying += 1;
-        n.ramp -= 1.0;
-        let hit = &mut self.slab.hits[place];
-        hit.flying =
-            Some(Flying { node, build: line.build, sent, step, load, cold, first: hit.forwards == 0 });
-        hit.forwards += 1;
-        let hit = *hit;
-        Next::Forward { node, limit: self.limit(&hit) }
+        let first = self.slab.hits[place].forwards == 0;
+        self.launch(place, Flying { node, build: line.build, sent, step, load, cold, first });
+        Next::Forward { node, limit: self.limit(place) }
     }
 
     /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to the
     /// target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
-    fn limit(&self, hit: &Hit) -> f64 {
+    fn limit(&self, place: usize) -> f64 {
+        let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let (left, on_time) = (hit.due - self.now, hit.taken + group.target - self.now);
         let more = f64::from(hit.forwards) < self.set("limits.max_attempts", 3.0) && self.retries >= 1.0;
@@ -603,7 +472,6 @@
         let served = end.ending == Ending::Delivered;
         let answered = served || end.ending == Ending::Errored;
         let timed = served || end.ending == Ending::NoAnswer;
-        self.flying = self.flying.saturating_sub(1);
         self.lately.done += 1.0;
         if timed {
             let weight = self.weight();
@@ -614,10 +482,9 @@
         let jitter = self.chance.0.gen_range(0.8..1.2);
         let quick = (0.5 * self.pressure()).clamp(0.02, 0.2);
         let n = &mut self.nodes[flying.node];
-        n.flying = n.flying.saturating_sub(1);
         if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
+            // By half: reports are noisy.
             n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
-            // half: reports are noisy
         }
         if let Some(x) = slow.filter(|_| !flying.cold) {
             // An eighth of each answer: ten times slower shows within three, chance hardly does.
@@ -667,22 +534,20 @@
         let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
         let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
         let calm_now = self.trial().is_none();
-        let (calm, x) = match end.service.filter(|s| *s > 0.0 && s.is_finite()) {
-            Some(service) => (&mut self.service, service.ln()),
-            None => {
-                (&mut self.groups[hit.arrival.group].calm[flying.step], (end.spent.max(1e-4) / work).ln())
+        let learn = end.ending == Ending::Delivered && !flying.cold && !on_trial;
+        let cell = &mut self.groups[hit.arrival.group].calm[flying.step];
+        let mut x = None;
+        for (calm, seen) in [(cell, Some(end.spent / work)), (&mut self.service, end.service)] {
+            let Some(ln) = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln) else { continue };
+            if learn && (calm_now || calm.z < 15.0) {
+                calm.fade(if calm.z >= 400.0 { 0.5 } else { 1.0 }); // keeps the last few hundred
+                calm.add(ln);
             }
-        };
-        if end.ending == Ending::Delivered && !flying.cold && !on_trial && (calm_now || calm.z < 15.0) {
-            if calm.z >= 400.0 {
-                calm.fade(0.5); // keeps the last few hundred
+            if calm.z >= 5.0 {
+                x = Some((ln - calm.mean()).clamp(-2.5, 2.5));
             }
-            calm.add(x);
         }
-        if calm.z < 5.0 {
-            return None;
-        }
-        let x = (x - calm.mean()).clamp(-2.5, 2.5);
+        let x = x?;
         if !flying.cold {
             self.nodes[flying.node].times.add(x);
             if !on_trial {
@@ -698,21 +563,18 @@
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
         let keep = (-TICK / SPAN).exp();
-        self.lately.taken *= keep;
-        self.lately.done *= keep;
-        self.lately.accounts.iter_mut().for_each(|a| a.0 *= keep);
-        self.lately.present.fade(keep);
-        let agents = self.set("peers_total", 1.0).max(1.0);
-        let usual = (agents - 1.0) * f64::from(self.flying) / self.nodes.len().max(1) as f64;
+        self.lately.fade(keep);
+
+        let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
+            / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
             // Reports not heard again are forgotten (others are taken to hold as much as this agent), slowness too.
             n.others += (1.0 - keep) * (usual - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
         self.compare();
-        if let Some(news) = self.trial() {
-            self.evidence.slower = self.slower(news.build);
-        }
+        self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
+
         let follow = !self.following.on && self.now >= self.following.ask_at;
         if follow {
             self.following.ask_at = self.now + 5.0; // an answer always comes; should it not, asks again
@@ -732,10 +594,10 @@
         let slowed = present.z >= 10.0 && present.mean() > 0.35 + 2.0 * present.error().sqrt();
         self.doubt.slow_for = if slowed { self.doubt.slow_for + 1 } else { 0 };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
-        let Some(_) = trial.filter(|_| self.duel.outcomes >= 2.0) else {
-            self.doubt.paused_at = None;
+        if trial.is_none() || self.duel.outcomes < 2.0 {
+            (self.doubt.paused_at, self.doubt.raised) = (None, false);
             return;
-        };
+        }
         match self.doubt.paused_at {
             None if self.doubt.slow_for >= 5 && phase < 2.0 * TICK && self.now >= self.doubt.not_before => {
                 self.doubt.paused_at = Some(present.mean());
@@ -842,24 +704,13 @@
     pub fn returned(self, b: &mut Balancer, now: f64, end: Return) -> Next {
         b.at(now);
         let Some(place) = b.slab.find(self) else { return Next::Nothing };
-        let Some(flying) = b.slab.hits[place].flying.take() else { return Next::Nothing };
+        let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
         let hit = b.slab.hits[place];
         b.learn(&hit, &flying, &end);
-        if end.ending == Ending::Delivered {
-            if let Some(key) = hit.arrival.key.and_then(|k| b.keys.get_mut(k)) {
-                key.1 = key.1.max(flying.build);
-            }
-        }
         if end.over || end.ending == Ending::Delivered || !hit.owed {
             b.slab.end(place);
             return Next::Nothing;
         }
-        let unseen = matches!(end.ending, Ending::TurnedAway | Ending::NoConnection | Ending::NeverSent);
-        if !unseen && hit.risk.is_none() {
-            let line = b.nodes[flying.node].listed;
-            b.slab.hits[place].risk =
-                Some(line.map_or((flying.sent, usize::MAX, -1), |l| (flying.sent, l.zone, l.cell)));
-        }
         if b.again(place) {
             b.route(place)
         } else {
@@ -873,19 +724,6 @@
         let waiting = b.slab.find(self).filter(|p| b.slab.hits[*p].flying.is_none());
         waiting.map_or(Next::Nothing, |place| b.route(place))
     }
-
-    /// The client has left: nothing is owed any more.
-    pub fn left(self, b: &mut Balancer, now: f64) {
-        b.at(now);
-        if let Some(place) = b.slab.find(self).filter(|p| b.slab.hits[*p].owed) {
-            b.slab.end(place);
-        }
-    }
-
-    /// Whether anything is still to come for it.
-    pub fn pending(self, b: &Balancer) -> bool {
-        b.slab.find(self).is_some()
-    }
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,17 @@
     pub risk: Option<(f64, usize, i64)>,
 }
 
+impl Hit {
+    /// Whether a node drops repeats of this hit, if it may have run.
+    pub fn within(&self, scope: Scope, line: &Listed) -> bool {
+        match (self.risk, scope) {
+            (Some((_, zone, _)), Scope::Zone) => zone == line.zone,
+            (Some((_, _, cell)), Scope::Cell) => cell == line.cell,
+            _ => true,
+        }
+    }
+}
+
 /// Hits in hand, in places that are used again.
 #[derive(Default)]
 pub(crate) struct Slab {
@@ -236,6 +247,23 @@
     pub present: Count,
 }
 
+impl Lately {
+    pub fn fade(&mut self, keep: f64) {
+        self.taken *= keep;
+        self.done *= keep;
+        self.accounts.iter_mut().for_each(|a| a.0 *= keep);
+        self.present.fade(keep);
+    }
+    /// Reads the accounts and their shares.
+    pub fn read(&mut self, named: &Named) {
+        let name = |i: usize| format!("accounts.{i}.allowance_per_s");
+        while named.contains_key(&name(self.accounts.len())) {
+            self.accounts.push((0.0, number(named, &name(self.accounts.len()), f64::INFINITY)));
+        }
+        self.loads = 1.0;
+    }
+}
+
 /// The vote last cast, and how it fared.
 #[derive(Default)]
 pub(crate) struct Cast {
@@ -263,3 +291,170 @@
     pub paused_at: Option<f64>,
     pub not_before: f64,
 }
+
+/// The two arms of the design. Payoffs are kept by path group: the earlier arm is weighed in the trial's mix.
+#[derive(Default)]
+pub(crate) struct Duel {
+    pub arms: [Vec<Count>; 2],
+    pub round: i32,
+    pub dropped: Option<usize>,
+    pub outcomes: f64,
+    pub horizon: f64,
+}
+
+/// What speaks against a build beyond its payoffs.
+#[derive(Default)]
+pub(crate) struct Evidence {
+    /// Errors by path group, then all together; the same of tallies; complaints.
+    pub faults: Vec<f64>,
+    pub tallied: Vec<f64>,
+    pub complaints: f64,
+    pub slower: f64,
+    /// How often in a row a pause of the trial made a slowdown go.
+    pub abated: u32,
+}
+
+impl Evidence {
+    pub(crate) fn new(groups: usize) -> Evidence {
+        Evidence { faults: vec![0.0; groups + 1], tallied: vec![0.0; groups], ..Evidence::default() }
+    }
+}
+
+/// One agent: what it was told and what it has seen. Its decisions are in `balance`.
+#[derive(Default)]
+pub struct Balancer {
+    pub(crate) named: Named,
+    pub(crate) chance: Chance,
+    pub(crate) now: f64,
+    pub(crate) started: f64,
+    pub(crate) zone: Option<usize>,
+    pub(crate) groups: Vec<PathGroup>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) fit: Vec<usize>,
+    pub(crate) slab: Slab,
+    pub(crate) flying: u32,
+    pub(crate) lately: Lately,
+    pub(crate) retries: f64,
+    /// Times of service that nodes report in calm seconds.
+    pub(crate) service: Count,
+    pub(crate) news: Option<News>,
+    pub(crate) stage_began: f64,
+    pub(crate) tokens: f64,
+    pub(crate) void: Vec<u32>,
+    pub(crate) duel: Duel,
+    pub(crate) evidence: Evidence,
+    pub(crate) usual_faults: f64,
+    pub(crate) tallied_faults: f64,
+    pub(crate) doubt: Doubt,
+    /// By key: hits seen and the newest build that answered.
+    pub(crate) keys: Vec<(u32, u32)>,
+    pub(crate) keyed_hits: f64,
+    pub(crate) held_share: f64,
+    pub(crate) cast: Cast,
+    pub(crate) following: Following,
+}
+
+impl Balancer {
+    pub(crate) fn set(&self, name: &str, otherwise: f64) -> f64 {
+        number(&self.named, name, otherwise)
+    }
+
+    /// Time never runs backwards here, whatever a caller says.
+    pub(crate) fn at(&mut self, now: f64) {
+        self.now = now.max(self.now);
+    }
+
+    pub(crate) fn trial(&self) -> Option<News> {
+        self.news.filter(|n| n.phase == Phase::Trial)
+    }
+
+    /// Mean time in hand by Little's law: hits in flight over answers a second (sums of about one second).
+    pub(crate) fn pressure(&self) -> f64 {
+        f64::from(self.flying) / self.lately.done.max(1.0)
+    }
+
+    /// The load step of a node, for comparing times at equal load.
+    pub(crate) fn step(&self, node: usize) -> usize {
+        let n = &self.nodes[node];
+        let load = (f64::from(n.flying) + n.others) / n.listed.map_or(1.0, |l| l.rating.max(0.1));
+        ((1.0 + load).log2().round() as usize).min(LOADS - 1)
+    }
+
+    /// Keeps the list: all of it (`whole`: what is absent is gone) or changes.
+    pub(crate) fn list(&mut self, whole: bool, lines: &[Listed]) {
+        if whole {
+            self.nodes.iter_mut().filter_map(|n| n.listed.as_mut()).for_each(|l| l.open = false);
+        }
+        for line in lines {
+            if line.node >= self.nodes.len() {
+                self.nodes.resize(line.node + 1, Node::default());
+            }
+            let node = &mut self.nodes[line.node];
+            // An id that comes back with another build or start is another process: nothing learnt holds.
+            if node.listed.is_none_or(|l| l.build != line.build || l.up_since != line.up_since) {
+                let (flying, owes_since) = (node.flying, self.now);
+                *node = Node { flying, owes_since, ramp: 1.0, ramp_at: self.now, ..Node::default() };
+            }
+            node.listed = Some(*line);
+        }
+    }
+
+    /// Counts a hit's key in; `None` where it has none.
+    pub(crate) fn note(&mut self, key: Option<usize>) {
+        let Some(key) = key else { return };
+        if key >= self.keys.len() {
+            self.keys.resize(key + 1, (0, 0));
+        }
+        self.keys[key].0 += 1;
+        self.keyed_hits += 1.0;
+    }
+
+    /// Puts a forward on its way.
+    pub(crate) fn launch(&mut self, place: usize, flying: Flying) {
+        self.flying += 1;
+        let node = &mut self.nodes[flying.node];
+        if node.flying == 0 {
+            node.owes_since = flying.sent;
+        }
+        node.flying += 1;
+        node.ramp -= 1.0;
+        let hit = &mut self.slab.hits[place];
+        hit.flying = Some(flying);
+        hit.forwards += 1;
+    }
+
+    /// Takes the forward of a hit back in. Remembers where the hit may have run, and which build served its key.
+    pub(crate) fn land(&mut self, place: usize, ending: Ending) -> Option<Flying> {
+        let hit = &mut self.slab.hits[place];
+        let flying = hit.flying.take()?;
+        let node = &mut self.nodes[flying.node];
+        let unseen = matches!(ending, Ending::TurnedAway | Ending::NoConnection | Ending::NeverSent);
+        if !unseen && hit.risk.is_none() {
+            let at = node.listed.map_or((usize::MAX, -1), |l| (l.zone, l.cell));
+            hit.risk = Some((flying.sent, at.0, at.1));
+        }
+        if let Some(key) =
+            hit.arrival.key.filter(|_| ending == Ending::Delivered).and_then(|k| self.keys.get_mut(k))
+        {
+            key.1 = key.1.max(flying.build);
+        }
+        self.flying = self.flying.saturating_sub(1);
+        node.flying = node.flying.saturating_sub(1);
+        Some(flying)
+    }
+}
+
+impl HitHandle {
+    /// The client has left: nothing is owed any more.
+    pub fn left(self, b: &mut Balancer, now: f64) {
+        b.at(now);
+        if let Some(place) = b.slab.find(self).filter(|p| b.slab.hits[*p].owed) {
+            b.slab.end(place);
+        }
+    }
+
+    /// Whether anything is still to come for it.
+    pub fn pending(self, b: &Balancer) -> bool {
+        b.slab.find(self).is_some()
+    }
+}
