--- a/src/balance.rs
+++ b/src/balance.rs
@@ -80,6 +80,18 @@
         }
         let last = (0.5 * (self.horizon / std::f64::consts::E).log2()).floor() as i32;
         self.round += i32::from(self.round < last && z0 >= n && z1 >= n);
+        // A horizon that has run out starts the next, unless the trial has been out of favour with enough pulls:
+        // what it did when cold or crowded must not hold it for ever, nor a stalled width let it pass.
+        if z0 + z1 >= self.horizon && self.dropped.is_none() {
+            let lost = z1 >= LEAST && !self.favours_trial();
+
+            if lost {
+                self.dropped = Some(TRIAL);
+            } else {
+                self.arms.iter_mut().flatten().for_each(|a| *a = Count::default());
+                self.round = 0;
+            }
+        }
     }
 }
 
@@ -540,7 +552,6 @@
         for (calm, seen) in [(cell, Some(end.spent / work)), (&mut self.service, end.service)] {
             let Some(ln) = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln) else { continue };
             if learn && (calm_now || calm.z < 15.0) {
-                calm.fade(if calm.z >= 400.0 { 0.5 } else { 1.0 }); // keeps the last few hundred
                 calm.add(ln);
             }
             if calm.z >= 5.0 {
@@ -572,6 +583,17 @@
             n.others += (1.0 - keep) * (usual - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
+        // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so that
+        // a suspicion which nothing feeds does not hold it for ever.
+        let old = keep.powf(0.1);
+        if self.trial().is_none() {
+            self.groups
+                .iter_mut()
+                .flat_map(|g| &mut g.calm)
+                .chain([&mut self.service])
+                .for_each(|c| c.fade(old));
+        }
+        self.evidence.fade(old);
         self.compare();
         self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
 
@@ -617,21 +639,27 @@
     /// compared, not answers: one slow or backed-up node is no build, and its answers are not independent.
     fn slower(&self, build: u32) -> f64 {
         let (mut sides, mut noise) = ([Count::default(); 2], [0.0; 2]);
-        for n in self.nodes.iter().filter(|n| n.times.z >= 4.0) {
-            if let Some(l) = n.listed.filter(|l| l.open && l.build <= build) {
-                let side = usize::from(l.build == build);
-                sides[side].add(n.times.mean());
-                noise[side] += n.times.error();
-            }
+        let known =
+            || self.nodes.iter().filter(|n| n.times.z >= 8.0).filter_map(|n| Some((n.times, n.listed?)));
+        for (times, l) in known().filter(|(_, l)| l.open && l.build <= build) {
+            let mut kin = Count::default();
+            known()
+                .filter(|(_, k)| k.build < build && k.rating == l.rating)
+                .for_each(|(t, _)| kin.add(t.mean()));
+            let side = usize::from(l.build == build);
+            sides[side].add(times.mean() - kin.mean());
+            noise[side] += times.error();
         }
         let [earlier, trial] = sides;
         if earlier.z < 3.0 || trial.z < 3.0 {
             return 0.0;
         }
-        // A good build may be slower by a fifth; beyond three tenths, four standard errors of like nodes convince.
+        // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet; beyond
+        // that four standard errors of like nodes convince.
+        let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
         let like = earlier.variance();
         let error = (like / earlier.z + like.max(noise[TRIAL] / trial.z) / trial.z).sqrt().max(0.05);
-        (trial.mean() - earlier.mean() - 0.3) / error / 4.0
+        (trial.mean() - earlier.mean() - margin) / error / 4.0
     }
 
     /// What this agent's vote should be.
@@ -653,7 +681,7 @@
         let own = self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build == news.build);
         let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
         let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(2.0, 10.0);
-        let ripe = self.duel.outcomes >= least || self.duel.dropped == Some(EARLIER);
+        let ripe = self.duel.outcomes >= least && self.duel.favours_trial();
         let on = trial && !doubtful && ripe && self.now >= start + soak;
         if on {
             Verdict::On
--- a/src/state.rs
+++ b/src/state.rs
@@ -315,6 +315,10 @@
 }
 
 impl Evidence {
+    pub(crate) fn fade(&mut self, keep: f64) {
+        self.faults.iter_mut().chain(&mut self.tallied).for_each(|s| *s *= keep);
+        self.complaints *= keep;
+    }
     pub(crate) fn new(groups: usize) -> Evidence {
         Evidence { faults: vec![0.0; groups + 1], tallied: vec![0.0; groups], ..Evidence::default() }
     }
