--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,6 +64,10 @@
     pub(crate) fn favours_trial(&self) -> bool {
         self.dropped.map_or_else(|| self.index(TRIAL) >= self.index(EARLIER), |arm| arm == EARLIER)
     }
+    /// Whether the trial has sunk so low that it gets no pulls; arms in turn stay within a few hundredths.
+    pub(crate) fn shuns_trial(&self) -> bool {
+        self.index(TRIAL) < self.index(EARLIER) - 0.05
+    }
     /// Drops an arm, ends a round. An arm with fewer pulls than the round's n is given the width of its own.
     pub(crate) fn judge(&mut self) {
         let ((z0, r0, v0), (z1, r1, v1)) = (self.moments(EARLIER), self.moments(TRIAL));
@@ -80,12 +84,10 @@
         }
         let last = (0.5 * (self.horizon / std::f64::consts::E).log2()).floor() as i32;
         self.round += i32::from(self.round < last && z0 >= n && z1 >= n);
-        // A horizon that has run out starts the next, unless the trial has been out of favour with enough pulls:
-        // what it did when cold or crowded must not hold it for ever, nor a stalled width let it pass.
+        // A horizon that has run out starts the next, unless even the trial's upper bound lies below the earlier
+        // mean: what it did when cold or crowded must not hold it for ever, nor a stalled width let it pass.
         if z0 + z1 >= self.horizon && self.dropped.is_none() {
-            let lost = z1 >= LEAST && !self.favours_trial();
-
-            if lost {
+            if z1 >= LEAST && self.index(TRIAL) < r0 {
                 self.dropped = Some(TRIAL);
             } else {
                 self.arms.iter_mut().flatten().for_each(|a| *a = Count::default());
@@ -681,8 +683,11 @@
         let own = self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build == news.build);
         let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
         let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(2.0, 10.0);
-        let ripe = self.duel.outcomes >= least && self.duel.favours_trial();
-        let on = trial && !doubtful && ripe && self.now >= start + soak;
+        let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
+        // A vote given for a stage stands, whatever machines are listed after it.
+        let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
+        let due = self.now >= start + soak || self.cast.vote == Some(given);
+        let on = trial && !doubtful && ripe && due;
         if on {
             Verdict::On
         } else {
