--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,9 +20,6 @@
 
 pub use crate::state::Balancer;
 
-pub(crate) const EARLIER: usize = 0;
-pub(crate) const TRIAL: usize = 1;
-
 /// The design's rule.
 impl Duel {
     pub(crate) fn new(groups: usize, rate: f64) -> Duel {
@@ -41,17 +38,6 @@
         const RHO: f64 = 0.5; // the paper's, Theorem 1
         (RHO * (variance + 2.0) * self.log(1) / (4.0 * pulls)).sqrt()
     }
-    /// Pulls, mean and variance of an arm; the earlier one's in the trial's mix of path groups.
-    pub(crate) fn moments(&self, arm: usize) -> (f64, f64, f64) {
-        let (mut z, mut mix) = (0.0, Count::default());
-        for (own, trial) in self.arms[arm].iter().zip(&self.arms[TRIAL]).filter(|(own, _)| own.z > 0.0) {
-            z += own.z;
-            let share = (trial.z + 1e-6) / own.z; // where the trial has none yet, all groups count alike
-            let part = Count { z: own.z * share, sum: own.sum * share, squares: own.squares * share };
-            mix = mix.with(&part);
-        }
-        (z, mix.mean(), mix.variance())
-    }
     pub(crate) fn index(&self, arm: usize) -> f64 {
         let (z, mean, variance) = self.moments(arm);
         if z == 0.0 {
@@ -243,13 +229,6 @@
         (handle, self.route(handle.place as usize))
     }
 
-    /// The build that must go on serving this key, under one way.
-    fn holding(&self, key: usize) -> Option<u32> {
-        let build = self.keys.get(key).map_or(0, |k| k.1);
-        let stands = build > 0 && !self.void.contains(&build) && flag(&self.named, "family_info.one_way");
-        stands.then_some(build)
-    }
-
     /// Answers at once for a hit that is given up: a bounce where nothing can run twice, else an error page.
     fn finish(&mut self, place: usize) -> Next {
         let hit = &self.slab.hits[place];
@@ -304,15 +283,6 @@
         (f64::from(n.flying) + n.others + 1.0) / power
     }
 
-    /// The part of its power that a node has at least, by its age.
-    fn warmth(&self, line: &Listed) -> f64 {
-        let (full, from) = (self.set("obligations.cold_s", 0.0), self.set("obligations.cold_share", 1.0));
-        if line.up_since <= 0.0 || full <= 0.0 {
-            return 1.0;
-        }
-        (from + (1.0 - from) * (self.now - line.up_since) / full).clamp(from.clamp(0.05, 1.0), 1.0)
-    }
-
     /// Mechanism 2. Whether a cold node's allowance lets it take a hit. It fills with this agent's own rate,
     /// shared out by size, times the warmth: all agents doing so send it its part of all traffic, which its
     /// present power can take as far as the fleet can. Covers crashes, restarts and new stages alike.
@@ -640,19 +610,7 @@
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
     /// compared, not answers: one slow or backed-up node is no build, and its answers are not independent.
     fn slower(&self, build: u32) -> f64 {
-        let (mut sides, mut noise) = ([Count::default(); 2], [0.0; 2]);
-        let known =
-            || self.nodes.iter().filter(|n| n.times.z >= 8.0).filter_map(|n| Some((n.times, n.listed?)));
-        for (times, l) in known().filter(|(_, l)| l.open && l.build <= build) {
-            let mut kin = Count::default();
-            known()
-                .filter(|(_, k)| k.build < build && k.rating == l.rating)
-                .for_each(|(t, _)| kin.add(t.mean()));
-            let side = usize::from(l.build == build);
-            sides[side].add(times.mean() - kin.mean());
-            noise[side] += times.error();
-        }
-        let [earlier, trial] = sides;
+        let ([earlier, trial], noise) = self.sides(build, 8.0); // eight answers tell a node's mean to a third
         if earlier.z < 3.0 || trial.z < 3.0 {
             return 0.0;
         }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -1,1 +1,509 @@
-//! Tests of the decisions.
+//! Tests of the decisions. Each builds the state it needs and calls one function.
+
+use super::*;
+
+fn named(pairs: &[(&str, f64)]) -> Named {
+    let mut named = Named::new();
+    for (i, repeat) in ["retryable", "dedup", "fragile"].iter().enumerate() {
+        named.insert(format!("classes.{i}.name"), Value::Text(format!("group {i}")));
+        named.insert(format!("classes.{i}.repeat"), Value::Text((*repeat).into()));
+        named.insert(format!("classes.{i}.dedup_scope"), Value::Text("zone".into()));
+        named.insert(format!("classes.{i}.dedup_window_s"), Value::Number(1.0));
+        named.insert(format!("classes.{i}.goal_time_s"), Value::Number(0.5));
+        named.insert(format!("classes.{i}.hard_limit_s"), Value::Number(2.0));
+    }
+    named.insert("limits.max_attempts".into(), Value::Number(3.0));
+    named.insert("family_info.spare_tries".into(), Value::Number(2.0));
+    named.extend(pairs.iter().map(|(name, n)| ((*name).into(), Value::Number(*n))));
+    named
+}
+
+fn line(node: usize, build: u32, up_since: f64) -> Listed {
+    Listed { node, open: true, build, zone: node % 2, cell: 0, rating: 1.0, up_since }
+}
+
+/// Four nodes of build 1 (0 to 3) and four of build 2 (4 to 7), with news of build 2.
+fn balancer(stage: usize, phase: Phase, cap: f64, pairs: &[(&str, f64)]) -> Balancer {
+    let mut b = Balancer::start(7, 100.0, Some(0), named(pairs)).expect("these settings can be worked with");
+    let lines: Vec<Listed> = (0..8).map(|i| line(i, 1 + (i / 4) as u32, 0.0)).collect();
+    b.list(true, &lines);
+    b.news = Some(News { build: 2, stage, phase, since: 0.0, cap });
+    b
+}
+
+fn hit(group: usize) -> Arrival {
+    Arrival { group, key: None, account: 0, remaining: 2.0, hint: 0.0 }
+}
+
+fn end(ending: Ending) -> Return {
+    Return { ending, spent: 0.1, over: false, holds: None, service: None }
+}
+
+/// A hit of this group with one forward out to this node.
+fn flying(b: &mut Balancer, group: usize, node: usize) -> HitHandle {
+    let (arrival, taken, due) = (hit(group), b.now, b.now + 2.0);
+    let handle = b.slab.put(Hit { owed: true, arrival, taken, due, ..Hit::default() });
+    let (build, sent) = (b.nodes[node].listed.map_or(0, |l| l.build), b.now);
+    let way = Flying { node, build, sent, step: 0, load: 1.0, cold: false, first: true };
+    b.launch(handle.place as usize, way);
+    handle
+}
+
+fn count(z: f64, mean: f64) -> Count {
+    Count { z, sum: z * mean, squares: z * mean }
+}
+
+fn duel(earlier: Count, trial: Count) -> Duel {
+    Duel { arms: [vec![earlier], vec![trial]], outcomes: trial.z, ..Duel::new(1, 0.0) }
+}
+
+fn build_of(b: &Balancer, next: Next) -> Option<u32> {
+    match next {
+        Next::Forward { node, .. } => b.nodes[node].listed.map(|l| l.build),
+        _ => None,
+    }
+}
+
+// ---- the design, by hand from the paper's formulas ----
+
+#[test]
+fn index_is_mean_plus_radius() {
+    // T = 200, psi T = 10,000, eps = 1: sqrt(0.5 (0.25 + 2) ln 10,000 / 40) = 0.50897.
+    let d = duel(count(10.0, 0.5), count(10.0, 0.5));
+    assert!((d.index(TRIAL) - 1.00897).abs() < 1e-4);
+}
+
+#[test]
+fn pulls_of_the_rounds() {
+    // ln 10,000 / 2 = 4.6; ln 2,500 / 1 = 7.8; ln 625 / 0.5 = 12.9.
+    let n: Vec<f64> = (0..3).map(|round| Duel { round, ..Duel::new(1, 0.0) }.pulls()).collect();
+    assert_eq!(n, [5.0, 8.0, 13.0]);
+}
+
+#[test]
+fn a_round_ends_when_both_arms_have_their_pulls() {
+    let mut d = duel(count(20.0, 0.9), count(5.0, 0.9));
+    d.judge();
+    assert_eq!(d.round, 1);
+    d.judge();
+    assert_eq!(d.round, 1);
+}
+
+#[test]
+fn a_far_worse_trial_is_dropped() {
+    // Round 3, n = 21: c = sqrt(1.125 ln 1,250 / 84) = 0.31 at v = 0.25, 0.29 at v = 0.
+    let mut d = Duel { round: 3, ..duel(count(60.0, 1.0), count(60.0, 0.1)) };
+    d.judge();
+    assert_eq!(d.dropped, Some(TRIAL));
+}
+
+#[test]
+fn few_outcomes_drop_no_trial() {
+    let mut d = Duel { round: 3, outcomes: 9.0, ..duel(count(60.0, 1.0), count(60.0, 0.1)) };
+    d.judge();
+    assert_eq!(d.dropped, None);
+}
+
+#[test]
+fn the_earlier_arm_is_weighed_in_the_trials_mix() {
+    let mut d = Duel::new(2, 0.0);
+    d.arms = [vec![count(90.0, 1.0), count(10.0, 0.0)], vec![count(5.0, 1.0), count(5.0, 0.0)]];
+    assert!((d.moments(EARLIER).1 - 0.5).abs() < 1e-3);
+}
+
+#[test]
+fn a_horizon_that_runs_out_starts_afresh() {
+    // Guards against a trial that sank while cold and was never tried again.
+    let mut d = duel(count(195.0, 0.95), count(6.0, 0.4));
+    d.judge();
+    assert!(d.dropped.is_none() && d.favours_trial());
+}
+
+#[test]
+fn a_horizon_ends_a_trial_below_the_earlier_mean() {
+    // Guards against mild bad builds that ride a stalled width: 0.5 + 0.35 < 0.95.
+    let mut d = Duel { round: 1, ..duel(count(180.0, 0.95), count(25.0, 0.4)) };
+    d.judge();
+    assert_eq!(d.dropped, Some(TRIAL));
+}
+
+// ---- the rules ----
+
+#[test]
+fn no_node_is_answered_at_once() {
+    let mut b = Balancer::start(1, 0.0, None, named(&[])).unwrap();
+    let (handle, next) = b.take(0.0, hit(2));
+    assert_eq!(next, Next::Bounce { again_after: 0.0 });
+    assert!(!handle.pending(&b));
+}
+
+#[test]
+fn a_hit_with_no_time_left_is_not_sent() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let late = Arrival { remaining: 0.0, ..hit(0) };
+    assert!(matches!(b.take(100.0, late).1, Next::Bounce { .. }));
+}
+
+#[test]
+fn a_time_out_at_the_clients_end_is_final() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let handle = flying(&mut b, 0, 4);
+    assert!(matches!(handle.returned(&mut b, 102.0, end(Ending::NoAnswer)), Next::Bounce { .. }));
+    assert!(!handle.pending(&b));
+}
+
+#[test]
+fn mutating_that_may_have_run_is_given_up() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    for ending in [Ending::NoAnswer, Ending::Errored, Ending::Broken, Ending::CalledOff] {
+        let handle = flying(&mut b, 2, 4);
+        assert_eq!(handle.returned(&mut b, 100.1, end(ending)), Next::GiveUp, "{ending:?}");
+    }
+}
+
+#[test]
+fn mutating_that_never_ran_goes_again() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let handle = flying(&mut b, 2, 4);
+    assert!(matches!(handle.returned(&mut b, 100.1, end(Ending::TurnedAway)), Next::Forward { .. }));
+}
+
+#[test]
+fn tagged_repeats_stay_in_their_zone() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    for _ in 0..20 {
+        b.retries = 5.0;
+        let handle = flying(&mut b, 1, 5);
+        match handle.returned(&mut b, 100.1, end(Ending::Errored)) {
+            Next::Forward { node, .. } => assert_eq!(node % 2, 1),
+            next => assert_eq!(next, Next::GiveUp),
+        }
+    }
+}
+
+#[test]
+fn tagged_is_not_repeated_after_its_window() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[("classes.1.late_share", 0.2)]);
+    let handle = flying(&mut b, 1, 5);
+    assert_eq!(handle.returned(&mut b, 101.0, end(Ending::Errored)), Next::GiveUp);
+}
+
+#[test]
+fn further_forwards_stop_with_the_budget() {
+    // Guards against retries that feed a jam.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    b.retries = 0.5;
+    let handle = flying(&mut b, 0, 4);
+    assert!(matches!(handle.returned(&mut b, 100.1, end(Ending::Broken)), Next::Bounce { .. }));
+}
+
+#[test]
+fn a_draining_node_gets_nothing() {
+    let mut b = balancer(0, Phase::Trial, 0.0, &[]);
+    b.listed(100.0, false, true, &[1, 2, 3].map(|i| Listed { open: false, ..line(i, 1, 0.0) }));
+    for _ in 0..20 {
+        assert!(matches!(b.take(100.0, hit(0)).1, Next::Forward { node: 0, .. }));
+    }
+}
+
+#[test]
+fn a_node_missing_from_a_whole_list_is_gone() {
+    let mut b = balancer(0, Phase::Trial, 0.0, &[]);
+    b.listed(100.0, true, true, &[]);
+    assert!(matches!(b.take(100.0, hit(0)).1, Next::Bounce { .. }));
+}
+
+#[test]
+fn a_cold_node_gets_its_share_by_warmth() {
+    let mut b =
+        balancer(0, Phase::Trial, 0.0, &[("obligations.cold_s", 4.0), ("obligations.cold_share", 0.3)]);
+    b.list(false, &[line(0, 1, 100.0)]);
+    b.lately.taken = 40.0;
+    // Forty hits a second over four nodes at 0.3 to 0.475: some four in the first second, one saved up.
+    let sent = (0..100).filter(|i| {
+        b.now = 100.0 + f64::from(*i) / 100.0;
+        let open = b.ramp(0, 4.0);
+        b.nodes[0].ramp -= if open { 1.0 } else { 0.0 };
+        open
+    });
+    assert!((3..=6).contains(&sent.count()));
+}
+
+#[test]
+fn the_cap_holds_in_every_window() {
+    let mut b = balancer(1, Phase::Trial, 0.25, &[]);
+    let mut trials = Vec::new();
+    for i in 0..400 {
+        let next = b.take(100.0 + f64::from(i) / 100.0, hit(0)).1;
+        trials.push(f64::from(u8::from(build_of(&b, next) == Some(2))));
+    }
+    for from in 0..400 {
+        for to in from + 1..=400 {
+            let sum: f64 = trials[from..to].iter().sum();
+            assert!(sum <= 2.0 + 0.25 * (to - from) as f64 + 1e-9);
+        }
+    }
+    assert!(trials.iter().sum::<f64>() > 60.0); // and most of it is used
+}
+
+#[test]
+fn guarded_stages_take_only_repeatable_hits() {
+    let mut b = balancer(0, Phase::Trial, 1.0, &[("family_info.closed_stages", 1.0)]);
+    for _ in 0..20 {
+        let next = b.take(100.0, hit(2)).1;
+        assert_eq!(build_of(&b, next), Some(1));
+    }
+}
+
+#[test]
+fn unannounced_and_withdrawn_builds_get_nothing() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    b.list(false, &[line(9, 3, 0.0)]);
+    assert_eq!(b.standing(3), Standing::Barred);
+    b.heard(100.0, News { build: 2, stage: 0, phase: Phase::Withdrawn, since: 0.0, cap: 0.0 });
+    assert_eq!((b.standing(2), b.standing(1)), (Standing::Barred, Standing::Open));
+    b.heard(100.0, News { build: 3, stage: 0, phase: Phase::Trial, since: 0.0, cap: 0.1 });
+    assert_eq!((b.standing(2), b.standing(3)), (Standing::Barred, Standing::OnTrial));
+}
+
+#[test]
+fn a_restart_within_a_trial_begins_with_no_allowance() {
+    let mut b = Balancer::start(1, 50.0, None, named(&[])).unwrap();
+    b.heard(50.0, News { build: 2, stage: 1, phase: Phase::Trial, since: 9.0, cap: 0.3 });
+    assert_eq!(b.tokens, 0.0);
+}
+
+#[test]
+fn one_way_keys_stay_with_the_trial() {
+    let mut b = balancer(1, Phase::Trial, 0.5, &[]);
+    b.named.insert("family_info.one_way".into(), Value::Flag(true));
+    b.keys = vec![(1, 2)];
+    let keyed = Arrival { key: Some(0), ..hit(0) };
+    b.tokens = 1.0;
+    let next = b.take(100.0, keyed).1;
+    assert_eq!(build_of(&b, next), Some(2));
+    b.tokens = 0.0;
+    let (handle, next) = b.take(100.0, keyed);
+    assert!(matches!(next, Next::Wait { .. }));
+    assert!(matches!(handle.resume(&mut b, 101.0), Next::Bounce { .. })); // in vain: answered in good time
+}
+
+// ---- the mechanisms ----
+
+#[test]
+fn a_silent_node_is_left_out() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    flying(&mut b, 0, 4);
+    b.lately.done = 100.0;
+    b.now += 0.5;
+    assert!(!b.fit(4, Repeat::Repeatable) && b.fit(5, Repeat::Mutating));
+}
+
+#[test]
+fn a_dead_node_is_tried_by_one_repeatable_hit() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let handle = flying(&mut b, 0, 4);
+    handle.returned(&mut b, 100.0, end(Ending::NoConnection));
+    assert!(!b.fit(4, Repeat::Repeatable));
+    b.now += 1.0;
+    assert!(b.fit(4, Repeat::Repeatable) && !b.fit(4, Repeat::Mutating));
+}
+
+#[test]
+fn a_returned_id_forgets_what_it_was() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    (b.nodes[4].slow, b.nodes[4].strikes) = (2.0, 3);
+    b.listed(100.0, false, true, &[line(4, 2, 99.0)]);
+    assert_eq!((b.nodes[4].slow, b.nodes[4].strikes), (0.0, 0));
+}
+
+#[test]
+fn a_slow_node_counts_as_more_loaded() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    b.nodes[4].slow = 1.0;
+    assert!(b.load(4) > 2.5 * b.load(5));
+}
+
+#[test]
+fn old_reports_fade() {
+    // Guards against a node that was full once and is never asked again.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    b.nodes[4].others = 10.0;
+    for i in 0..50 {
+        b.review(100.0 + 0.1 * f64::from(i));
+    }
+    assert!(b.nodes[4].others < 0.2);
+}
+
+#[test]
+fn heavy_hits_are_not_cut_off() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    b.groups[0].calm[0] = Count { z: 30.0, sum: 30.0 * 0.2f64.ln(), squares: 90.0 };
+    let handle = flying(&mut b, 0, 4);
+    assert_eq!(b.limit(handle.place as usize), 2.0);
+}
+
+#[test]
+fn overload_bounces_the_least_benefit_first() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[("classes.1.credit", 5.0)]);
+    (b.lately.spent, b.lately.loads, b.now) = (0.4, 1.0, 110.0);
+    let places = [0, 1].map(|group| {
+        let hit = Hit { owed: true, arrival: hit(group), taken: 110.0, due: 112.0, ..Hit::default() };
+        b.slab.put(hit).place as usize
+    });
+    assert_eq!(places.map(|place| b.too_busy(place, 4)), [true, false]);
+}
+
+#[test]
+fn bouncing_ends_by_itself() {
+    // Guards against an expectation that nothing corrects because every hit is bounced.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    (b.lately.spent, b.lately.loads) = (5.0, 1.0);
+    let tries = (0..2000).take_while(|_| matches!(b.take(110.0, hit(0)).1, Next::Bounce { .. }));
+    assert!(tries.count() < 500);
+}
+
+#[test]
+fn a_slowdown_that_goes_in_a_pause_is_held_against_the_build() {
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    (b.stage_began, b.now, b.duel.outcomes) = (100.0, 102.0, 5.0);
+    b.doubt.paused_at = Some(0.8);
+    b.lately.present = count(50.0, 0.1);
+    b.compare();
+    assert_eq!((b.evidence.abated, b.doubt.paused_at), (1, None));
+}
+
+#[test]
+fn a_slowdown_that_stays_in_a_pause_is_not() {
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    (b.stage_began, b.now, b.duel.outcomes, b.evidence.abated) = (100.0, 102.0, 5.0, 1);
+    b.doubt.paused_at = Some(0.8);
+    b.lately.present = Count { z: 50.0, sum: 40.0, squares: 33.0 };
+    b.compare();
+    assert_eq!((b.evidence.abated, b.doubt.raised), (0, false));
+}
+
+#[test]
+fn three_errors_in_a_row_condemn_and_one_does_not() {
+    let mut score = 0.0;
+    Evidence::lean(&mut score, 1.0, 0.0, 0.005, 0.05);
+    assert!(score / 6.0 < 0.5);
+    (0..2).for_each(|_| Evidence::lean(&mut score, 1.0, 0.0, 0.005, 0.05));
+    assert!(score / 6.0 > 1.0);
+}
+
+#[test]
+fn one_tally_full_of_faults_is_one_stall() {
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    b.tallied(100.0, Tally { build: 2, group: 0, many: 30.0, failed: 20.0 });
+    assert!(b.evidence.weight() < 0.5);
+}
+
+#[test]
+fn one_slow_node_is_no_slow_build() {
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    (0..8).for_each(|i| b.nodes[i].times = Count { z: 20.0, sum: 0.0, squares: 10.0 });
+    b.nodes[4].times = Count { z: 20.0, sum: 30.0, squares: 60.0 };
+    assert!(b.slower(2) < 1.0);
+    (4..8).for_each(|i| b.nodes[i].times = Count { z: 20.0, sum: 30.0, squares: 60.0 });
+    assert!(b.slower(2) > 1.0);
+}
+
+// ---- votes ----
+
+#[test]
+fn ten_outcomes_past_the_least_time_vote_on() {
+    let mut b = balancer(0, Phase::Trial, 0.3, &[("family_info.soak_s", 2.0)]);
+    (b.stage_began, b.now, b.lately.taken) = (100.0, 101.0, 100.0);
+    b.duel.outcomes = 10.0;
+    assert_eq!(b.wish(), Verdict::Clear);
+    b.now = 102.0;
+    assert_eq!(b.wish(), Verdict::On);
+}
+
+#[test]
+fn a_released_build_can_still_be_sent_back() {
+    let mut b = balancer(3, Phase::Released, 1.0, &[]);
+    b.evidence.faults[0] = 7.0;
+    assert_eq!(b.wish(), Verdict::Back);
+}
+
+#[test]
+fn an_unanswered_vote_is_cast_again() {
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    b.evidence.faults[0] = 7.0;
+    assert!(b.ballot().is_some() && b.ballot().is_none());
+    b.vote_received(101.0, Receipt::Unknown);
+    b.now += 2.0;
+    assert!(b.ballot().is_some());
+}
+
+#[test]
+fn a_counted_vote_is_renewed_before_it_lapses() {
+    let mut b = balancer(1, Phase::Trial, 0.3, &[("family_info.vote_stands_s", 6.0)]);
+    b.evidence.faults[0] = 7.0;
+    b.ballot();
+    b.vote_received(100.0, Receipt::Counted);
+    b.now = 104.0;
+    assert!(b.ballot().is_none());
+    b.now = 105.0;
+    assert!(b.ballot().is_some());
+}
+
+// ---- odd input ----
+
+#[test]
+fn ended_handles_and_backward_time_change_nothing() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let handle = flying(&mut b, 0, 4);
+    handle.left(&mut b, 100.1);
+    assert_eq!(handle.returned(&mut b, 90.0, end(Ending::Delivered)), Next::Nothing);
+    assert_eq!(handle.returned(&mut b, 90.0, end(Ending::Delivered)), Next::Nothing);
+    assert_eq!((handle.resume(&mut b, 90.0), b.now, b.flying), (Next::Nothing, 100.1, 0));
+}
+
+#[test]
+fn failed_calls_to_the_list_are_spread_and_grow() {
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let waits = [0, 1, 2, 3, 4, 5, 6].map(|_| {
+        b.list_failed(100.0);
+        b.following.ask_at - 100.0
+    });
+    assert!(waits[0] < 0.4 && waits[6] > 1.9 && waits[6] < 6.1);
+}
+
+#[test]
+fn settings_without_path_groups_are_refused() {
+    assert!(Balancer::start(1, 0.0, None, Named::new()).is_err());
+}
+
+#[test]
+fn no_order_of_calls_panics() {
+    let mut chance = ChaCha8Rng::seed_from_u64(3);
+    let mut b = balancer(0, Phase::Trial, 0.2, &[("obligations.cold_s", 4.0), ("peers_total", 3.0)]);
+    let mut handles = Vec::new();
+    let endings =
+        [Ending::Delivered, Ending::Errored, Ending::NoAnswer, Ending::NeverSent, Ending::NoConnection];
+    let phases = [Phase::Trial, Phase::GoingBack, Phase::Released, Phase::Withdrawn];
+    for _ in 0..20_000 {
+        let now = 100.0 + chance.gen_range(0.0..60.0);
+        let (i, x) = (chance.gen_range(0..5usize), chance.gen_range(-1.0..2.0));
+        let handle = handles.get(chance.gen_range(0..50)).copied();
+        match (chance.gen_range(0..9), handle) {
+            (0, _) => {
+                handles.insert(0, b.take(now, Arrival { key: Some(i), hint: x, remaining: x, ..hit(i) }).0)
+            }
+            (1, Some(h)) => drop(h.returned(&mut b, now, Return { spent: x, ..end(endings[i]) })),
+            (2, Some(h)) => drop(h.resume(&mut b, now)),
+            (3, Some(h)) => h.left(&mut b, now),
+            (4, _) => b.listed(now, i == 0, i < 3, &[line(i * 3, i as u32, x)]),
+            (5, _) => {
+                b.heard(now, News { build: i as u32, stage: i, phase: phases[i % 4], since: x, cap: x });
+            }
+            (6, _) => b.tallied(now, Tally { build: 2, group: i, many: x, failed: x }),
+            (7, _) => b.complained(now, i),
+            _ => drop(b.review(now)),
+        }
+        assert!(b.tokens <= 2.0);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,27 @@
 //!
 //! [`balance`] makes every decision; [`interface`] holds the types it is reached by. A front (today the
 //! bench's adapter in `benchlink/`) turns what it hears into calls and what it gets back into its own words.
+//!
+//! ```
+//! use magpieline::balance::Balancer;
+//! use magpieline::interface::*;
+//!
+//! let mut named = Named::new();
+//! named.insert("classes.0.name".into(), Value::Text("read".into()));
+//! named.insert("classes.0.repeat".into(), Value::Text("retryable".into()));
+//! named.insert("classes.0.hard_limit_s".into(), Value::Number(2.0));
+//! let mut balancer = Balancer::start(1, 0.0, None, named)?;
+//!
+//! let line = Listed { node: 0, open: true, build: 41, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
+//! balancer.listed(0.0, true, true, &[line]);
+//! let (handle, next) = balancer.take(0.1, Arrival { remaining: 2.0, ..Arrival::default() });
+//! assert!(matches!(next, Next::Forward { node: 0, .. }));
+//!
+//! let end = Return { ending: Ending::Delivered, spent: 0.05, over: true, holds: None, service: None };
+//! assert_eq!(handle.returned(&mut balancer, 0.15, end), Next::Nothing);
+//! assert!(!handle.pending(&balancer));
+//! # Ok::<(), String>(())
+//! ```
 
 pub mod balance;
 pub mod interface;
--- a/src/state.rs
+++ b/src/state.rs
@@ -292,6 +292,9 @@
     pub not_before: f64,
 }
 
+pub(crate) const EARLIER: usize = 0;
+pub(crate) const TRIAL: usize = 1;
+
 /// The two arms of the design. Payoffs are kept by path group: the earlier arm is weighed in the trial's mix.
 #[derive(Default)]
 pub(crate) struct Duel {
@@ -314,6 +317,20 @@
     pub abated: u32,
 }
 
+impl Duel {
+    /// Pulls, mean and variance of an arm; the earlier one's in the trial's mix of path groups.
+    pub(crate) fn moments(&self, arm: usize) -> (f64, f64, f64) {
+        let (mut z, mut mix) = (0.0, Count::default());
+        for (own, trial) in self.arms[arm].iter().zip(&self.arms[TRIAL]).filter(|(own, _)| own.z > 0.0) {
+            z += own.z;
+            let share = (trial.z + 1e-6) / own.z; // where the trial has none yet, all groups count alike
+            let part = Count { z: own.z * share, sum: own.sum * share, squares: own.squares * share };
+            mix = mix.with(&part);
+        }
+        (z, mix.mean(), mix.variance())
+    }
+}
+
 impl Evidence {
     pub(crate) fn fade(&mut self, keep: f64) {
         self.faults.iter_mut().chain(&mut self.tallied).for_each(|s| *s *= keep);
@@ -384,6 +401,40 @@
         ((1.0 + load).log2().round() as usize).min(LOADS - 1)
     }
 
+    /// The part of its power that a node has at least, by its age.
+    pub(crate) fn warmth(&self, line: &Listed) -> f64 {
+        let (full, from) = (self.set("obligations.cold_s", 0.0), self.set("obligations.cold_share", 1.0));
+        if line.up_since <= 0.0 || full <= 0.0 {
+            return 1.0;
+        }
+        (from + (1.0 - from) * (self.now - line.up_since) / full).clamp(from.clamp(0.05, 1.0), 1.0)
+    }
+
+    /// The build that must go on serving this key, under one way.
+    pub(crate) fn holding(&self, key: usize) -> Option<u32> {
+        let build = self.keys.get(key).map_or(0, |k| k.1);
+        let stands = build > 0 && !self.void.contains(&build) && flag(&self.named, "family_info.one_way");
+        stands.then_some(build)
+    }
+
+    /// The mean times of nodes with at least so many, of the earlier builds and of this one, each against the earlier nodes
+    /// of like size, and the sums of their errors.
+    pub(crate) fn sides(&self, build: u32, least: f64) -> ([Count; 2], [f64; 2]) {
+        let (mut sides, mut noise) = ([Count::default(); 2], [0.0; 2]);
+        let known =
+            || self.nodes.iter().filter(|n| n.times.z >= least).filter_map(|n| Some((n.times, n.listed?)));
+        for (times, l) in known().filter(|(_, l)| l.open && l.build <= build) {
+            let mut kin = Count::default();
+            known()
+                .filter(|(_, k)| k.build < build && k.rating == l.rating)
+                .for_each(|(t, _)| kin.add(t.mean()));
+            let side = usize::from(l.build == build);
+            sides[side].add(times.mean() - kin.mean());
+            noise[side] += times.error();
+        }
+        (sides, noise)
+    }
+
     /// Keeps the list: all of it (`whole`: what is absent is gone) or changes.
     pub(crate) fn list(&mut self, whole: bool, lines: &[Listed]) {
         if whole {
