--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,12 @@
     pub(crate) fn favours_trial(&self) -> bool {
         self.dropped.map_or_else(|| self.index(TRIAL) >= self.index(EARLIER), |arm| arm == EARLIER)
     }
+    /// Whether even the trial's upper bound on its own pulls, a first round's at least, lies below the earlier
+    /// mean. The index starves such a trial before the width can drop it.
+    pub(crate) fn sunk(&self) -> bool {
+        let first = Duel { round: 0, horizon: self.horizon, ..Duel::default() }.pulls();
+        self.moments(TRIAL).0 >= first && self.index(TRIAL) < self.moments(EARLIER).1
+    }
     /// Whether the trial has sunk so low that it gets no pulls; arms in turn stay within a few hundredths.
     pub(crate) fn shuns_trial(&self) -> bool {
         self.index(TRIAL) < self.index(EARLIER) - 0.05
@@ -70,15 +76,10 @@
         }
         let last = (0.5 * (self.horizon / std::f64::consts::E).log2()).floor() as i32;
         self.round += i32::from(self.round < last && z0 >= n && z1 >= n);
-        // A horizon that has run out starts the next, unless even the trial's upper bound lies below the earlier
-        // mean: what it did when cold or crowded must not hold it for ever, nor a stalled width let it pass.
-        if z0 + z1 >= self.horizon && self.dropped.is_none() {
-            if z1 >= LEAST && self.index(TRIAL) < r0 {
-                self.dropped = Some(TRIAL);
-            } else {
-                self.arms.iter_mut().flatten().for_each(|a| *a = Count::default());
-                self.round = 0;
-            }
+        // A horizon that has run out starts the next: a trial crowded once must not be starved for ever.
+        if z0 + z1 >= self.horizon && self.dropped.is_none() && !self.sunk() {
+            self.arms.iter_mut().flatten().for_each(|a| *a = Count::default());
+            self.round = 0;
         }
     }
 }
@@ -512,32 +513,30 @@
         Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
     }
 
-    /// The logarithm of a forward's time (the node's own word on its service where there is one) over that of
-    /// calm seconds at equal load. A time-out counts as the time it took at least.
+    /// The logarithm of a forward's time over that of calm seconds at equal load, kept for the comparisons; for
+    /// nodes against nodes their own word on their service is better, where there is one. A time-out counts as
+    /// the time it took at least.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
         let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
         let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
         let calm_now = self.trial().is_none();
         let learn = end.ending == Ending::Delivered && !flying.cold && !on_trial;
-        let cell = &mut self.groups[hit.arrival.group].calm[flying.step];
-        let mut x = None;
-        for (calm, seen) in [(cell, Some(end.spent / work)), (&mut self.service, end.service)] {
-            let Some(ln) = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln) else { continue };
+        let past = |calm: &mut Count, seen: Option<f64>| {
+            let ln = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln)?;
             if learn && (calm_now || calm.z < 15.0) {
                 calm.add(ln);
             }
-            if calm.z >= 5.0 {
-                x = Some((ln - calm.mean()).clamp(-2.5, 2.5));
-            }
-        }
-        let x = x?;
-        if !flying.cold {
+            Some((ln - calm.mean()).clamp(-2.5, 2.5)).filter(|_| calm.z >= 5.0)
+        };
+        let own = past(&mut self.groups[hit.arrival.group].calm[flying.step], Some(end.spent / work));
+        let word = past(&mut self.service, end.service).or(own);
+        if let Some(x) = word.filter(|_| !flying.cold) {
             self.nodes[flying.node].times.add(x);
-            if !on_trial {
-                self.lately.present.add(x);
-            }
         }
-        Some(x)
+        if let Some(x) = own.filter(|_| !flying.cold && !on_trial) {
+            self.lately.present.add(x);
+        }
+        word
     }
 
     // ---- the regular review ----
@@ -610,7 +609,8 @@
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
     /// compared, not answers: one slow or backed-up node is no build, and its answers are not independent.
     fn slower(&self, build: u32) -> f64 {
-        let ([earlier, trial], noise) = self.sides(build, 8.0); // eight answers tell a node's mean to a third
+        // Eight answers tell a node's mean to a third; its own word holds that many in two.
+        let ([earlier, trial], noise) = self.sides(build, if self.service.z > 0.0 { 2.0 } else { 8.0 });
         if earlier.z < 3.0 || trial.z < 3.0 {
             return 0.0;
         }
@@ -626,7 +626,10 @@
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(), news.phase == Phase::Trial);
-        let guilty = weight >= 1.0 || self.duel.dropped == Some(TRIAL);
+        let own = || self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build == news.build);
+        // A trial of one or two machines may have sunk with them.
+        let sunk = self.duel.sunk() && own().count() >= 3;
+        let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
         if guilty && (trial || news.phase == Phase::Released) {
             return Verdict::Back;
         }
@@ -638,8 +641,7 @@
         // The stage's least time runs from its machines' listed start. The least count is the design's 10, or
         // what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
-        let own = self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build == news.build);
-        let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
+        let start = own().map(|l| l.up_since).fold(self.stage_began, f64::max);
         let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(2.0, 10.0);
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -120,11 +120,11 @@
 }
 
 #[test]
-fn a_horizon_ends_a_trial_below_the_earlier_mean() {
-    // Guards against mild bad builds that ride a stalled width: 0.5 + 0.35 < 0.95.
-    let mut d = Duel { round: 1, ..duel(count(180.0, 0.95), count(25.0, 0.4)) };
-    d.judge();
-    assert_eq!(d.dropped, Some(TRIAL));
+fn a_trial_below_the_earlier_mean_has_sunk() {
+    // Guards against bad builds that the index starves before the width can drop them: at 5 pulls
+    // c = sqrt(1 x 9.21 / 20) = 0.68, at 20 it is 0.34.
+    assert!(!duel(count(100.0, 0.6), count(5.0, 0.0)).sunk());
+    assert!(duel(count(100.0, 0.6), count(20.0, 0.0)).sunk());
 }
 
 // ---- the rules ----
