--- a/src/balance.rs
+++ b/src/balance.rs
@@ -221,8 +221,11 @@
             account.0 += 1.0;
         }
         // A bucket no deeper than the free count keeps the cap in every window, wherever it lies.
+        // It fills no faster than the trial's part of the power and a quarter more: a new stage's cap comes before
+        // its machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
-        self.tokens = (self.tokens + cap).min(self.set("family_info.spare_tries", 0.0));
+        self.tokens =
+            (self.tokens + cap.min(1.25 * self.share)).min(self.set("family_info.spare_tries", 0.0));
         self.note(arrival.key);
         let build = arrival.key.and_then(|k| self.holding(k));
         let held = build.is_some() && build == self.news.map(|n| n.build);
@@ -565,6 +568,7 @@
                 .for_each(|c| c.fade(old));
         }
         self.evidence.fade(old);
+        self.share = self.trial_share();
         self.compare();
         self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
 
