--- a/src/balance.rs
+++ b/src/balance.rs
@@ -386,8 +386,10 @@
         let earlier = self.choose(place, Standing::Open, held.unwrap_or(0));
         let first = hit.forwards == 0 && self.doubt.paused_at.is_none();
         if open && first && self.welcome(&hit) && self.duel.favours_trial() {
-            if let Some(node) = self.choose(place, Standing::OnTrial, 0) {
-                return self.send(place, node, true);
+            // Arms are compared at like load: a trial node busier than the alternative is no fair pull.
+            let node = self.choose(place, Standing::OnTrial, 0);
+            if let Some(n) = node.filter(|n| earlier.is_none_or(|e| self.load(*n) <= 1.25 * self.load(e))) {
+                return self.send(place, n, true);
             }
         }
         match earlier {
