--- a/src/balance.rs
+++ b/src/balance.rs
@@ -224,8 +224,8 @@
         // It fills no faster than the trial's part of the power and a quarter more: a new stage's cap comes before
         // its machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
-        self.tokens =
-            (self.tokens + cap.min(1.25 * self.share)).min(self.set("family_info.spare_tries", 0.0));
+        let share = if cap < 1.0 { 1.25 * self.share.0 } else { self.share.1 };
+        self.tokens = (self.tokens + cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
         self.note(arrival.key);
         let build = arrival.key.and_then(|k| self.holding(k));
         let held = build.is_some() && build == self.news.map(|n| n.build);
@@ -317,12 +317,15 @@
     fn choose(&mut self, place: usize, standing: Standing, least_build: u32) -> Option<usize> {
         let hit = self.slab.hits[place];
         let PathGroup { repeat, scope, .. } = self.groups[hit.arrival.group];
-        let (mut total, mut newest) = (0.0, 0);
+        let (mut sides, mut newest) = ([0.0; 2], 0);
         for l in self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open) {
             let own = self.standing(l.build);
-            total += if own == Standing::Barred { 0.0 } else { l.rating.max(0.1) };
+            let side = usize::from(self.news.is_some_and(|n| n.build == l.build));
+            sides[side] += if own == Standing::Barred { 0.0 } else { l.rating.max(0.1) };
             newest = if own == standing { l.build.max(newest) } else { newest };
         }
+        // One build's machines are meant to carry all traffic: the larger side is the fleet.
+        let total = sides[EARLIER].max(sides[TRIAL]);
         let mut fit = std::mem::take(&mut self.fit);
         let mut pick = None;
         for (any_build, unfit) in [(false, false), (true, false), (true, true)] {
@@ -385,10 +388,14 @@
         }
         let earlier = self.choose(place, Standing::Open, held.unwrap_or(0));
         let first = hit.forwards == 0 && self.doubt.paused_at.is_none();
-        if open && first && self.welcome(&hit) && self.duel.favours_trial() {
+        // A stage without a cap is played as the release will be: what fails only when busy shows while the
+        // earlier machines still stand.
+        let whole = trial.is_some_and(|n| n.cap >= 1.0) && !self.duel.shuns_trial();
+        if open && first && self.welcome(&hit) && (whole || self.duel.favours_trial()) {
             // Arms are compared at like load: a trial node busier than the alternative is no fair pull.
             let node = self.choose(place, Standing::OnTrial, 0);
-            if let Some(n) = node.filter(|n| earlier.is_none_or(|e| self.load(*n) <= 1.25 * self.load(e))) {
+            let most = if trial.is_some_and(|n| n.cap < 1.0) { 1.25 } else { 3.0 };
+            if let Some(n) = node.filter(|n| earlier.is_none_or(|e| self.load(*n) <= most * self.load(e))) {
                 return self.send(place, n, true);
             }
         }
@@ -661,7 +668,7 @@
 
     /// Casts, renews and repeats the vote.
     fn ballot(&mut self) -> Option<Vote> {
-        let news = self.news?;
+        let news = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))?;
         let vote = Vote { verdict: self.wish(), build: news.build, stage: news.stage };
         let settled = match self.cast.vote.filter(|_| self.now < self.cast.good_until) {
             None => vote.verdict == Verdict::Clear,
--- a/src/state.rs
+++ b/src/state.rs
@@ -361,7 +361,7 @@
     pub(crate) news: Option<News>,
     pub(crate) stage_began: f64,
     pub(crate) tokens: f64,
-    pub(crate) share: f64,
+    pub(crate) share: (f64, f64),
     pub(crate) void: Vec<u32>,
     pub(crate) duel: Duel,
     pub(crate) evidence: Evidence,
@@ -436,16 +436,16 @@
         (sides, noise)
     }
 
-    /// The part of all present power that the build on trial has.
-    pub(crate) fn trial_share(&self) -> f64 {
-        let Some(news) = self.trial() else { return 0.0 };
+    /// The present power of the build on trial, over all power and over the earlier builds' alone.
+    pub(crate) fn trial_share(&self) -> (f64, f64) {
+        let Some(news) = self.trial() else { return (0.0, 0.0) };
         let (mut own, mut all) = (0.0, f64::MIN_POSITIVE);
         for l in self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build <= news.build) {
             let power = l.rating.max(0.1) * self.warmth(&l);
             all += power;
             own += if l.build == news.build { power } else { 0.0 };
         }
-        own / all
+        (own / all, own / (all - own).max(f64::MIN_POSITIVE))
     }
 
     /// Keeps the list: all of it (`whole`: what is absent is gone) or changes.
