--- a/src/balance.rs
+++ b/src/balance.rs
@@ -594,8 +594,8 @@
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let (present, trial) = (self.lately.present, self.trial());
-        // Four tenths slower, beyond two standard errors.
-        let slowed = present.z >= 10.0 && present.mean() > 0.35 + 2.0 * present.error().sqrt();
+        // A quarter slower, beyond two standard errors.
+        let slowed = present.z >= 10.0 && present.mean() > 0.25 + 2.0 * present.error().sqrt();
         self.doubt.slow_for = if slowed { self.doubt.slow_for + 1 } else { 0 };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         if trial.is_none() || self.duel.outcomes < 2.0 {
@@ -620,16 +620,17 @@
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
     /// compared, not answers: one slow or backed-up node is no build, and its answers are not independent.
     fn slower(&self, build: u32) -> f64 {
+        // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet.
+        let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
         // Eight answers tell a node's mean to a third; its own word holds that many in two.
-        let ([earlier, trial], noise) = self.sides(build, if self.service.z > 0.0 { 2.0 } else { 8.0 });
-        if earlier.z < 3.0 || trial.z < 3.0 {
-            return 0.0;
+        let least = if self.service.z > 0.0 { 2.0 } else { 8.0 };
+        let ([earlier, trial], noise, beyond) = self.sides(build, least, margin);
+        if earlier.z < 3.0 || trial.z < 3.0 || beyond < 0.7 * trial.z {
+            return 0.0; // a build is slow on all its nodes, with some room for chance
         }
-        // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet; beyond
-        // that four standard errors of like nodes convince.
-        let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
+        // Four standard errors of like nodes convince.
         let like = earlier.variance();
-        let error = (like / earlier.z + like.max(noise[TRIAL] / trial.z) / trial.z).sqrt().max(0.05);
+        let error = (like / earlier.z + like.max(noise / trial.z) / trial.z).sqrt().max(0.05);
         (trial.mean() - earlier.mean() - margin) / error / 4.0
     }
 
@@ -638,8 +639,8 @@
         let Some(news) = self.news else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(), news.phase == Phase::Trial);
         let own = || self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build == news.build);
-        // A trial of one or two machines may have sunk with them.
-        let sunk = self.duel.sunk() && own().count() >= 3;
+        // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
+        let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
         if guilty && (trial || news.phase == Phase::Released) {
             return Verdict::Back;
--- a/src/state.rs
+++ b/src/state.rs
@@ -418,10 +418,10 @@
         stands.then_some(build)
     }
 
-    /// The mean times of nodes with at least so many, of the earlier builds and of this one, each against the earlier nodes
-    /// of like size, and the sums of their errors.
-    pub(crate) fn sides(&self, build: u32, least: f64) -> ([Count; 2], [f64; 2]) {
-        let (mut sides, mut noise) = ([Count::default(); 2], [0.0; 2]);
+    /// The mean times of nodes with at least so many, of the earlier builds and of this one, each against the
+    /// earlier nodes of like size; the sum of the trial's errors and how many of its nodes are beyond a margin.
+    pub(crate) fn sides(&self, build: u32, least: f64, margin: f64) -> ([Count; 2], f64, f64) {
+        let (mut sides, mut noise, mut beyond) = ([Count::default(); 2], 0.0, 0.0);
         let known =
             || self.nodes.iter().filter(|n| n.times.z >= least).filter_map(|n| Some((n.times, n.listed?)));
         for (times, l) in known().filter(|(_, l)| l.open && l.build <= build) {
@@ -429,11 +429,14 @@
             known()
                 .filter(|(_, k)| k.build < build && k.rating == l.rating)
                 .for_each(|(t, _)| kin.add(t.mean()));
-            let side = usize::from(l.build == build);
-            sides[side].add(times.mean() - kin.mean());
-            noise[side] += times.error();
+            let x = times.mean() - kin.mean();
+            sides[usize::from(l.build == build)].add(x);
+            if l.build == build {
+                noise += times.error();
+                beyond += f64::from(u8::from(x > margin));
+            }
         }
-        (sides, noise)
+        (sides, noise, beyond)
     }
 
     /// The present power of the build on trial, over all power and over the earlier builds' alone.
