--- a/src/balance.rs
+++ b/src/balance.rs
@@ -97,7 +97,7 @@
         const ENOUGH: f64 = 6.0; // three errors among some thirty answers; by chance once in e^6 such runs
         let scores = self.faults.iter().chain(&self.tallied).fold(self.complaints, |a, b| a.max(*b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
-        (scores / ENOUGH).max(self.slower).max(if self.abated >= 2 { 1.0 } else { 0.0 })
+        (scores / ENOUGH).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
     }
 }
 
@@ -596,10 +596,11 @@
         let (present, trial) = (self.lately.present, self.trial());
         // A quarter slower, beyond two standard errors.
         let slowed = present.z >= 10.0 && present.mean() > 0.25 + 2.0 * present.error().sqrt();
-        self.doubt.slow_for = if slowed { self.doubt.slow_for + 1 } else { 0 };
+        self.doubt.slow_for =
+            if slowed { self.doubt.slow_for + 1 } else { self.doubt.slow_for.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         if trial.is_none() || self.duel.outcomes < 2.0 {
-            (self.doubt.paused_at, self.doubt.raised) = (None, false);
+            (self.doubt.paused_at, self.doubt.raised, self.doubt.slow_for) = (None, false, 0);
             return;
         }
         match self.doubt.paused_at {
@@ -614,7 +615,9 @@
             }
             _ => {}
         }
-        self.doubt.raised = self.doubt.paused_at.is_some() || (slowed && self.now >= self.doubt.not_before);
+        self.doubt.raised = self.doubt.paused_at.is_some() || self.doubt.slow_for >= 5;
+        // What outlasts this under a trial is taken for the build's: other slowdowns mostly pass sooner.
+        self.evidence.stays = self.doubt.slow_for as f64 * TICK / 15.0;
     }
 
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
--- a/src/state.rs
+++ b/src/state.rs
@@ -313,6 +313,8 @@
     pub tallied: Vec<f64>,
     pub complaints: f64,
     pub slower: f64,
+    /// How long earlier nodes have been slower than before the trial, 1 being too long.
+    pub stays: f64,
     /// How often in a row a pause of the trial made a slowdown go.
     pub abated: u32,
 }
