Bounce earlier what brings little, and where few misses are tolerated

Cause: under overload all groups were bounced at nearly the same expected time, and answers came late.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -262,7 +262,9 @@
             return false;
         }
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
-        let mut part = 0.6 + 0.4 * group.benefit / most; // six tenths leave room for a heavy hit
+        let mut part = 0.35 + 0.65 * group.benefit / most; // the best keep twice the room of the least and more
+                                                           // Where fewer than one miss in twenty is tolerated, earlier in proportion to the root of that.
+        part *= (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
         if self
             .lately
             .accounts
