--- a/src/balance.rs
+++ b/src/balance.rs
@@ -157,16 +157,12 @@
             // Nothing has gone to a build that comes while this agent runs; after a restart something may have.
             self.tokens = if old.is_some() { self.set("family_info.spare_tries", 0.0) } else { 0.0 };
         }
-        let back = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
-        if back && !self.void.contains(&news.build) {
-            self.void.push(news.build);
-        }
+        self.remember(news);
     }
 
     fn standing(&self, build: u32) -> Standing {
         let Some(news) = self.news else {
-            let open = self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open);
-            let lowest = open.map(|l| l.build).min();
+            let lowest = self.open().map(|l| l.build).min();
             return if lowest == Some(build) { Standing::Open } else { Standing::Barred };
         };
         // Not yet announced, or sent back: nothing is within every cap.
@@ -184,9 +180,8 @@
     /// A tally. It counts time-outs and overload too: the trial must be far worse in it than the others.
     pub fn tallied(&mut self, now: f64, tally: Tally) {
         self.at(now);
-        let Some(news) = self.trial().filter(|_| tally.group < self.groups.len() && tally.many > 0.0) else {
-            return;
-        };
+        let known = tally.group < self.groups.len() && tally.many > 0.0;
+        let Some(news) = self.trial().filter(|_| known) else { return };
         if tally.build == news.build {
             let usual = (2.0 * self.tallied_faults).clamp(0.01, 0.25);
             let passes = (tally.many - tally.failed).max(0.0);
@@ -262,15 +257,11 @@
             return false;
         }
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
-        let mut part = 0.35 + 0.65 * group.benefit / most; // the best keep twice the room of the least and more
-                                                           // Where fewer than one miss in twenty is tolerated, earlier in proportion to the root of that.
+        // The best keep twice the room of the least and more. Where fewer than one miss in twenty is tolerated,
+        // bounces come earlier in proportion to the root of that.
+        let mut part = 0.35 + 0.65 * group.benefit / most;
         part *= (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
-        if self
-            .lately
-            .accounts
-            .get(hit.arrival.account)
-            .is_some_and(|a| a.0 > 1.1 * a.1 * SPAN / self.set("peers_total", 1.0))
-        {
+        if self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / (1.1 * SPAN)) {
             part *= self.set("over_share_worth", 1.0).max(0.4); // beyond its share by more than chance
         }
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
@@ -320,7 +311,7 @@
         let hit = self.slab.hits[place];
         let PathGroup { repeat, scope, .. } = self.groups[hit.arrival.group];
         let (mut sides, mut newest) = ([0.0; 2], 0);
-        for l in self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open) {
+        for l in self.open() {
             let own = self.standing(l.build);
             let side = usize::from(self.news.is_some_and(|n| n.build == l.build));
             sides[side] += if own == Standing::Barred { 0.0 } else { l.rating.max(0.1) };
@@ -401,10 +392,8 @@
                 return self.send(place, n, true);
             }
         }
-        match earlier {
-            Some(node) => self.send(place, node, false),
-            None => self.finish(place),
-        }
+        let Some(node) = earlier else { return self.finish(place) };
+        self.send(place, node, false)
     }
 
     /// Under one way a key that goes to the trial stays there: rare keys go first, and few enough that the held
@@ -570,11 +559,7 @@
         // a suspicion which nothing feeds does not hold it for ever.
         let old = keep.powf(0.1);
         if self.trial().is_none() {
-            self.groups
-                .iter_mut()
-                .flat_map(|g| &mut g.calm)
-                .chain([&mut self.service])
-                .for_each(|c| c.fade(old));
+            self.fade_calm(old);
         }
         self.evidence.fade(old);
         self.share = self.trial_share();
@@ -643,7 +628,7 @@
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(), news.phase == Phase::Trial);
-        let own = || self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build == news.build);
+
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
@@ -658,18 +643,14 @@
         // The stage's least time runs from its machines' listed start. The least count is the design's 10, or
         // what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
-        let start = own().map(|l| l.up_since).fold(self.stage_began, f64::max);
+        let own = self.open().filter(|l| l.build == news.build);
+        let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
         let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(2.0, 10.0);
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
         let due = self.now >= start + soak || self.cast.vote == Some(given);
-        let on = trial && !doubtful && ripe && due;
-        if on {
-            Verdict::On
-        } else {
-            Verdict::Clear
-        }
+        [Verdict::Clear, Verdict::On][usize::from(trial && !doubtful && ripe && due)]
     }
 
     /// Casts, renews and repeats the vote.
@@ -678,11 +659,9 @@
         let vote = Vote { verdict: self.wish(), build: news.build, stage: news.stage };
         let settled = match self.cast.vote.filter(|_| self.now < self.cast.good_until) {
             None => vote.verdict == Verdict::Clear,
-            Some(old) if vote.verdict == Verdict::Back => {
-                old.verdict == Verdict::Back && old.build == vote.build
-            }
+            Some(old) if vote.verdict == Verdict::Back => old == Vote { stage: old.stage, ..vote },
             // A vote for a past stage counts for nothing: there is nothing to take back.
-            Some(old) if vote.verdict == Verdict::Clear => (old.build, old.stage) != (vote.build, vote.stage),
+            Some(old) if vote.verdict == Verdict::Clear && old.stage != vote.stage => true,
             Some(old) => old == vote,
         };
         if settled || self.now < self.cast.again_at {
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,6 +248,10 @@
 }
 
 impl Lately {
+    /// Whether an account has sent more than its share, divided by this.
+    pub fn over(&self, account: usize, part: f64) -> bool {
+        self.accounts.get(account).is_some_and(|(sent, share)| *sent > share / part)
+    }
     pub fn fade(&mut self, keep: f64) {
         self.taken *= keep;
         self.done *= keep;
@@ -441,11 +445,33 @@
         (sides, noise, beyond)
     }
 
+    /// The lines of nodes that are open.
+    pub(crate) fn open(&self) -> impl Iterator<Item = Listed> + '_ {
+        self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open)
+    }
+
+    /// Fades what calm seconds have shown.
+    pub(crate) fn fade_calm(&mut self, keep: f64) {
+        self.groups
+            .iter_mut()
+            .flat_map(|g| &mut g.calm)
+            .chain([&mut self.service])
+            .for_each(|c| c.fade(keep));
+    }
+
+    /// Remembers a build that goes back.
+    pub(crate) fn remember(&mut self, news: News) {
+        let back = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+        if back && !self.void.contains(&news.build) {
+            self.void.push(news.build);
+        }
+    }
+
     /// The present power of the build on trial, over all power and over the earlier builds' alone.
     pub(crate) fn trial_share(&self) -> (f64, f64) {
         let Some(news) = self.trial() else { return (0.0, 0.0) };
         let (mut own, mut all) = (0.0, f64::MIN_POSITIVE);
-        for l in self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open && l.build <= news.build) {
+        for l in self.open().filter(|l| l.build <= news.build) {
             let power = l.rating.max(0.1) * self.warmth(&l);
             all += power;
             own += if l.build == news.build { power } else { 0.0 };
