--- a/src/balance.rs
+++ b/src/balance.rs
@@ -94,7 +94,7 @@
     }
     /// The strongest of all, 1 being enough to send the build back.
     pub(crate) fn weight(&self) -> f64 {
-        const ENOUGH: f64 = 6.0; // three errors among some thirty answers; by chance once in e^6 such runs
+        const ENOUGH: f64 = 7.0; // four errors among some forty answers; by chance once in e^7 such runs
         let scores = self.faults.iter().chain(&self.tallied).fold(self.complaints, |a, b| a.max(*b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
         (scores / ENOUGH).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
@@ -477,11 +477,17 @@
             n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         }
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
+        let fault = f64::from(u8::from(!served));
         if answered {
-            (n.owes_since, n.strikes, n.shunned_until) = (now, 0, 0.0);
+            n.faults += 0.25 * (fault - n.faults); // two errors in a row show, one does not
+            n.owes_since = now;
+        }
+        let sick = answered && n.faults > 0.3;
+        if served {
+            (n.strikes, n.shunned_until) = (0, 0.0);
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
-        } else if silent || matches!(end.ending, Ending::NoConnection | Ending::Broken) {
+        } else if sick || silent || matches!(end.ending, Ending::NoConnection | Ending::Broken) {
             // Left out for 0.5 s, doubling to 4 s: long enough to spare hits, short enough to see it return.
             n.shunned_until = now + 0.5 * 2f64.powi(n.strikes.min(3)) * jitter;
             n.strikes += 1;
@@ -489,18 +495,19 @@
         let Some(news) = self.news.filter(|n| flying.build <= n.build && (answered || timed)) else { return };
         let arm = if flying.build == news.build { TRIAL } else { EARLIER };
         if flying.first && news.phase == Phase::Trial && flying.sent >= self.stage_began {
-            // A cold node shows its age, not its build: such a pull counts as an outcome, not as a payoff.
+            // A cold node shows its age, a slowdown of all its own cause: such a pull counts as an outcome only.
             self.duel.outcomes += arm as f64;
-            if !flying.cold {
+            if !flying.cold && self.doubt.slow_for == 0 {
                 let in_time = served && end.spent <= self.groups[group].target;
                 self.duel.arms[arm][group].add(f64::from(u8::from(in_time)));
                 self.duel.judge();
             }
         }
-        if !answered {
+        // Errors of a sick node among healthy fellows are the node's, not the build's.
+        let own = sick && self.fellows(flying.node, flying.build).is_some_and(|mean| mean < 0.1);
+        if !answered || own {
             return;
         }
-        let fault = f64::from(u8::from(!served));
         if arm == EARLIER {
             self.usual_faults += 0.01 * (fault - self.usual_faults); // the last hundred or so
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,6 +139,8 @@
     pub owes_since: f64,
     pub shunned_until: f64,
     pub strikes: i32,
+    /// Share of its last few answers that were errors.
+    pub faults: f64,
     /// Allowance while cold, and when it was last filled.
     pub ramp: f64,
     pub ramp_at: f64,
@@ -445,6 +447,17 @@
         (sides, noise, beyond)
     }
 
+    /// The mean share of errors at a node's fellows of the same build.
+    pub(crate) fn fellows(&self, node: usize, build: u32) -> Option<f64> {
+        let mut faults = Count::default();
+        for (i, n) in self.nodes.iter().enumerate() {
+            if i != node && n.listed.is_some_and(|l| l.open && l.build == build) {
+                faults.add(n.faults);
+            }
+        }
+        Some(faults.mean()).filter(|_| faults.z > 0.0)
+    }
+
     /// The lines of nodes that are open.
     pub(crate) fn open(&self) -> impl Iterator<Item = Listed> + '_ {
         self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open)
