--- a/src/balance.rs
+++ b/src/balance.rs
@@ -349,7 +349,10 @@
         let crossing = self.set("costs.cross_zone", 0.0) > 0.0 && self.zone.is_some();
         let far = |b: &Balancer, i: usize| crossing && b.nodes[i].listed.map(|l| l.zone) != b.zone;
         // Crossing zones has a price where one is set: a far node must be half as loaded to be chosen.
-        let load = |b: &Balancer, i: usize| b.load(i) * if far(b, i) { 2.0 } else { 1.0 };
+        // An erring node answers fast: its empty hands must not draw hits.
+        let dear =
+            |b: &Balancer, i: usize| if far(b, i) { 2.0 } else { 1.0 } / (1.0 - b.nodes[i].faults).max(0.1);
+        let load = |b: &Balancer, i: usize| b.load(i) * dear(b, i);
         let first = fit[self.chance.0.gen_range(0..fit.len())];
         let near = fit.iter().filter(|i| !far(self, **i)).count();
         let skip = self.chance.0.gen_range(0..if near > 0 { near } else { fit.len() });
@@ -482,12 +485,13 @@
             n.faults += 0.25 * (fault - n.faults); // two errors in a row show, one does not
             n.owes_since = now;
         }
-        let sick = answered && n.faults > 0.3;
-        if served {
+        let sick = n.faults > 0.3;
+
+        if answered {
             (n.strikes, n.shunned_until) = (0, 0.0);
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
-        } else if sick || silent || matches!(end.ending, Ending::NoConnection | Ending::Broken) {
+        } else if silent || matches!(end.ending, Ending::NoConnection | Ending::Broken) {
             // Left out for 0.5 s, doubling to 4 s: long enough to spare hits, short enough to see it return.
             n.shunned_until = now + 0.5 * 2f64.powi(n.strikes.min(3)) * jitter;
             n.strikes += 1;
@@ -504,12 +508,12 @@
             }
         }
         // Errors of a sick node among healthy fellows are the node's, not the build's.
-        let own = sick && self.fellows(flying.node, flying.build).is_some_and(|mean| mean < 0.1);
-        if !answered || own {
-            return;
+        let own = sick && self.fellows(flying.node, flying.build).is_some_and(|mean| mean < 0.2);
+        if answered && arm == EARLIER {
+            self.faults_now += 0.005 * (fault - self.faults_now); // the last two hundred or so
+            self.usual_faults = self.usual_faults.max(self.faults_now);
         }
-        if arm == EARLIER {
-            self.usual_faults += 0.01 * (fault - self.usual_faults); // the last hundred or so
+        if !answered || own || arm == EARLIER {
             return;
         }
         // One error in twenty is bad where others hardly fail; where all fail it has to be far worse than they.
@@ -568,6 +572,8 @@
         if self.trial().is_none() {
             self.fade_calm(old);
         }
+        // What earlier nodes have shown at their worst excuses the trial's for half a minute or so.
+        self.usual_faults *= keep.powf(0.03);
         self.evidence.fade(old);
         self.share = self.trial_share();
         self.compare();
