--- a/src/balance.rs
+++ b/src/balance.rs
@@ -510,8 +510,7 @@
         // Errors of a sick node among healthy fellows are the node's, not the build's.
         let own = sick && self.fellows(flying.node, flying.build).is_some_and(|mean| mean < 0.2);
         if answered && arm == EARLIER {
-            self.faults_now += 0.005 * (fault - self.faults_now); // the last two hundred or so
-            self.usual_faults = self.usual_faults.max(self.faults_now);
+            self.usual_faults += 0.005 * (fault - self.usual_faults); // the last two hundred or so
         }
         if !answered || own || arm == EARLIER {
             return;
@@ -572,8 +571,7 @@
         if self.trial().is_none() {
             self.fade_calm(old);
         }
-        // What earlier nodes have shown at their worst excuses the trial's for half a minute or so.
-        self.usual_faults *= keep.powf(0.03);
+
         self.evidence.fade(old);
         self.share = self.trial_share();
         self.compare();
--- a/src/state.rs
+++ b/src/state.rs
@@ -373,7 +373,6 @@
     pub(crate) void: Vec<u32>,
     pub(crate) duel: Duel,
     pub(crate) evidence: Evidence,
-    pub(crate) faults_now: f64,
     pub(crate) usual_faults: f64,
     pub(crate) tallied_faults: f64,
     pub(crate) doubt: Doubt,
