--- a/src/balance.rs
+++ b/src/balance.rs
@@ -94,7 +94,7 @@
     }
     /// The strongest of all, 1 being enough to send the build back.
     pub(crate) fn weight(&self) -> f64 {
-        const ENOUGH: f64 = 7.0; // four errors among some forty answers; by chance once in e^7 such runs
+        const ENOUGH: f64 = 6.0; // three errors among some thirty answers; by chance once in e^6 such runs
         let scores = self.faults.iter().chain(&self.tallied).fold(self.complaints, |a, b| a.max(*b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
         (scores / ENOUGH).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
@@ -485,7 +485,6 @@
             n.faults += 0.25 * (fault - n.faults); // two errors in a row show, one does not
             n.owes_since = now;
         }
-        let sick = n.faults > 0.3;
 
         if answered {
             (n.strikes, n.shunned_until) = (0, 0.0);
@@ -507,12 +506,11 @@
                 self.duel.judge();
             }
         }
-        // Errors of a sick node among healthy fellows are the node's, not the build's.
-        let own = sick && self.fellows(flying.node, flying.build).is_some_and(|mean| mean < 0.2);
+
         if answered && arm == EARLIER {
             self.usual_faults += 0.005 * (fault - self.usual_faults); // the last two hundred or so
         }
-        if !answered || own || arm == EARLIER {
+        if !answered || arm == EARLIER {
             return;
         }
         // One error in twenty is bad where others hardly fail; where all fail it has to be far worse than they.
--- a/src/state.rs
+++ b/src/state.rs
@@ -447,17 +447,6 @@
         (sides, noise, beyond)
     }
 
-    /// The mean share of errors at a node's fellows of the same build.
-    pub(crate) fn fellows(&self, node: usize, build: u32) -> Option<f64> {
-        let mut faults = Count::default();
-        for (i, n) in self.nodes.iter().enumerate() {
-            if i != node && n.listed.is_some_and(|l| l.open && l.build == build) {
-                faults.add(n.faults);
-            }
-        }
-        Some(faults.mean()).filter(|_| faults.z > 0.0)
-    }
-
     /// The lines of nodes that are open.
     pub(crate) fn open(&self) -> impl Iterator<Item = Listed> + '_ {
         self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open)
