--- a/src/balance.rs
+++ b/src/balance.rs
@@ -554,7 +554,9 @@
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
         let keep = (-TICK / SPAN).exp();
-        self.lately.fade(keep);
+        // Where answers are few the present reaches back further, so that it can be told at all.
+        let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) };
+        self.lately.fade(keep, reach);
 
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -254,11 +254,11 @@
     pub fn over(&self, account: usize, part: f64) -> bool {
         self.accounts.get(account).is_some_and(|(sent, share)| *sent > share / part)
     }
-    pub fn fade(&mut self, keep: f64) {
+    pub fn fade(&mut self, keep: f64, reach: f64) {
         self.taken *= keep;
         self.done *= keep;
         self.accounts.iter_mut().for_each(|a| a.0 *= keep);
-        self.present.fade(keep);
+        self.present.fade(reach);
     }
     /// Reads the accounts and their shares.
     pub fn read(&mut self, named: &Named) {
