--- a/src/balance.rs
+++ b/src/balance.rs
@@ -122,8 +122,6 @@
         Ok(b)
     }
 
-    // ---- the list and the platform's word ----
-
     /// Takes in the list: all of it (`whole`: what is absent is gone) or changes. `fresh` unless remembered.
     pub fn listed(&mut self, now: f64, whole: bool, fresh: bool, lines: &[Listed]) {
         self.at(now);
@@ -201,8 +199,6 @@
         }
     }
 
-    // ---- hits ----
-
     /// Takes a hit: its handle, and what to do with it.
     pub fn take(&mut self, now: f64, arrival: Arrival) -> (HitHandle, Next) {
         self.at(now);
@@ -237,8 +233,8 @@
             return Next::GiveUp;
         }
         // Come back when what is in hand now has been worked off.
-        let told = flag(&self.named, "limits.retry_after");
-        let most = if told { self.set("limits.max_retry_after_s", 0.0) } else { 0.0 };
+        let told = f64::from(u8::from(flag(&self.named, "limits.retry_after")));
+        let most = told * self.set("limits.max_retry_after_s", 0.0);
         Next::Bounce { again_after: self.pressure().clamp(0.05, 1.0).min(most) }
     }
 
@@ -266,10 +262,8 @@
         }
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
         let busy = expected > part * group.target.min(hit.due - self.now);
-        if busy {
-            // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
-            self.lately.spent *= 1.0 - 0.1 * self.weight();
-        }
+        // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
+        self.lately.spent *= if busy { 1.0 - 0.1 * self.weight() } else { 1.0 };
         busy
     }
 
@@ -313,8 +307,8 @@
         let (mut sides, mut newest) = ([0.0; 2], 0);
         for l in self.open() {
             let own = self.standing(l.build);
-            let side = usize::from(self.news.is_some_and(|n| n.build == l.build));
-            sides[side] += if own == Standing::Barred { 0.0 } else { l.rating.max(0.1) };
+            sides[usize::from(self.news.is_some_and(|n| n.build == l.build))] +=
+                if own == Standing::Barred { 0.0 } else { l.rating.max(0.1) };
             newest = if own == standing { l.build.max(newest) } else { newest };
         }
         // One build's machines are meant to carry all traffic: the larger side is the fleet.
@@ -370,8 +364,8 @@
         }
         let held = hit.arrival.key.and_then(|k| self.holding(k));
         let trial = self.trial();
-        let closed = trial.is_some_and(|n| (n.stage as f64) < self.set("family_info.closed_stages", 0.0));
-        let allowed = trial.is_some() && (repeat == Repeat::Repeatable || !closed);
+        let first_open = self.set("family_info.closed_stages", 0.0);
+        let allowed = trial.is_some_and(|n| repeat == Repeat::Repeatable || n.stage as f64 >= first_open);
         let open = allowed && self.tokens >= 1.0;
         if held.is_some() && held == trial.map(|n| n.build) {
             // One way: the key may go nowhere else. It waits a little for its turn, while in time.
@@ -475,10 +469,9 @@
             // By half: reports are noisy.
             n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
         }
-        if let Some(x) = slow.filter(|_| !flying.cold) {
-            // An eighth of each answer: ten times slower shows within three, chance hardly does.
-            n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
-        }
+        // An eighth of each answer: ten times slower shows within three, chance hardly does.
+        let x = slow.filter(|_| !flying.cold).unwrap_or(n.slow);
+        n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
         let fault = f64::from(u8::from(!served));
         if answered {
@@ -548,8 +541,6 @@
         word
     }
 
-    // ---- the regular review ----
-
     /// Ages what was counted, compares, votes. To be called when the last review asked for it.
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
@@ -578,9 +569,8 @@
         self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
 
         let follow = !self.following.on && self.now >= self.following.ask_at;
-        if follow {
-            self.following.ask_at = self.now + 5.0; // an answer always comes; should it not, asks again
-        }
+        // An answer always comes; should it not, the question is put again.
+        self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at };
         Review { vote: self.ballot(), follow, again_in: TICK }
     }
 
@@ -591,13 +581,14 @@
     /// another slowdown comes and goes in step.
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
-        let (present, trial) = (self.lately.present, self.trial());
+        let present = self.lately.present;
         // A quarter slower, beyond two standard errors.
         let slowed = present.z >= 10.0 && present.mean() > 0.25 + 2.0 * present.error().sqrt();
         self.doubt.slow_for =
             if slowed { self.doubt.slow_for + 1 } else { self.doubt.slow_for.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
-        if trial.is_none() || self.duel.outcomes < 2.0 {
+        // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
+        if self.trial().is_none() || self.share.0 < 0.1 {
             (self.doubt.paused_at, self.doubt.raised, self.doubt.slow_for) = (None, false, 0);
             return;
         }
@@ -611,6 +602,7 @@
                 self.evidence.abated = if gone { self.evidence.abated + 1 } else { 0 };
                 self.doubt.not_before = self.now + if gone { 0.0 } else { 3.0 * PAUSE };
             }
+            None if self.doubt.slow_for == 0 && phase < TICK => self.evidence.abated = 0,
             _ => {}
         }
         self.doubt.raised = self.doubt.paused_at.is_some() || self.doubt.slow_for >= 5;
@@ -643,7 +635,7 @@
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
-        if guilty && (trial || news.phase == Phase::Released) {
+        if guilty {
             return Verdict::Back;
         }
         let doubtful = trial && (weight >= 0.5 || self.doubt.raised);
