--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,9 +56,10 @@
         let first = Duel { round: 0, horizon: self.horizon, ..Duel::default() }.pulls();
         self.moments(TRIAL).0 >= first && self.index(TRIAL) < self.moments(EARLIER).1
     }
-    /// Whether the trial has sunk so low that it gets no pulls; arms in turn stay within a few hundredths.
+    /// Whether the trial has sunk so low that it gets no pulls; arms pulled in turn stay within a few hundredths.
     pub(crate) fn shuns_trial(&self) -> bool {
-        self.index(TRIAL) < self.index(EARLIER) - 0.05
+        let starved = 4.0 * self.moments(TRIAL).0 < self.moments(EARLIER).0;
+        starved && self.index(TRIAL) < self.index(EARLIER) - 0.05
     }
     /// Drops an arm, ends a round. An arm with fewer pulls than the round's n is given the width of its own.
     pub(crate) fn judge(&mut self) {
