--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,10 +56,9 @@
         let first = Duel { round: 0, horizon: self.horizon, ..Duel::default() }.pulls();
         self.moments(TRIAL).0 >= first && self.index(TRIAL) < self.moments(EARLIER).1
     }
-    /// Whether the trial has sunk so low that it gets no pulls; arms pulled in turn stay within a few hundredths.
+    /// Whether the trial has sunk so low that it gets no pulls; arms in turn stay within a few hundredths.
     pub(crate) fn shuns_trial(&self) -> bool {
-        let starved = 4.0 * self.moments(TRIAL).0 < self.moments(EARLIER).0;
-        starved && self.index(TRIAL) < self.index(EARLIER) - 0.05
+        self.index(TRIAL) < self.index(EARLIER) - 0.05
     }
     /// Drops an arm, ends a round. An arm with fewer pulls than the round's n is given the width of its own.
     pub(crate) fn judge(&mut self) {
@@ -217,7 +216,7 @@
         // its machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { 1.25 * self.share.0 } else { self.share.1 };
-        self.tokens = (self.tokens + cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
+        self.tokens = (self.tokens + 0.999 * cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
         self.note(arrival.key);
         let build = arrival.key.and_then(|k| self.holding(k));
         let held = build.is_some() && build == self.news.map(|n| n.build);
