--- a/src/balance.rs
+++ b/src/balance.rs
@@ -104,6 +104,8 @@
 /// Rates are means over about this long, reviews come this often: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
 const TICK: f64 = 0.1;
+/// A released build is compared with the seconds before its trial for twice the time that condemns it.
+const WATCH: f64 = 30.0;
 /// Complaints per answer, usual and bad: a right answer is hardly ever complained of, a wrong one often.
 const WRONG: (f64, f64) = (0.003, 0.03);
 
@@ -151,10 +153,12 @@
         if old.is_none_or(|o| o.build != news.build) {
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
-            self.doubt = Doubt::default();
+            (self.doubt, self.informed) = (Doubt::default(), old.is_some());
+
             // Nothing has gone to a build that comes while this agent runs; after a restart something may have.
             self.tokens = if old.is_some() { self.set("family_info.spare_tries", 0.0) } else { 0.0 };
         }
+        self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
         self.remember(news);
     }
 
@@ -521,7 +525,7 @@
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
         let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
         let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
-        let calm_now = self.trial().is_none();
+        let calm_now = self.watched(WATCH).is_none();
         let learn = end.ending == Ending::Delivered && !flying.cold && !on_trial;
         let past = |calm: &mut Count, seen: Option<f64>| {
             let ln = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln)?;
@@ -559,7 +563,7 @@
         // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so that
         // a suspicion which nothing feeds does not hold it for ever.
         let old = keep.powf(0.1);
-        if self.trial().is_none() {
+        if self.watched(WATCH).is_none() {
             self.fade_calm(old);
         }
 
@@ -588,12 +592,17 @@
             if slowed { self.doubt.slow_for + 1 } else { self.doubt.slow_for.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
-        if self.trial().is_none() || self.share.0 < 0.1 {
+        let trial = self.trial().is_some();
+        if self.watched(WATCH).is_none() || (trial && self.share.0 < 0.1) {
             (self.doubt.paused_at, self.doubt.raised, self.doubt.slow_for) = (None, false, 0);
             return;
         }
         match self.doubt.paused_at {
-            None if self.doubt.slow_for >= 5 && phase < 2.0 * TICK && self.now >= self.doubt.not_before => {
+            None if trial
+                && self.doubt.slow_for >= 5
+                && phase < 2.0 * TICK
+                && self.now >= self.doubt.not_before =>
+            {
                 self.doubt.paused_at = Some(present.mean());
             }
             Some(level) if phase >= PAUSE => {
@@ -653,6 +662,8 @@
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
         let due = self.now >= start + soak || self.cast.vote == Some(given);
+        // An agent that started under the trial has no seconds before it: the others vote first.
+        let due = due && (self.informed || self.now >= self.started + 10.0);
         [Verdict::Clear, Verdict::On][usize::from(trial && !doubtful && ripe && due)]
     }
 
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -28,7 +28,7 @@
     let lines: Vec<Listed> = (0..8).map(|i| line(i, 1 + (i / 4) as u32, 0.0)).collect();
     b.list(true, &lines);
     b.news = Some(News { build: 2, stage, phase, since: 0.0, cap });
-    b.share = b.trial_share();
+    (b.share, b.informed) = (b.trial_share(), true);
     b
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -368,6 +368,9 @@
     pub(crate) service: Count,
     pub(crate) news: Option<News>,
     pub(crate) stage_began: f64,
+    /// The last build seen on trial, and whether this agent ran before that.
+    pub(crate) seen: u32,
+    pub(crate) informed: bool,
     pub(crate) tokens: f64,
     pub(crate) share: (f64, f64),
     pub(crate) void: Vec<u32>,
@@ -447,6 +450,12 @@
         (sides, noise, beyond)
     }
 
+    /// The build on trial, or released so lately after a trial that this agent saw.
+    pub(crate) fn watched(&self, lately: f64) -> Option<News> {
+        let fresh = |n: &News| n.phase == Phase::Released && self.now < self.stage_began + lately;
+        self.news.filter(|n| n.phase == Phase::Trial || (self.seen == n.build && fresh(n)))
+    }
+
     /// The lines of nodes that are open.
     pub(crate) fn open(&self) -> impl Iterator<Item = Listed> + '_ {
         self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open)
