--- a/src/balance.rs
+++ b/src/balance.rs
@@ -77,7 +77,7 @@
         let last = (0.5 * (self.horizon / std::f64::consts::E).log2()).floor() as i32;
         self.round += i32::from(self.round < last && z0 >= n && z1 >= n);
         // A horizon that has run out starts the next: a trial crowded once must not be starved for ever.
-        if z0 + z1 >= self.horizon && self.dropped.is_none() && !self.sunk() {
+        if z0 + z1 >= self.horizon && self.dropped.is_none() {
             self.arms.iter_mut().flatten().for_each(|a| *a = Count::default());
             self.round = 0;
         }
@@ -393,8 +393,10 @@
                 return self.send(place, n, true);
             }
         }
-        let Some(node) = earlier else { return self.finish(place) };
-        self.send(place, node, false)
+        // Where the earlier build has no machine left, the trial takes what the cap allows.
+        let last = if open && earlier.is_none() { self.choose(place, Standing::OnTrial, 0) } else { None };
+        let Some(node) = earlier.or(last) else { return self.finish(place) };
+        self.send(place, node, last.is_some())
     }
 
     /// Under one way a key that goes to the trial stays there: rare keys go first, and few enough that the held
