--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -288,7 +288,8 @@
 mod tests {
     use super::*;
 
-    const SPAWN: &str = r#"{"t":"Spawn","who":3,"entropy":7,"info":{"classes":[{"name":"read","repeat":"retryable","hard_limit_us":2000000}],"zone":"z"}}"#;
+    const SPAWN: &str = r#"{"t":"Spawn","who":3,"entropy":7,"info":{"zone":"z",
+        "classes":[{"name":"read","repeat":"retryable","hard_limit_us":2000000}]}}"#;
     const LIST: &str =
         r#"{"t":"Inventory","buffer":0,"hosts":[{"appliance":"a \"b\"","availability":"live","build":41}]}"#;
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,8 @@
-//! Every decision of magpieline. A front makes one [`Balancer`] for each agent with [`Balancer::start`], tells
-//! it the list, the platform's news, tallies and complaints, and calls [`Balancer::review`] when that asks to be
-//! called. [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later is a call on
-//! the handle, and each call returns what to do [`Next`]. The interface is `src/interface.rs`; plain data is in
-//! `src/state.rs`.
+//! Every decision of magpieline. A front makes one [`Balancer`] for each agent with [`Balancer::start`],
+//! tells it the list, the platform's news, tallies and complaints, and calls [`Balancer::review`] when that
+//! asks to be called. [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later
+//! is a call on the handle, and each call returns what to do [`Next`]. The interface is `src/interface.rs`;
+//! plain data is in `src/state.rs`.
 //!
 //! The ordinary path is the paper's EUCBV on two arms, the earlier and the trial build ([`Duel`]): the larger
 //! index takes a first forward while the cap allows, eliminations vote. Six mechanisms stand beside it:
@@ -40,18 +40,14 @@
     }
     pub(crate) fn index(&self, arm: usize) -> f64 {
         let (z, mean, variance) = self.moments(arm);
-        if z == 0.0 {
-            f64::INFINITY
-        } else {
-            mean + self.radius(variance, z)
-        }
+        mean + self.radius(variance, z) // without pulls infinite: each arm is pulled once
     }
     /// Which arm a first forward takes if both are open to it.
     pub(crate) fn favours_trial(&self) -> bool {
         self.dropped.map_or_else(|| self.index(TRIAL) >= self.index(EARLIER), |arm| arm == EARLIER)
     }
-    /// Whether even the trial's upper bound on its own pulls, a first round's at least, lies below the earlier
-    /// mean. The index starves such a trial before the width can drop it.
+    /// Whether even the trial's upper bound on its own pulls, a first round's at least, lies below the
+    /// earlier mean. The index starves such a trial before the width can drop it.
     pub(crate) fn sunk(&self) -> bool {
         let first = Duel { round: 0, horizon: self.horizon, ..Duel::default() }.pulls();
         self.moments(TRIAL).0 >= first && self.index(TRIAL) < self.moments(EARLIER).1
@@ -84,13 +80,13 @@
     }
 }
 
-/// What speaks against a build beyond its payoffs: sums of log likelihood ratios, held above zero, of a bad rate
-/// against the usual. Covers builds that fail outright, in one path group, late or when busy, and wrong answers.
-/// May hurt where something fails only for the nodes that happen to be new.
+/// What speaks against a build beyond its payoffs: sums of log likelihood ratios, held above zero, of a bad
+/// rate against the usual. Covers builds that fail outright, in one path group, late or when busy, and wrong
+/// answers. May hurt where something fails only for the nodes that happen to be new.
 impl Evidence {
     pub(crate) fn lean(score: &mut f64, faults: f64, passes: f64, usual: f64, bad: f64) {
         let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
-        *score = (*score + step.min(2.4)).max(0.0); // a tally full of faults may be one stall: it counts as one
+        *score = (*score + step.min(2.4)).max(0.0); // a tally full of faults may be one stall
     }
     /// The strongest of all, 1 being enough to send the build back.
     pub(crate) fn weight(&self) -> f64 {
@@ -110,8 +106,8 @@
 const WRONG: (f64, f64) = (0.003, 0.03);
 
 impl Balancer {
-    /// Starts with nothing but the settings. `zone` is this agent's. Settings that can't be worked with are an
-    /// error that says what is expected.
+    /// Starts with nothing but the settings. `zone` is this agent's. Settings that can't be worked with are
+    /// an error that says what is expected.
     pub fn start(seed: u64, now: f64, zone: Option<usize>, named: Named) -> Result<Balancer, String> {
         let groups = PathGroup::read(&named)?;
         let mut b = Balancer { now, started: now, zone, groups, named, retries: 3.0, ..Balancer::default() };
@@ -127,16 +123,13 @@
     /// Takes in the list: all of it (`whole`: what is absent is gone) or changes. `fresh` unless remembered.
     pub fn listed(&mut self, now: f64, whole: bool, fresh: bool, lines: &[Listed]) {
         self.at(now);
-        if fresh {
-            (self.following.on, self.following.failures) = (true, 0);
-        }
-        self.list(whole, lines);
+        self.list(whole, fresh, lines);
     }
 
     /// A call to the list failed or its pushes ended: asks again at growing, spread-out intervals.
     pub fn list_failed(&mut self, now: f64) {
         self.at(now);
-        let wait = 0.25 * 2f64.powi(self.following.failures.min(4)); // to 4 s, within the usual time to be told
+        let wait = 0.25 * 2f64.powi(self.following.failures.min(4)); // to 4 s, well within a time to be told
         self.following.ask_at = self.now + wait * self.chance.0.gen_range(0.5..1.5);
         (self.following.on, self.following.failures) = (false, self.following.failures + 1);
     }
@@ -155,7 +148,8 @@
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
 
-            // Nothing has gone to a build that comes while this agent runs; after a restart something may have.
+            // Nothing has gone to a build that comes while this agent runs; after a restart something may
+            // have.
             self.tokens = if old.is_some() { self.set("family_info.spare_tries", 0.0) } else { 0.0 };
         }
         self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
@@ -215,9 +209,9 @@
         if let Some(account) = self.lately.accounts.get_mut(arrival.account) {
             account.0 += 1.0;
         }
-        // A bucket no deeper than the free count keeps the cap in every window, wherever it lies.
-        // It fills no faster than the trial's part of the power and a quarter more: a new stage's cap comes before
-        // its machines, and arms at unequal load are no fair comparison.
+        // A bucket no deeper than the free count keeps the cap in every window, wherever it lies. It fills no
+        // faster than the trial's part of the power and a quarter more: a new stage's cap comes before its
+        // machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { 1.25 * self.share.0 } else { self.share.1 };
         self.tokens = (self.tokens + 0.999 * cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
@@ -233,13 +227,12 @@
         let hit = &self.slab.hits[place];
         let harmless = hit.risk.is_none() || self.groups[hit.arrival.group].repeat == Repeat::Repeatable;
         self.slab.end(place);
-        if !harmless {
-            return Next::GiveUp;
-        }
+
         // Come back when what is in hand now has been worked off.
         let told = f64::from(u8::from(flag(&self.named, "limits.retry_after")));
         let most = told * self.set("limits.max_retry_after_s", 0.0);
-        Next::Bounce { again_after: self.pressure().clamp(0.05, 1.0).min(most) }
+        let again_after = self.pressure().clamp(0.05, 1.0).min(most);
+        [Next::GiveUp, Next::Bounce { again_after }][usize::from(harmless)]
     }
 
     /// What one answer counts among lately's: the last half second or ten answers.
@@ -253,19 +246,18 @@
     fn too_busy(&mut self, place: usize, node: usize) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
-        if hit.forwards > 0 || self.now - self.started < SPAN {
-            return false;
-        }
+        let known = hit.forwards == 0 && self.now - self.started >= SPAN;
+
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
-        // The best keep twice the room of the least and more. Where fewer than one miss in twenty is tolerated,
-        // bounces come earlier in proportion to the root of that.
+        // The best keep twice the room of the least and more. Where fewer than one miss in twenty is
+        // tolerated, bounces come earlier in proportion to the root of that.
         let mut part = 0.35 + 0.65 * group.benefit / most;
         part *= (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
         if self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / (1.1 * SPAN)) {
             part *= self.set("over_share_worth", 1.0).max(0.4); // beyond its share by more than chance
         }
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
-        let busy = expected > part * group.target.min(hit.due - self.now);
+        let busy = known && expected > part * group.target.min(hit.due - self.now);
         // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
         self.lately.spent *= if busy { 1.0 - 0.1 * self.weight() } else { 1.0 };
         busy
@@ -286,14 +278,14 @@
         let warmth = self.warmth(&line);
         let rate = warmth * self.lately.taken / SPAN * line.rating.max(0.1) / total;
         let n = &mut self.nodes[node];
-        n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate); // saves up a fifth of a second
+        n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate); // saves a fifth of a second
         n.ramp_at = self.now;
         warmth >= 1.0 || n.ramp >= 1.0
     }
 
-    /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables: whatever leaves
-    /// it owing answers or refusing. One out of favour is tried by one repeatable hit at a time. May hurt when
-    /// all stall together; `choose` then takes unfit ones for what may run again.
+    /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables: whatever
+    /// leaves it owing answers or refusing. One out of favour is tried by one repeatable hit at a time. May
+    /// hurt when all stall together; `choose` then takes unfit ones for what may run again.
     fn fit(&self, node: usize, repeat: Repeat) -> bool {
         let n = &self.nodes[node];
         // Three mean times without any answer while some are owed; a stall below 0.1 s is no matter.
@@ -303,8 +295,8 @@
         self.now >= n.shunned_until && !silent && tried
     }
 
-    /// Two random choices among the fit nodes of a standing that the hit may go to, by fewer in flight: of the
-    /// newest build first, then of any, then unfit ones (never for mutating).
+    /// Two random choices among the fit nodes of a standing that the hit may go to, by fewer in flight: of
+    /// the newest build first, then of any, then unfit ones (never for mutating).
     fn choose(&mut self, place: usize, standing: Standing, least_build: u32) -> Option<usize> {
         let hit = self.slab.hits[place];
         let PathGroup { repeat, scope, .. } = self.groups[hit.arrival.group];
@@ -341,9 +333,8 @@
     }
 
     fn two(&mut self, fit: &[usize]) -> Option<usize> {
-        if fit.is_empty() {
-            return None;
-        }
+        let last = fit.len().checked_sub(1)?;
+
         let crossing = self.set("costs.cross_zone", 0.0) > 0.0 && self.zone.is_some();
         let far = |b: &Balancer, i: usize| crossing && b.nodes[i].listed.map(|l| l.zone) != b.zone;
         // Crossing zones has a price where one is set: a far node must be half as loaded to be chosen.
@@ -351,9 +342,9 @@
         let dear =
             |b: &Balancer, i: usize| if far(b, i) { 2.0 } else { 1.0 } / (1.0 - b.nodes[i].faults).max(0.1);
         let load = |b: &Balancer, i: usize| b.load(i) * dear(b, i);
-        let first = fit[self.chance.0.gen_range(0..fit.len())];
+        let first = fit[self.chance.0.gen_range(0..=last)];
         let near = fit.iter().filter(|i| !far(self, **i)).count();
-        let skip = self.chance.0.gen_range(0..if near > 0 { near } else { fit.len() });
+        let skip = self.chance.0.gen_range(0..if near > 0 { near } else { last + 1 });
         let second = *fit.iter().filter(|i| near == 0 || !far(self, **i)).nth(skip)?;
         Some(if load(self, second) < load(self, first) { second } else { first })
     }
@@ -377,7 +368,7 @@
             if let Some(node) = node {
                 return self.send(place, node, true);
             }
-            let wait = allowed && self.now < hit.taken + 0.5 * target;
+            let wait = allowed && hit.risk.is_none() && self.now < hit.taken + 0.5 * target;
             return if wait { Next::Wait { pause: 0.01 } } else { self.finish(place) };
         }
         let earlier = self.choose(place, Standing::Open, held.unwrap_or(0));
@@ -399,8 +390,8 @@
         self.send(place, node, last.is_some())
     }
 
-    /// Under one way a key that goes to the trial stays there: rare keys go first, and few enough that the held
-    /// ones stay within the cap.
+    /// Under one way a key that goes to the trial stays there: rare keys go first, and few enough that the
+    /// held ones stay within the cap.
     fn welcome(&self, hit: &Hit) -> bool {
         let cap = self.news.map_or(0.0, |n| n.cap);
         let bound = cap < 1.0 && flag(&self.named, "family_info.one_way");
@@ -422,8 +413,8 @@
         Next::Forward { node, limit: self.limit(place) }
     }
 
-    /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to the
-    /// target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
+    /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to
+    /// the target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
     fn limit(&self, place: usize) -> f64 {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
@@ -432,25 +423,24 @@
         let calm = group.calm.iter().fold(Count::default(), |a, c| a.with(c));
         let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
         let half = (0.5 * on_time).max(5.0 * work * calm.mean().exp()).max(2.0 * self.pressure());
-        if group.repeat == Repeat::Mutating || !more || calm.z < 20.0 || half > 0.8 * on_time {
-            return left;
-        }
-        half.min(left)
+        let whole = group.repeat == Repeat::Mutating || !more || calm.z < 20.0 || half > 0.8 * on_time;
+        half.min(left).max(if whole { left } else { 0.0 })
     }
 
-    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time to be
-    /// of use, and within the budget. Covers dead, silent, full and failing nodes without feeding a jam.
+    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time
+    /// to be of use, and within the budget. Covers dead, silent, full and failing nodes without feeding a
+    /// jam.
     fn again(&mut self, place: usize) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let allowed = match (group.repeat, hit.risk) {
             (Repeat::Repeatable, _) | (_, None) => true,
-            (Repeat::Tagged, Some((sent, ..))) => self.now < sent + group.window - 0.05, // the way to the node
+            (Repeat::Tagged, Some((sent, ..))) => self.now < sent + group.window - 0.05, // the way there
             (Repeat::Mutating, Some(_)) => false,
         };
         let end = if group.late_share > 0.0 { hit.due } else { hit.due.min(hit.taken + group.target) };
-        let useful = end - self.now > 0.2 * self.pressure(); // a light hit needs a fifth of the mean
-        let again = allowed && useful && self.retries >= 1.0;
+        // A light hit needs a fifth of the mean time.
+        let again = allowed && end - self.now > 0.2 * self.pressure() && self.retries >= 1.0;
         self.retries -= f64::from(u8::from(again));
         again
     }
@@ -497,7 +487,8 @@
         let Some(news) = self.news.filter(|n| flying.build <= n.build && (answered || timed)) else { return };
         let arm = if flying.build == news.build { TRIAL } else { EARLIER };
         if flying.first && news.phase == Phase::Trial && flying.sent >= self.stage_began {
-            // A cold node shows its age, a slowdown of all its own cause: such a pull counts as an outcome only.
+            // A cold node shows its age, a slowdown of all its own cause: such a pull counts as an outcome
+            // only.
             self.duel.outcomes += arm as f64;
             if !flying.cold && self.doubt.slow_for == 0 {
                 let in_time = served && end.spent <= self.groups[group].target;
@@ -512,7 +503,8 @@
         if !answered || arm == EARLIER {
             return;
         }
-        // One error in twenty is bad where others hardly fail; where all fail it has to be far worse than they.
+        // One error in twenty is bad where others hardly fail; where all fail it has to be far worse than
+        // they.
         let usual = (1.5 * self.usual_faults).clamp(0.005, 0.2);
         for score in [group, self.groups.len()] {
             let bad = (4.0 * usual).max(0.05);
@@ -521,9 +513,9 @@
         Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
     }
 
-    /// The logarithm of a forward's time over that of calm seconds at equal load, kept for the comparisons; for
-    /// nodes against nodes their own word on their service is better, where there is one. A time-out counts as
-    /// the time it took at least.
+    /// The logarithm of a forward's time over that of calm seconds at equal load, kept for the comparisons;
+    /// for nodes against nodes their own word on their service is better, where there is one. A time-out
+    /// counts as the time it took at least.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
         let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
         let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
@@ -558,12 +550,13 @@
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
-            // Reports not heard again are forgotten (others are taken to hold as much as this agent), slowness too.
+            // Reports not heard again are forgotten (others are taken to hold as much as this agent),
+            // slowness too.
             n.others += (1.0 - keep) * (usual - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
-        // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so that
-        // a suspicion which nothing feeds does not hold it for ever.
+        // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so
+        // that a suspicion which nothing feeds does not hold it for ever.
         let old = keep.powf(0.1);
         if self.watched(WATCH).is_none() {
             self.fade_calm(old);
@@ -580,11 +573,11 @@
         Review { vote: self.ballot(), follow, again_in: TICK }
     }
 
-    /// Mechanism 5. Earlier nodes slower than before the trial, at equal load: is it the build? While in doubt
-    /// the trial's traffic is paused in every other two seconds, counted from the stage's start so that all
-    /// agents pause together. A slowdown that goes in two pauses in a row came with that traffic; one that stays
-    /// is no fault of the build. Covers any harm that new traffic does to old nodes. May hurt a good build when
-    /// another slowdown comes and goes in step.
+    /// Mechanism 5. Earlier nodes slower than before the trial, at equal load: is it the build? While in
+    /// doubt the trial's traffic is paused in every other two seconds, counted from the stage's start so that
+    /// all agents pause together. A slowdown that goes in two pauses in a row came with that traffic; one
+    /// that stays is no fault of the build. Covers any harm that new traffic does to old nodes. May hurt a
+    /// good build when another slowdown comes and goes in step.
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
@@ -646,14 +639,13 @@
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
-        if guilty {
-            return Verdict::Back;
-        }
         let doubtful = trial && (weight >= 0.5 || self.doubt.raised);
-        if text(&self.named, "family_info.vote_mode") == "clocked" {
-            // Under a clock stages move by themselves: what can be said is to hold on.
-            return if doubtful { Verdict::Hold } else { Verdict::Clear };
+        // Under a clock stages move by themselves: what can be said is to hold on.
+        let waiting = if doubtful { Verdict::Hold } else { Verdict::Clear };
+        if guilty || text(&self.named, "family_info.vote_mode") == "clocked" {
+            return if guilty { Verdict::Back } else { waiting };
         }
+
         // The stage's least time runs from its machines' listed start. The least count is the design's 10, or
         // what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
@@ -689,7 +681,8 @@
         Some(vote)
     }
 
-    /// How the last vote was received. One that does not count is cast again, at growing, spread-out intervals.
+    /// How the last vote was received. One that does not count is cast again, at growing, spread-out
+    /// intervals.
     pub fn vote_received(&mut self, now: f64, receipt: Receipt) {
         self.at(now);
         if receipt == Receipt::Counted {
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -26,7 +26,7 @@
 fn balancer(stage: usize, phase: Phase, cap: f64, pairs: &[(&str, f64)]) -> Balancer {
     let mut b = Balancer::start(7, 100.0, Some(0), named(pairs)).expect("these settings can be worked with");
     let lines: Vec<Listed> = (0..8).map(|i| line(i, 1 + (i / 4) as u32, 0.0)).collect();
-    b.list(true, &lines);
+    b.list(true, false, &lines);
     b.news = Some(News { build: 2, stage, phase, since: 0.0, cap });
     (b.share, b.informed) = (b.trial_share(), true);
     b
@@ -81,6 +81,15 @@
     assert_eq!(n, [5.0, 8.0, 13.0]);
 }
 
+#[test]
+fn payoffs_rest_while_everything_is_slow() {
+    // Guards against a shared slowdown that makes the arms look unequal.
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    (b.stage_began, b.doubt.slow_for) = (90.0, 3);
+    flying(&mut b, 0, 4).returned(&mut b, 100.1, end(Ending::Delivered));
+    assert_eq!((b.duel.outcomes, b.duel.arms[TRIAL][0].z), (1.0, 0.0));
+}
+
 #[test]
 fn a_round_ends_when_both_arms_have_their_pulls() {
     let mut d = duel(count(20.0, 0.9), count(5.0, 0.9));
@@ -218,7 +227,7 @@
 fn a_cold_node_gets_its_share_by_warmth() {
     let mut b =
         balancer(0, Phase::Trial, 0.0, &[("obligations.cold_s", 4.0), ("obligations.cold_share", 0.3)]);
-    b.list(false, &[line(0, 1, 100.0)]);
+    b.list(false, false, &[line(0, 1, 100.0)]);
     b.lately.taken = 40.0;
     // Forty hits a second over four nodes at 0.3 to 0.475: some four in the first second, one saved up.
     let sent = (0..100).filter(|i| {
@@ -259,7 +268,7 @@
 #[test]
 fn unannounced_and_withdrawn_builds_get_nothing() {
     let mut b = balancer(0, Phase::Released, 1.0, &[]);
-    b.list(false, &[line(9, 3, 0.0)]);
+    b.list(false, false, &[line(9, 3, 0.0)]);
     assert_eq!(b.standing(3), Standing::Barred);
     b.heard(100.0, News { build: 2, stage: 0, phase: Phase::Withdrawn, since: 0.0, cap: 0.0 });
     assert_eq!((b.standing(2), b.standing(1)), (Standing::Barred, Standing::Open));
@@ -289,6 +298,26 @@
     assert!(matches!(handle.resume(&mut b, 101.0), Next::Bounce { .. })); // in vain: answered in good time
 }
 
+#[test]
+fn a_repeat_that_may_have_run_never_waits() {
+    // Guards against a tagged repeat that waits for its turn past its window.
+    let mut b = balancer(1, Phase::Trial, 0.5, &[]);
+    b.named.insert("family_info.one_way".into(), Value::Flag(true));
+    (b.keys, b.tokens) = (vec![(1, 2)], 0.0);
+    let handle = flying(&mut b, 1, 5);
+    b.slab.hits[handle.place as usize].arrival.key = Some(0);
+    assert_eq!(handle.returned(&mut b, 100.1, end(Ending::Errored)), Next::GiveUp);
+}
+
+#[test]
+fn the_trial_takes_over_where_no_earlier_machine_is_left() {
+    let mut b = balancer(3, Phase::Trial, 1.0, &[]);
+    b.list(false, false, &[0, 1, 2, 3].map(|i| Listed { open: false, ..line(i, 1, 0.0) }));
+    (b.tokens, b.duel.dropped) = (1.0, Some(TRIAL));
+    let next = b.take(100.0, hit(0)).1;
+    assert_eq!(build_of(&b, next), Some(2));
+}
+
 // ---- the mechanisms ----
 
 #[test]
@@ -325,6 +354,15 @@
     assert!(b.load(4) > 2.5 * b.load(5));
 }
 
+#[test]
+fn an_erring_node_draws_fewer_hits() {
+    // Guards against a node that errs fast, whose empty hands would draw every hit.
+    let mut b = balancer(0, Phase::Trial, 0.0, &[]);
+    b.nodes[0].faults = 0.8;
+    let drawn = (0..100).filter(|_| b.two(&[0, 1]) == Some(0)).count();
+    assert!(drawn < 40); // only where both choices fall on it
+}
+
 #[test]
 fn old_reports_fade() {
     // Guards against a node that was full once and is never asked again.
@@ -422,6 +460,34 @@
     assert_eq!(b.wish(), Verdict::On);
 }
 
+#[test]
+fn an_agent_started_under_a_trial_votes_on_late() {
+    // Guards against votes by agents that have no seconds before the trial to compare with.
+    let mut b = balancer(0, Phase::Trial, 0.3, &[]);
+    (b.informed, b.started, b.now, b.duel.outcomes) = (false, 100.0, 105.0, 10.0);
+    assert_eq!(b.wish(), Verdict::Clear);
+    b.now = 111.0;
+    assert_eq!(b.wish(), Verdict::On);
+}
+
+#[test]
+fn a_slowdown_that_outlasts_others_condemns_a_released_build() {
+    let mut b = balancer(3, Phase::Released, 1.0, &[]);
+    (b.seen, b.stage_began, b.doubt.slow_for) = (2, 90.0, 150);
+    b.lately.present = Count { z: 50.0, sum: 40.0, squares: 33.0 };
+    b.compare();
+    assert_eq!(b.wish(), Verdict::Back);
+}
+
+#[test]
+fn no_doubt_is_raised_in_a_small_stage() {
+    let mut b = balancer(0, Phase::Trial, 0.05, &[]);
+    (b.share, b.doubt.slow_for) = ((0.05, 0.05), 50);
+    b.lately.present = Count { z: 50.0, sum: 40.0, squares: 33.0 };
+    b.compare();
+    assert!(!b.doubt.raised);
+}
+
 #[test]
 fn a_released_build_can_still_be_sent_back() {
     let mut b = balancer(3, Phase::Released, 1.0, &[]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -430,7 +430,8 @@
     }
 
     /// The mean times of nodes with at least so many, of the earlier builds and of this one, each against the
-    /// earlier nodes of like size; the sum of the trial's errors and how many of its nodes are beyond a margin.
+    /// earlier nodes of like size; the sum of the trial's errors and how many of its nodes are beyond a
+    /// margin.
     pub(crate) fn sides(&self, build: u32, least: f64, margin: f64) -> ([Count; 2], f64, f64) {
         let (mut sides, mut noise, mut beyond) = ([Count::default(); 2], 0.0, 0.0);
         let known =
@@ -490,8 +491,11 @@
         (own / all, own / (all - own).max(f64::MIN_POSITIVE))
     }
 
-    /// Keeps the list: all of it (`whole`: what is absent is gone) or changes.
-    pub(crate) fn list(&mut self, whole: bool, lines: &[Listed]) {
+    /// Keeps the list: all of it (`whole`: what is absent is gone) or changes; `fresh` unless remembered.
+    pub(crate) fn list(&mut self, whole: bool, fresh: bool, lines: &[Listed]) {
+        if fresh {
+            (self.following.on, self.following.failures) = (true, 0);
+        }
         if whole {
             self.nodes.iter_mut().filter_map(|n| n.listed.as_mut()).for_each(|l| l.open = false);
         }
@@ -533,7 +537,8 @@
         hit.forwards += 1;
     }
 
-    /// Takes the forward of a hit back in. Remembers where the hit may have run, and which build served its key.
+    /// Takes the forward of a hit back in. Remembers where the hit may have run, and which build served its
+    /// key.
     pub(crate) fn land(&mut self, place: usize, ending: Ending) -> Option<Flying> {
         let hit = &mut self.slab.hits[place];
         let flying = hit.flying.take()?;
