--- a/src/balance.rs
+++ b/src/balance.rs
@@ -176,7 +176,8 @@
     /// A tally. It counts time-outs and overload too: the trial must be far worse in it than the others.
     pub fn tallied(&mut self, now: f64, tally: Tally) {
         self.at(now);
-        let known = tally.group < self.groups.len() && tally.many > 0.0;
+        // Nor does it say anything while the earlier nodes are slow as well.
+        let known = tally.group < self.groups.len() && tally.many > 0.0 && self.doubt.slow_for == 0;
         let Some(news) = self.trial().filter(|_| known) else { return };
         if tally.build == news.build {
             let usual = (2.0 * self.tallied_faults).clamp(0.01, 0.25);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -438,6 +438,15 @@
     assert!(b.evidence.weight() < 0.5);
 }
 
+#[test]
+fn tallies_rest_while_everything_is_slow() {
+    // Guards against time-outs of a shared slowdown that are held against the trial's few nodes.
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    b.doubt.slow_for = 3;
+    b.tallied(100.0, Tally { build: 2, group: 0, many: 30.0, failed: 20.0 });
+    assert_eq!(b.evidence.weight(), 0.0);
+}
+
 #[test]
 fn one_slow_node_is_no_slow_build() {
     let mut b = balancer(1, Phase::Trial, 0.3, &[]);
