--- a/src/balance.rs
+++ b/src/balance.rs
@@ -254,7 +254,7 @@
         // tolerated, bounces come earlier in proportion to the root of that.
         let mut part = 0.35 + 0.65 * group.benefit / most;
         part *= (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
-        if self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / (1.1 * SPAN)) {
+        if self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0 {
             part *= self.set("over_share_worth", 1.0).max(0.4); // beyond its share by more than chance
         }
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -393,6 +393,14 @@
     assert_eq!(places.map(|place| b.too_busy(place, 4)), [true, false]);
 }
 
+#[test]
+fn an_account_is_over_its_share_only_beyond_chance() {
+    // Guards against bounces for an account that sends a few hits more than its share by chance.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    b.lately.accounts = vec![(14.0, 60.0), (40.0, 60.0)];
+    assert!(b.lately.over(0, 6.0) < 3.0 && b.lately.over(1, 6.0) > 3.0 && b.lately.over(2, 6.0) == 0.0);
+}
+
 #[test]
 fn bouncing_ends_by_itself() {
     // Guards against an expectation that nothing corrects because every hit is bounced.
--- a/src/state.rs
+++ b/src/state.rs
@@ -250,9 +250,10 @@
 }
 
 impl Lately {
-    /// Whether an account has sent more than its share, divided by this.
-    pub fn over(&self, account: usize, part: f64) -> bool {
-        self.accounts.get(account).is_some_and(|(sent, share)| *sent > share / part)
+    /// What an account has sent over its share among so many agents, in standard errors of its count.
+    pub fn over(&self, account: usize, agents: f64) -> f64 {
+        let beyond = |(sent, share): &(f64, f64)| (sent - share / agents) / (share / agents).sqrt();
+        self.accounts.get(account).map_or(0.0, beyond)
     }
     pub fn fade(&mut self, keep: f64, reach: f64) {
         self.taken *= keep;
