--- a/src/balance.rs
+++ b/src/balance.rs
@@ -620,8 +620,8 @@
     fn slower(&self, build: u32) -> f64 {
         // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet.
         let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
-        // Eight answers tell a node's mean to a third; its own word holds that many in four.
-        let least = if self.service.z > 0.0 { 4.0 } else { 8.0 };
+        // Eight answers tell a node's mean to a third; its own word holds that many in two.
+        let least = if self.service.z > 0.0 { 2.0 } else { 8.0 };
         let ([earlier, trial], noise, beyond) = self.sides(build, least, margin);
         if earlier.z < 3.0 || trial.z < 3.0 || beyond < 0.7 * trial.z {
             return 0.0; // a build is slow on all its nodes, with some room for chance
