--- a/src/balance.rs
+++ b/src/balance.rs
@@ -506,7 +506,7 @@
         }
         // One error in twenty is bad where others hardly fail; where all fail it has to be far worse than
         // they.
-        let usual = (1.5 * self.usual_faults).clamp(0.003, 0.2);
+        let usual = (1.5 * self.usual_faults).clamp(0.005, 0.2);
         for score in [group, self.groups.len()] {
             let bad = (4.0 * usual).max(0.05);
             Evidence::lean(&mut self.evidence.faults[score], fault, 1.0 - fault, usual, bad);
