--- a/src/balance.rs
+++ b/src/balance.rs
@@ -166,7 +166,7 @@
             return Standing::Barred;
         }
         match news.phase {
-            Phase::Trial if build == news.build && news.cap > 0.0 => Standing::OnTrial,
+            Phase::Trial | Phase::GoingBack if build == news.build && news.cap > 0.0 => Standing::OnTrial,
             Phase::Released => Standing::Open,
             _ if build < news.build => Standing::Open,
             _ => Standing::Barred,
@@ -359,7 +359,7 @@
             return self.finish(place); // within a millisecond nothing reaches a node and returns
         }
         let held = hit.arrival.key.and_then(|k| self.holding(k));
-        let trial = self.trial();
+        let trial = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::GoingBack));
         let first_open = self.set("family_info.closed_stages", 0.0);
         let allowed = trial.is_some_and(|n| repeat == Repeat::Repeatable || n.stage as f64 >= first_open);
         let open = allowed && self.tokens >= 1.0;
@@ -373,7 +373,7 @@
             return if wait { Next::Wait { pause: 0.01 } } else { self.finish(place) };
         }
         let earlier = self.choose(place, Standing::Open, held.unwrap_or(0));
-        let first = hit.forwards == 0 && self.doubt.paused_at.is_none();
+        let first = hit.forwards == 0 && self.doubt.paused_at.is_none() && self.trial().is_some();
         // A stage without a cap is played as the release will be: what fails only when busy shows while the
         // earlier machines still stand.
         let whole = trial.is_some_and(|n| n.cap >= 1.0) && !self.duel.shuns_trial();
@@ -385,7 +385,7 @@
                 return self.send(place, n, true);
             }
         }
-        // Where the earlier build has no machine left, the trial takes what the cap allows.
+        // Where the earlier build has no machine (left, or yet again), the trial takes what the cap allows.
         let last = if open && earlier.is_none() { self.choose(place, Standing::OnTrial, 0) } else { None };
         let Some(node) = earlier.or(last) else { return self.finish(place) };
         self.send(place, node, last.is_some())
--- a/src/state.rs
+++ b/src/state.rs
@@ -480,9 +480,9 @@
         }
     }
 
-    /// The present power of the build on trial, over all power and over the earlier builds' alone.
+    /// The present power of the build on trial, over all power and over the earlier builds' alone; 1 without.
     pub(crate) fn trial_share(&self) -> (f64, f64) {
-        let Some(news) = self.trial() else { return (0.0, 0.0) };
+        let Some(news) = self.trial() else { return (1.0, 1.0) };
         let (mut own, mut all) = (0.0, f64::MIN_POSITIVE);
         for l in self.open().filter(|l| l.build <= news.build) {
             let power = l.rating.max(0.1) * self.warmth(&l);
