--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -318,6 +318,16 @@
     assert_eq!(build_of(&b, next), Some(2));
 }
 
+#[test]
+fn a_build_on_its_way_back_serves_while_no_other_can() {
+    // Guards against bouncing everything until the earlier machines are up again.
+    let mut b = balancer(3, Phase::GoingBack, 0.5, &[]);
+    b.list(false, false, &[0, 1, 2, 3].map(|i| Listed { open: false, ..line(i, 1, 0.0) }));
+    b.tokens = 1.0;
+    let next = [b.take(100.0, hit(0)).1, b.take(100.0, hit(0)).1];
+    assert_eq!(next.map(|n| build_of(&b, n)), [Some(2), None]); // within its cap
+}
+
 // ---- the mechanisms ----
 
 #[test]
