--- a/src/balance.rs
+++ b/src/balance.rs
@@ -580,7 +580,7 @@
     /// that stays is no fault of the build. Covers any harm that new traffic does to old nodes. May hurt a
     /// good build when another slowdown comes and goes in step.
     fn compare(&mut self) {
-        const PAUSE: f64 = 3.0; // three times the span over which the present is seen
+        const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
         // A quarter slower, beyond two standard errors.
         let slowed = present.z >= 10.0 && present.mean() > 0.25 + 2.0 * present.error().sqrt();
