--- a/src/balance.rs
+++ b/src/balance.rs
@@ -211,10 +211,10 @@
             account.0 += 1.0;
         }
         // A bucket no deeper than the free count keeps the cap in every window, wherever it lies. It fills no
-        // faster than the trial's part of the power and a quarter more: a new stage's cap comes before its
+        // faster than the trial's part of the power and half as much: a new stage's cap comes before its
         // machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
-        let share = if cap < 1.0 { 1.25 * self.share.0 } else { self.share.1 };
+        let share = if cap < 1.0 { 1.5 * self.share.0 } else { self.share.1 };
         self.tokens = (self.tokens + 0.999 * cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
         self.note(arrival.key);
         let build = arrival.key.and_then(|k| self.holding(k));
