--- a/src/balance.rs
+++ b/src/balance.rs
@@ -380,7 +380,7 @@
         if open && first && self.welcome(&hit) && (whole || self.duel.favours_trial()) {
             // Arms are compared at like load: a trial node busier than the alternative is no fair pull.
             let node = self.choose(place, Standing::OnTrial, 0);
-            let most = if trial.is_some_and(|n| n.cap < 1.0) { 1.6 } else { 3.0 };
+            let most = if trial.is_some_and(|n| n.cap < 1.0) { 1.25 } else { 3.0 };
             if let Some(n) = node.filter(|n| earlier.is_none_or(|e| self.load(*n) <= most * self.load(e))) {
                 return self.send(place, n, true);
             }
