--- a/src/balance.rs
+++ b/src/balance.rs
@@ -574,11 +574,11 @@
         Review { vote: self.ballot(), follow, again_in: TICK }
     }
 
-    /// Mechanism 5. Earlier nodes (after the release all) slower than before the trial, at equal load: is it the
-    /// build? While in doubt votes wait, and the trial's traffic is paused in every other two seconds, counted
-    /// from the stage's start so that all agents pause together. A slowdown that goes in two pauses in a row came
-    /// with that traffic; one that stays goes back as well. Covers any harm that new traffic does to old nodes.
-    /// May hurt a good build when another slowdown goes in step or lasts as long.
+    /// Mechanism 5. Earlier nodes (after the release all) slower than before the trial, at equal load: is it
+    /// the build? While in doubt votes wait, and the trial's traffic is paused in every other two seconds
+    /// since the stage's start, so that all agents pause together. A slowdown that goes in two pauses in a
+    /// row came with that traffic; one that stays goes back as well. Covers any harm of new traffic to old
+    /// nodes. May hurt a good build when another slowdown lasts as long.
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
