Tidy: one branch for an answer, doubt derived, one way to wait longer

The node's answer was handled in two branches; whether doubt is raised was kept beside the state it follows from; the list's and the vote's retries and the work of a hit were each written twice; watched is a yes or no.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -97,6 +97,12 @@
     }
 }
 
+impl Doubt {
+    pub(crate) fn raised(&self) -> bool {
+        self.paused_at.is_some() || self.slow_for >= 5 // half a second of it is no burst's edge
+    }
+}
+
 /// Rates are means over about this long, reviews come this often: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
 const TICK: f64 = 0.1;
@@ -116,7 +122,6 @@
         b.evidence = Evidence::new(b.groups.len());
         b.lately.read(&b.named);
         b.following.on = text(&b.named, "discovery") != "on_request";
-
         Ok(b)
     }
 
@@ -126,11 +131,16 @@
         self.list(whole, fresh, lines);
     }
 
+    /// When to try again: after a time doubled with each failure, four times at most, spread over agents.
+    fn later(&mut self, first: f64, failures: i32) -> f64 {
+        self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
+    }
+
     /// A call to the list failed or its pushes ended: asks again at growing, spread-out intervals.
     pub fn list_failed(&mut self, now: f64) {
         self.at(now);
-        let wait = 0.25 * 2f64.powi(self.following.failures.min(4)); // to 4 s, well within a time to be told
-        self.following.ask_at = self.now + wait * self.chance.0.gen_range(0.5..1.5);
+        self.following.ask_at = self.later(0.25, self.following.failures); // to 4 s, within a time to be told
+
         (self.following.on, self.following.failures) = (false, self.following.failures + 1);
     }
 
@@ -147,9 +157,7 @@
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
-
-            // Nothing has gone to a build that comes while this agent runs; after a restart something may
-            // have.
+            // Nothing has gone to a build that comes while this agent runs; after a restart it may have.
             self.tokens = if old.is_some() { self.set("family_info.spare_tries", 0.0) } else { 0.0 };
         }
         self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
@@ -211,8 +219,8 @@
             account.0 += 1.0;
         }
         // A bucket no deeper than the free count keeps the cap in every window, wherever it lies. It fills no
-        // faster than the trial's part of the power and half as much: a new stage's cap comes before its
-        // machines, and arms at unequal load are no fair comparison.
+        // faster than the trial's part of the power and half as much again: a new stage's cap comes before
+        // its machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { 1.5 * self.share.0 } else { self.share.1 };
         self.tokens = (self.tokens + 0.999 * cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
@@ -228,7 +236,6 @@
         let hit = &self.slab.hits[place];
         let harmless = hit.risk.is_none() || self.groups[hit.arrival.group].repeat == Repeat::Repeatable;
         self.slab.end(place);
-
         // Come back when what is in hand now has been worked off.
         let told = f64::from(u8::from(flag(&self.named, "limits.retry_after")));
         let most = told * self.set("limits.max_retry_after_s", 0.0);
@@ -248,7 +255,6 @@
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let known = hit.forwards == 0 && self.now - self.started >= SPAN;
-
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
         // The best keep twice the room of the least and more. Where fewer than one miss in twenty is
         // tolerated, bounces come earlier in proportion to the root of that.
@@ -422,8 +428,7 @@
         let (left, on_time) = (hit.due - self.now, hit.taken + group.target - self.now);
         let more = f64::from(hit.forwards) < self.set("limits.max_attempts", 3.0) && self.retries >= 1.0;
         let calm = group.calm.iter().fold(Count::default(), |a, c| a.with(c));
-        let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
-        let half = (0.5 * on_time).max(5.0 * work * calm.mean().exp()).max(2.0 * self.pressure());
+        let half = (0.5 * on_time).max(5.0 * hit.work() * calm.mean().exp()).max(2.0 * self.pressure());
         let whole = group.repeat == Repeat::Mutating || !more || calm.z < 20.0 || half > 0.8 * on_time;
         half.min(left).max(if whole { left } else { 0.0 })
     }
@@ -473,11 +478,7 @@
         let fault = f64::from(u8::from(!served));
         if answered {
             n.faults += 0.25 * (fault - n.faults); // two errors in a row show, one does not
-            n.owes_since = now;
-        }
-
-        if answered {
-            (n.strikes, n.shunned_until) = (0, 0.0);
+            (n.owes_since, n.strikes, n.shunned_until) = (now, 0, 0.0);
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
         } else if silent || matches!(end.ending, Ending::NoConnection | Ending::Broken) {
@@ -488,8 +489,7 @@
         let Some(news) = self.news.filter(|n| flying.build <= n.build && (answered || timed)) else { return };
         let arm = if flying.build == news.build { TRIAL } else { EARLIER };
         if flying.first && news.phase == Phase::Trial && flying.sent >= self.stage_began {
-            // A cold node shows its age, a slowdown of all its own cause: such a pull counts as an outcome
-            // only.
+            // A cold node shows its age, a slowdown of all its own cause: such a pull is an outcome only.
             self.duel.outcomes += arm as f64;
             if !flying.cold && self.doubt.slow_for == 0 {
                 let in_time = served && end.spent <= self.groups[group].target;
@@ -498,14 +498,14 @@
             }
         }
 
-        if answered && arm == EARLIER {
-            self.usual_faults += 0.005 * (fault - self.usual_faults); // the last two hundred or so
+        if !answered {
+            return;
         }
-        if !answered || arm == EARLIER {
+        if arm == EARLIER {
+            self.usual_faults += 0.005 * (fault - self.usual_faults); // the last two hundred or so
             return;
         }
-        // One error in twenty is bad where others hardly fail; where all fail it has to be far worse than
-        // they.
+        // One error in twenty is bad where others hardly fail; where all fail it has to be far worse.
         let usual = (1.5 * self.usual_faults).clamp(0.005, 0.2);
         for score in [group, self.groups.len()] {
             let bad = (4.0 * usual).max(0.05);
@@ -518,9 +518,8 @@
     /// for nodes against nodes their own word on their service is better, where there is one. A time-out
     /// counts as the time it took at least.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
-        let work = if hit.arrival.hint > 0.0 { hit.arrival.hint } else { 1.0 };
         let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
-        let calm_now = self.watched(WATCH).is_none();
+        let calm_now = !self.watched(WATCH);
         let learn = end.ending == Ending::Delivered && !flying.cold && !on_trial;
         let past = |calm: &mut Count, seen: Option<f64>| {
             let ln = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln)?;
@@ -529,7 +528,7 @@
             }
             Some((ln - calm.mean()).clamp(-2.5, 2.5)).filter(|_| calm.z >= 5.0)
         };
-        let own = past(&mut self.groups[hit.arrival.group].calm[flying.step], Some(end.spent / work));
+        let own = past(&mut self.groups[hit.arrival.group].calm[flying.step], Some(end.spent / hit.work()));
         let word = past(&mut self.service, end.service).or(own);
         if let Some(x) = word.filter(|_| !flying.cold) {
             self.nodes[flying.node].times.add(x);
@@ -547,7 +546,6 @@
         // Where answers are few the present reaches back further, so that it can be told at all.
         let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) };
         self.lately.fade(keep, reach);
-
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
@@ -559,15 +557,13 @@
         // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so
         // that a suspicion which nothing feeds does not hold it for ever.
         let old = keep.powf(0.1);
-        if self.watched(WATCH).is_none() {
+        if !self.watched(WATCH) {
             self.fade_calm(old);
         }
-
         self.evidence.fade(old);
         self.share = self.trial_share();
         self.compare();
         self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
-
         let follow = !self.following.on && self.now >= self.following.ask_at;
         // An answer always comes; should it not, the question is put again.
         self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at };
@@ -589,13 +585,13 @@
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
         let trial = self.trial().is_some();
-        if self.watched(WATCH).is_none() || (trial && self.share.0 < 0.1) {
-            (self.doubt.paused_at, self.doubt.raised, self.doubt.slow_for) = (None, false, 0);
+        if !self.watched(WATCH) || (trial && self.share.0 < 0.1) {
+            (self.doubt.paused_at, self.doubt.slow_for) = (None, 0);
             return;
         }
         match self.doubt.paused_at {
             None if trial
-                && self.doubt.slow_for >= 5
+                && self.doubt.raised()
                 && phase < 2.0 * TICK
                 && self.now >= self.doubt.not_before =>
             {
@@ -610,7 +606,7 @@
             None if self.doubt.slow_for == 0 && phase < TICK => self.evidence.abated = 0,
             _ => {}
         }
-        self.doubt.raised = self.doubt.paused_at.is_some() || self.doubt.slow_for >= 5;
+
         // What outlasts this under a trial is taken for the build's: other slowdowns mostly pass sooner.
         self.evidence.stays = self.doubt.slow_for as f64 * TICK / 15.0;
     }
@@ -636,17 +632,15 @@
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(), news.phase == Phase::Trial);
-
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
-        let doubtful = trial && (weight >= 0.5 || self.doubt.raised);
+        let doubtful = trial && (weight >= 0.5 || self.doubt.raised());
         // Under a clock stages move by themselves: what can be said is to hold on.
         let waiting = if doubtful { Verdict::Hold } else { Verdict::Clear };
         if guilty || text(&self.named, "family_info.vote_mode") == "clocked" {
             return if guilty { Verdict::Back } else { waiting };
         }
-
         // The stage's least time runs from its machines' listed start. The least count is the design's 10, or
         // what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
@@ -682,8 +676,7 @@
         Some(vote)
     }
 
-    /// How the last vote was received. One that does not count is cast again, at growing, spread-out
-    /// intervals.
+    /// How the last vote was received. One that does not count is cast again, later each time.
     pub fn vote_received(&mut self, now: f64, receipt: Receipt) {
         self.at(now);
         if receipt == Receipt::Counted {
@@ -691,9 +684,8 @@
             self.cast.good_until = self.now + 0.75 * self.set("family_info.vote_stands_s", 5.0);
             (self.cast.again_at, self.cast.misses) = (self.now, 0);
         } else {
-            self.cast.misses = (self.cast.misses + 1).min(4);
-            let wait = 0.1 * 2f64.powi(self.cast.misses); // to 1.6 s, so that a stage waits little for it
-            self.cast.again_at = self.now + wait * self.chance.0.gen_range(0.5..1.5);
+            self.cast.misses += 1;
+            self.cast.again_at = self.later(0.1, self.cast.misses); // to 1.6 s: a stage waits little for it
         }
     }
 }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -437,7 +437,7 @@
     b.doubt.paused_at = Some(0.8);
     b.lately.present = Count { z: 50.0, sum: 40.0, squares: 33.0 };
     b.compare();
-    assert_eq!((b.evidence.abated, b.doubt.raised), (0, false));
+    assert_eq!((b.evidence.abated, b.doubt.raised()), (0, false));
 }
 
 #[test]
@@ -512,7 +512,7 @@
     (b.share, b.doubt.slow_for) = ((0.05, 0.05), 50);
     b.lately.present = Count { z: 50.0, sum: 40.0, squares: 33.0 };
     b.compare();
-    assert!(!b.doubt.raised);
+    assert!(!b.doubt.raised());
 }
 
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -175,6 +175,14 @@
 }
 
 impl Hit {
+    /// Its work by the hint; without one all hits count alike.
+    pub fn work(&self) -> f64 {
+        if self.arrival.hint > 0.0 {
+            self.arrival.hint
+        } else {
+            1.0
+        }
+    }
     /// Whether a node drops repeats of this hit, if it may have run.
     pub fn within(&self, scope: Scope, line: &Listed) -> bool {
         match (self.risk, scope) {
@@ -293,7 +301,6 @@
 pub(crate) struct Doubt {
     /// For how many reviews the present has been slower.
     pub slow_for: u32,
-    pub raised: bool,
     /// How slow it was when the pause began.
     pub paused_at: Option<f64>,
     pub not_before: f64,
@@ -452,10 +459,10 @@
         (sides, noise, beyond)
     }
 
-    /// The build on trial, or released so lately after a trial that this agent saw.
-    pub(crate) fn watched(&self, lately: f64) -> Option<News> {
+    /// Whether a build is on trial, or released so lately after a trial that this agent saw.
+    pub(crate) fn watched(&self, lately: f64) -> bool {
         let fresh = |n: &News| n.phase == Phase::Released && self.now < self.stage_began + lately;
-        self.news.filter(|n| n.phase == Phase::Trial || (self.seen == n.build && fresh(n)))
+        self.news.is_some_and(|n| n.phase == Phase::Trial || (self.seen == n.build && fresh(&n)))
     }
 
     /// The lines of nodes that are open.
