First allowances of agents start at random parts of one

Now both start at a random part of one, and no more than two forwards at a trial are saved up. Covers restarts of nodes, new stages and new builds alike; may hold a lone agent's first trial hit back by a moment.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -158,7 +158,9 @@
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
             // Nothing has gone to a build that comes while this agent runs; after a restart it may have.
-            self.tokens = if old.is_some() { self.set("family_info.spare_tries", 0.0) } else { 0.0 };
+            // A hundred agents that each begin with all that is free would crowd a few cold nodes at once.
+            self.tokens = if old.is_some() { self.chance.0.gen_range(0.0..1.0) } else { 0.0 };
+            self.tokens = self.tokens.min(self.set("family_info.spare_tries", 0.0));
         }
         self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
         self.remember(news);
@@ -223,7 +225,9 @@
         // its machines, and arms at unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { 1.5 * self.share.0 } else { self.share.1 };
-        self.tokens = (self.tokens + 0.999 * cap.min(share)).min(self.set("family_info.spare_tries", 0.0));
+        // Two saved up are enough for any rate; more would come to the same few nodes from all agents.
+        let most = self.set("family_info.spare_tries", 0.0).min(2.0);
+        self.tokens = (self.tokens + 0.999 * cap.min(share)).min(most);
         self.note(arrival.key);
         let build = arrival.key.and_then(|k| self.holding(k));
         let held = build.is_some() && build == self.news.map(|n| n.build);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -601,3 +601,22 @@
         assert!(b.tokens <= 2.0);
     }
 }
+
+// ---- full size ----
+
+#[test]
+fn a_hundred_agents_start_a_new_node_or_build_apart() {
+    // Guards against cold nodes pushed over by what every agent has saved up for them.
+    let first = |seed: u64| {
+        let mut b = Balancer::start(seed, 100.0, None, named(&[])).unwrap();
+        b.heard(100.0, News::default());
+        b.heard(100.0, News { build: 2, stage: 0, phase: Phase::Trial, since: 0.0, cap: 0.3 });
+        b.list(false, true, &[line(0, 2, 100.0)]);
+        [b.tokens, b.nodes[0].ramp]
+    };
+    let all: Vec<[f64; 2]> = (0..100).map(first).collect();
+    for i in 0..2 {
+        assert!((40.0..60.0).contains(&all.iter().map(|a| a[i]).sum::<f64>()));
+        assert!(all.iter().all(|a| a[i] < 1.0));
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 //! made here and no value is chosen here; both belong to `balance`.
 
 use crate::interface::*;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// A setting that is a number, or `otherwise` where it is absent.
@@ -514,8 +514,9 @@
             let node = &mut self.nodes[line.node];
             // An id that comes back with another build or start is another process: nothing learnt holds.
             if node.listed.is_none_or(|l| l.build != line.build || l.up_since != line.up_since) {
-                let (flying, owes_since) = (node.flying, self.now);
-                *node = Node { flying, owes_since, ramp: 1.0, ramp_at: self.now, ..Node::default() };
+                // What agents have saved up for it differs, or all would send to it at once.
+                let (flying, owes_since, ramp) = (node.flying, self.now, self.chance.0.gen_range(0.0..1.0));
+                *node = Node { flying, owes_since, ramp, ramp_at: self.now, ..Node::default() };
             }
             node.listed = Some(*line);
         }
