Tallies are no longer listened to

Every agent printed the same reason, the platform's tallies: they count attempts that found no connection or no room at new cold nodes, which an agent's own errors don't, and the same figure reaches all agents, so that all of them err together. An agent's own answers and the number of votes that are needed say more.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,5 +1,5 @@
 //! Every decision of magpieline. A front makes one [`Balancer`] for each agent with [`Balancer::start`],
-//! tells it the list, the platform's news, tallies and complaints, and calls [`Balancer::review`] when that
+//! tells it the list, the platform's news and complaints, and calls [`Balancer::review`] when that
 //! asks to be called. [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later
 //! is a call on the handle, and each call returns what to do [`Next`]. The interface is `src/interface.rs`;
 //! plain data is in `src/state.rs`.
@@ -11,7 +11,7 @@
 //! 3. further forwards: time-outs and a retry budget (`limit`, `again`)
 //! 4. early bounces under overload, by benefit and time left (`too_busy`)
 //! 5. the present against the seconds before the trial, with pauses that tell the cause (`compare`)
-//! 6. evidence beyond the payoffs: faults, times, tallies, complaints (`Evidence`, `slower`)
+//! 6. evidence beyond the payoffs: faults, times, complaints (`Evidence`, `slower`)
 
 use crate::interface::*;
 use crate::state::*;
@@ -86,12 +86,12 @@
 impl Evidence {
     pub(crate) fn lean(score: &mut f64, faults: f64, passes: f64, usual: f64, bad: f64) {
         let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
-        *score = (*score + step.min(2.4)).max(0.0); // a tally full of faults may be one stall
+        *score = (*score + step).max(0.0);
     }
     /// The strongest of all, 1 being enough to send the build back.
     pub(crate) fn weight(&self) -> f64 {
         const ENOUGH: f64 = 6.0; // three errors among some thirty answers; by chance once in e^6 such runs
-        let scores = self.faults.iter().chain(&self.tallied).fold(self.complaints, |a, b| a.max(*b));
+        let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(*b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
         (scores / ENOUGH).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
     }
@@ -183,22 +183,6 @@
         }
     }
 
-    /// A tally. It counts time-outs and overload too: the trial must be far worse in it than the others.
-    pub fn tallied(&mut self, now: f64, tally: Tally) {
-        self.at(now);
-        // Nor does it say anything while the earlier nodes are slow as well.
-        let known = tally.group < self.groups.len() && tally.many > 0.0 && self.doubt.slow_for == 0;
-        let Some(news) = self.trial().filter(|_| known) else { return };
-        if tally.build == news.build {
-            let usual = (2.0 * self.tallied_faults).clamp(0.01, 0.25);
-            let passes = (tally.many - tally.failed).max(0.0);
-            Evidence::lean(&mut self.evidence.tallied[tally.group], tally.failed, passes, usual, 4.0 * usual);
-        } else if tally.build < news.build {
-            // The last five or so.
-            self.tallied_faults += 0.2 * (tally.failed / tally.many - self.tallied_faults);
-        }
-    }
-
     /// A client has found an answer wrong that `node` gave.
     pub fn complained(&mut self, now: f64, node: usize) {
         self.at(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,15 +129,6 @@
     Unknown,
 }
 
-/// The platform's sampled count of one build and path group over a past period.
-#[derive(Clone, Copy, Debug)]
-pub struct Tally {
-    pub build: u32,
-    pub group: usize,
-    pub many: f64,
-    pub failed: f64,
-}
-
 /// What a vote says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/src/state.rs
+++ b/src/state.rs
@@ -322,9 +322,8 @@
 /// What speaks against a build beyond its payoffs.
 #[derive(Default)]
 pub(crate) struct Evidence {
-    /// Errors by path group, then all together; the same of tallies; complaints.
+    /// Errors by path group, then all together; complaints.
     pub faults: Vec<f64>,
-    pub tallied: Vec<f64>,
     pub complaints: f64,
     pub slower: f64,
     /// How long earlier nodes have been slower than before the trial, 1 being too long.
@@ -349,11 +348,11 @@
 
 impl Evidence {
     pub(crate) fn fade(&mut self, keep: f64) {
-        self.faults.iter_mut().chain(&mut self.tallied).for_each(|s| *s *= keep);
+        self.faults.iter_mut().for_each(|s| *s *= keep);
         self.complaints *= keep;
     }
     pub(crate) fn new(groups: usize) -> Evidence {
-        Evidence { faults: vec![0.0; groups + 1], tallied: vec![0.0; groups], ..Evidence::default() }
+        Evidence { faults: vec![0.0; groups + 1], ..Evidence::default() }
     }
 }
 
@@ -385,7 +384,6 @@
     pub(crate) duel: Duel,
     pub(crate) evidence: Evidence,
     pub(crate) usual_faults: f64,
-    pub(crate) tallied_faults: f64,
     pub(crate) doubt: Doubt,
     /// By key: hits seen and the newest build that answered.
     pub(crate) keys: Vec<(u32, u32)>,
