--- a/src/balance.rs
+++ b/src/balance.rs
@@ -254,7 +254,7 @@
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
         let busy = known && expected > part * group.target.min(hit.due - self.now);
         // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
-        self.lately.spent *= if busy { 1.0 - 0.1 * self.weight() } else { 1.0 };
+        self.lately.spent *= if busy { 1.0 - 0.3 * self.weight() } else { 1.0 };
         busy
     }
 
@@ -448,7 +448,10 @@
         self.lately.done += 1.0;
         if timed {
             let weight = self.weight();
-            self.lately.spent += weight * (end.spent - self.lately.spent);
+            // One slow node says little of the others: what is far beyond the expected counts as thrice that.
+            let expected = flying.load * self.lately.spent / self.lately.loads;
+            let spent = if self.lately.spent > 0.0 { end.spent.min(3.0 * expected) } else { end.spent };
+            self.lately.spent += weight * (spent - self.lately.spent);
             self.lately.loads += weight * (flying.load - self.lately.loads);
         }
         let slow = if timed { self.time(hit, flying, end) } else { None };
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -603,3 +603,12 @@
         assert!(all.iter().all(|a| a[i] < 1.0));
     }
 }
+
+#[test]
+fn one_slow_node_does_not_close_the_door() {
+    // Guards against an agent with few hits that bounces all for seconds after one forward to a slow node.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    (b.lately.spent, b.lately.loads) = (0.1, 1.0);
+    flying(&mut b, 0, 4).returned(&mut b, 101.0, Return { spent: 8.0, ..end(Ending::Delivered) });
+    assert!(b.lately.spent < 0.15);
+}
