--- a/src/balance.rs
+++ b/src/balance.rs
@@ -205,10 +205,10 @@
             account.0 += 1.0;
         }
         // A bucket no deeper than the free count keeps the cap in every window, wherever it lies. It fills no
-        // faster than the trial's part of the power and half as much again: a new stage's cap comes before
-        // its machines, and arms at unequal load are no fair comparison.
+        // faster than the trial's part of the power: a new stage's cap comes before its machines, and arms at
+        // unequal load are no fair comparison.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
-        let share = if cap < 1.0 { 1.5 * self.share.0 } else { self.share.1 };
+        let share = if cap < 1.0 { self.share.0 } else { self.share.1 };
         // Two saved up are enough for any rate; more would come to the same few nodes from all agents.
         let most = self.set("family_info.spare_tries", 0.0).min(2.0);
         self.tokens = (self.tokens + 0.999 * cap.min(share)).min(most);
