The least count of outcomes is shared by the agents whose votes it takes

Cause: at full size a stage waited until four agents in ten had two to ten trial outcomes of their own, at nine hits a second and a cap of 3.6% for some ten seconds. The design's ten are now counted over the votes needed, one at least.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -632,12 +632,13 @@
         if guilty || text(&self.named, "family_info.vote_mode") == "clocked" {
             return if guilty { Verdict::Back } else { waiting };
         }
-        // The stage's least time runs from its machines' listed start. The least count is the design's 10, or
-        // what the cap lets through in that time if that is less.
+        // The stage's least time runs from its machines' listed start. The least count is the design's 10 over
+        // all agents whose votes it takes, or what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
         let own = self.open().filter(|l| l.build == news.build);
         let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
-        let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(2.0, 10.0);
+        let votes = self.set("family_info.on_votes", 1.0).max(1.0);
+        let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(1.0, (10.0 / votes).max(1.0));
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -612,3 +612,11 @@
     flying(&mut b, 0, 4).returned(&mut b, 101.0, Return { spent: 8.0, ..end(Ending::Delivered) });
     assert!(b.lately.spent < 0.15);
 }
+
+#[test]
+fn ten_outcomes_over_all_agents_that_must_vote_are_enough() {
+    // Guards against a stage that waits until each of a hundred agents has ten outcomes of its own.
+    let mut b = balancer(0, Phase::Trial, 0.3, &[("family_info.on_votes", 40.0)]);
+    (b.now, b.lately.taken, b.duel.outcomes) = (110.0, 100.0, 1.0);
+    assert_eq!(b.wish(), Verdict::On);
+}
