What one agent needs against a build depends on how many must say so

Cause: at full size an agent sees one or two errors of a build that fails one hit in ten; waiting for three each let it on for stages. By the tail of a Poisson count, E = ln(n / k) + 1 + 6 / k, six at most, keeps k wrong votes of n as rare as one agent's was.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -88,12 +88,15 @@
         let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
         *score = (*score + step).max(0.0);
     }
-    /// The strongest of all, 1 being enough to send the build back.
-    pub(crate) fn weight(&self) -> f64 {
+    /// The strongest of all, 1 being enough to send the build back, where that takes so many of all votes. What
+    /// one agent raises by chance needs company there: with k of n needed, a wrong vote in n e^-E / k agents
+    /// gets there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by the bound on a Poisson count's tail.
+    pub(crate) fn weight(&self, agents: f64, needed: f64) -> f64 {
         const ENOUGH: f64 = 6.0; // three errors among some thirty answers; by chance once in e^6 such runs
+        let enough = ((agents / needed).max(1.0).ln() + 1.0 + ENOUGH / needed).min(ENOUGH);
         let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(*b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
-        (scores / ENOUGH).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
+        (scores / enough).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
     }
 }
 
@@ -622,7 +625,9 @@
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
-        let (weight, trial) = (self.evidence.weight(), news.phase == Phase::Trial);
+        let (agents, needed) =
+            (self.set("peers_total", 1.0), self.set("family_info.noes_needed", 1.0).max(1.0));
+        let (weight, trial) = (self.evidence.weight(agents, needed), news.phase == Phase::Trial);
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -620,3 +620,11 @@
     (b.now, b.lately.taken, b.duel.outcomes) = (110.0, 100.0, 1.0);
     assert_eq!(b.wish(), Verdict::On);
 }
+
+#[test]
+fn one_of_many_needs_less_to_speak_against_a_build() {
+    // Guards against bad builds that a hundred agents see two errors of each. A lone agent still needs three.
+    let evidence = Evidence { faults: vec![4.6], ..Evidence::new(0) };
+    assert!(evidence.weight(1.0, 1.0) < 1.0 && evidence.weight(100.0, 1.0) < 1.0);
+    assert!(evidence.weight(100.0, 15.0) > 1.0);
+}
