--- a/src/balance.rs
+++ b/src/balance.rs
@@ -610,9 +610,29 @@
     fn slower(&self, build: u32) -> f64 {
         // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet.
         let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
-        // Eight answers tell a node's mean to a third; its own word holds that many in two.
-        let least = if self.service.z > 0.0 { 2.0 } else { 8.0 };
-        let ([earlier, trial], noise, beyond) = self.sides(build, least, margin);
+        // Nodes of like size: ratings within a tenth or so.
+        let size = |l: &Listed| (l.rating.max(0.1).ln() / 0.2).round() as i32;
+        let known =
+            || self.nodes.iter().filter_map(|n| Some((n.times, n.listed?))).filter(|(t, _)| t.z > 0.5);
+        let known = || known().filter(|(_, l)| l.open && l.build <= build);
+        let (mut kin, mut all) = (std::collections::BTreeMap::<i32, Count>::new(), Count::default());
+        for (times, l) in known().filter(|(_, l)| l.build < build) {
+            kin.entry(size(&l)).or_default().add(times.mean());
+            all = all.with(&times);
+        }
+        let (mut earlier, mut trial, mut noise, mut beyond) = (Count::default(), Count::default(), 0.0, 0.0);
+        for (times, l) in known() {
+            let x = times.mean() - kin.get(&size(&l)).map_or(0.0, Count::mean);
+            if l.build < build {
+                earlier.add(x);
+                continue;
+            }
+            // Where an agent meets a node once or twice, its answers vary as all earlier ones do.
+            let error = times.error().max(all.variance() / times.z);
+            trial.add(x);
+            noise += error;
+            beyond += f64::from(u8::from(x + error.sqrt() > margin));
+        }
         if earlier.z < 3.0 || trial.z < 3.0 || beyond < 0.7 * trial.z {
             return 0.0; // a build is slow on all its nodes, with some room for chance
         }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -628,3 +628,19 @@
     assert!(evidence.weight(1.0, 1.0) < 1.0 && evidence.weight(100.0, 1.0) < 1.0);
     assert!(evidence.weight(100.0, 15.0) > 1.0);
 }
+
+#[test]
+fn one_answer_a_node_shows_a_slow_build() {
+    // Guards against slow builds in a fleet so large that an agent meets each node once or twice.
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    let lines: Vec<Listed> = (0..120).map(|i| line(i, 1 + (i / 60) as u32, 0.0)).collect();
+    b.list(true, false, &lines);
+    let mut times = |slower: f64| {
+        for i in 0..120 {
+            let x = [-0.6, 0.6][i / 2 % 2] + if i < 60 { 0.0 } else { slower };
+            b.nodes[i].times = Count { z: 1.0, sum: x, squares: x * x };
+        }
+        b.slower(2)
+    };
+    assert!(times(0.2) < 0.5 && times(0.9) > 1.0);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -435,28 +435,6 @@
         stands.then_some(build)
     }
 
-    /// The mean times of nodes with at least so many, of the earlier builds and of this one, each against the
-    /// earlier nodes of like size; the sum of the trial's errors and how many of its nodes are beyond a
-    /// margin.
-    pub(crate) fn sides(&self, build: u32, least: f64, margin: f64) -> ([Count; 2], f64, f64) {
-        let (mut sides, mut noise, mut beyond) = ([Count::default(); 2], 0.0, 0.0);
-        let known =
-            || self.nodes.iter().filter(|n| n.times.z >= least).filter_map(|n| Some((n.times, n.listed?)));
-        for (times, l) in known().filter(|(_, l)| l.open && l.build <= build) {
-            let mut kin = Count::default();
-            known()
-                .filter(|(_, k)| k.build < build && k.rating == l.rating)
-                .for_each(|(t, _)| kin.add(t.mean()));
-            let x = times.mean() - kin.mean();
-            sides[usize::from(l.build == build)].add(x);
-            if l.build == build {
-                noise += times.error();
-                beyond += f64::from(u8::from(x > margin));
-            }
-        }
-        (sides, noise, beyond)
-    }
-
     /// Whether a build is on trial, or released so lately after a trial that this agent saw.
     pub(crate) fn watched(&self, lately: f64) -> bool {
         let fresh = |n: &News| n.phase == Phase::Released && self.now < self.stage_began + lately;
