--- a/src/balance.rs
+++ b/src/balance.rs
@@ -257,7 +257,7 @@
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
         let busy = known && expected > part * group.target.min(hit.due - self.now);
         // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
-        self.lately.spent *= if busy { 1.0 - 0.3 * self.weight() } else { 1.0 };
+        self.lately.spent *= if busy { 1.0 - 0.1 * self.weight() } else { 1.0 };
         busy
     }
 
