One account or group that is late at every node is bounced but for probes

Told from a jam by the others' being in time at the onset; it ails until a probe (one in three seconds an agent) comes in time. Its answers say nothing of nodes or builds.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -124,6 +124,7 @@
         b.duel = Duel::new(b.groups.len(), 0.0);
         b.evidence = Evidence::new(b.groups.len());
         b.lately.read(&b.named);
+        b.lately.tardy = vec![(0.0, false); b.groups.len() + b.lately.accounts.len()];
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
     }
@@ -256,11 +257,38 @@
         }
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
         let busy = known && expected > part * group.target.min(hit.due - self.now);
+        if known && self.ailing(hit) {
+            let probe = self.now >= self.probe_at;
+            self.probe_at = if probe { self.later(3.0, 0) } else { self.probe_at };
+            return !probe;
+        }
         // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
         self.lately.spent *= if busy { 1.0 - 0.1 * self.weight() } else { 1.0 };
         busy
     }
 
+    /// Mechanism 4, one account or path group late at every node while another is not: its hits are bounced
+    /// but for one in three seconds, few even from a hundred agents, and say nothing of nodes or builds. Covers whatever
+    /// makes one kind of hit wait or hang. Hurts where late answers are worth much and places are free.
+    fn ailing(&self, hit: &Hit) -> bool {
+        let account = self.groups.len().saturating_add(hit.arrival.account);
+        [hit.arrival.group, account].iter().any(|i| self.lately.tardy.get(*i).is_some_and(|t| t.1))
+    }
+
+    fn tardy(&mut self, hit: &Hit, end: &Return) {
+        let group = hit.arrival.group;
+        let late = end.ending == Ending::NoAnswer || end.spent > self.groups[group].target;
+        let (groups, accounts) = self.lately.tardy.split_at_mut(self.groups.len());
+        for (kind, i) in [(groups, group), (accounts, hit.arrival.account)] {
+            let other = (0..kind.len()).filter(|j| *j != i).map(|j| kind[j].0).fold(1.0, f64::min);
+            let Some((part, ails)) = kind.get_mut(i) else { continue };
+            // One in time weighs as much as three late ones: above 0.6 some four in five are late, below
+            // 0.3 it is half. It ails until one comes in time again, whatever becomes of the others.
+            *part += if late { 0.2 * (1.0 - *part) } else { -0.5 * *part };
+            *ails = *part > 0.6 && (*ails || other < 0.3);
+        }
+    }
+
     /// Hits in hand for its power: what two choices are compared by.
     fn load(&self, node: usize) -> f64 {
         let n = &self.nodes[node];
@@ -447,7 +475,11 @@
         let (now, group) = (self.now, hit.arrival.group);
         let served = end.ending == Ending::Delivered;
         let answered = served || end.ending == Ending::Errored;
-        let timed = served || end.ending == Ending::NoAnswer;
+        let ailing = self.ailing(hit);
+        let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
+        if served || end.ending == Ending::NoAnswer {
+            self.tardy(hit, end);
+        }
         self.lately.done += 1.0;
         if timed {
             let weight = self.weight();
@@ -485,7 +517,7 @@
         if flying.first && news.phase == Phase::Trial && flying.sent >= self.stage_began {
             // A cold node shows its age, a slowdown of all its own cause: such a pull is an outcome only.
             self.duel.outcomes += arm as f64;
-            if !flying.cold && self.doubt.slow_for == 0 {
+            if !flying.cold && !ailing && self.doubt.slow_for == 0 {
                 let in_time = served && end.spent <= self.groups[group].target;
                 self.duel.arms[arm][group].add(f64::from(u8::from(in_time)));
                 self.duel.judge();
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -644,3 +644,21 @@
     };
     assert!(times(0.2) < 0.5 && times(0.9) > 1.0);
 }
+
+#[test]
+fn an_account_that_is_late_everywhere_is_bounced_but_for_probes() {
+    // Guards against one account's hits that wait at every node, hold its places and jam the rest.
+    let mut b = balancer(0, Phase::Released, 1.0, &[("accounts.0.allowance_per_s", 9.0)]);
+    b.lately.tardy = vec![(0.0, false), (0.0, false), (0.0, false), (0.0, false), (0.0, false)];
+    let late = Return { spent: 0.9, ..end(Ending::Delivered) };
+    for _ in 0..9 {
+        b.tardy(&Hit { arrival: Arrival { account: 1, ..hit(0) }, ..Hit::default() }, &late);
+        b.tardy(&Hit { arrival: hit(0), ..Hit::default() }, &end(Ending::Delivered));
+    }
+    assert_eq!([b.lately.tardy[3].1, b.lately.tardy[4].1], [false, true]);
+    let mut sent = |account| {
+        let next = (0..50).map(|i| b.take(110.0 + 0.01 * f64::from(i), Arrival { account, ..hit(0) }).1);
+        next.filter(|n| matches!(n, Next::Forward { .. })).count()
+    };
+    assert_eq!([sent(0), sent(1)], [50, 1]);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -250,6 +250,8 @@
     pub done: f64,
     /// Hits by account, with what is within the account's share.
     pub accounts: Vec<(f64, f64)>,
+    /// Part of late answers among the last and whether it ails, by path group and then by account.
+    pub tardy: Vec<(f64, bool)>,
     /// Mean time of a forward and load of its node: their ratio tells the time at any load.
     pub spent: f64,
     pub loads: f64,
@@ -371,6 +373,7 @@
     pub(crate) flying: u32,
     pub(crate) lately: Lately,
     pub(crate) retries: f64,
+    pub(crate) probe_at: f64,
     /// Times of service that nodes report in calm seconds.
     pub(crate) service: Count,
     pub(crate) news: Option<News>,
