Calm times are kept by path group and by load apart

Cause: with some twenty hits a second the cells of group and load step stayed below fifteen answers, so that they went on learning under the trial and hid what it slowed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -446,9 +446,8 @@
         let group = &self.groups[hit.arrival.group];
         let (left, on_time) = (hit.due - self.now, hit.taken + group.target - self.now);
         let more = f64::from(hit.forwards) < self.set("limits.max_attempts", 3.0) && self.retries >= 1.0;
-        let calm = group.calm.iter().fold(Count::default(), |a, c| a.with(c));
-        let half = (0.5 * on_time).max(5.0 * hit.work() * calm.mean().exp()).max(2.0 * self.pressure());
-        let whole = group.repeat == Repeat::Mutating || !more || calm.z < 20.0 || half > 0.8 * on_time;
+        let half = (0.5 * on_time).max(5.0 * hit.work() * group.calm.mean().exp()).max(2.0 * self.pressure());
+        let whole = group.repeat == Repeat::Mutating || !more || group.calm.z < 20.0 || half > 0.8 * on_time;
         half.min(left).max(if whole { left } else { 0.0 })
     }
 
@@ -547,15 +546,20 @@
         let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
         let calm_now = !self.watched(WATCH);
         let learn = end.ending == Ending::Delivered && !flying.cold && !on_trial;
-        let past = |calm: &mut Count, seen: Option<f64>| {
-            let ln = seen.filter(|s| *s > 0.0 && s.is_finite()).map(f64::ln)?;
+        let past = |calm: &mut Count, ln: f64| {
             if learn && (calm_now || calm.z < 15.0) {
                 calm.add(ln);
             }
             Some((ln - calm.mean()).clamp(-2.5, 2.5)).filter(|_| calm.z >= 5.0)
         };
-        let own = past(&mut self.groups[hit.arrival.group].calm[flying.step], Some(end.spent / hit.work()));
-        let word = past(&mut self.service, end.service).or(own);
+        // By group and, apart from that, by load: cells of both would be empty where hits are few.
+        let seen = |s: &f64| *s > 0.0 && s.is_finite();
+        let (calm, step) = (&mut self.groups[hit.arrival.group].calm, &mut self.steps[flying.step]);
+        let own = Some(end.spent / hit.work()).filter(seen).map(f64::ln).and_then(|ln| {
+            past(step, ln - calm.mean());
+            past(calm, ln - step.mean())
+        });
+        let word = end.service.filter(seen).and_then(|s| past(&mut self.service, s.ln())).or(own);
         if let Some(x) = word.filter(|_| !flying.cold) {
             self.nodes[flying.node].times.add(x);
         }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -387,7 +387,7 @@
 #[test]
 fn heavy_hits_are_not_cut_off() {
     let mut b = balancer(0, Phase::Released, 1.0, &[]);
-    b.groups[0].calm[0] = Count { z: 30.0, sum: 30.0 * 0.2f64.ln(), squares: 90.0 };
+    b.groups[0].calm = Count { z: 30.0, sum: 30.0 * 0.2f64.ln(), squares: 90.0 };
     let handle = flying(&mut b, 0, 4);
     assert_eq!(b.limit(handle.place as usize), 2.0);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,8 +85,8 @@
     pub target: f64,
     pub late_share: f64,
     pub benefit: f64,
-    /// Logarithm of time over work in calm seconds, by the node's load step.
-    pub calm: [Count; LOADS],
+    /// Logarithm of time over work in calm seconds, at a node's usual load.
+    pub calm: Count,
 }
 
 impl PathGroup {
@@ -116,7 +116,7 @@
                 target: if target > 0.0 { target.min(client_timeout) } else { client_timeout },
                 late_share: number(named, &at("late_share"), 0.0),
                 benefit: number(named, &at("credit"), 1.0).max(0.0),
-                calm: Default::default(),
+                calm: Count::default(),
             });
         }
         if groups.is_empty() {
@@ -374,6 +374,8 @@
     pub(crate) lately: Lately,
     pub(crate) retries: f64,
     pub(crate) probe_at: f64,
+    /// How times in calm seconds differ by a node's load step.
+    pub(crate) steps: [Count; LOADS],
     /// Times of service that nodes report in calm seconds.
     pub(crate) service: Count,
     pub(crate) news: Option<News>,
@@ -453,7 +455,8 @@
     pub(crate) fn fade_calm(&mut self, keep: f64) {
         self.groups
             .iter_mut()
-            .flat_map(|g| &mut g.calm)
+            .map(|g| &mut g.calm)
+            .chain(&mut self.steps)
             .chain([&mut self.service])
             .for_each(|c| c.fade(keep));
     }
