--- a/src/balance.rs
+++ b/src/balance.rs
@@ -289,11 +289,16 @@
         }
     }
 
+    /// What a node can take now: its size by warmth and speed.
+    fn power(&self, node: usize) -> f64 {
+        let n = &self.nodes[node];
+        n.listed.map_or(1.0, |l| l.rating.max(0.1) * self.warmth(&l)) * (-n.slow).exp()
+    }
+
     /// Hits in hand for its power: what two choices are compared by.
     fn load(&self, node: usize) -> f64 {
         let n = &self.nodes[node];
-        let power = n.listed.map_or(1.0, |l| l.rating.max(0.1) * self.warmth(&l)) * (-n.slow).exp();
-        (f64::from(n.flying) + n.others + 1.0) / power
+        (f64::from(n.flying) + n.others) / self.power(node) + 1.0
     }
 
     /// Mechanism 2. Whether a cold node's allowance lets it take a hit. It fills with this agent's own rate,
@@ -302,7 +307,8 @@
     fn ramp(&mut self, node: usize, total: f64) -> bool {
         let Some(line) = self.nodes[node].listed else { return false };
         let warmth = self.warmth(&line);
-        let rate = warmth * self.lately.taken / SPAN * line.rating.max(0.1) / total;
+        // Half as much again, since what is drawn at random leaves some of its allowance unused.
+        let rate = 1.5 * warmth * self.lately.taken / SPAN * line.rating.max(0.1) / total;
         let n = &mut self.nodes[node];
         n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate); // saves a fifth of a second
         n.ramp_at = self.now;
@@ -368,10 +374,20 @@
         let dear =
             |b: &Balancer, i: usize| if far(b, i) { 2.0 } else { 1.0 } / (1.0 - b.nodes[i].faults).max(0.1);
         let load = |b: &Balancer, i: usize| b.load(i) * dear(b, i);
-        let first = fit[self.chance.0.gen_range(0..=last)];
         let near = fit.iter().filter(|i| !far(self, **i)).count();
-        let skip = self.chance.0.gen_range(0..if near > 0 { near } else { last + 1 });
-        let second = *fit.iter().filter(|i| near == 0 || !far(self, **i)).nth(skip)?;
+        let most = fit.iter().map(|i| self.power(*i)).fold(f64::MIN_POSITIVE, f64::max);
+        // Drawn by power, since where an agent sees little of a node's load both are often even.
+        let mut draw = |near: bool| {
+            let mut pick = fit[self.chance.0.gen_range(0..=last)];
+            for _ in 0..20 {
+                if self.chance.0.gen_range(0.0..most) < self.power(pick) && !(near && far(self, pick)) {
+                    break;
+                }
+                pick = fit[self.chance.0.gen_range(0..=last)];
+            }
+            pick
+        };
+        let (first, second) = (draw(false), draw(near > 0));
         Some(if load(self, second) < load(self, first) { second } else { first })
     }
 
@@ -581,7 +597,8 @@
         for n in &mut self.nodes {
             // Reports not heard again are forgotten (others are taken to hold as much as this agent),
             // slowness too.
-            n.others += (1.0 - keep) * (usual - n.others);
+            let size = n.listed.map_or(1.0, |l| l.rating.max(0.1));
+            n.others += (1.0 - keep) * (usual * size - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
         // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -662,3 +662,13 @@
     };
     assert_eq!([sent(0), sent(1)], [50, 1]);
 }
+
+#[test]
+fn nodes_of_unknown_load_are_drawn_by_power() {
+    // Guards against warm nodes that take all of a new build's hits while its cold ones could share them.
+    let mut b =
+        balancer(0, Phase::Trial, 0.0, &[("obligations.cold_s", 4.0), ("obligations.cold_share", 0.25)]);
+    b.list(false, false, &[line(2, 1, 100.0)]);
+    let cold = (0..1000).filter(|_| b.two(&[0, 2]) == Some(2)).count();
+    assert!((150..250).contains(&cold)); // a fifth of the power of both
+}
