Hits that err twice speak against themselves, not against a build

The second forward of a hit that erred tells: if it errs again the first error is taken back, and errors count by the part that does not come again; one in five of such hits is still sent twice. Covers bad hits of a key, account or any. May hurt for a build that fails one path group nearly always, after its release only.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -480,7 +480,10 @@
         };
         let end = if group.late_share > 0.0 { hit.due } else { hit.due.min(hit.taken + group.target) };
         // A light hit needs a fifth of the mean time.
+        // Where most err again one in five is enough to see that they still do.
+        let vain = hit.erred.is_some() && self.echo > 0.5;
         let again = allowed && end - self.now > 0.2 * self.pressure() && self.retries >= 1.0;
+        let again = again && (!vain || self.chance.0.gen_bool(0.2));
         self.retries -= f64::from(u8::from(again));
         again
     }
@@ -507,6 +510,11 @@
         let slow = if timed { self.time(hit, flying, end) } else { None };
         let jitter = self.chance.0.gen_range(0.8..1.2);
         let quick = (0.5 * self.pressure()).clamp(0.02, 0.2);
+        // Hits that err wherever they are sent are no node's fault and no build's. What becomes of the second
+        // forward of one that erred tells how much of the errors is theirs.
+        if hit.erred.is_some() && answered {
+            self.echo += 0.3 * (f64::from(u8::from(!served)) - self.echo);
+        }
         let n = &mut self.nodes[flying.node];
         if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
             // By half: reports are noisy.
@@ -517,8 +525,9 @@
         n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
         let fault = f64::from(u8::from(!served));
+        let own_fault = fault * (1.0 - self.echo);
         if answered {
-            n.faults += 0.25 * (fault - n.faults); // two errors in a row show, one does not
+            n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
             (n.owes_since, n.strikes, n.shunned_until) = (now, 0, 0.0);
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
@@ -532,7 +541,7 @@
         if flying.first && news.phase == Phase::Trial && flying.sent >= self.stage_began {
             // A cold node shows its age, a slowdown of all its own cause: such a pull is an outcome only.
             self.duel.outcomes += arm as f64;
-            if !flying.cold && !ailing && self.doubt.slow_for == 0 {
+            if !flying.cold && !ailing && own_fault >= 0.5 * fault && self.doubt.slow_for == 0 {
                 let in_time = served && end.spent <= self.groups[group].target;
                 self.duel.arms[arm][group].add(f64::from(u8::from(in_time)));
                 self.duel.judge();
@@ -542,15 +551,18 @@
         if !answered {
             return;
         }
-        if arm == EARLIER {
-            self.usual_faults += 0.005 * (fault - self.usual_faults); // the last two hundred or so
-            return;
-        }
         // One error in twenty is bad where others hardly fail; where all fail it has to be far worse.
         let usual = (1.5 * self.usual_faults).clamp(0.005, 0.2);
+        let bad = (4.0 * usual).max(0.05);
+        // A hit that errs twice speaks against itself: what it has said of the build is taken back.
+        let back = if hit.erred == Some(news.build) { fault } else { 0.0 };
+        let (faults, passes) = if arm == TRIAL { (own_fault - back, 1.0 - fault) } else { (-back, 0.0) };
         for score in [group, self.groups.len()] {
-            let bad = (4.0 * usual).max(0.05);
-            Evidence::lean(&mut self.evidence.faults[score], fault, 1.0 - fault, usual, bad);
+            Evidence::lean(&mut self.evidence.faults[score], faults, passes, usual, bad);
+        }
+        if arm == EARLIER {
+            self.usual_faults += 0.02 * (fault - self.usual_faults); // the last fifty or so
+            return;
         }
         Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
     }
@@ -768,6 +780,9 @@
         let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
         let hit = b.slab.hits[place];
         b.learn(&hit, &flying, &end);
+        if end.ending == Ending::Errored {
+            b.slab.hits[place].erred = hit.erred.or(Some(flying.build));
+        }
         if end.over || end.ending == Ending::Delivered || !hit.owed {
             b.slab.end(place);
             return Next::Nothing;
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -673,3 +673,19 @@
     let cold = (0..1000).filter(|_| b.two(&[0, 2]) == Some(2)).count();
     assert!((150..250).contains(&cold)); // a fifth of the power of both
 }
+
+#[test]
+fn hits_that_err_everywhere_condemn_no_build() {
+    // Guards against hits that get an error wherever they go, under a trial that serves the others well.
+    let mut b = balancer(1, Phase::Trial, 0.3, &[("limits.max_attempts", 3.0)]);
+    b.usual_faults = 0.0;
+    for _ in 0..10 {
+        b.retries = 5.0;
+        let handle = flying(&mut b, 0, 4);
+        handle.returned(&mut b, 100.0, end(Ending::Errored));
+        handle.returned(&mut b, 100.0, end(Ending::Errored));
+        handle.left(&mut b, 100.0);
+        assert!(b.evidence.weight(1.0, 1.0) < 0.5);
+    }
+    assert!(b.echo > 0.9);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -170,6 +170,8 @@
     pub due: f64,
     pub forwards: u32,
     pub flying: Option<Flying>,
+    /// The first build that answered it with an error.
+    pub erred: Option<u32>,
     /// When and where it first may have run.
     pub risk: Option<(f64, usize, i64)>,
 }
@@ -389,6 +391,8 @@
     pub(crate) duel: Duel,
     pub(crate) evidence: Evidence,
     pub(crate) usual_faults: f64,
+    /// How many of the hits that erred err again at another node.
+    pub(crate) echo: f64,
     pub(crate) doubt: Doubt,
     /// By key: hits seen and the newest build that answered.
     pub(crate) keys: Vec<(u32, u32)>,
