Errors count for nothing once half of those sent again err again

Cause: while the second forwards of hits that erred were few, first errors still added up to a back vote.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -511,7 +511,7 @@
         let jitter = self.chance.0.gen_range(0.8..1.2);
         let quick = (0.5 * self.pressure()).clamp(0.02, 0.2);
         // Hits that err wherever they are sent are no node's fault and no build's. What becomes of the second
-        // forward of one that erred tells how much of the errors is theirs.
+        // forward of one that erred tells how much of the errors is theirs; half is enough to acquit.
         if hit.erred.is_some() && answered {
             self.echo += 0.3 * (f64::from(u8::from(!served)) - self.echo);
         }
@@ -525,7 +525,7 @@
         n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
         let fault = f64::from(u8::from(!served));
-        let own_fault = fault * (1.0 - self.echo);
+        let own_fault = fault * (1.0 - 2.0 * self.echo).max(0.0);
         if answered {
             n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
             (n.owes_since, n.strikes, n.shunned_until) = (now, 0, 0.0);
