--- a/src/balance.rs
+++ b/src/balance.rs
@@ -732,7 +732,9 @@
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
-        let due = self.now >= start + soak || self.cast.vote == Some(given);
+        // Before the release the last stage's machines have to be warm: only then is it seen what they can do.
+        let warm = if news.cap < 1.0 { 0.0 } else { self.set("obligations.cold_s", 0.0) + 2.0 * SPAN };
+        let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
         let due = due && (self.informed || self.now >= self.started + 10.0);
         [Verdict::Clear, Verdict::On][usize::from(trial && !doubtful && ripe && due)]
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -689,3 +689,13 @@
     }
     assert!(b.echo > 0.5);
 }
+
+#[test]
+fn the_last_stage_waits_until_its_machines_are_warm() {
+    // Guards against the release of a build whose nodes have all been cold while it was judged.
+    let mut b = balancer(3, Phase::Trial, 1.0, &[("obligations.cold_s", 4.0)]);
+    (b.stage_began, b.now, b.duel.outcomes) = (100.0, 105.0, 10.0);
+    assert_eq!(b.wish(), Verdict::Clear);
+    b.now = 106.0;
+    assert_eq!(b.wish(), Verdict::On);
+}
