--- a/src/balance.rs
+++ b/src/balance.rs
@@ -367,14 +367,23 @@
     fn two(&mut self, fit: &[usize]) -> Option<usize> {
         let last = fit.len().checked_sub(1)?;
 
-        let crossing = self.set("costs.cross_zone", 0.0) > 0.0 && self.zone.is_some();
-        let far = |b: &Balancer, i: usize| crossing && b.nodes[i].listed.map(|l| l.zone) != b.zone;
-        // Crossing zones has a price where one is set: a far node must be half as loaded to be chosen.
+        let zone = |b: &Balancer, i: usize| b.nodes[i].listed.map_or(0, |l| l.zone);
+        // Crossing zones has a price where one is set: a far node must be half as loaded to be chosen. But where
+        // the own zone has less than its part of the power, and for one hit in five, all nodes are alike: a zone
+        // or its few new nodes would get crowded unseen.
+        let (mut near, mut all, mut zones) = (0.0, 0.0, 0);
+        for i in fit {
+            all += self.power(*i);
+            near += if Some(zone(self, *i)) == self.zone { self.power(*i) } else { 0.0 };
+            zones = zones.max(zone(self, *i) + 1);
+        }
+        let part = (near / all * zones as f64).min(1.0) * 0.8;
+        let local = self.set("costs.cross_zone", 0.0) > 0.0 && self.chance.0.gen_bool(part);
+        let far = |b: &Balancer, i: usize| local && Some(zone(b, i)) != b.zone;
         // An erring node answers fast: its empty hands must not draw hits.
         let dear =
             |b: &Balancer, i: usize| if far(b, i) { 2.0 } else { 1.0 } / (1.0 - b.nodes[i].faults).max(0.1);
         let load = |b: &Balancer, i: usize| b.load(i) * dear(b, i);
-        let near = fit.iter().filter(|i| !far(self, **i)).count();
         let most = fit.iter().map(|i| self.power(*i)).fold(f64::MIN_POSITIVE, f64::max);
         // Drawn by power, since where an agent sees little of a node's load both are often even.
         let mut draw = |near: bool| {
@@ -387,7 +396,7 @@
             }
             pick
         };
-        let (first, second) = (draw(false), draw(near > 0));
+        let (first, second) = (draw(false), draw(local));
         Some(if load(self, second) < load(self, first) { second } else { first })
     }
 
