--- a/src/balance.rs
+++ b/src/balance.rs
@@ -580,7 +580,8 @@
     /// for nodes against nodes their own word on their service is better, where there is one. A time-out
     /// counts as the time it took at least.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
-        let on_trial = self.trial().is_some_and(|n| flying.build >= n.build);
+        // In a stage without a cap the trial's nodes are the present, as after the release.
+        let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && flying.build >= n.build);
         let calm_now = !self.watched(WATCH);
         let learn = end.ending == Ending::Delivered && !flying.cold && !on_trial;
         let past = |calm: &mut Count, ln: f64| {
@@ -723,7 +724,7 @@
             (self.set("peers_total", 1.0), self.set("family_info.noes_needed", 1.0).max(1.0));
         let (weight, trial) = (self.evidence.weight(agents, needed), news.phase == Phase::Trial);
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
-        let sunk = self.duel.sunk() && self.evidence.slower > 0.0;
+        let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
         let doubtful = trial && (weight >= 0.5 || self.doubt.raised());
         // Under a clock stages move by themselves: what can be said is to hold on.
