--- a/src/balance.rs
+++ b/src/balance.rs
@@ -88,12 +88,8 @@
         let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
         *score = (*score + step).max(0.0);
     }
-    /// The strongest of all, 1 being enough to send the build back, where that takes so many of all votes. What
-    /// one agent raises by chance needs company there: with k of n needed, a wrong vote in n e^-E / k agents
-    /// gets there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by the bound on a Poisson count's tail.
-    pub(crate) fn weight(&self, agents: f64, needed: f64) -> f64 {
-        const ENOUGH: f64 = 6.0; // three errors among some thirty answers; by chance once in e^6 such runs
-        let enough = ((agents / needed).max(1.0).ln() + 1.0 + ENOUGH / needed).min(ENOUGH);
+    /// The strongest of all, 1 being enough to send the build back.
+    pub(crate) fn weight(&self, enough: f64) -> f64 {
         let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(*b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
         (scores / enough).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
@@ -106,6 +102,8 @@
     }
 }
 
+/// What an agent needs against a build if it is alone, as a log likelihood ratio.
+const ENOUGH: f64 = 6.0;
 /// Rates are means over about this long, reviews come this often: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
 const TICK: f64 = 0.1;
@@ -647,8 +645,9 @@
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
-        // A quarter slower, beyond two standard errors.
-        let slowed = present.z >= 10.0 && present.mean() > 0.25 + 2.0 * present.error().sqrt();
+        // A quarter slower, beyond two standard errors; less where many agents have to say so.
+        let beyond = 2.0 * self.enough() / ENOUGH * present.error().sqrt();
+        let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
         self.doubt.slow_for =
             if slowed { self.doubt.slow_for + 1 } else { self.doubt.slow_for.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
@@ -717,12 +716,19 @@
         (trial.mean() - earlier.mean() - margin) / error / 4.0
     }
 
+    /// The evidence that one agent needs. Three errors among some thirty answers, by chance once in e^6 such
+    /// runs, where its vote is enough. What it raises by chance needs company where k of n agents must say so:
+    /// a wrong vote in n e^-E / k of them gets there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by the
+    /// bound on a Poisson count's tail. Hurts where one cause meets all agents.
+    fn enough(&self) -> f64 {
+        let needed = self.set("family_info.noes_needed", 1.0).max(1.0);
+        ((self.set("peers_total", 1.0) / needed).max(1.0).ln() + 1.0 + ENOUGH / needed).min(ENOUGH)
+    }
+
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
-        let (agents, needed) =
-            (self.set("peers_total", 1.0), self.set("family_info.noes_needed", 1.0).max(1.0));
-        let (weight, trial) = (self.evidence.weight(agents, needed), news.phase == Phase::Trial);
+        let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
         // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -625,9 +625,12 @@
 #[test]
 fn one_of_many_needs_less_to_speak_against_a_build() {
     // Guards against bad builds that a hundred agents see two errors of each. A lone agent still needs three.
-    let evidence = Evidence { faults: vec![4.6], ..Evidence::new(0) };
-    assert!(evidence.weight(1.0, 1.0) < 1.0 && evidence.weight(100.0, 1.0) < 1.0);
-    assert!(evidence.weight(100.0, 15.0) > 1.0);
+    let enough = |agents: f64, needed: f64| {
+        balancer(0, Phase::Trial, 0.1, &[("peers_total", agents), ("family_info.noes_needed", needed)])
+            .enough()
+    };
+    assert_eq!([enough(1.0, 1.0), enough(100.0, 1.0)], [6.0, 6.0]);
+    assert!(enough(100.0, 15.0) < 4.6);
 }
 
 #[test]
@@ -685,7 +688,7 @@
         handle.returned(&mut b, 100.0, end(Ending::Errored));
         handle.returned(&mut b, 100.0, end(Ending::Errored));
         handle.left(&mut b, 100.0);
-        assert!(b.evidence.weight(1.0, 1.0) < 0.5);
+        assert!(b.evidence.weight(6.0) < 0.5);
     }
     assert!(b.echo > 0.5);
 }
