--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,7 @@
 //! Every decision of magpieline. A front makes one [`Balancer`] for each agent with [`Balancer::start`],
-//! tells it the list, the platform's news and complaints, and calls [`Balancer::review`] when that
-//! asks to be called. [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later
-//! is a call on the handle, and each call returns what to do [`Next`]. The interface is `src/interface.rs`;
-//! plain data is in `src/state.rs`.
+//! tells it the list, the platform's news and complaints, and calls [`Balancer::review`] when that asks for it.
+//! [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later is a call on the
+//! handle, and each returns what to do [`Next`]. Interface: `src/interface.rs`; plain data: `src/state.rs`.
 //!
 //! The ordinary path is the paper's EUCBV on two arms, the earlier and the trial build ([`Duel`]): the larger
 //! index takes a first forward while the cap allows, eliminations vote. Six mechanisms stand beside it:
@@ -42,12 +41,10 @@
         let (z, mean, variance) = self.moments(arm);
         mean + self.radius(variance, z) // without pulls infinite: each arm is pulled once
     }
-    /// Which arm a first forward takes if both are open to it.
     pub(crate) fn favours_trial(&self) -> bool {
         self.dropped.map_or_else(|| self.index(TRIAL) >= self.index(EARLIER), |arm| arm == EARLIER)
     }
-    /// Whether even the trial's upper bound on its own pulls, a first round's at least, lies below the
-    /// earlier mean. The index starves such a trial before the width can drop it.
+    /// Whether even the trial's index lies below the earlier mean: it is starved before the width can drop it.
     pub(crate) fn sunk(&self) -> bool {
         let first = Duel { round: 0, horizon: self.horizon, ..Duel::default() }.pulls();
         self.moments(TRIAL).0 >= first && self.index(TRIAL) < self.moments(EARLIER).1
@@ -64,8 +61,8 @@
         }
         let n = self.pulls();
         let (c0, c1) = (self.radius(v0, n.min(z0)), self.radius(v1, n.min(z1)));
-        const LEAST: f64 = 10.0; // the design's stage outcomes before the trial may drop
-        if r1 + c1 < r0 - c0 && self.outcomes >= LEAST {
+        // Ten are the design's stage outcomes before the trial may drop.
+        if r1 + c1 < r0 - c0 && self.outcomes >= 10.0 {
             self.dropped = Some(TRIAL);
         } else if r0 + c0 < r1 - c1 {
             self.dropped = Some(EARLIER);
@@ -80,14 +77,9 @@
     }
 }
 
-/// What speaks against a build beyond its payoffs: sums of log likelihood ratios, held above zero, of a bad
-/// rate against the usual. Covers builds that fail outright, in one path group, late or when busy, and wrong
-/// answers. May hurt where something fails only for the nodes that happen to be new.
+/// What speaks against a build beyond its payoffs. Covers builds that fail outright, in one path group, late
+/// or when busy, and wrong answers. May hurt where something fails only for nodes that happen to be new.
 impl Evidence {
-    pub(crate) fn lean(score: &mut f64, faults: f64, passes: f64, usual: f64, bad: f64) {
-        let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
-        *score = (*score + step).max(0.0);
-    }
     /// The strongest of all, 1 being enough to send the build back.
     pub(crate) fn weight(&self, enough: f64) -> f64 {
         let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(*b));
@@ -104,7 +96,7 @@
 
 /// What an agent needs against a build if it is alone, as a log likelihood ratio.
 const ENOUGH: f64 = 6.0;
-/// Rates are means over about this long, reviews come this often: a few times faster than stages and bursts.
+/// Rates are means over a span, reviews come every tick: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
 const TICK: f64 = 0.1;
 /// A released build is compared with the seconds before its trial for twice the time that condemns it.
@@ -113,26 +105,18 @@
 const WRONG: (f64, f64) = (0.003, 0.03);
 
 impl Balancer {
-    /// Starts with nothing but the settings. `zone` is this agent's. Settings that can't be worked with are
-    /// an error that says what is expected.
+    /// Starts with nothing but the settings; an error says what is expected of them. `zone` is this agent's.
     pub fn start(seed: u64, now: f64, zone: Option<usize>, named: Named) -> Result<Balancer, String> {
         let groups = PathGroup::read(&named)?;
         let mut b = Balancer { now, started: now, zone, groups, named, retries: 3.0, ..Balancer::default() };
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         b.duel = Duel::new(b.groups.len(), 0.0);
         b.evidence = Evidence::new(b.groups.len());
-        b.lately.read(&b.named);
-        b.lately.tardy = vec![(0.0, false); b.groups.len() + b.lately.accounts.len()];
+        b.lately.read(&b.named, b.groups.len());
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
     }
 
-    /// Takes in the list: all of it (`whole`: what is absent is gone) or changes. `fresh` unless remembered.
-    pub fn listed(&mut self, now: f64, whole: bool, fresh: bool, lines: &[Listed]) {
-        self.at(now);
-        self.list(whole, fresh, lines);
-    }
-
     /// When to try again: after a time doubled with each failure, four times at most, spread over agents.
     fn later(&mut self, first: f64, failures: i32) -> f64 {
         self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
@@ -142,7 +126,6 @@
     pub fn list_failed(&mut self, now: f64) {
         self.at(now);
         self.following.ask_at = self.later(0.25, self.following.failures); // to 4 s, within a time to be told
-
         (self.following.on, self.following.failures) = (false, self.following.failures + 1);
     }
 
@@ -159,10 +142,10 @@
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
-            // Nothing has gone to a build that comes while this agent runs; after a restart it may have.
-            // A hundred agents that each begin with all that is free would crowd a few cold nodes at once.
-            self.tokens = if old.is_some() { self.chance.0.gen_range(0.0..1.0) } else { 0.0 };
-            self.tokens = self.tokens.min(self.set("family_info.spare_tries", 0.0));
+            // Nothing has gone yet to a build that comes while this agent runs. All agents starting with all
+            // that is free would crowd a few cold nodes at once.
+            let free = self.set("family_info.spare_tries", 0.0).min(1.0);
+            self.tokens = if old.is_some() { free * self.chance.0.gen_range(0.0..1.0) } else { 0.0 };
         }
         self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
         self.remember(news);
@@ -173,14 +156,11 @@
             let lowest = self.open().map(|l| l.build).min();
             return if lowest == Some(build) { Standing::Open } else { Standing::Barred };
         };
-        // Not yet announced, or sent back: nothing is within every cap.
-        if build > news.build || (build < news.build && self.void.contains(&build)) {
-            return Standing::Barred;
-        }
         match news.phase {
-            Phase::Trial | Phase::GoingBack if build == news.build && news.cap > 0.0 => Standing::OnTrial,
+            _ if build < news.build && !self.void.contains(&build) => Standing::Open,
+            _ if build != news.build => Standing::Barred, // not yet announced, or sent back
+            Phase::Trial | Phase::GoingBack if news.cap > 0.0 => Standing::OnTrial,
             Phase::Released => Standing::Open,
-            _ if build < news.build => Standing::Open,
             _ => Standing::Barred,
         }
     }
@@ -203,15 +183,12 @@
         self.lately.taken += 1.0;
         // One further forward for each ten hits, ten saved up: enough for a dead node, too few to feed a jam.
         self.retries = (self.retries + 0.1).min(10.0);
-        if let Some(account) = self.lately.accounts.get_mut(arrival.account) {
-            account.0 += 1.0;
-        }
-        // A bucket no deeper than the free count keeps the cap in every window, wherever it lies. It fills no
-        // faster than the trial's part of the power: a new stage's cap comes before its machines, and arms at
-        // unequal load are no fair comparison.
+        self.lately.accounts.get_mut(arrival.account).into_iter().for_each(|a| a.0 += 1.0);
+        // A bucket no deeper than the free count keeps the cap in every window. It fills no faster than the
+        // trial's part of the power, for arms at unequal load are no fair comparison. Two saved up are enough;
+        // more would come to the same few nodes from all agents.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { self.share.0 } else { self.share.1 };
-        // Two saved up are enough for any rate; more would come to the same few nodes from all agents.
         let most = self.set("family_info.spare_tries", 0.0).min(2.0);
         self.tokens = (self.tokens + 0.999 * cap.min(share)).min(most);
         self.note(arrival.key);
@@ -221,14 +198,14 @@
         (handle, self.route(handle.place as usize))
     }
 
-    /// Answers at once for a hit that is given up: a bounce where nothing can run twice, else an error page.
+    /// Answers at once: a bounce where nothing can run twice, else an error page.
     fn finish(&mut self, place: usize) -> Next {
         let hit = &self.slab.hits[place];
         let harmless = hit.risk.is_none() || self.groups[hit.arrival.group].repeat == Repeat::Repeatable;
         self.slab.end(place);
         // Come back when what is in hand now has been worked off.
-        let told = f64::from(u8::from(flag(&self.named, "limits.retry_after")));
-        let most = told * self.set("limits.max_retry_after_s", 0.0);
+        let told = flag(&self.named, "limits.retry_after");
+        let most = if told { self.set("limits.max_retry_after_s", 0.0) } else { 0.0 };
         let again_after = self.pressure().clamp(0.05, 1.0).min(most);
         [Next::GiveUp, Next::Bounce { again_after }][usize::from(harmless)]
     }
@@ -238,21 +215,18 @@
         1.0 / (0.5 * self.lately.done / SPAN).clamp(10.0, 200.0)
     }
 
-    /// Mechanism 4. Bounces early when the chosen node would take longer than a part of the target latency: a
-    /// small part for the least benefit, all of it for the most. Holds against bursts, lost nodes and shared
-    /// slowdowns alike. May hurt when a few heavy hits make the others look slow.
+    /// Mechanism 4. Bounces early when the node would take longer than a part of the target latency, all of it
+    /// for the most benefit. Holds against bursts, lost nodes and shared slowdowns. May hurt after heavy hits.
     fn too_busy(&mut self, place: usize, node: usize) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let known = hit.forwards == 0 && self.now - self.started >= SPAN;
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
-        // The best keep twice the room of the least and more. Where fewer than one miss in twenty is
-        // tolerated, bounces come earlier in proportion to the root of that.
+        // The best keep twice the room of the least and more; where few misses are tolerated all bounce earlier.
         let mut part = 0.35 + 0.65 * group.benefit / most;
         part *= (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
-        if self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0 {
-            part *= self.set("over_share_worth", 1.0).max(0.4); // beyond its share by more than chance
-        }
+        let over = self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0;
+        part *= if over { self.set("over_share_worth", 1.0).max(0.4) } else { 1.0 }; // beyond chance
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
         let busy = known && expected > part * group.target.min(hit.due - self.now);
         if known && self.ailing(hit) {
@@ -265,9 +239,9 @@
         busy
     }
 
-    /// Mechanism 4, one account or path group late at every node while another is not: its hits are bounced
-    /// but for one in three seconds, few even from a hundred agents, and say nothing of nodes or builds. Covers whatever
-    /// makes one kind of hit wait or hang. Hurts where late answers are worth much and places are free.
+    /// Mechanism 4. Hits of an account or path group that is late at every node while another is not are
+    /// bounced but for one in three seconds, and say nothing of nodes or builds. Covers whatever makes one kind
+    /// of hit wait or hang. Hurts where late answers are worth much and places are free.
     fn ailing(&self, hit: &Hit) -> bool {
         let account = self.groups.len().saturating_add(hit.arrival.account);
         [hit.arrival.group, account].iter().any(|i| self.lately.tardy.get(*i).is_some_and(|t| t.1))
@@ -275,33 +249,29 @@
 
     fn tardy(&mut self, hit: &Hit, end: &Return) {
         let group = hit.arrival.group;
-        let late = end.ending == Ending::NoAnswer || end.spent > self.groups[group].target;
+        let late = match end.ending {
+            Ending::Delivered => end.spent > self.groups[group].target,
+            Ending::NoAnswer => true,
+            _ => return,
+        };
         let (groups, accounts) = self.lately.tardy.split_at_mut(self.groups.len());
         for (kind, i) in [(groups, group), (accounts, hit.arrival.account)] {
             let other = (0..kind.len()).filter(|j| *j != i).map(|j| kind[j].0).fold(1.0, f64::min);
             let Some((part, ails)) = kind.get_mut(i) else { continue };
-            // One in time weighs as much as three late ones: above 0.6 some four in five are late, below
-            // 0.3 it is half. It ails until one comes in time again, whatever becomes of the others.
+            // Above 0.6 some four in five are late, below 0.3 half. It ails until one comes in time again.
             *part += if late { 0.2 * (1.0 - *part) } else { -0.5 * *part };
             *ails = *part > 0.6 && (*ails || other < 0.3);
         }
     }
 
-    /// What a node can take now: its size by warmth and speed.
-    fn power(&self, node: usize) -> f64 {
-        let n = &self.nodes[node];
-        n.listed.map_or(1.0, |l| l.rating.max(0.1) * self.warmth(&l)) * (-n.slow).exp()
-    }
-
     /// Hits in hand for its power: what two choices are compared by.
     fn load(&self, node: usize) -> f64 {
         let n = &self.nodes[node];
         (f64::from(n.flying) + n.others) / self.power(node) + 1.0
     }
 
-    /// Mechanism 2. Whether a cold node's allowance lets it take a hit. It fills with this agent's own rate,
-    /// shared out by size, times the warmth: all agents doing so send it its part of all traffic, which its
-    /// present power can take as far as the fleet can. Covers crashes, restarts and new stages alike.
+    /// Mechanism 2. Whether a cold node's allowance lets it take a hit. It fills with this agent's rate by size
+    /// and warmth: all agents together send it its part of all traffic. Covers crashes, restarts, new stages.
     fn ramp(&mut self, node: usize, total: f64) -> bool {
         let Some(line) = self.nodes[node].listed else { return false };
         let warmth = self.warmth(&line);
@@ -313,9 +283,9 @@
         warmth >= 1.0 || n.ramp >= 1.0
     }
 
-    /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables: whatever
-    /// leaves it owing answers or refusing. One out of favour is tried by one repeatable hit at a time. May
-    /// hurt when all stall together; `choose` then takes unfit ones for what may run again.
+    /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables, and nodes bad
+    /// for this agent alone. One out of favour is tried by one repeatable hit at a time. May hurt when all
+    /// stall together; `choose` then takes unfit ones for what may run again.
     fn fit(&self, node: usize, repeat: Repeat) -> bool {
         let n = &self.nodes[node];
         // Three mean times without any answer while some are owed; a stall below 0.1 s is no matter.
@@ -325,8 +295,8 @@
         self.now >= n.shunned_until && !silent && tried
     }
 
-    /// Two random choices among the fit nodes of a standing that the hit may go to, by fewer in flight: of
-    /// the newest build first, then of any, then unfit ones (never for mutating).
+    /// Two random choices, by fewer in flight, among the nodes of a standing that the hit may go to: fit ones
+    /// of the newest build first, then of any, then unfit ones (never for mutating).
     fn choose(&mut self, place: usize, standing: Standing, least_build: u32) -> Option<usize> {
         let hit = self.slab.hits[place];
         let PathGroup { repeat, scope, .. } = self.groups[hit.arrival.group];
@@ -339,17 +309,15 @@
         }
         // One build's machines are meant to carry all traffic: the larger side is the fleet.
         let total = sides[EARLIER].max(sides[TRIAL]);
-        let mut fit = std::mem::take(&mut self.fit);
-        let mut pick = None;
+        let (mut fit, mut pick) = (std::mem::take(&mut self.fit), None);
         for (any_build, unfit) in [(false, false), (true, false), (true, true)] {
             fit.clear();
             for i in 0..self.nodes.len() {
-                let listed = self.nodes[i].listed.filter(|l| l.open && l.build >= least_build);
-                let Some(line) = listed else { continue };
+                let Some(line) = self.nodes[i].listed.filter(|l| l.open) else { continue };
                 let same = repeat == Repeat::Repeatable || hit.within(scope, &line);
                 let able = if unfit { repeat != Repeat::Mutating } else { self.fit(i, repeat) };
-                let wanted = self.standing(line.build) == standing && (any_build || line.build == newest);
-                if same && wanted && able && self.ramp(i, total) {
+                let wanted = self.standing(line.build) == standing && line.build >= least_build;
+                if same && wanted && (any_build || line.build == newest) && able && self.ramp(i, total) {
                     fit.push(i);
                 }
             }
@@ -362,44 +330,24 @@
         pick
     }
 
+    /// Draws are by power, since where an agent sees little of nodes' loads both are often even.
     fn two(&mut self, fit: &[usize]) -> Option<usize> {
-        let last = fit.len().checked_sub(1)?;
-
-        let zone = |b: &Balancer, i: usize| b.nodes[i].listed.map_or(0, |l| l.zone);
-        // Crossing zones has a price where one is set: a far node must be half as loaded to be chosen. But where
-        // the own zone has less than its part of the power, and for one hit in five, all nodes are alike: a zone
-        // or its few new nodes would get crowded unseen.
-        let (mut near, mut all, mut zones) = (0.0, 0.0, 0);
-        for i in fit {
-            all += self.power(*i);
-            near += if Some(zone(self, *i)) == self.zone { self.power(*i) } else { 0.0 };
-            zones = zones.max(zone(self, *i) + 1);
-        }
-        let part = (near / all * zones as f64).min(1.0) * 0.8;
-        let local = self.set("costs.cross_zone", 0.0) > 0.0 && self.chance.0.gen_bool(part);
-        let far = |b: &Balancer, i: usize| local && Some(zone(b, i)) != b.zone;
+        if fit.is_empty() {
+            return None;
+        }
+        // Where crossing zones has a price a far node must be half as loaded. But where the own zone has less
+        // than its part of the power, and for one hit in five, all are alike, or its nodes get crowded unseen.
+        let priced = self.set("costs.cross_zone", 0.0) > 0.0;
+        let local = priced && self.chance.0.gen_bool(0.8 * self.near_part(fit).clamp(0.0, 1.0));
+        let (first, second) = (self.draw(fit, false), self.draw(fit, local));
         // An erring node answers fast: its empty hands must not draw hits.
-        let dear =
-            |b: &Balancer, i: usize| if far(b, i) { 2.0 } else { 1.0 } / (1.0 - b.nodes[i].faults).max(0.1);
-        let load = |b: &Balancer, i: usize| b.load(i) * dear(b, i);
-        let most = fit.iter().map(|i| self.power(*i)).fold(f64::MIN_POSITIVE, f64::max);
-        // Drawn by power, since where an agent sees little of a node's load both are often even.
-        let mut draw = |near: bool| {
-            let mut pick = fit[self.chance.0.gen_range(0..=last)];
-            for _ in 0..20 {
-                if self.chance.0.gen_range(0.0..most) < self.power(pick) && !(near && far(self, pick)) {
-                    break;
-                }
-                pick = fit[self.chance.0.gen_range(0..=last)];
-            }
-            pick
-        };
-        let (first, second) = (draw(false), draw(local));
-        Some(if load(self, second) < load(self, first) { second } else { first })
+        let far = |i: usize| if local && !self.is_near(i) { 2.0 } else { 1.0 };
+        let load = |i: usize| self.load(i) * far(i) / (1.0 - self.nodes[i].faults).max(0.1);
+        Some(if load(second) < load(first) { second } else { first })
     }
 
     /// Chooses the arm by the design's index and the node by two choices.
-    fn route(&mut self, place: usize) -> Next {
+    pub(crate) fn route(&mut self, place: usize) -> Next {
         let hit = self.slab.hits[place];
         let PathGroup { repeat, target, .. } = self.groups[hit.arrival.group];
         let spent = f64::from(hit.forwards) >= self.set("limits.max_attempts", 3.0).max(1.0);
@@ -413,8 +361,7 @@
         let open = allowed && self.tokens >= 1.0;
         if held.is_some() && held == trial.map(|n| n.build) {
             // One way: the key may go nowhere else. It waits a little for its turn, while in time.
-            let node = if open { self.choose(place, Standing::OnTrial, 0) } else { None };
-            if let Some(node) = node {
+            if let Some(node) = open.then(|| self.choose(place, Standing::OnTrial, 0)).flatten() {
                 return self.send(place, node, true);
             }
             let wait = allowed && hit.risk.is_none() && self.now < hit.taken + 0.5 * target;
@@ -422,8 +369,7 @@
         }
         let earlier = self.choose(place, Standing::Open, held.unwrap_or(0));
         let first = hit.forwards == 0 && self.doubt.paused_at.is_none() && self.trial().is_some();
-        // A stage without a cap is played as the release will be: what fails only when busy shows while the
-        // earlier machines still stand.
+        // A stage without a cap is played as the release will be, while the earlier machines still stand.
         let whole = trial.is_some_and(|n| n.cap >= 1.0) && !self.duel.shuns_trial();
         if open && first && self.welcome(&hit) && (whole || self.duel.favours_trial()) {
             // Arms are compared at like load: a trial node busier than the alternative is no fair pull.
@@ -439,8 +385,7 @@
         self.send(place, node, last.is_some())
     }
 
-    /// Under one way a key that goes to the trial stays there: rare keys go first, and few enough that the
-    /// held ones stay within the cap.
+    /// Under one way a key that goes to the trial stays: rare keys go first, few enough to stay within the cap.
     fn welcome(&self, hit: &Hit) -> bool {
         let cap = self.news.map_or(0.0, |n| n.cap);
         let bound = cap < 1.0 && flag(&self.named, "family_info.one_way");
@@ -462,8 +407,8 @@
         Next::Forward { node, limit: self.limit(place) }
     }
 
-    /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to
-    /// the target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
+    /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to the
+    /// target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
     fn limit(&self, place: usize) -> f64 {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
@@ -474,9 +419,8 @@
         half.min(left).max(if whole { left } else { 0.0 })
     }
 
-    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time
-    /// to be of use, and within the budget. Covers dead, silent, full and failing nodes without feeding a
-    /// jam.
+    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time to
+    /// be of use, and within the budget. Covers dead, silent, full and failing nodes without feeding a jam.
     fn again(&mut self, place: usize) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
@@ -486,11 +430,10 @@
             (Repeat::Mutating, Some(_)) => false,
         };
         let end = if group.late_share > 0.0 { hit.due } else { hit.due.min(hit.taken + group.target) };
-        // A light hit needs a fifth of the mean time.
-        // Where most err again one in five is enough to see that they still do.
-        let vain = hit.erred.is_some() && self.echo > 0.5;
+        // A light hit needs a fifth of the mean time. Where most err again one in five is enough to see it.
+        let part = if hit.erred.is_some() && self.echo > 0.5 { 0.2 } else { 1.0 };
         let again = allowed && end - self.now > 0.2 * self.pressure() && self.retries >= 1.0;
-        let again = again && (!vain || self.chance.0.gen_bool(0.2));
+        let again = again && self.chance.0.gen_bool(part);
         self.retries -= f64::from(u8::from(again));
         again
     }
@@ -502,9 +445,7 @@
         let answered = served || end.ending == Ending::Errored;
         let ailing = self.ailing(hit);
         let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
-        if served || end.ending == Ending::NoAnswer {
-            self.tardy(hit, end);
-        }
+        self.tardy(hit, end);
         self.lately.done += 1.0;
         if timed {
             let weight = self.weight();
@@ -517,8 +458,8 @@
         let slow = if timed { self.time(hit, flying, end) } else { None };
         let jitter = self.chance.0.gen_range(0.8..1.2);
         let quick = (0.5 * self.pressure()).clamp(0.02, 0.2);
-        // Hits that err wherever they are sent are no node's fault and no build's. What becomes of the second
-        // forward of one that erred tells how much of the errors is theirs; half is enough to acquit.
+        // Hits that err wherever they are sent are no node's or build's fault. The second forwards of those that
+        // erred tell how much of the errors is theirs; half is enough to acquit.
         if hit.erred.is_some() && answered {
             self.echo += 0.3 * (f64::from(u8::from(!served)) - self.echo);
         }
@@ -569,14 +510,13 @@
         }
         if arm == EARLIER {
             self.usual_faults += 0.02 * (fault - self.usual_faults); // the last fifty or so
-            return;
+        } else {
+            Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
         }
-        Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
     }
 
-    /// The logarithm of a forward's time over that of calm seconds at equal load, kept for the comparisons;
-    /// for nodes against nodes their own word on their service is better, where there is one. A time-out
-    /// counts as the time it took at least.
+    /// The logarithm of a forward's time, at least, over that of calm seconds at equal load. For nodes against
+    /// nodes their own word on their service is better, where there is one.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
         // In a stage without a cap the trial's nodes are the present, as after the release.
         let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && flying.build >= n.build);
@@ -615,18 +555,14 @@
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
-            // Reports not heard again are forgotten (others are taken to hold as much as this agent),
-            // slowness too.
+            // Reports not heard again are forgotten: others are taken to hold as much as this agent.
             let size = n.listed.map_or(1.0, |l| l.rating.max(0.1));
             n.others += (1.0 - keep) * (usual * size - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
-        // The seconds before the trial are the last ten or so; what speaks against a build fades as fast, so
-        // that a suspicion which nothing feeds does not hold it for ever.
+        // The seconds before the trial are the last ten or so; what speaks against a build fades as fast.
         let old = keep.powf(0.1);
-        if !self.watched(WATCH) {
-            self.fade_calm(old);
-        }
+        self.fade_calm(if self.watched(WATCH) { 1.0 } else { old });
         self.evidence.fade(old);
         self.share = self.trial_share();
         self.compare();
@@ -637,19 +573,18 @@
         Review { vote: self.ballot(), follow, again_in: TICK }
     }
 
-    /// Mechanism 5. Earlier nodes (after the release all) slower than before the trial, at equal load: is it
-    /// the build? While in doubt votes wait, and the trial's traffic is paused in every other two seconds
-    /// since the stage's start, so that all agents pause together. A slowdown that goes in two pauses in a
-    /// row came with that traffic; one that stays goes back as well. Covers any harm of new traffic to old
-    /// nodes. May hurt a good build when another slowdown lasts as long.
+    /// Mechanism 5. Earlier nodes (from the last stage on all) slower than before the trial, at equal load: is
+    /// it the build? While in doubt votes wait, and the trial's traffic pauses in every other two seconds since
+    /// the stage's start, at all agents together. What goes in two pauses in a row came with that traffic; what
+    /// stays goes back as well. May hurt a good build when another slowdown lasts as long.
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
         // A quarter slower, beyond two standard errors; less where many agents have to say so.
         let beyond = 2.0 * self.enough() / ENOUGH * present.error().sqrt();
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
-        self.doubt.slow_for =
-            if slowed { self.doubt.slow_for + 1 } else { self.doubt.slow_for.saturating_sub(3) };
+        let before = self.doubt.slow_for;
+        self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
         let trial = self.trial().is_some();
@@ -657,14 +592,9 @@
             (self.doubt.paused_at, self.doubt.slow_for) = (None, 0);
             return;
         }
+        let ready = trial && phase < 2.0 * TICK && self.now >= self.doubt.not_before;
         match self.doubt.paused_at {
-            None if trial
-                && self.doubt.raised()
-                && phase < 2.0 * TICK
-                && self.now >= self.doubt.not_before =>
-            {
-                self.doubt.paused_at = Some(present.mean());
-            }
+            None if ready && self.doubt.raised() => self.doubt.paused_at = Some(present.mean()),
             Some(level) if phase >= PAUSE => {
                 self.doubt.paused_at = None;
                 let gone = present.mean() < 0.5 * level;
@@ -674,39 +604,17 @@
             None if self.doubt.slow_for == 0 && phase < TICK => self.evidence.abated = 0,
             _ => {}
         }
-
         // What outlasts this under a trial is taken for the build's: other slowdowns mostly pass sooner.
         self.evidence.stays = self.doubt.slow_for as f64 * TICK / 15.0;
     }
 
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
-    /// compared, not answers: one slow or backed-up node is no build, and its answers are not independent.
+    /// compared, not answers: one slow or backed-up node is no build.
     fn slower(&self, build: u32) -> f64 {
         // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet.
         let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
-        // Nodes of like size: ratings within a tenth or so.
-        let size = |l: &Listed| (l.rating.max(0.1).ln() / 0.2).round() as i32;
-        let known =
-            || self.nodes.iter().filter_map(|n| Some((n.times, n.listed?))).filter(|(t, _)| t.z > 0.5);
-        let known = || known().filter(|(_, l)| l.open && l.build <= build);
-        let (mut kin, mut all) = (std::collections::BTreeMap::<i32, Count>::new(), Count::default());
-        for (times, l) in known().filter(|(_, l)| l.build < build) {
-            kin.entry(size(&l)).or_default().add(times.mean());
-            all = all.with(&times);
-        }
-        let (mut earlier, mut trial, mut noise, mut beyond) = (Count::default(), Count::default(), 0.0, 0.0);
-        for (times, l) in known() {
-            let x = times.mean() - kin.get(&size(&l)).map_or(0.0, Count::mean);
-            if l.build < build {
-                earlier.add(x);
-                continue;
-            }
-            // Where an agent meets a node once or twice, its answers vary as all earlier ones do.
-            let error = times.error().max(all.variance() / times.z);
-            trial.add(x);
-            noise += error;
-            beyond += f64::from(u8::from(x + error.sqrt() > margin));
-        }
+        // Kin are nodes of like size: ratings within a tenth or so.
+        let ([earlier, trial], noise, beyond) = self.sides(build, 0.2, margin);
         if earlier.z < 3.0 || trial.z < 3.0 || beyond < 0.7 * trial.z {
             return 0.0; // a build is slow on all its nodes, with some room for chance
         }
@@ -716,10 +624,9 @@
         (trial.mean() - earlier.mean() - margin) / error / 4.0
     }
 
-    /// The evidence that one agent needs. Three errors among some thirty answers, by chance once in e^6 such
-    /// runs, where its vote is enough. What it raises by chance needs company where k of n agents must say so:
-    /// a wrong vote in n e^-E / k of them gets there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by the
-    /// bound on a Poisson count's tail. Hurts where one cause meets all agents.
+    /// The evidence that one agent needs: three errors among some thirty answers where its vote is enough. Where
+    /// k of n must say so, wrong votes by chance get there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by
+    /// the bound on a Poisson count's tail. Hurts where one cause meets all agents.
     fn enough(&self) -> f64 {
         let needed = self.set("family_info.noes_needed", 1.0).max(1.0);
         ((self.set("peers_total", 1.0) / needed).max(1.0).ln() + 1.0 + ENOUGH / needed).min(ENOUGH)
@@ -739,7 +646,7 @@
             return if guilty { Verdict::Back } else { waiting };
         }
         // The stage's least time runs from its machines' listed start. The least count is the design's 10 over
-        // all agents whose votes it takes, or what the cap lets through in that time if that is less.
+        // all whose votes it takes, or what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
         let own = self.open().filter(|l| l.build == news.build);
         let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
@@ -795,28 +702,15 @@
     pub fn returned(self, b: &mut Balancer, now: f64, end: Return) -> Next {
         b.at(now);
         let Some(place) = b.slab.find(self) else { return Next::Nothing };
-        let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
         let hit = b.slab.hits[place];
+        let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
         b.learn(&hit, &flying, &end);
-        if end.ending == Ending::Errored {
-            b.slab.hits[place].erred = hit.erred.or(Some(flying.build));
-        }
         if end.over || end.ending == Ending::Delivered || !hit.owed {
             b.slab.end(place);
             return Next::Nothing;
         }
-        if b.again(place) {
-            b.route(place)
-        } else {
-            b.finish(place)
-        }
-    }
-
-    /// A wait that was asked for is over.
-    pub fn resume(self, b: &mut Balancer, now: f64) -> Next {
-        b.at(now);
-        let waiting = b.slab.find(self).filter(|p| b.slab.hits[*p].flying.is_none());
-        waiting.map_or(Next::Nothing, |place| b.route(place))
+        let again = b.again(place);
+        [Balancer::finish, Balancer::route][usize::from(again)](b, place)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -274,11 +274,12 @@
         self.present.fade(reach);
     }
     /// Reads the accounts and their shares.
-    pub fn read(&mut self, named: &Named) {
+    pub fn read(&mut self, named: &Named, groups: usize) {
         let name = |i: usize| format!("accounts.{i}.allowance_per_s");
         while named.contains_key(&name(self.accounts.len())) {
             self.accounts.push((0.0, number(named, &name(self.accounts.len()), f64::INFINITY)));
         }
+        self.tardy = vec![(0.0, false); groups + self.accounts.len()];
         self.loads = 1.0;
     }
 }
@@ -351,6 +352,11 @@
 }
 
 impl Evidence {
+    /// Adds the log likelihood ratio of a bad rate against the usual to a sum that stays above zero.
+    pub(crate) fn lean(score: &mut f64, faults: f64, passes: f64, usual: f64, bad: f64) {
+        let step = faults * (bad / usual).ln() + passes * ((1.0 - bad) / (1.0 - usual)).ln();
+        *score = (*score + step).max(0.0);
+    }
     pub(crate) fn fade(&mut self, keep: f64) {
         self.faults.iter_mut().for_each(|s| *s *= keep);
         self.complaints *= keep;
@@ -437,6 +443,40 @@
         (from + (1.0 - from) * (self.now - line.up_since) / full).clamp(from.clamp(0.05, 1.0), 1.0)
     }
 
+    /// What a node can take now: its size by warmth and speed.
+    pub(crate) fn power(&self, node: usize) -> f64 {
+        let n = &self.nodes[node];
+        n.listed.map_or(1.0, |l| l.rating.max(0.1) * self.warmth(&l)) * (-n.slow).exp()
+    }
+
+    pub(crate) fn is_near(&self, node: usize) -> bool {
+        self.nodes[node].listed.map(|l| l.zone) == self.zone
+    }
+
+    /// The own zone's part of the power of these nodes, over its part of their zones.
+    pub(crate) fn near_part(&self, among: &[usize]) -> f64 {
+        let (mut near, mut all, mut zones) = (0.0, f64::MIN_POSITIVE, 0);
+        for i in among {
+            all += self.power(*i);
+            near += if self.is_near(*i) { self.power(*i) } else { 0.0 };
+            zones = zones.max(self.nodes[*i].listed.map_or(0, |l| l.zone + 1));
+        }
+        near / all * zones as f64
+    }
+
+    /// Draws a node by power, a near one if that is asked for and found in a few tries.
+    pub(crate) fn draw(&mut self, among: &[usize], near: bool) -> usize {
+        let most = among.iter().map(|i| self.power(*i)).fold(f64::MIN_POSITIVE, f64::max);
+        let mut pick = among[self.chance.0.gen_range(0..among.len())];
+        for _ in 0..20 {
+            if self.chance.0.gen_range(0.0..most) < self.power(pick) && (!near || self.is_near(pick)) {
+                break;
+            }
+            pick = among[self.chance.0.gen_range(0..among.len())];
+        }
+        pick
+    }
+
     /// The build that must go on serving this key, under one way.
     pub(crate) fn holding(&self, key: usize) -> Option<u32> {
         let build = self.keys.get(key).map_or(0, |k| k.1);
@@ -444,6 +484,31 @@
         stands.then_some(build)
     }
 
+    /// The mean times of the earlier builds' nodes and of this build's, each against the earlier nodes whose
+    /// ratings round alike by `width`; the sum of the trial's errors and how many of its nodes may be beyond a
+    /// margin. Where a node has given an answer or two, they are taken to vary as all earlier ones do.
+    pub(crate) fn sides(&self, build: u32, width: f64, margin: f64) -> ([Count; 2], f64, f64) {
+        let size = |l: &Listed| (l.rating.max(0.1).ln() / width).round() as i32;
+        let met = || self.nodes.iter().filter_map(|n| Some((n.times, n.listed?))).filter(|(t, _)| t.z > 0.5);
+        let known = || met().filter(|(_, l)| l.open && l.build <= build);
+        let (mut kin, mut all) = (std::collections::BTreeMap::<i32, Count>::new(), Count::default());
+        for (times, l) in known().filter(|(_, l)| l.build < build) {
+            kin.entry(size(&l)).or_default().add(times.mean());
+            all = all.with(&times);
+        }
+        let (mut sides, mut noise, mut beyond) = ([Count::default(); 2], 0.0, 0.0);
+        for (times, l) in known() {
+            let x = times.mean() - kin.get(&size(&l)).map_or(0.0, Count::mean);
+            sides[usize::from(l.build == build)].add(x);
+            if l.build == build {
+                let error = times.error().max(all.variance() / times.z);
+                noise += error;
+                beyond += f64::from(u8::from(x + error.sqrt() > margin));
+            }
+        }
+        (sides, noise, beyond)
+    }
+
     /// Whether a build is on trial, or released so lately after a trial that this agent saw.
     pub(crate) fn watched(&self, lately: f64) -> bool {
         let fresh = |n: &News| n.phase == Phase::Released && self.now < self.stage_began + lately;
@@ -485,6 +550,12 @@
         (own / all, own / (all - own).max(f64::MIN_POSITIVE))
     }
 
+    /// Takes in the list: all of it (`whole`: what is absent is gone) or changes. `fresh` unless remembered.
+    pub fn listed(&mut self, now: f64, whole: bool, fresh: bool, lines: &[Listed]) {
+        self.at(now);
+        self.list(whole, fresh, lines);
+    }
+
     /// Keeps the list: all of it (`whole`: what is absent is gone) or changes; `fresh` unless remembered.
     pub(crate) fn list(&mut self, whole: bool, fresh: bool, lines: &[Listed]) {
         if fresh {
@@ -537,6 +608,9 @@
     pub(crate) fn land(&mut self, place: usize, ending: Ending) -> Option<Flying> {
         let hit = &mut self.slab.hits[place];
         let flying = hit.flying.take()?;
+        if ending == Ending::Errored {
+            hit.erred = hit.erred.or(Some(flying.build));
+        }
         let node = &mut self.nodes[flying.node];
         let unseen = matches!(ending, Ending::TurnedAway | Ending::NoConnection | Ending::NeverSent);
         if !unseen && hit.risk.is_none() {
@@ -563,6 +637,13 @@
         }
     }
 
+    /// A wait that was asked for is over.
+    pub fn resume(self, b: &mut Balancer, now: f64) -> Next {
+        b.at(now);
+        let waiting = b.slab.find(self).filter(|p| b.slab.hits[*p].flying.is_none());
+        waiting.map_or(Next::Nothing, |place| b.route(place))
+    }
+
     /// Whether anything is still to come for it.
     pub fn pending(self, b: &Balancer) -> bool {
         b.slab.find(self).is_some()
