Nodes that answered lately are kept to where connections fail; stalls tell no times

Where one forward in twenty finds no connection or a dead one, a node that answered within the time that idle connections are seen to last is preferred unless twice as loaded; a refused connection, which cannot have run, costs nothing of the budget; a success halves a node's strikes, for one is luck. Covers full tables, idle connections that die unseen and nodes bad for one agent alone; crowds the nodes that are left.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,5 +1,5 @@
 //! Every decision of magpieline. A front makes one [`Balancer`] for each agent with [`Balancer::start`],
-//! tells it the list, the platform's news and complaints, and calls [`Balancer::review`] when that asks for it.
+//! tells it the list, the platform's news and complaints, and calls [`Balancer::review`] when that says so.
 //! [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later is a call on the
 //! handle, and each returns what to do [`Next`]. Interface: `src/interface.rs`; plain data: `src/state.rs`.
 //!
@@ -44,16 +44,15 @@
     pub(crate) fn favours_trial(&self) -> bool {
         self.dropped.map_or_else(|| self.index(TRIAL) >= self.index(EARLIER), |arm| arm == EARLIER)
     }
-    /// Whether even the trial's index lies below the earlier mean: it is starved before the width can drop it.
+    /// Whether the trial's index lies below the earlier mean: it is starved before the width can drop it.
     pub(crate) fn sunk(&self) -> bool {
         let first = Duel { round: 0, horizon: self.horizon, ..Duel::default() }.pulls();
         self.moments(TRIAL).0 >= first && self.index(TRIAL) < self.moments(EARLIER).1
     }
-    /// Whether the trial has sunk so low that it gets no pulls; arms in turn stay within a few hundredths.
     pub(crate) fn shuns_trial(&self) -> bool {
-        self.index(TRIAL) < self.index(EARLIER) - 0.05
+        self.index(TRIAL) < self.index(EARLIER) - 0.05 // arms in turn stay within a few hundredths
     }
-    /// Drops an arm, ends a round. An arm with fewer pulls than the round's n is given the width of its own.
+    /// Drops an arm, ends a round. An arm with fewer pulls than the round's n has the width of its own.
     pub(crate) fn judge(&mut self) {
         let ((z0, r0, v0), (z1, r1, v1)) = (self.moments(EARLIER), self.moments(TRIAL));
         if self.dropped.is_some() || z0 == 0.0 || z1 == 0.0 {
@@ -71,8 +70,7 @@
         self.round += i32::from(self.round < last && z0 >= n && z1 >= n);
         // A horizon that has run out starts the next: a trial crowded once must not be starved for ever.
         if z0 + z1 >= self.horizon && self.dropped.is_none() {
-            self.arms.iter_mut().flatten().for_each(|a| *a = Count::default());
-            self.round = 0;
+            (self.arms, self.round) = (self.arms.each_ref().map(|a| vec![Count::default(); a.len()]), 0);
         }
     }
 }
@@ -94,7 +92,7 @@
     }
 }
 
-/// What an agent needs against a build if it is alone, as a log likelihood ratio.
+/// What an agent needs against a build if it is alone: a log likelihood ratio.
 const ENOUGH: f64 = 6.0;
 /// Rates are means over a span, reviews come every tick: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
@@ -105,19 +103,20 @@
 const WRONG: (f64, f64) = (0.003, 0.03);
 
 impl Balancer {
-    /// Starts with nothing but the settings; an error says what is expected of them. `zone` is this agent's.
+    /// Starts with nothing but the settings; an error says what is expected of them. `zone` is its own.
     pub fn start(seed: u64, now: f64, zone: Option<usize>, named: Named) -> Result<Balancer, String> {
         let groups = PathGroup::read(&named)?;
         let mut b = Balancer { now, started: now, zone, groups, named, retries: 3.0, ..Balancer::default() };
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         b.duel = Duel::new(b.groups.len(), 0.0);
         b.evidence = Evidence::new(b.groups.len());
+        b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
     }
 
-    /// When to try again: after a time doubled with each failure, four times at most, spread over agents.
+    /// When to try again: a time doubled with each failure, four times at most, spread over agents.
     fn later(&mut self, first: f64, failures: i32) -> f64 {
         self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
     }
@@ -142,12 +141,10 @@
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
-            // Nothing has gone yet to a build that comes while this agent runs. All agents starting with all
-            // that is free would crowd a few cold nodes at once.
+            // After a restart it may be used up; and all agents' free forwards at once would crowd cold nodes.
             let free = self.set("family_info.spare_tries", 0.0).min(1.0);
             self.tokens = if old.is_some() { free * self.chance.0.gen_range(0.0..1.0) } else { 0.0 };
         }
-        self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
         self.remember(news);
     }
 
@@ -185,15 +182,15 @@
         self.retries = (self.retries + 0.1).min(10.0);
         self.lately.accounts.get_mut(arrival.account).into_iter().for_each(|a| a.0 += 1.0);
         // A bucket no deeper than the free count keeps the cap in every window. It fills no faster than the
-        // trial's part of the power, for arms at unequal load are no fair comparison. Two saved up are enough;
-        // more would come to the same few nodes from all agents.
+        // trial's part of the power: arms at unequal load can't be compared. Two saved up are enough: more
+        // would come to the same few nodes from all agents.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { self.share.0 } else { self.share.1 };
         let most = self.set("family_info.spare_tries", 0.0).min(2.0);
         self.tokens = (self.tokens + 0.999 * cap.min(share)).min(most);
         self.note(arrival.key);
-        let build = arrival.key.and_then(|k| self.holding(k));
-        let held = build.is_some() && build == self.news.map(|n| n.build);
+        let held =
+            arrival.key.and_then(|k| self.holding(k)).is_some_and(|b| Some(b) == self.news.map(|n| n.build));
         self.held_share += 0.02 * (f64::from(u8::from(held)) - self.held_share); // the last fifty hits
         (handle, self.route(handle.place as usize))
     }
@@ -204,9 +201,9 @@
         let harmless = hit.risk.is_none() || self.groups[hit.arrival.group].repeat == Repeat::Repeatable;
         self.slab.end(place);
         // Come back when what is in hand now has been worked off.
-        let told = flag(&self.named, "limits.retry_after");
-        let most = if told { self.set("limits.max_retry_after_s", 0.0) } else { 0.0 };
-        let again_after = self.pressure().clamp(0.05, 1.0).min(most);
+        let told = f64::from(u8::from(flag(&self.named, "limits.retry_after")));
+        let again_after =
+            self.pressure().clamp(0.05, 1.0).min(told * self.set("limits.max_retry_after_s", 0.0));
         [Next::GiveUp, Next::Bounce { again_after }][usize::from(harmless)]
     }
 
@@ -215,16 +212,16 @@
         1.0 / (0.5 * self.lately.done / SPAN).clamp(10.0, 200.0)
     }
 
-    /// Mechanism 4. Bounces early when the node would take longer than a part of the target latency, all of it
-    /// for the most benefit. Holds against bursts, lost nodes and shared slowdowns. May hurt after heavy hits.
+    /// Mechanism 4. Bounces early when the node would take longer than a part of the target latency, the more
+    /// the benefit. Holds against bursts, lost nodes and shared slowdowns. May hurt after heavy hits.
     fn too_busy(&mut self, place: usize, node: usize) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let known = hit.forwards == 0 && self.now - self.started >= SPAN;
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
-        // The best keep twice the room of the least and more; where few misses are tolerated all bounce earlier.
-        let mut part = 0.35 + 0.65 * group.benefit / most;
-        part *= (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
+        // The best keep twice the room of the least and more; where few misses are allowed all bounce sooner.
+        let strict = (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
+        let mut part = (0.35 + 0.65 * group.benefit / most) * strict;
         let over = self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0;
         part *= if over { self.set("over_share_worth", 1.0).max(0.4) } else { 1.0 }; // beyond chance
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
@@ -234,14 +231,14 @@
             self.probe_at = if probe { self.later(3.0, 0) } else { self.probe_at };
             return !probe;
         }
-        // A bounce teaches nothing: the expectation falls a little, or a bad moment would last for ever.
+        // A bounce teaches nothing: the expectation falls, or a bad moment would last for ever.
         self.lately.spent *= if busy { 1.0 - 0.1 * self.weight() } else { 1.0 };
         busy
     }
 
     /// Mechanism 4. Hits of an account or path group that is late at every node while another is not are
-    /// bounced but for one in three seconds, and say nothing of nodes or builds. Covers whatever makes one kind
-    /// of hit wait or hang. Hurts where late answers are worth much and places are free.
+    /// bounced but for one in three seconds, and say nothing of nodes or builds. Covers whatever makes one
+    /// kind of hit wait or hang. Hurts where late answers are worth much and places are free.
     fn ailing(&self, hit: &Hit) -> bool {
         let account = self.groups.len().saturating_add(hit.arrival.account);
         [hit.arrival.group, account].iter().any(|i| self.lately.tardy.get(*i).is_some_and(|t| t.1))
@@ -270,12 +267,12 @@
         (f64::from(n.flying) + n.others) / self.power(node) + 1.0
     }
 
-    /// Mechanism 2. Whether a cold node's allowance lets it take a hit. It fills with this agent's rate by size
-    /// and warmth: all agents together send it its part of all traffic. Covers crashes, restarts, new stages.
+    /// Mechanism 2. Whether a cold node's allowance lets it take a hit. It fills with this agent's rate by
+    /// size and warmth: all agents together send it its part. Covers crashes, restarts, new stages.
     fn ramp(&mut self, node: usize, total: f64) -> bool {
         let Some(line) = self.nodes[node].listed else { return false };
         let warmth = self.warmth(&line);
-        // Half as much again, since what is drawn at random leaves some of its allowance unused.
+        // Half as much again, since random draws leave some of it unused.
         let rate = 1.5 * warmth * self.lately.taken / SPAN * line.rating.max(0.1) / total;
         let n = &mut self.nodes[node];
         n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate); // saves a fifth of a second
@@ -283,14 +280,13 @@
         warmth >= 1.0 || n.ramp >= 1.0
     }
 
-    /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables, and nodes bad
+    /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables, nodes bad
     /// for this agent alone. One out of favour is tried by one repeatable hit at a time. May hurt when all
     /// stall together; `choose` then takes unfit ones for what may run again.
     fn fit(&self, node: usize, repeat: Repeat) -> bool {
         let n = &self.nodes[node];
         // Three mean times without any answer while some are owed; a stall below 0.1 s is no matter.
-        let patience = (3.0 * self.pressure()).clamp(0.1, 2.0);
-        let silent = n.flying > 0 && self.now - n.owes_since > patience;
+        let silent = n.flying > 0 && self.now - n.owes_since > (3.0 * self.pressure()).clamp(0.1, 2.0);
         let tried = n.strikes == 0 || (n.flying == 0 && repeat == Repeat::Repeatable);
         self.now >= n.shunned_until && !silent && tried
     }
@@ -322,9 +318,13 @@
                 }
             }
             pick = self.two(&fit);
-            if pick.is_some() {
-                break;
+            let Some(any) = pick else { continue };
+            // Where connections fail or are scarce, one that answered lately unless it is twice as loaded.
+            if self.lost > 0.05 {
+                fit.retain(|i| self.now < self.nodes[*i].open_until);
+                pick = self.two(&fit).filter(|i| self.load(*i) <= 2.0 * self.load(any)).or(pick);
             }
+            break;
         }
         self.fit = fit;
         pick
@@ -336,7 +336,7 @@
             return None;
         }
         // Where crossing zones has a price a far node must be half as loaded. But where the own zone has less
-        // than its part of the power, and for one hit in five, all are alike, or its nodes get crowded unseen.
+        // than its part of the power, and for one hit in five, all are alike, or its nodes get too crowded.
         let priced = self.set("costs.cross_zone", 0.0) > 0.0;
         let local = priced && self.chance.0.gen_bool(0.8 * self.near_part(fit).clamp(0.0, 1.0));
         let (first, second) = (self.draw(fit, false), self.draw(fit, local));
@@ -385,7 +385,7 @@
         self.send(place, node, last.is_some())
     }
 
-    /// Under one way a key that goes to the trial stays: rare keys go first, few enough to stay within the cap.
+    /// Under one way a key that goes to the trial stays: rare keys go first, few enough for the cap.
     fn welcome(&self, hit: &Hit) -> bool {
         let cap = self.news.map_or(0.0, |n| n.cap);
         let bound = cap < 1.0 && flag(&self.named, "family_info.one_way");
@@ -395,11 +395,10 @@
     }
 
     fn send(&mut self, place: usize, node: usize, trial: bool) -> Next {
-        let Some(line) = self.nodes[node].listed.filter(|_| !self.too_busy(place, node)) else {
-            return self.finish(place);
-        };
+        let line = self.nodes[node].listed.filter(|_| !self.too_busy(place, node));
+        let Some(line) = line else { return self.finish(place) };
         let (step, load, sent) = (self.step(node), self.load(node), self.now);
-        // For the comparisons a node is cold a span longer: what piled up has to go first.
+        // For the comparisons it is cold a span longer: what piled up has to go first.
         let cold = line.up_since > 0.0 && sent < line.up_since + self.set("obligations.cold_s", 0.0) + SPAN;
         self.tokens -= f64::from(u8::from(trial));
         let first = self.slab.hits[place].forwards == 0;
@@ -407,8 +406,8 @@
         Next::Forward { node, limit: self.limit(place) }
     }
 
-    /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to the
-    /// target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
+    /// Mechanism 3, the time-out: while a further forward is allowed and paid for, half of the time left to
+    /// the target, but no less than a heavy hit takes (it would be as heavy again); else the client's own.
     fn limit(&self, place: usize) -> f64 {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
@@ -419,9 +418,9 @@
         half.min(left).max(if whole { left } else { 0.0 })
     }
 
-    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time to
-    /// be of use, and within the budget. Covers dead, silent, full and failing nodes without feeding a jam.
-    fn again(&mut self, place: usize) -> bool {
+    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time
+    /// to be of use, and within the budget. Covers dead, silent, full and failing nodes, feeds no jam.
+    fn again(&mut self, place: usize, ending: Ending) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let allowed = match (group.repeat, hit.risk) {
@@ -432,9 +431,9 @@
         let end = if group.late_share > 0.0 { hit.due } else { hit.due.min(hit.taken + group.target) };
         // A light hit needs a fifth of the mean time. Where most err again one in five is enough to see it.
         let part = if hit.erred.is_some() && self.echo > 0.5 { 0.2 } else { 1.0 };
-        let again = allowed && end - self.now > 0.2 * self.pressure() && self.retries >= 1.0;
-        let again = again && self.chance.0.gen_bool(part);
-        self.retries -= f64::from(u8::from(again));
+        let useful = end - self.now > 0.2 * self.pressure();
+        let again = allowed && useful && self.retries >= 1.0 && self.chance.0.gen_bool(part);
+        self.retries -= f64::from(u8::from(again && ending != Ending::NoConnection));
         again
     }
 
@@ -443,46 +442,52 @@
         let (now, group) = (self.now, hit.arrival.group);
         let served = end.ending == Ending::Delivered;
         let answered = served || end.ending == Ending::Errored;
-        let ailing = self.ailing(hit);
+        // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
+        let ailing = self.ailing(hit) || self.gap > 3.0 * TICK;
         let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
         self.tardy(hit, end);
         self.lately.done += 1.0;
         if timed {
             let weight = self.weight();
-            // One slow node says little of the others: what is far beyond the expected counts as thrice that.
-            let expected = flying.load * self.lately.spent / self.lately.loads;
-            let spent = if self.lately.spent > 0.0 { end.spent.min(3.0 * expected) } else { end.spent };
+            // One slow node says little of the others: a time counts as thrice the expected at most.
+            let most = 3.0 * flying.load * self.lately.spent / self.lately.loads;
+            let spent = if most > 0.0 { end.spent.min(most) } else { end.spent };
             self.lately.spent += weight * (spent - self.lately.spent);
             self.lately.loads += weight * (flying.load - self.lately.loads);
         }
         let slow = if timed { self.time(hit, flying, end) } else { None };
-        let jitter = self.chance.0.gen_range(0.8..1.2);
-        let quick = (0.5 * self.pressure()).clamp(0.02, 0.2);
-        // Hits that err wherever they are sent are no node's or build's fault. The second forwards of those that
-        // erred tell how much of the errors is theirs; half is enough to acquit.
-        if hit.erred.is_some() && answered {
-            self.echo += 0.3 * (f64::from(u8::from(!served)) - self.echo);
-        }
+        let (jitter, quick) = (self.chance.0.gen_range(0.8..1.2), (0.5 * self.pressure()).clamp(0.02, 0.2));
+        // Hits that err wherever they are sent are no build's fault. The second forwards of those that erred
+        // tell how much of the errors is theirs; half is enough to acquit.
+        let (fault, heard) =
+            (f64::from(u8::from(!served)), f64::from(u8::from(hit.erred.is_some() && answered)));
+        self.echo += 0.3 * heard * (fault - self.echo);
+        // Of the last fifty forwards. How long an idle connection lasts is learnt from those that broke.
+        let lost = matches!(end.ending, Ending::NoConnection | Ending::Broken);
+        self.lost += 0.02 * (f64::from(u8::from(lost)) - self.lost);
         let n = &mut self.nodes[flying.node];
+        let dead = end.ending == Ending::Broken && flying.sent < n.open_until;
+        self.idle = self.idle.min(if dead { flying.sent - n.met_at } else { self.idle }).max(0.2);
+        (n.open_until, n.met_at) = if lost { (0.0, n.met_at) } else { (now + self.idle, now) };
         if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
-            // By half: reports are noisy.
             n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
+            // reports are noisy
         }
         // An eighth of each answer: ten times slower shows within three, chance hardly does.
         let x = slow.filter(|_| !flying.cold).unwrap_or(n.slow);
         n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
-        let fault = f64::from(u8::from(!served));
         let own_fault = fault * (1.0 - 2.0 * self.echo).max(0.0);
         if answered {
             n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
-            (n.owes_since, n.strikes, n.shunned_until) = (now, 0, 0.0);
+            (n.owes_since, n.strikes, n.shunned_until) = (now, n.strikes / 2, 0.0);
+        // one success is luck
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
-        } else if silent || matches!(end.ending, Ending::NoConnection | Ending::Broken) {
+        } else if silent || lost {
             // Left out for 0.5 s, doubling to 4 s: long enough to spare hits, short enough to see it return.
             n.shunned_until = now + 0.5 * 2f64.powi(n.strikes.min(3)) * jitter;
-            n.strikes += 1;
+            n.strikes = (n.strikes + 1).min(4);
         }
         let Some(news) = self.news.filter(|n| flying.build <= n.build && (answered || timed)) else { return };
         let arm = if flying.build == news.build { TRIAL } else { EARLIER };
@@ -496,9 +501,7 @@
             }
         }
 
-        if !answered {
-            return;
-        }
+        let Some(news) = Some(news).filter(|_| answered) else { return };
         // One error in twenty is bad where others hardly fail; where all fail it has to be far worse.
         let usual = (1.5 * self.usual_faults).clamp(0.005, 0.2);
         let bad = (4.0 * usual).max(0.05);
@@ -515,8 +518,8 @@
         }
     }
 
-    /// The logarithm of a forward's time, at least, over that of calm seconds at equal load. For nodes against
-    /// nodes their own word on their service is better, where there is one.
+    /// The logarithm of a forward's time, at least, over that of calm seconds at equal load. For nodes
+    /// against nodes their own word on their service is better, where there is one.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
         // In a stage without a cap the trial's nodes are the present, as after the release.
         let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && flying.build >= n.build);
@@ -549,34 +552,33 @@
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
         let keep = (-TICK / SPAN).exp();
-        // Where answers are few the present reaches back further, so that it can be told at all.
+        // Where answers are few the present reaches back further.
         let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) };
         self.lately.fade(keep, reach);
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
-            // Reports not heard again are forgotten: others are taken to hold as much as this agent.
+            // Reports age: others are taken to hold as much as this agent.
             let size = n.listed.map_or(1.0, |l| l.rating.max(0.1));
             n.others += (1.0 - keep) * (usual * size - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
         }
         // The seconds before the trial are the last ten or so; what speaks against a build fades as fast.
-        let old = keep.powf(0.1);
-        self.fade_calm(if self.watched(WATCH) { 1.0 } else { old });
-        self.evidence.fade(old);
+        self.fade_calm(if self.watched(WATCH) { 1.0 } else { keep.powf(0.1) });
+        self.evidence.fade(keep.powf(0.1));
         self.share = self.trial_share();
+        self.idle = (1.01 * self.idle).min(self.set("limits.conn_idle_s", 10.0)); // twice in seven seconds
         self.compare();
         self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
         let follow = !self.following.on && self.now >= self.following.ask_at;
-        // An answer always comes; should it not, the question is put again.
-        self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at };
+        self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at }; // or asks again
         Review { vote: self.ballot(), follow, again_in: TICK }
     }
 
-    /// Mechanism 5. Earlier nodes (from the last stage on all) slower than before the trial, at equal load: is
-    /// it the build? While in doubt votes wait, and the trial's traffic pauses in every other two seconds since
-    /// the stage's start, at all agents together. What goes in two pauses in a row came with that traffic; what
-    /// stays goes back as well. May hurt a good build when another slowdown lasts as long.
+    /// Mechanism 5. Earlier nodes (from the last stage on all) slower than before the trial: is it the
+    /// build? While in doubt votes wait, and the trial's traffic pauses in every other two seconds of
+    /// the stage, at all agents together. What goes in two pauses in a row came with that traffic; what stays
+    /// goes back as well. May hurt a good build when another slowdown lasts as long.
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
@@ -586,8 +588,8 @@
         let before = self.doubt.slow_for;
         self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
-        // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
         let trial = self.trial().is_some();
+        // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
         if !self.watched(WATCH) || (trial && self.share.0 < 0.1) {
             (self.doubt.paused_at, self.doubt.slow_for) = (None, 0);
             return;
@@ -624,8 +626,8 @@
         (trial.mean() - earlier.mean() - margin) / error / 4.0
     }
 
-    /// The evidence that one agent needs: three errors among some thirty answers where its vote is enough. Where
-    /// k of n must say so, wrong votes by chance get there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by
+    /// The evidence that one agent needs: three errors among thirty answers where its vote is enough. Where k
+    /// of n must say so, wrong votes by chance get there once in e^6 times if E = ln(n / k) + 1 + 6 / k, by
     /// the bound on a Poisson count's tail. Hurts where one cause meets all agents.
     fn enough(&self) -> f64 {
         let needed = self.set("family_info.noes_needed", 1.0).max(1.0);
@@ -636,17 +638,17 @@
     fn wish(&self) -> Verdict {
         let Some(news) = self.news else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
-        // Late answers alone may be the fault of one crowded machine: its fellows have to be slow as well.
+        // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
         let doubtful = trial && (weight >= 0.5 || self.doubt.raised());
-        // Under a clock stages move by themselves: what can be said is to hold on.
-        let waiting = if doubtful { Verdict::Hold } else { Verdict::Clear };
-        if guilty || text(&self.named, "family_info.vote_mode") == "clocked" {
-            return if guilty { Verdict::Back } else { waiting };
+        if guilty {
+            return Verdict::Back;
+        } else if text(&self.named, "family_info.vote_mode") == "clocked" {
+            return [Verdict::Clear, Verdict::Hold][usize::from(doubtful)]; // stages move by themselves
         }
-        // The stage's least time runs from its machines' listed start. The least count is the design's 10 over
-        // all whose votes it takes, or what the cap lets through in that time if that is less.
+        // The stage's least time runs from its machines' listed start. The least count is the design's 10
+        // over all whose votes it takes, or what the cap lets through in that time if that is less.
         let soak = self.set("family_info.soak_s", 0.0);
         let own = self.open().filter(|l| l.build == news.build);
         let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
@@ -655,7 +657,7 @@
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
-        // Before the release the last stage's machines have to be warm: only then is it seen what they can do.
+        // Before the release the last stage's machines have to be warm: only then they show what they can do.
         let warm = if news.cap < 1.0 { 0.0 } else { self.set("obligations.cold_s", 0.0) + 2.0 * SPAN };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
@@ -709,7 +711,7 @@
             b.slab.end(place);
             return Next::Nothing;
         }
-        let again = b.again(place);
+        let again = b.again(place, end.ending);
         [Balancer::finish, Balancer::route][usize::from(again)](b, place)
     }
 }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -434,8 +434,7 @@
 #[test]
 fn a_slowdown_that_stays_in_a_pause_is_not() {
     let mut b = balancer(1, Phase::Trial, 0.3, &[]);
-    (b.stage_began, b.now, b.duel.outcomes, b.evidence.abated) = (100.0, 102.0, 5.0, 1);
-    b.doubt.paused_at = Some(0.8);
+    (b.stage_began, b.now, b.evidence.abated, b.doubt.paused_at) = (100.0, 102.0, 1, Some(0.8));
     b.lately.present = Count { z: 50.0, sum: 40.0, squares: 33.0 };
     b.compare();
     assert_eq!((b.evidence.abated, b.doubt.raised()), (0, false));
@@ -713,3 +712,28 @@
     let near = (0..1000).filter(|_| b.two(&all) == Some(0)).count();
     assert!((200..400).contains(&near)); // an eighth of the power of two zones, of one in five hits by chance
 }
+
+#[test]
+fn nodes_that_answered_lately_are_kept_to_where_connections_fail() {
+    // Guards against nodes that refuse new connections or drop idle ones, for all agents or for this one.
+    let mut b = balancer(0, Phase::Trial, 0.0, &[("limits.conn_idle_s", 9.0)]);
+    (b.lost, b.idle) = (0.3, 9.0);
+    flying(&mut b, 0, 2).returned(&mut b, 100.0, end(Ending::Delivered));
+    for _ in 0..5 {
+        assert!(matches!(b.take(100.0, hit(0)).1, Next::Forward { node: 2, .. }));
+        b.nodes[2].flying = 0;
+    }
+    b.now = 103.0;
+    flying(&mut b, 0, 2).returned(&mut b, 103.0, end(Ending::Broken));
+    assert_eq!((b.idle, b.nodes[2].open_until), (3.0, 0.0)); // it had lain idle for three seconds
+}
+
+#[test]
+fn an_agent_that_stood_still_learns_no_times() {
+    // Guards against late answers that are this agent's own fault.
+    let mut b = balancer(1, Phase::Trial, 0.3, &[]);
+    (b.stage_began, b.lately.spent) = (90.0, 0.1);
+    let late = Return { spent: 1.2, ..end(Ending::Delivered) };
+    flying(&mut b, 0, 4).returned(&mut b, 101.2, late);
+    assert_eq!((b.lately.spent, b.duel.arms[TRIAL][0].z, b.duel.outcomes), (0.1, 0.0, 1.0));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,6 +139,9 @@
     pub owes_since: f64,
     pub shunned_until: f64,
     pub strikes: i32,
+    /// Until when a connection that served last is taken to stand.
+    pub open_until: f64,
+    pub met_at: f64,
     /// Share of its last few answers that were errors.
     pub faults: f64,
     /// Allowance while cold, and when it was last filled.
@@ -373,6 +376,8 @@
     pub(crate) chance: Chance,
     pub(crate) now: f64,
     pub(crate) started: f64,
+    /// Between the last two moments at which anything came.
+    pub(crate) gap: f64,
     pub(crate) zone: Option<usize>,
     pub(crate) groups: Vec<PathGroup>,
     pub(crate) nodes: Vec<Node>,
@@ -381,6 +386,9 @@
     pub(crate) flying: u32,
     pub(crate) lately: Lately,
     pub(crate) retries: f64,
+    /// Share of forwards that found no connection or a dead one; how long an idle one is taken to last.
+    pub(crate) lost: f64,
+    pub(crate) idle: f64,
     pub(crate) probe_at: f64,
     /// How times in calm seconds differ by a node's load step.
     pub(crate) steps: [Count; LOADS],
@@ -415,6 +423,7 @@
 
     /// Time never runs backwards here, whatever a caller says.
     pub(crate) fn at(&mut self, now: f64) {
+        self.gap = if now > self.now { now - self.now } else { self.gap };
         self.now = now.max(self.now);
     }
 
@@ -485,8 +494,8 @@
     }
 
     /// The mean times of the earlier builds' nodes and of this build's, each against the earlier nodes whose
-    /// ratings round alike by `width`; the sum of the trial's errors and how many of its nodes may be beyond a
-    /// margin. Where a node has given an answer or two, they are taken to vary as all earlier ones do.
+    /// ratings round alike by `width`; the sum of the trial's errors and how many of its nodes may be beyond
+    /// a margin. Where a node has given an answer or two, they are taken to vary as all earlier ones do.
     pub(crate) fn sides(&self, build: u32, width: f64, margin: f64) -> ([Count; 2], f64, f64) {
         let size = |l: &Listed| (l.rating.max(0.1).ln() / width).round() as i32;
         let met = || self.nodes.iter().filter_map(|n| Some((n.times, n.listed?))).filter(|(t, _)| t.z > 0.5);
@@ -530,8 +539,9 @@
             .for_each(|c| c.fade(keep));
     }
 
-    /// Remembers a build that goes back.
+    /// Remembers a build seen on trial, and one that goes back.
     pub(crate) fn remember(&mut self, news: News) {
+        self.seen = if news.phase == Phase::Trial { news.build } else { self.seen };
         let back = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
         if back && !self.void.contains(&news.build) {
             self.void.push(news.build);
