--- a/src/balance.rs
+++ b/src/balance.rs
@@ -589,9 +589,8 @@
         self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         let trial = self.trial().is_some();
-        // A tenth of the traffic can hardly slow the rest: a build that does will show in the next stage.
         if !self.watched(WATCH) || (trial && self.share.0 < 0.1) {
-            (self.doubt.paused_at, self.doubt.slow_for) = (None, 0);
+            (self.doubt.paused_at, self.doubt.slow_for) = (None, 0); // a tenth can hardly slow the rest
             return;
         }
         let ready = trial && phase < 2.0 * TICK && self.now >= self.doubt.not_before;
@@ -606,8 +605,9 @@
             None if self.doubt.slow_for == 0 && phase < TICK => self.evidence.abated = 0,
             _ => {}
         }
-        // What outlasts this under a trial is taken for the build's: other slowdowns mostly pass sooner.
-        self.evidence.stays = self.doubt.slow_for as f64 * TICK / 15.0;
+        // A doubt outlasts a round of pauses: in another agent's pause the slowdown goes for this one too.
+        self.doubt.until = if self.doubt.raised() { self.now + 2.0 * PAUSE } else { self.doubt.until };
+        self.evidence.stays = self.doubt.slow_for as f64 * TICK / 15.0; // other slowdowns mostly pass sooner
     }
 
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
@@ -641,7 +641,7 @@
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
         let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
-        let doubtful = trial && (weight >= 0.5 || self.doubt.raised());
+        let doubtful = trial && (weight >= 0.5 || self.now < self.doubt.until);
         if guilty {
             return Verdict::Back;
         } else if text(&self.named, "family_info.vote_mode") == "clocked" {
--- a/src/state.rs
+++ b/src/state.rs
@@ -312,6 +312,7 @@
     /// How slow it was when the pause began.
     pub paused_at: Option<f64>,
     pub not_before: f64,
+    pub until: f64,
 }
 
 pub(crate) const EARLIER: usize = 0;
