--- a/src/balance.rs
+++ b/src/balance.rs
@@ -582,8 +582,8 @@
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
-        // A quarter slower, beyond two standard errors; less where many agents have to say so.
-        let beyond = 2.0 * self.enough() / ENOUGH * present.error().sqrt();
+        // A quarter slower, beyond a standard error; less where many agents have to say so.
+        let beyond = self.enough() / ENOUGH * present.error().sqrt();
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
         let before = self.doubt.slow_for;
         self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
