Both candidates are drawn from one scan of the nodes' power

The largest power among the fit nodes was looked for once for each candidate, on the path of every hit.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -339,7 +339,7 @@
         // than its part of the power, and for one hit in five, all are alike, or its nodes get too crowded.
         let priced = self.set("costs.cross_zone", 0.0) > 0.0;
         let local = priced && self.chance.0.gen_bool(0.8 * self.near_part(fit).clamp(0.0, 1.0));
-        let (first, second) = (self.draw(fit, false), self.draw(fit, local));
+        let [first, second] = self.draw(fit, [false, local]);
         // An erring node answers fast: its empty hands must not draw hits.
         let far = |i: usize| if local && !self.is_near(i) { 2.0 } else { 1.0 };
         let load = |i: usize| self.load(i) * far(i) / (1.0 - self.nodes[i].faults).max(0.1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -474,17 +474,19 @@
         near / all * zones as f64
     }
 
-    /// Draws a node by power, a near one if that is asked for and found in a few tries.
-    pub(crate) fn draw(&mut self, among: &[usize], near: bool) -> usize {
+    /// Draws two nodes by power, each a near one if that is asked for and found in a few tries.
+    pub(crate) fn draw(&mut self, among: &[usize], near: [bool; 2]) -> [usize; 2] {
         let most = among.iter().map(|i| self.power(*i)).fold(f64::MIN_POSITIVE, f64::max);
-        let mut pick = among[self.chance.0.gen_range(0..among.len())];
-        for _ in 0..20 {
-            if self.chance.0.gen_range(0.0..most) < self.power(pick) && (!near || self.is_near(pick)) {
-                break;
+        near.map(|near| {
+            let mut pick = among[self.chance.0.gen_range(0..among.len())];
+            for _ in 0..20 {
+                if self.chance.0.gen_range(0.0..most) < self.power(pick) && (!near || self.is_near(pick)) {
+                    break;
+                }
+                pick = among[self.chance.0.gen_range(0..among.len())];
             }
-            pick = among[self.chance.0.gen_range(0..among.len())];
-        }
-        pick
+            pick
+        })
     }
 
     /// The build that must go on serving this key, under one way.
