--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -1,8 +1,9 @@
 //! The instances of this process: events in, calls on the decisions, actions out.
 
-use crate::decode::{settings, Door, Message};
+use crate::decode::Words;
 use magpieline::balance::Balancer;
 use magpieline::interface::*;
+use magpieline::names::{Door, Message, Told};
 use serde_json::Value as Json;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -49,16 +50,7 @@
 impl Instance {
     fn spawn(message: &Message, now: f64) -> Result<Instance, String> {
         let info = message.needed("info", "an object of settings")?;
-        let mut named = Named::new();
-        settings(info, "", &mut named);
-        let (mut groups, mut accounts, mut zones) = (Door::default(), Door::default(), Door::default());
-        let names = |list: &str| info.get(list).and_then(Json::as_array).cloned().unwrap_or_default();
-        for (list, door) in [("classes", &mut groups), ("accounts", &mut accounts)] {
-            for entry in names(list) {
-                door.index(Message { name: list, body: &entry }.text("name")?);
-            }
-        }
-        let zone = info.get("zone").and_then(Json::as_str).map(|z| zones.index(z));
+        let Told { named, groups, accounts, zones, zone } = Told::read(info)?;
         let balancer = Balancer::start(message.whole("entropy")?, now, zone, named)
             .map_err(|e| format!("{}: info: {e}", message.name))?;
         let (nodes, keys, hits, waiting) = Default::default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,4 +26,5 @@
 
 pub mod balance;
 pub mod interface;
+pub mod names;
 mod state;
