--- /dev/null
+++ b/agent/src/memory/exchange.rs
@@ -0,0 +1,449 @@
+//! The exchange: the one place where the clients' side and the servers' side meet. It alone holds the
+//! decisions, the clock and the timers, and carries out what the decisions say.
+
+use crate::memory::keys::Keys;
+use crate::wire::end::End;
+use crate::wire::nodes::{Parcel, Reach, Report};
+use crate::wire::platform;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::HeaderValue;
+use magpieline::balance::Balancer;
+use magpieline::interface::*;
+use magpieline::names::{Door, Told};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+
+/// Complaints of one kind are logged once in this time, with their count: what fails, fails often.
+const COMPLAIN_EVERY: Duration = Duration::from_secs(5);
+/// Idle connections are dropped after this part of the time after which nodes close them: none is written to
+/// just as its node closes it.
+const IDLE_PART: f64 = 0.5;
+
+/// The final answer to a hit.
+pub enum Answer {
+    Delivered { kind: Option<HeaderValue>, body: Bytes },
+    Bounced { again_after: f64 },
+    Failed,
+}
+
+/// One line of the list, with the node's address here.
+pub struct Line {
+    pub listed: Listed,
+    pub address: SocketAddr,
+    pub gone: bool,
+}
+
+/// A hit in hand: what is sent on, and where its answer goes.
+struct Held {
+    handle: HitHandle,
+    parcel: Rc<Parcel>,
+    answer: Option<oneshot::Sender<Answer>>,
+}
+
+/// Unix time, going on from the start by the monotonic clock: nodes' starts are on the same scale.
+struct Clock {
+    origin: f64,
+    begun: Instant,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        let origin = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        Clock { origin, begun: Instant::now() }
+    }
+
+    fn now(&self) -> f64 {
+        self.origin + self.begun.elapsed().as_secs_f64()
+    }
+}
+
+struct State {
+    balancer: Balancer,
+    nodes: Door,
+    /// How to reach each node; none for one that is gone.
+    reach: Vec<Option<Reach>>,
+    keys: Keys,
+    zones: Door,
+    /// Hits in hand, by the handle's place.
+    held: Vec<Option<Held>>,
+    listed: bool,
+    /// By kind: when it was last logged, and how many came since.
+    complaints: BTreeMap<&'static str, (Instant, u64)>,
+}
+
+pub struct Exchange {
+    state: RefCell<State>,
+    clock: Clock,
+    groups: Door,
+    accounts: Door,
+    platform: String,
+    connect: Duration,
+    idle: Duration,
+    vote_limit: Duration,
+    /// Whether the list is to be asked for its changes.
+    wanted: Cell<bool>,
+    follow: Notify,
+    stopping: Cell<bool>,
+    closing: Cell<bool>,
+    close: Notify,
+    connections: Cell<usize>,
+}
+
+/// A taken hit, on the clients' side. Dropping it without its answer means that the client has left.
+pub struct Ticket {
+    exchange: Rc<Exchange>,
+    handle: HitHandle,
+    answer: oneshot::Receiver<Answer>,
+    answered: bool,
+}
+
+impl Ticket {
+    /// Waits for the final answer.
+    pub async fn answer(&mut self) -> Answer {
+        let answer = (&mut self.answer).await.unwrap_or(Answer::Failed);
+        self.answered = true;
+        answer
+    }
+
+    /// The client has ended its sending.
+    pub fn leave(&self) {
+        self.exchange.left(self.handle);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.exchange.left(self.handle);
+        }
+    }
+}
+
+/// A client's connection, counted while it is open.
+pub struct Connected(Rc<Exchange>);
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// Runs something that should not panic; a panic is logged and yields nothing.
+async fn guarded<T>(name: &str, what: impl Future<Output = T>) -> Option<T> {
+    let ended = AssertUnwindSafe(what).catch_unwind().await;
+    ended.map_err(|_| log::error!("{name}: a panic; the hit or message in hand is lost")).ok()
+}
+
+impl Exchange {
+    pub fn new(seed: u64, info: &serde_json::Value, platform: String) -> Result<Exchange, String> {
+        let Told { named, groups, accounts, zones, zone } = Told::read(info)?;
+        let seconds = |name: &str, otherwise: f64| match named.get(name) {
+            Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
+            _ => Duration::from_secs_f64(otherwise),
+        };
+        // Where the settings say nothing: what TCP users commonly allow.
+        let connect = seconds("limits.connect_timeout_s", 1.0);
+        let idle = seconds("limits.conn_idle_s", 10.0).mul_f64(IDLE_PART);
+        let vote_limit = seconds("family_info.call_timeout_s", 1.0);
+        let wanted = !matches!(named.get("discovery"), Some(Value::Text(t)) if t == "on_request");
+        let clock = Clock::start();
+        let balancer = Balancer::start(seed, clock.now(), zone, named)?;
+        let (nodes, reach, keys, held, complaints) = Default::default();
+        let state = State { balancer, nodes, reach, keys, zones, held, listed: false, complaints };
+        Ok(Exchange {
+            state: state.into(),
+            clock,
+            groups,
+            accounts,
+            platform,
+            connect,
+            idle,
+            vote_limit,
+            wanted: wanted.into(),
+            follow: Notify::new(),
+            stopping: false.into(),
+            closing: false.into(),
+            close: Notify::new(),
+            connections: 0.into(),
+        })
+    }
+
+    // Ids at the door.
+
+    pub fn group(&self, name: &str) -> Option<usize> {
+        self.groups.known(name)
+    }
+
+    pub fn account(&self, name: &str) -> usize {
+        self.accounts.known(name).unwrap_or(usize::MAX)
+    }
+
+    pub fn key(&self, key: &str) -> usize {
+        self.state.borrow_mut().keys.index(key)
+    }
+
+    pub fn zone(&self, zone: &str) -> usize {
+        self.state.borrow_mut().zones.index(zone)
+    }
+
+    pub fn node(&self, uid: &str) -> usize {
+        self.state.borrow_mut().nodes.index(uid)
+    }
+
+    pub fn nodes_known(&self) -> usize {
+        self.state.borrow().reach.iter().flatten().count()
+    }
+
+    // The clients' side.
+
+    /// Whether hits can be taken: the decisions stand from the start, so this waits for a list.
+    pub fn ready(&self) -> bool {
+        self.state.borrow().listed && !self.stopping.get()
+    }
+
+    /// Takes a hit.
+    pub fn take(self: &Rc<Self>, arrival: Arrival, parcel: Parcel) -> Ticket {
+        let (sender, answer) = oneshot::channel();
+        let (handle, next) = {
+            let state = &mut *self.state.borrow_mut();
+            let (handle, next) = state.balancer.take(self.clock.now(), arrival);
+            let place = handle.place as usize;
+            if place >= state.held.len() {
+                state.held.resize_with(place + 1, || None);
+            }
+            state.held[place] = Some(Held { handle, parcel: Rc::new(parcel), answer: Some(sender) });
+            (handle, next)
+        };
+        self.carry_out(handle, next);
+        Ticket { exchange: self.clone(), handle, answer, answered: false }
+    }
+
+    /// The client has ended its sending or is gone: no further forward, but an answer under way is passed on.
+    fn left(&self, handle: HitHandle) {
+        handle.left(&mut self.state.borrow_mut().balancer, self.clock.now());
+        self.settle(handle);
+    }
+
+    /// Carries out what the decisions said of a hit.
+    fn carry_out(self: &Rc<Self>, handle: HitHandle, next: Next) {
+        match next {
+            Next::Forward { node, limit } => self.forward(handle, node, limit),
+            Next::Wait { pause } => {
+                let own = self.clone();
+                actix_rt::spawn(async move {
+                    tokio::time::sleep(Duration::from_secs_f64(pause.max(0.0))).await;
+                    let next = handle.resume(&mut own.state.borrow_mut().balancer, own.clock.now());
+                    own.carry_out(handle, next);
+                });
+            }
+            Next::Bounce { again_after } => self.answer(handle, Answer::Bounced { again_after }),
+            Next::GiveUp => self.answer(handle, Answer::Failed),
+            Next::Nothing => {}
+        }
+        self.settle(handle);
+    }
+
+    /// Gives the final answer; a second one finds nobody.
+    fn answer(&self, handle: HitHandle, answer: Answer) {
+        let mut state = self.state.borrow_mut();
+        let held = state.held.get_mut(handle.place as usize).and_then(Option::as_mut);
+        if let Some(sender) = held.filter(|h| h.handle == handle).and_then(|h| h.answer.take()) {
+            let _ = sender.send(answer); // the client may have left
+        }
+    }
+
+    /// Forgets a hit that is over; one that is still owed an answer then has failed.
+    fn settle(&self, handle: HitHandle) {
+        let state = &mut *self.state.borrow_mut();
+        if handle.pending(&state.balancer) {
+            return;
+        }
+        if let Some(place) = state.held.get_mut(handle.place as usize) {
+            if let Some(held) = place.take_if(|h| h.handle == handle) {
+                if let Some(sender) = held.answer {
+                    let _ = sender.send(Answer::Failed); // the client may have left
+                }
+            }
+        }
+    }
+
+    fn forward(self: &Rc<Self>, handle: HitHandle, node: usize, limit: f64) {
+        let (reach, parcel) = {
+            let state = self.state.borrow();
+            let held = state.held.get(handle.place as usize).and_then(Option::as_ref);
+            (state.reach.get(node).cloned().flatten(), held.map(|h| h.parcel.clone()))
+        };
+        let own = self.clone();
+        actix_rt::spawn(async move {
+            let begun = Instant::now();
+            let limit = Duration::from_secs_f64(limit.max(0.0));
+            let (end, report) = match (reach, parcel) {
+                (Some(reach), Some(parcel)) => guarded("forward", reach.forward(&parcel, limit))
+                    .await
+                    .unwrap_or((End::Fault, Report::default())),
+                _ => (End::Nowhere, Report::default()),
+            };
+            own.returned(handle, end, begun.elapsed(), report);
+        });
+    }
+
+    fn returned(self: &Rc<Self>, handle: HitHandle, end: End, spent: Duration, report: Report) {
+        log::trace!("{handle:?}: {end:?} after {spent:?}");
+        let ending = end.ending();
+        if matches!(end, End::NoRoom) {
+            self.complain("forward", "no descriptor left");
+            self.drop_idle();
+        }
+        if let End::Answered { kind, body } = end {
+            self.answer(handle, Answer::Delivered { kind, body });
+        }
+        let over = ending == Ending::Delivered;
+        let Report { holds, service } = report;
+        let end = Return { ending, spent: spent.as_secs_f64(), over, holds, service };
+        let next = handle.returned(&mut self.state.borrow_mut().balancer, self.clock.now(), end);
+        self.carry_out(handle, next);
+    }
+
+    // The servers' side.
+
+    /// Takes the list in: all of it or changes.
+    pub fn listed(&self, whole: bool, fresh: bool, lines: Vec<Line>) {
+        let state = &mut *self.state.borrow_mut();
+        let listed: Vec<Listed> = lines.iter().map(|line| line.listed).collect();
+        if whole {
+            let stays = |node: usize| listed.iter().any(|l| l.node == node);
+            (0..state.reach.len()).filter(|n| !stays(*n)).for_each(|n| state.reach[n] = None);
+        }
+        for line in lines {
+            let node = line.listed.node;
+            if node >= state.reach.len() {
+                state.reach.resize_with(node + 1, || None);
+            }
+            let place = &mut state.reach[node];
+            if line.gone {
+                *place = None; // its idle connections close
+            } else if place.as_ref().is_none_or(|r| r.address != line.address) {
+                match Reach::new(line.address, self.connect, self.idle) {
+                    Ok(reach) => *place = Some(reach),
+                    Err(e) => log::warn!("node: {e}"),
+                }
+            }
+        }
+        state.listed = true;
+        state.balancer.listed(self.clock.now(), whole, fresh, &listed);
+    }
+
+    pub fn list_failed(&self) {
+        self.wanted.set(false);
+        self.state.borrow_mut().balancer.list_failed(self.clock.now());
+    }
+
+    /// Waits until the list is to be followed.
+    pub async fn to_follow(&self) {
+        while !self.wanted.get() {
+            self.follow.notified().await;
+        }
+    }
+
+    pub fn heard(&self, news: News) {
+        log::info!("news: build {} stage {} {:?}, cap {}", news.build, news.stage, news.phase, news.cap);
+        self.state.borrow_mut().balancer.heard(self.clock.now(), news);
+    }
+
+    /// A client has found an answer of this node wrong.
+    pub fn complained(&self, uid: &str) {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(node) = state.nodes.known(uid) {
+            state.balancer.complained(self.clock.now(), node);
+        }
+    }
+
+    /// Logs what went wrong, once in a while for each kind.
+    pub fn complain(&self, kind: &'static str, what: &str) {
+        let mut state = self.state.borrow_mut();
+        let now = Instant::now();
+        match state.complaints.get_mut(kind) {
+            Some((since, count)) if now - *since < COMPLAIN_EVERY => *count += 1,
+            known => {
+                let more = known.map_or(0, |(_, count)| *count);
+                log::warn!("{kind}: {what} ({more} more since the last such line)");
+                state.complaints.insert(kind, (now, 0));
+            }
+        }
+    }
+
+    /// Closes all connections to nodes that carry nothing: descriptors run short.
+    pub fn drop_idle(&self) {
+        for place in &mut self.state.borrow_mut().reach {
+            *place = place.take().and_then(|r| Reach::new(r.address, self.connect, self.idle).ok());
+        }
+    }
+
+    // The timers.
+
+    /// Reviews when the decisions ask for it, for as long as the program runs.
+    pub async fn review(self: Rc<Self>) {
+        loop {
+            let review = self.state.borrow_mut().balancer.review(self.clock.now());
+            if review.follow {
+                self.wanted.set(true);
+                self.follow.notify_waiters();
+            }
+            if let Some(vote) = review.vote {
+                actix_rt::spawn(self.clone().cast(vote));
+            }
+            tokio::time::sleep(Duration::from_secs_f64(review.again_in.max(0.0))).await;
+        }
+    }
+
+    async fn cast(self: Rc<Self>, vote: Vote) {
+        let cast = guarded("vote", platform::cast(&self.platform, vote, self.vote_limit)).await;
+        let (receipt, news) = cast.unwrap_or((Receipt::Unknown, None));
+        log::info!("vote: {:?} on build {} stage {}: {receipt:?}", vote.verdict, vote.build, vote.stage);
+        self.state.borrow_mut().balancer.vote_received(self.clock.now(), receipt);
+        if let Some(news) = news {
+            self.heard(news);
+        }
+    }
+
+    // Start and stop.
+
+    /// Counts a client's connection.
+    pub fn connected(self: &Rc<Self>) -> Connected {
+        self.connections.set(self.connections.get() + 1);
+        Connected(self.clone())
+    }
+
+    /// From now on each answer closes its connection.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// From now on clients' connections close once they carry nothing.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.close.notify_waiters();
+    }
+
+    pub async fn closing(self: Rc<Self>) {
+        while !self.closing.get() {
+            self.close.notified().await;
+        }
+    }
+
+    /// Whether nothing is held and no client is connected.
+    pub fn idle(&self) -> bool {
+        self.connections.get() == 0 && self.state.borrow().held.iter().all(Option::is_none)
+    }
+}
--- /dev/null
+++ b/agent/src/memory/keys.rs
@@ -0,0 +1,42 @@
+//! Keys at the door, as small indices, in bounded memory.
+
+use std::collections::hash_map::{DefaultHasher, Entry};
+use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
+
+/// How many keys are told apart. Some twenty bytes each here and eight in the decisions: 8 MB at most.
+const MOST: usize = 1 << 18;
+
+/// Gives out indices in the order of first appearance. Keys are kept by their hash alone; two that share an
+/// index are taken for one, which under one way binds them both to the newer build: never less than the rule
+/// asks. Beyond the bound new keys share the old ones' indices.
+#[derive(Default)]
+pub struct Keys {
+    places: HashMap<u64, u32>,
+}
+
+impl Keys {
+    pub fn index(&mut self, key: &str) -> usize {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        let (hash, next) = (hasher.finish(), self.places.len());
+        match self.places.entry(hash) {
+            Entry::Occupied(place) => *place.get() as usize,
+            Entry::Vacant(_) if next >= MOST => hash as usize % MOST,
+            Entry::Vacant(place) => *place.insert(next as u32) as usize,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_keep_their_index_and_never_exceed_the_bound() {
+        let mut keys = Keys::default();
+        assert_eq!((keys.index("a"), keys.index("b"), keys.index("a")), (0, 1, 0));
+        assert!((0..MOST + 1000).all(|i| keys.index(&i.to_string()) < MOST));
+        assert_eq!((keys.places.len(), keys.index("b")), (MOST, 1));
+    }
+}
--- /dev/null
+++ b/agent/src/memory/mod.rs
@@ -0,0 +1,4 @@
+//! What is kept: the exchange in which both sides meet, and ids at the door.
+
+pub mod exchange;
+pub mod keys;
--- /dev/null
+++ b/agent/src/wire/end.rs
@@ -0,0 +1,51 @@
+//! Every way in which a forward can end, and what each means to the decisions.
+
+use bytes::Bytes;
+use http::HeaderValue;
+use magpieline::interface::Ending;
+
+/// How a forward's connection ended.
+#[derive(Debug)]
+pub enum End {
+    /// 200 and a whole body.
+    Answered { kind: Option<HeaderValue>, body: Bytes },
+    /// Any other whole answer that does not say that the hit was turned away.
+    Failed,
+    /// 503 or 504 that says so.
+    TurnedAway,
+    /// The connection was refused, or could not be made at once.
+    Refused,
+    /// The connection did not come up in time.
+    NeverUp,
+    /// No descriptor was left to connect with.
+    NoRoom,
+    /// It ended, or was given up, before the last byte was written: the node never had the whole hit.
+    CutBefore,
+    /// It ended after that, before the answer or within it.
+    CutAfter,
+    /// What came is no HTTP answer.
+    Unreadable,
+    /// The answer's body is larger than the protocol allows.
+    TooLarge,
+    /// Nothing whole came in the time allowed.
+    Silent,
+    /// This program failed while it was on its way: it may have run.
+    Fault,
+    /// The node has no address here: nothing was sent.
+    Nowhere,
+}
+
+impl End {
+    /// The one place where it is said what may have run.
+    pub fn ending(&self) -> Ending {
+        match self {
+            End::Answered { .. } => Ending::Delivered,
+            End::Failed | End::Unreadable | End::TooLarge => Ending::Errored,
+            End::TurnedAway => Ending::TurnedAway,
+            End::Refused | End::NeverUp | End::CutBefore => Ending::NoConnection,
+            End::CutAfter | End::Fault => Ending::Broken,
+            End::Silent => Ending::NoAnswer,
+            End::NoRoom | End::Nowhere => Ending::NeverSent,
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/wire/headers.rs
@@ -0,0 +1,30 @@
+//! The names of headers, in one place.
+
+/// The subject of a hit: its key.
+pub const ENTITY: &str = "x-entity";
+/// The account of a hit.
+pub const ORG: &str = "x-org";
+/// How long the client, or the agent, waits for the answer, in milliseconds.
+pub const REMAINING: &str = "x-remaining-ms";
+/// An estimate of the work, in microseconds.
+pub const ESTIMATE: &str = "x-estimate";
+/// Set where a node turned a hit away unseen.
+pub const TURNED_AWAY: &str = "x-turned-away";
+/// A node's report of its load: `name=value,name=value`.
+pub const PRESSURE: &str = "x-pressure";
+
+/// Headers that concern one connection only and are not passed on (RFC 9110, 7.6.1), and those that the
+/// next connection writes anew.
+pub const OF_ONE_CONNECTION: [&str; 11] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    REMAINING,
+];
