--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -310,7 +310,8 @@
             let absent = |place: &usize| !listed.iter().any(|l| l.node == *place);
             state.nodes.reaches().enumerate().filter(|(i, _)| absent(i)).for_each(|(_, reach)| *reach = None);
         }
-        state.listed = true;
+        // An old list without nodes is as good as none.
+        state.listed |= fresh || !listed.is_empty();
         state.balancer.listed(self.clock.now(), whole, fresh, &listed);
     }
 
