--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -31,6 +31,8 @@
         actix_rt::spawn(async move {
             kept("clients", || clients::serve(h.clone(), listener.clone(), visits.clone())).await;
         });
-        stop::wait(exchange, crowd).await
+        stop::asked().await?;
+        stop::finish(exchange, crowd).await;
+        Ok(())
     })
 }
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -284,6 +284,17 @@
             assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
             assert_eq!(made.get(), 2);
 
+            // The node closes it while it is idle: it is not written to again.
+            let once = server(|mut stream| async move {
+                message(&mut stream).await;
+                write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+            });
+            let reach = super::tests::reach(once.await);
+            for _ in 0..2 {
+                assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+
             let closing =
                 answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok").await;
             let reach = super::tests::reach(closing);
@@ -293,6 +304,33 @@
         });
     }
 
+    /// The library's own bound of a hundred connections is lifted, and none of them is kept beyond its idle time.
+    #[test]
+    fn many_hits_are_under_way_at_once_and_idle_connections_do_not_last() {
+        run(async {
+            let made = Rc::new(Cell::new(0));
+            let count = made.clone();
+            let address = server(move |mut stream| {
+                count.set(count.get() + 1);
+                async move {
+                    while !message(&mut stream).await.is_empty() {
+                        tokio::time::sleep(Duration::from_millis(100)).await;
+                        write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+                    }
+                }
+            });
+            let idle = Duration::from_millis(50);
+            let reach = Reach::new(address.await, LIMIT, idle).expect("an address");
+            let hit = parcel("");
+            let all = futures_util::future::join_all((0..150).map(|_| reach.forward(&hit, 3 * LIMIT))).await;
+            assert!(all.iter().all(|(end, _)| matches!(end, End::Answered { .. })));
+            assert_eq!(made.get(), 150);
+            tokio::time::sleep(2 * idle).await;
+            assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+            assert_eq!(made.get(), 151);
+        });
+    }
+
     #[test]
     fn a_report_is_read_where_there_is_one() {
         let both = Report { holds: Some(3.0), service: Some(0.0125) };
