--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -29,6 +29,10 @@
 /// On stopping, how long a connection that came late is kept open for its first hit.
 const FRESH: Duration = Duration::from_millis(300);
 
+/// On stopping, how long after idle connections begin to close new ones are still taken. What comes later than
+/// that could not be answered before the end that others set.
+const LAST: Duration = Duration::from_millis(200);
+
 /// A client's connection, as those see it who look for room.
 struct Visit {
     busy: Cell<u32>,
@@ -200,15 +204,25 @@
     Ok(response)
 }
 
-/// Accepts connections for as long as the program runs.
-pub async fn serve(exchange: Rc<Exchange>, listener: Rc<TcpListener>, crowd: Rc<Crowd>) -> Infallible {
+/// Accepts connections until the program stops; what the kernel has accepted by then is taken first.
+pub async fn serve(exchange: Rc<Exchange>, listener: Rc<TcpListener>, crowd: Rc<Crowd>) {
+    let stopped = async {
+        exchange.clone().closing().await;
+        tokio::time::sleep(LAST).await;
+    };
+    tokio::pin!(stopped);
     loop {
         if !crowd.room() {
             exchange.complain("accept", "as many connections as there is room for");
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         }
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = &mut stopped => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 actix_rt::spawn(attend(exchange.clone(), crowd.clone(), Line::new(stream)));
             }
--- a/agent/src/wire/mod.rs
+++ b/agent/src/wire/mod.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use futures_util::{FutureExt, Stream, StreamExt};
-use std::convert::Infallible;
 use std::future::Future;
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
@@ -27,10 +26,13 @@
     ended.map_err(|_| log::error!("{name}: a panic, shown above; what was in hand is given up")).ok()
 }
 
-/// Runs something that never ends, and begins it anew should it panic.
-pub async fn kept<F: Future<Output = Infallible>>(name: &str, begin: impl Fn() -> F) {
-    while guarded(name, begin()).await.is_none() {
-        tokio::time::sleep(AFTER_PANIC).await;
+/// Runs something to its end, if it has one, and begins it anew should it panic.
+pub async fn kept<F: Future>(name: &str, begin: impl Fn() -> F) -> F::Output {
+    loop {
+        match guarded(name, begin()).await {
+            Some(ended) => return ended,
+            None => tokio::time::sleep(AFTER_PANIC).await,
+        }
     }
 }
 
