--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -15,7 +15,7 @@
     let exchange = Rc::new(start.exchange()?);
     actix_rt::System::new().block_on(async move {
         let bind = || {
-            let socket = TcpSocket::new_v4()?;
+            let socket = if start.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
             socket.set_reuseaddr(true)?; // the address is the same after a restart
             socket.bind(start.listen)?;
             socket.listen(BACKLOG)
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -283,8 +283,8 @@
             assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
             assert_eq!(made.get(), 2);
 
-            // The node closes it while it is idle: it is not written to again, and its end is not taken for that
-            // of the next one.
+            // The node closes it while it is idle: it is not written to again, and its end is not taken for
+            // that of the next one.
             let once = server(|mut stream| async move {
                 message(&mut stream).await;
                 let text = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
