--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -23,13 +23,15 @@
         let listener = bind().map_err(|e| format!("{}: could not be listened on: {e}", start.listen))?;
         log::info!("{}: listening on {}", start.name, start.listen);
         let (listener, crowd) = (Rc::new(listener), Rc::new(clients::Crowd::new(start.descriptors)));
-        let (e, f, g, h) = (exchange.clone(), exchange.clone(), exchange.clone(), exchange.clone());
-        let (list, news, visits) = (start.discovery, start.platform, crowd.clone());
-        actix_rt::spawn(async move { kept("review", || e.clone().review()).await });
-        actix_rt::spawn(async move { kept("list", || list::follow(f.clone(), list.clone())).await });
-        actix_rt::spawn(async move { kept("news", || platform::follow(g.clone(), news.clone())).await });
+        let own = exchange.clone();
+        actix_rt::spawn(async move { kept("review", || own.clone().review()).await });
+        let (own, at) = (exchange.clone(), start.discovery);
+        actix_rt::spawn(async move { kept("list", || list::follow(own.clone(), at.clone())).await });
+        let (own, at) = (exchange.clone(), start.platform);
+        actix_rt::spawn(async move { kept("news", || platform::follow(own.clone(), at.clone())).await });
+        let (own, visits) = (exchange.clone(), crowd.clone());
         actix_rt::spawn(async move {
-            kept("clients", || clients::serve(h.clone(), listener.clone(), visits.clone())).await;
+            kept("clients", || clients::serve(own.clone(), listener.clone(), visits.clone())).await;
         });
         stop::asked().await?;
         stop::finish(exchange, crowd).await;
