Any time left is a time; a panic of the decisions gives the hit up

Seen on reading: X-Remaining-Ms of 1e300 passed as a number, and Duration::from_secs_f64 in Exchange::forward panics on it, outside of what is guarded: the hit would never have been answered. Now whole milliseconds only (400 otherwise), and no number can panic there. Calls on a hit's handle are guarded as well. Tests for each.

--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -64,6 +65,11 @@
     }
 }
 
+/// Seconds as a time to wait; what is no time at all counts as none, what is beyond all time as for ever.
+fn time(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
+
 struct State {
     balancer: Balancer,
     nodes: Nodes,
@@ -210,6 +216,15 @@
         self.settle(handle);
     }
 
+    /// Asks the decisions what to do with a hit. Should they panic, which they must not, it is given up.
+    fn ask(&self, call: impl FnOnce(&mut Balancer, f64) -> Next) -> Next {
+        let (state, now) = (&mut *self.state.borrow_mut(), self.clock.now());
+        catch_unwind(AssertUnwindSafe(|| call(&mut state.balancer, now))).unwrap_or_else(|_| {
+            log::error!("decisions: a panic, shown above; the hit in hand is given up");
+            Next::GiveUp
+        })
+    }
+
     /// Carries out what the decisions said of a hit.
     fn carry_out(self: &Rc<Self>, handle: HitHandle, next: Next) {
         match next {
@@ -217,8 +232,8 @@
             Next::Wait { pause } => {
                 let own = self.clone();
                 actix_rt::spawn(async move {
-                    tokio::time::sleep(Duration::from_secs_f64(pause.max(0.0))).await;
-                    let next = handle.resume(&mut own.state.borrow_mut().balancer, own.clock.now());
+                    tokio::time::sleep(time(pause)).await;
+                    let next = own.ask(|b, now| handle.resume(b, now));
                     own.carry_out(handle, next);
                 });
             }
@@ -262,7 +277,7 @@
         let own = self.clone();
         actix_rt::spawn(async move {
             let begun = Instant::now();
-            let limit = Duration::from_secs_f64(limit.max(0.0));
+            let limit = time(limit);
             let (end, report) = match (reach, parcel) {
                 (Some(reach), Some(parcel)) => guarded("forward", reach.forward(&parcel, limit))
                     .await
@@ -286,7 +301,7 @@
         let over = ending == Ending::Delivered;
         let Report { holds, service } = report;
         let end = Return { ending, spent: spent.as_secs_f64(), over, holds, service };
-        let next = handle.returned(&mut self.state.borrow_mut().balancer, self.clock.now(), end);
+        let next = self.ask(|b, now| handle.returned(b, now, end));
         self.carry_out(handle, next);
     }
 
@@ -378,7 +393,7 @@
             if let Some(vote) = review.vote {
                 actix_rt::spawn(self.clone().cast(vote));
             }
-            tokio::time::sleep(Duration::from_secs_f64(review.again_in.max(0.0))).await;
+            tokio::time::sleep(time(review.again_in)).await;
         }
     }
 
@@ -420,3 +435,47 @@
         self.state.borrow().held.iter().all(Option::is_none)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::*;
+
+    #[test]
+    fn any_number_is_a_time() {
+        assert_eq!(
+            [time(0.25), time(-1.0), time(f64::NAN)],
+            [Duration::from_millis(250), Duration::ZERO, Duration::ZERO]
+        );
+        assert_eq!([time(1e300), time(f64::INFINITY)], [Duration::MAX; 2]);
+    }
+
+    /// Nobody waits for an answer that a fault has eaten, and the next hit is served.
+    #[test]
+    fn a_panic_of_the_decisions_gives_the_hit_up() {
+        let exchange = exchange();
+        assert_eq!(exchange.ask(|_, _| panic!("on purpose")), Next::GiveUp);
+        assert_eq!(exchange.ask(|_, _| Next::Nothing), Next::Nothing);
+    }
+
+    /// The first answer counts; whatever comes after it finds nobody, and nothing is kept.
+    #[test]
+    fn a_hit_gets_one_answer() {
+        run(async {
+            let exchange = exchange_of(&[nobody().await]);
+            let arrival = Arrival { remaining: 1.0, ..Arrival::default() };
+            let parcel = Parcel {
+                method: http::Method::GET,
+                target: http::uri::PathAndQuery::from_static("/read"),
+                headers: awc::http::header::HeaderMap::new(),
+                body: Bytes::new(),
+            };
+            let mut ticket = exchange.take(arrival, parcel);
+            exchange.answer(ticket.handle, Answer::Bounced { again_after: 0.5 });
+            exchange.answer(ticket.handle, Answer::Failed);
+            assert!(matches!(ticket.answer().await, Answer::Bounced { again_after: 0.5 }));
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            assert!(exchange.idle());
+        });
+    }
+}
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -28,7 +28,6 @@
 const IDLE: Duration = Duration::from_secs(1);
 /// On stopping, how long a connection that came late is kept open for its first hit.
 const FRESH: Duration = Duration::from_millis(300);
-
 /// On stopping, how long after idle connections begin to close new ones are still taken. What comes later
 /// could not be answered before the end that others set.
 const LAST: Duration = Duration::from_millis(200);
@@ -121,7 +120,9 @@
     if ![Method::GET, Method::POST].contains(&head.method) {
         return Err(plain(StatusCode::METHOD_NOT_ALLOWED, "expected GET or POST\n"));
     }
-    let Some(remaining) = figure(&head.headers, headers::REMAINING) else {
+    // Whole milliseconds, as the protocol says: a figure beyond all time would be no time-out at all.
+    let remaining = word(&head.headers, headers::REMAINING).and_then(|v| v.trim().parse::<u32>().ok());
+    let Some(remaining) = remaining else {
         let text = format!("{}: expected whole milliseconds\n", headers::REMAINING);
         return Err(plain(StatusCode::BAD_REQUEST, text));
     };
@@ -129,7 +130,7 @@
         group,
         key: word(&head.headers, headers::ENTITY).map(|key| exchange.key(key)),
         account: exchange.account(word(&head.headers, headers::ORG).unwrap_or("")),
-        remaining: remaining / 1e3,
+        remaining: f64::from(remaining) / 1e3,
         hint: figure(&head.headers, headers::ESTIMATE).unwrap_or(0.0) / 1e6,
     })
 }
@@ -329,6 +330,7 @@
                 ("GET /other/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 400\r\n\r\n", "404"),
                 ("GET /read/x HTTP/1.1\r\nhost: a\r\n\r\n", "400"),
                 ("GET /read/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: soon\r\n\r\n", "400"),
+                ("GET /read/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 1e300\r\n\r\n", "400"),
                 ("PUT /read/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 400\r\n\r\n", "405"),
                 (&large, "413"),
                 ("what is this\r\n\r\n", "400"),
