--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -91,6 +91,7 @@
 mod tests {
     use super::*;
     use crate::testing::*;
+    use std::cell::RefCell;
 
     fn list(all: bool, targets: &[(&str, &str, &str)]) -> Json {
         let target = |(uid, endpoint, state): &(&str, &str, &str)| {
@@ -130,30 +131,35 @@
         });
     }
 
+    /// Discovery that answers one connection's calls with these texts, then is silent; and what was asked of it.
+    async fn discovery(texts: &'static [&'static str]) -> (String, Rc<RefCell<Vec<String>>>) {
+        let asked = Rc::new(RefCell::new(Vec::new()));
+        let noted = asked.clone();
+        let at = server(move |mut stream| {
+            let noted = noted.clone();
+            async move {
+                for text in texts.iter().map(Some).chain([None]) {
+                    let came = message(&mut stream).await;
+                    noted.borrow_mut().push(came.lines().next().unwrap_or("").to_owned());
+                    let Some(text) = text else { return std::future::pending().await };
+                    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+                    write(&mut stream, &(head + text)).await;
+                }
+            }
+        });
+        (at.await.to_string(), asked)
+    }
+
+    const SEVEN: &str = r#"{"rev":7,"all":true,"targets":[]}"#;
+    const EIGHT: &str = r#"{"rev":8,"all":false,"targets":[]}"#;
+
     /// The first call asks for all; each later one goes on from the revision held, on the same connection.
     #[test]
     fn a_watch_goes_on_from_the_revision_held() {
         run(async {
-            let asked = Rc::new(std::cell::RefCell::new(Vec::new()));
-            let noted = asked.clone();
-            let at = server(move |mut stream| {
-                let noted = noted.clone();
-                async move {
-                    for rev in [7, 8, 9] {
-                        let came = message(&mut stream).await;
-                        noted.borrow_mut().push(came.lines().next().unwrap_or("").to_owned());
-                        if rev == 9 {
-                            tokio::time::sleep(Duration::from_secs(9)).await;
-                        }
-                        let text = format!("{{\"rev\":{rev},\"all\":true,\"targets\":[]}}");
-                        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
-                        write(&mut stream, &(head + &text)).await;
-                    }
-                }
-            });
+            let (at, asked) = discovery(&[SEVEN, EIGHT]).await;
             let exchange = exchange();
-            let following = follow(exchange.clone(), at.await.to_string());
-            let _ = tokio::time::timeout(Duration::from_millis(200), following).await;
+            let _ = tokio::time::timeout(Duration::from_millis(200), follow(exchange.clone(), at)).await;
             let watch = |rev| format!("GET /discovery/hosts?after={rev}&wait_ms=5000 HTTP/1.1");
             assert_eq!(*asked.borrow(), ["GET /discovery/hosts HTTP/1.1".to_owned(), watch(7), watch(8)]);
             assert!(exchange.ready());
@@ -164,23 +170,10 @@
     #[test]
     fn a_list_that_failed_is_asked_for_again() {
         run(async {
-            let asked = Rc::new(std::cell::RefCell::new(Vec::new()));
-            let noted = asked.clone();
-            let at = server(move |mut stream| {
-                let noted = noted.clone();
-                async move {
-                    for text in ["odd", r#"{"rev":7,"all":true,"targets":[]}"#] {
-                        let came = message(&mut stream).await;
-                        noted.borrow_mut().push(came.lines().next().unwrap_or("").to_owned());
-                        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
-                        write(&mut stream, &(head + text)).await;
-                    }
-                    tokio::time::sleep(Duration::from_secs(9)).await;
-                }
-            });
+            let (at, asked) = discovery(&["odd", SEVEN]).await;
             let exchange = exchange();
             actix_rt::spawn(exchange.clone().review());
-            actix_rt::spawn(follow(exchange.clone(), at.await.to_string()));
+            actix_rt::spawn(follow(exchange.clone(), at));
             tokio::time::sleep(Duration::from_millis(50)).await;
             assert!(!exchange.ready());
             while !exchange.ready() {
