One signal, one proof of what was sent, one way to fail a hit; no three types called Line

Behaviour as before. The mark with waiters stood three times (Departure, to_follow, closing) and is memory/signal.rs now; what a timed-out forward proves is said in cut() alone, and the vote asks the trace the same question; settle() calls answer() instead of repeating it; the exchange's list line is Entry, the command line CommandLine; the node tests share one counting server. Tests keep their assertions.

--- a/agent/src/life/stop.rs
+++ b/agent/src/life/stop.rs
@@ -33,7 +33,7 @@
     let begun = Instant::now();
     exchange.stop();
     tokio::time::sleep(OPEN_FOR).await;
-    exchange.close();
+    exchange.closing.give();
     let mut quiet = 0;
     while quiet < QUIET {
         tokio::time::sleep(LOOK).await;
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -17,7 +17,7 @@
 
 /// A sidecar that routes hits over the builds of a service and votes on staged releases.
 #[derive(FromArgs)]
-struct Line {
+struct CommandLine {
     #[argh(subcommand)]
     command: Command,
 }
@@ -70,7 +70,7 @@
 }
 
 fn main() -> ExitCode {
-    let line: Line = argh::from_env();
+    let line: CommandLine = argh::from_env();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     match run(line.command) {
         Ok(()) => ExitCode::SUCCESS,
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::memory::keys::Keys;
 use crate::memory::nodes::Nodes;
+use crate::memory::signal::Signal;
 use crate::wire::end::End;
 use crate::wire::nodes::{Parcel, Reach, Report};
 use crate::wire::{guarded, platform};
@@ -18,7 +19,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::oneshot;
 
 /// Complaints of one kind are logged once in this time, with their count: what fails, fails often.
 const COMPLAIN_EVERY: Duration = Duration::from_secs(5);
@@ -34,7 +35,7 @@
 }
 
 /// One line of the list, with the node's name and its address here; its index is given when it is taken in.
-pub struct Line {
+pub struct Entry {
     pub uid: String,
     pub listed: Listed,
     pub address: SocketAddr,
@@ -93,12 +94,11 @@
     connect: Duration,
     idle: Duration,
     vote_limit: Duration,
-    /// Whether the list is to be asked for its changes.
-    wanted: Cell<bool>,
-    follow: Notify,
+    /// Given while the list is to be asked for its changes.
+    pub follow: Signal,
     stopping: Cell<bool>,
-    closing: Cell<bool>,
-    close: Notify,
+    /// Given once clients' connections are to close as soon as they carry nothing.
+    pub closing: Signal,
 }
 
 /// A taken hit, on the clients' side. Dropping it without its answer means that the client has left.
@@ -156,11 +156,9 @@
             connect,
             idle,
             vote_limit,
-            wanted: wanted.into(),
-            follow: Notify::new(),
+            follow: Signal::new(wanted),
             stopping: false.into(),
-            closing: false.into(),
-            close: Notify::new(),
+            closing: Signal::default(),
         })
     }
 
@@ -255,16 +253,12 @@
 
     /// Forgets a hit that is over; one that is still owed an answer then has failed.
     fn settle(&self, handle: HitHandle) {
-        let state = &mut *self.state.borrow_mut();
-        if handle.pending(&state.balancer) {
+        if handle.pending(&self.state.borrow().balancer) {
             return;
         }
-        if let Some(place) = state.held.get_mut(handle.place as usize) {
-            if let Some(held) = place.take_if(|h| h.handle == handle) {
-                if let Some(sender) = held.answer {
-                    let _ = sender.send(Answer::Failed); // the client may have left
-                }
-            }
+        self.answer(handle, Answer::Failed);
+        if let Some(place) = self.state.borrow_mut().held.get_mut(handle.place as usize) {
+            place.take_if(|h| h.handle == handle);
         }
     }
 
@@ -308,7 +302,7 @@
     // The servers' side.
 
     /// Takes the list in: all of it or changes.
-    pub fn listed(&self, whole: bool, fresh: bool, lines: Vec<Line>) {
+    pub fn listed(&self, whole: bool, fresh: bool, lines: Vec<Entry>) {
         let state = &mut *self.state.borrow_mut();
         let mut listed = Vec::with_capacity(lines.len());
         for line in lines {
@@ -331,17 +325,10 @@
     }
 
     pub fn list_failed(&self) {
-        self.wanted.set(false);
+        self.follow.take_back();
         self.state.borrow_mut().balancer.list_failed(self.clock.now());
     }
 
-    /// Waits until the list is to be followed.
-    pub async fn to_follow(&self) {
-        while !self.wanted.get() {
-            self.follow.notified().await;
-        }
-    }
-
     pub fn heard(&self, news: News) {
         let state = &mut *self.state.borrow_mut();
         let stands = (news.build, news.stage, news.phase);
@@ -387,8 +374,7 @@
         loop {
             let review = self.state.borrow_mut().balancer.review(self.clock.now());
             if review.follow {
-                self.wanted.set(true);
-                self.follow.notify_waiters();
+                self.follow.give();
             }
             if let Some(vote) = review.vote {
                 actix_rt::spawn(self.clone().cast(vote));
@@ -418,18 +404,6 @@
         self.stopping.get()
     }
 
-    /// From now on clients' connections close once they carry nothing.
-    pub fn close(&self) {
-        self.closing.set(true);
-        self.close.notify_waiters();
-    }
-
-    pub async fn closing(self: Rc<Self>) {
-        while !self.closing.get() {
-            self.close.notified().await;
-        }
-    }
-
     /// Whether nothing is held.
     pub fn idle(&self) -> bool {
         self.state.borrow().held.iter().all(Option::is_none)
--- a/agent/src/memory/mod.rs
+++ b/agent/src/memory/mod.rs
@@ -3,3 +3,4 @@
 pub mod exchange;
 pub mod keys;
 pub mod nodes;
+pub mod signal;
--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -1,7 +1,8 @@
 //! What several tests need: a runtime, small servers that play a script, an exchange.
 
-use crate::memory::exchange::{Exchange, Line};
+use crate::memory::exchange::{Entry, Exchange};
 use magpieline::interface::Listed;
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,7 +30,7 @@
     let exchange = exchange();
     let listed = Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
     let line =
-        |address: &SocketAddr| Line { uid: address.to_string(), listed, address: *address, gone: false };
+        |address: &SocketAddr| Entry { uid: address.to_string(), listed, address: *address, gone: false };
     exchange.listed(true, true, nodes.iter().map(line).collect());
     exchange
 }
@@ -46,6 +47,19 @@
     address
 }
 
+/// The same, counting the connections made.
+pub async fn counted<F: Future + 'static>(
+    script: impl Fn(TcpStream) -> F + 'static,
+) -> (SocketAddr, Rc<Cell<usize>>) {
+    let made = Rc::new(Cell::new(0));
+    let count = made.clone();
+    let address = server(move |stream| {
+        count.set(count.get() + 1);
+        script(stream)
+    });
+    (address.await, made)
+}
+
 /// Reads one message: its head, and its body by `content-length`.
 pub async fn message(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -1,7 +1,8 @@
 //! The clients' side: reads hits, hands them to the exchange, words the answers.
 
 use crate::memory::exchange::{Answer, Exchange};
-use crate::wire::line::{Departure, Line};
+use crate::memory::signal::Signal;
+use crate::wire::line::Line;
 use crate::wire::nodes::Parcel;
 use crate::wire::{guarded, headers, whole, Unread, BODY_MOST};
 use actix_http::body::BoxBody;
@@ -144,7 +145,7 @@
         Err(Unread::Broken(e)) => return Err(plain(StatusCode::BAD_REQUEST, format!("body: {e}\n"))),
     };
     arrival.remaining -= begun.elapsed().as_secs_f64();
-    let departure = request.conn_data::<Rc<Departure>>().cloned().unwrap_or_default();
+    let departure = request.conn_data::<Rc<Signal>>().cloned().unwrap_or_default();
     let head = request.head();
     let Some(target) = head.uri.path_and_query().cloned() else {
         return Err(plain(StatusCode::BAD_REQUEST, "expected a path\n"));
@@ -208,7 +209,7 @@
 /// Accepts connections until the program stops; what the kernel has accepted by then is taken first.
 pub async fn serve(exchange: Rc<Exchange>, listener: Rc<TcpListener>, crowd: Rc<Crowd>) {
     let stopped = async {
-        exchange.clone().closing().await;
+        exchange.closing.wait().await;
         tokio::time::sleep(LAST).await;
     };
     tokio::pin!(stopped);
@@ -249,7 +250,7 @@
         .graceful_shutdown_signal(move || {
             let closing = closing.clone();
             async move {
-                closing.closing().await;
+                closing.closing.wait().await;
                 tokio::time::sleep(FRESH.saturating_sub(begun.elapsed())).await;
             }
         })
@@ -448,7 +449,7 @@
             let exchange = exchange_of(&[answering(SERVED).await]);
             let mut stream = opened(&exchange).await;
             exchange.stop();
-            exchange.close();
+            exchange.closing.give();
             let mut answer = String::new();
             write(&mut stream, HIT).await;
             stream.read_to_string(&mut answer).await.expect("an answer and the end");
--- a/agent/src/wire/line.rs
+++ b/agent/src/wire/line.rs
@@ -1,5 +1,6 @@
 //! A connection that notes how far things went, for those who have to prove it.
 
+use crate::memory::signal::Signal;
 use actix_service::ServiceExt;
 use actix_tls::connect::{Connection, Connector, Resolver};
 use awc::Client;
@@ -13,7 +14,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 
 /// What a forward's connection has seen of it.
 #[derive(Default)]
@@ -26,35 +26,23 @@
     pub ended: Cell<bool>,
 }
 
+impl Trace {
+    /// Whether all that was to be sent may have gone; else the other side provably never had the whole of it.
+    pub fn carried(&self) -> bool {
+        self.begun.get() && !self.short.get()
+    }
+}
+
 tokio::task_local! {
     /// The trace of the forward being polled. The client library does not say which connection it uses.
     pub static TRACE: Rc<Trace>;
 }
 
-/// Whether a client has ended its sending.
-#[derive(Default)]
-pub struct Departure {
-    left: Cell<bool>,
-    told: Notify,
-}
-
-impl Departure {
-    pub async fn wait(&self) {
-        while !self.left.get() {
-            self.told.notified().await;
-        }
-    }
-
-    fn note(&self) {
-        self.left.set(true);
-        self.told.notify_waiters();
-    }
-}
-
 /// A TCP connection of either side.
 pub struct Line {
     stream: TcpStream,
-    pub departure: Rc<Departure>,
+    /// Given once the other side has ended its sending.
+    pub departure: Rc<Signal>,
 }
 
 impl Line {
@@ -87,7 +75,7 @@
             Poll::Pending => false,
         };
         if ended {
-            self.departure.note();
+            self.departure.give();
             let _ = TRACE.try_with(|t| t.ended.set(true)); // none on the clients' side
         }
         read
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -1,6 +1,6 @@
 //! The node list: the whole of it once, then a watch on its changes.
 
-use crate::memory::exchange::{Exchange, Line};
+use crate::memory::exchange::{Entry, Exchange};
 use crate::wire::{line, whole};
 use awc::Client;
 use magpieline::interface::Listed;
@@ -33,7 +33,7 @@
     Ok(rev)
 }
 
-fn entry(exchange: &Exchange, entry: Message) -> Result<Line, String> {
+fn entry(exchange: &Exchange, entry: Message) -> Result<Entry, String> {
     let wrong = |field: &str, expected: &str| Err(entry.wrong(field, expected));
     let state = entry.text("state")?;
     if !["ready", "draining", "gone"].contains(&state) {
@@ -52,7 +52,7 @@
         rating: entry.number_or("capacity_hint", 1.0)?,
         up_since: entry.number_or("boot_ms", 0.0)? / 1e3,
     };
-    Ok(Line { uid: entry.text("uid")?.to_owned(), listed, address, gone: state == "gone" })
+    Ok(Entry { uid: entry.text("uid")?.to_owned(), listed, address, gone: state == "gone" })
 }
 
 async fn call(client: &Client, at: &str, query: &str) -> Result<Json, String> {
@@ -72,7 +72,7 @@
 pub async fn follow(exchange: Rc<Exchange>, at: String) -> Infallible {
     let client = line::client(SLACK, IDLE);
     loop {
-        exchange.to_follow().await;
+        exchange.follow.wait().await;
         let mut rev = None;
         let failed = loop {
             let query =
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -47,13 +47,7 @@
     pub async fn forward(&self, parcel: &Parcel, limit: Duration) -> (End, Report) {
         let sending = tokio::time::timeout(limit, self.send(parcel, limit));
         let (ended, trace) = line::traced(sending).await;
-        match ended {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(end)) => (cut(&trace, end), Report::default()),
-            Err(_) if !trace.begun.get() => (End::NeverUp, Report::default()),
-            Err(_) if trace.short.get() => (End::CutBefore, Report::default()),
-            Err(_) => (End::Silent, Report::default()),
-        }
+        ended.unwrap_or(Err(End::Silent)).unwrap_or_else(|end| (cut(&trace, end), Report::default()))
     }
 
     async fn send(&self, parcel: &Parcel, limit: Duration) -> Result<(End, Report), End> {
@@ -121,6 +115,7 @@
         _ if trace.short.get() => End::CutBefore,
         End::Refused | End::NeverUp | End::NoRoom | End::Nowhere if trace.begun.get() => End::CutAfter,
         End::CutAfter if !trace.begun.get() => End::Refused,
+        End::Silent if !trace.begun.get() => End::NeverUp,
         end => end,
     }
 }
@@ -261,19 +256,15 @@
     #[test]
     fn connections_are_used_again_with_care() {
         run(async {
-            let made = Rc::new(Cell::new(0));
-            let count = made.clone();
-            let address = server(move |mut stream| {
-                count.set(count.get() + 1);
-                async move {
-                    for _ in 0..2 {
-                        message(&mut stream).await;
-                        write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
-                    }
-                    message(&mut stream).await; // the third is read and dropped
+            let (address, made) = counted(|mut stream| async move {
+                for _ in 0..2 {
+                    message(&mut stream).await;
+                    write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
                 }
-            });
-            let reach = reach(address.await);
+                message(&mut stream).await; // the third is read and dropped
+            })
+            .await;
+            let reach = reach(address);
             let hit = parcel("");
             for _ in 0..2 {
                 assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
@@ -309,19 +300,15 @@
     #[test]
     fn many_hits_are_under_way_at_once_and_idle_connections_do_not_last() {
         run(async {
-            let made = Rc::new(Cell::new(0));
-            let count = made.clone();
-            let address = server(move |mut stream| {
-                count.set(count.get() + 1);
-                async move {
-                    while !message(&mut stream).await.is_empty() {
-                        tokio::time::sleep(Duration::from_millis(100)).await;
-                        write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
-                    }
+            let (address, made) = counted(|mut stream| async move {
+                while !message(&mut stream).await.is_empty() {
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
                 }
-            });
+            })
+            .await;
             let idle = Duration::from_millis(50);
-            let reach = Reach::new(address.await, LIMIT, idle).expect("an address");
+            let reach = Reach::new(address, LIMIT, idle).expect("an address");
             let hit = parcel("");
             let all = futures_util::future::join_all((0..150).map(|_| reach.forward(&hit, 3 * LIMIT))).await;
             assert!(all.iter().all(|(end, _)| matches!(end, End::Answered { .. })));
--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -107,8 +107,7 @@
         Ok(Ok((status, body))) => receipt(status, &body),
         failed => {
             log::info!("vote: no answer: {failed:?}");
-            let sent = trace.begun.get() && !trace.short.get();
-            (if sent { Receipt::Unknown } else { Receipt::Refused }, None)
+            (if trace.carried() { Receipt::Unknown } else { Receipt::Refused }, None)
         }
     }
 }
