An answer that broke off, came late or spoilt binds its key to the build

At fault: Balancer::land bound a key by Delivered alone. Now every ending after which a good answer may have been written binds it; a plain error does not. Holds against time-outs, resets and spoilt answers alike; may hurt where a trial that fails in silence keeps its keys until it goes back.

--- a/agent/src/wire/end.rs
+++ b/agent/src/wire/end.rs
@@ -40,7 +40,8 @@
     pub fn ending(&self) -> Ending {
         match self {
             End::Answered { .. } => Ending::Delivered,
-            End::Failed | End::Unreadable | End::TooLarge => Ending::Errored,
+            End::Failed => Ending::Errored,
+            End::Unreadable | End::TooLarge => Ending::Spoilt,
             End::TurnedAway => Ending::TurnedAway,
             End::Refused | End::NeverUp | End::CutBefore => Ending::NoConnection,
             End::CutAfter | End::Fault => Ending::Broken,
@@ -60,8 +61,8 @@
         let all = [
             (End::Answered { kind: None, body }, Ending::Delivered),
             (End::Failed, Ending::Errored),
-            (End::Unreadable, Ending::Errored),
-            (End::TooLarge, Ending::Errored),
+            (End::Unreadable, Ending::Spoilt),
+            (End::TooLarge, Ending::Spoilt),
             (End::TurnedAway, Ending::TurnedAway),
             (End::Refused, Ending::NoConnection),
             (End::NeverUp, Ending::NoConnection),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -441,7 +441,7 @@
     fn learn(&mut self, hit: &Hit, flying: &Flying, end: &Return) {
         let (now, group) = (self.now, hit.arrival.group);
         let served = end.ending == Ending::Delivered;
-        let answered = served || end.ending == Ending::Errored;
+        let answered = served || matches!(end.ending, Ending::Errored | Ending::Spoilt);
         // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
         let ailing = self.ailing(hit) || self.gap > 3.0 * TICK;
         let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -284,6 +284,27 @@
     assert!(matches!(handle.resume(&mut b, 101.0), Next::Bounce { .. })); // in vain: answered in good time
 }
 
+#[test]
+fn an_answer_that_could_not_be_read_binds_its_key_as_well() {
+    // Guards against sending back a key that the trial has answered, unheard, by a broken or late answer.
+    for (ending, bound) in [
+        (Ending::Delivered, 2),
+        (Ending::NoAnswer, 2),
+        (Ending::Broken, 2),
+        (Ending::Spoilt, 2),
+        (Ending::Errored, 0),
+        (Ending::TurnedAway, 0),
+        (Ending::NoConnection, 0),
+    ] {
+        let mut b = balancer(1, Phase::Trial, 0.5, &[]);
+        b.keys = vec![(1, 0)];
+        let handle = flying(&mut b, 0, 5);
+        b.slab.hits[handle.place as usize].arrival.key = Some(0);
+        b.land(handle.place as usize, ending);
+        assert_eq!(b.keys[0].1, bound, "{ending:?}");
+    }
+}
+
 #[test]
 fn a_repeat_that_may_have_run_never_waits() {
     // Guards against a tagged repeat that waits for its turn past its window.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -59,6 +59,8 @@
     Delivered,
     /// The node answered with an error.
     Errored,
+    /// What came as an answer could not be read.
+    Spoilt,
     /// Turned away unseen.
     TurnedAway,
     NoAnswer,
--- a/src/state.rs
+++ b/src/state.rs
@@ -616,12 +616,12 @@
         hit.forwards += 1;
     }
 
-    /// Takes the forward of a hit back in. Remembers where the hit may have run, and which build served its
-    /// key.
+    /// Takes the forward of a hit back in. Remembers where the hit may have run, and which build may have
+    /// served its key.
     pub(crate) fn land(&mut self, place: usize, ending: Ending) -> Option<Flying> {
         let hit = &mut self.slab.hits[place];
         let flying = hit.flying.take()?;
-        if ending == Ending::Errored {
+        if matches!(ending, Ending::Errored | Ending::Spoilt) {
             hit.erred = hit.erred.or(Some(flying.build));
         }
         let node = &mut self.nodes[flying.node];
@@ -630,9 +630,9 @@
             let at = node.listed.map_or((usize::MAX, -1), |l| (l.zone, l.cell));
             hit.risk = Some((flying.sent, at.0, at.1));
         }
-        if let Some(key) =
-            hit.arrival.key.filter(|_| ending == Ending::Delivered).and_then(|k| self.keys.get_mut(k))
-        {
+        // An answer that was given up on, broke off or came spoilt may have been a good one: it binds the key too.
+        let bound = hit.arrival.key.filter(|_| !unseen && ending != Ending::Errored);
+        if let Some(key) = bound.and_then(|k| self.keys.get_mut(k)) {
             key.1 = key.1.max(flying.build);
         }
         self.flying = self.flying.saturating_sub(1);
