Reload at SIGHUP: discovery and platform are asked at their new addresses at once

At fault: life/mod.rs, no handler. Now the handler stands before the listener; the file that the start named is read by the same function; list and stream move at once, a vote that has gone out still gets its answer, one that has not is provably not cast. List and news in the new file are left alone. A wrong file changes nothing and is looked at again.

--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -1,9 +1,11 @@
-//! Start and stop.
+//! Start, reload and stop.
 
+mod reload;
 pub mod start;
 mod stop;
 
 use crate::wire::{clients, kept, list, platform};
+use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpSocket;
 
@@ -11,9 +13,12 @@
 const BACKLOG: u32 = 1024;
 
 /// Serves until SIGTERM, on one thread.
-pub fn serve(start: start::Start) -> Result<(), String> {
+pub fn serve(path: PathBuf) -> Result<(), String> {
+    let start = start::read(&path)?;
     let exchange = Rc::new(start.exchange()?);
     actix_rt::System::new().block_on(async move {
+        // Before anyone can know of this program: without them a signal would end it.
+        let (reloads, stops) = (reload::signals()?, stop::signals()?);
         let bind = || {
             let socket = if start.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
             socket.set_reuseaddr(true)?; // the address is the same after a restart
@@ -25,15 +30,16 @@
         let (listener, crowd) = (Rc::new(listener), Rc::new(clients::Crowd::new(start.descriptors)));
         let own = exchange.clone();
         actix_rt::spawn(async move { kept("review", || own.clone().review()).await });
-        let (own, at) = (exchange.clone(), start.discovery);
-        actix_rt::spawn(async move { kept("list", || list::follow(own.clone(), at.clone())).await });
-        let (own, at) = (exchange.clone(), start.platform);
-        actix_rt::spawn(async move { kept("news", || platform::follow(own.clone(), at.clone())).await });
+        let own = exchange.clone();
+        actix_rt::spawn(async move { kept("list", || list::follow(own.clone())).await });
+        let own = exchange.clone();
+        actix_rt::spawn(async move { kept("news", || platform::follow(own.clone())).await });
+        actix_rt::spawn(reload::follow(exchange.clone(), path, reloads));
         let (own, visits) = (exchange.clone(), crowd.clone());
         actix_rt::spawn(async move {
             kept("clients", || clients::serve(own.clone(), listener.clone(), visits.clone())).await;
         });
-        stop::asked().await?;
+        stop::asked(stops).await;
         stop::finish(exchange, crowd).await;
         Ok(())
     })
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -5,7 +5,7 @@
 use magpieline::names::Message;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// What the configuration says.
 pub struct Start {
@@ -23,18 +23,23 @@
     text.parse().map_err(|_| format!("{what}: expected an address and a port, not '{text}'"))
 }
 
-/// Reads the configuration that is named, or that the environment names.
-pub fn read(path: Option<PathBuf>) -> Result<Start, String> {
-    let path = match path {
-        Some(path) => path,
-        None => {
-            std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG: expected the path of a configuration")?.into()
-        }
-    };
+/// The configuration that is named, or that the environment names.
+pub fn named(path: Option<PathBuf>) -> Result<PathBuf, String> {
+    let variable = || std::env::var_os("GW_CONFIG").map(PathBuf::from);
+    path.or_else(variable).ok_or_else(|| "GW_CONFIG: expected the path of a configuration".into())
+}
+
+/// Reads a configuration as it stands in its file.
+pub fn file(path: &Path) -> Result<Start, String> {
     let told = |e: String| format!("{}: {e}", path.display());
-    let text = std::fs::read(&path).map_err(|e| told(format!("could not be read: {e}")))?;
+    let text = std::fs::read(path).map_err(|e| told(format!("could not be read: {e}")))?;
     let body = serde_json::from_slice(&text).map_err(|e| told(format!("expected JSON: {e}")))?;
-    let mut start = Start::parse(body).map_err(told)?;
+    Start::parse(body).map_err(told)
+}
+
+/// Reads the configuration for a start.
+pub fn read(path: &Path) -> Result<Start, String> {
+    let mut start = file(path)?;
     // The environment says the same; where it differs it is the nearer word.
     let variable = |name: &str| match std::env::var(name) {
         Ok(value) => address(name, &value).map(Some),
@@ -69,8 +74,8 @@
     pub fn exchange(&self) -> Result<Exchange, String> {
         let all = Message { name: "configuration", body: &self.body };
         let info = all.needed("settings", "an object of settings")?;
-        let exchange =
-            Exchange::new(self.seed, info, self.platform.clone()).map_err(|e| format!("settings: {e}"))?;
+        let exchange = Exchange::new(self.seed, info, self.discovery.clone(), self.platform.clone())
+            .map_err(|e| format!("settings: {e}"))?;
         if let Some(known) = self.body.get("known").filter(|k| !k.is_null()) {
             list::take(&exchange, known, false).map_err(|e| format!("known: {e}"))?;
         }
@@ -85,7 +90,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use crate::testing::SETTINGS;
 
@@ -99,6 +104,14 @@
             "settings": serde_json::from_str::<Json>(SETTINGS).unwrap()})
     }
 
+    /// A configuration with these addresses of discovery and platform.
+    pub fn body_at(discovery: &str, platform: &str) -> Json {
+        let mut body = body();
+        body["discovery"] = discovery.into();
+        body["deployer"]["address"] = platform.into();
+        body
+    }
+
     /// What the start says once a field has another value.
     fn complaint(pointer: &str, value: Json) -> String {
         let mut body = body();
@@ -140,7 +153,7 @@
         ] {
             assert_eq!(complaint(pointer, value), told);
         }
-        let missing = read(Some("/nowhere/at/all".into())).err().unwrap_or_default();
+        let missing = read(Path::new("/nowhere/at/all")).err().unwrap_or_default();
         assert!(missing.starts_with("/nowhere/at/all: could not be read"), "{missing}");
     }
 }
--- a/agent/src/life/stop.rs
+++ b/agent/src/life/stop.rs
@@ -4,7 +4,7 @@
 use crate::wire::clients::Crowd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// How long after the signal connections stay open: others hear of the end within four tenths of a second
 /// and go on using them until then.
@@ -16,15 +16,18 @@
 /// How long connections that carry nothing may hold up the end: longer than one that came late is waited for.
 const LINGER: Duration = Duration::from_secs(2);
 
-/// Waits for SIGTERM (or SIGINT).
-pub async fn asked() -> Result<(), String> {
+/// The signals that end the program: SIGTERM and SIGINT.
+pub fn signals() -> Result<[Signal; 2], String> {
     let listen = |kind| signal(kind).map_err(|e| format!("signals: could not be listened for: {e}"));
-    let (mut term, mut int) = (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
+    Ok([listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?])
+}
+
+/// Waits for one of them.
+pub async fn asked([mut term, mut int]: [Signal; 2]) {
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    Ok(())
 }
 
 /// Serves what is in hand and what still arrives, until all is done.
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -3,7 +3,7 @@
 //!
 //! - `wire`: all that is spoken, one file a partner
 //! - `memory`: what is kept: the exchange in which both sides meet, ids at the door
-//! - `life`: start and stop
+//! - `life`: start, reload and stop
 
 mod life;
 mod memory;
@@ -55,9 +55,9 @@
 
 fn run(command: Command) -> Result<(), String> {
     match command {
-        Command::Serve(Serve { config }) => life::serve(life::start::read(config)?),
+        Command::Serve(Serve { config }) => life::serve(life::start::named(config)?),
         Command::Check(Check { config }) => {
-            let start = life::start::read(config)?;
+            let start = life::start::read(&life::start::named(config)?)?;
             let exchange = start.exchange()?;
             println!("{}: listens on {}, {} nodes known", start.name, start.listen, exchange.nodes_known());
             Ok(())
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::memory::keys::Keys;
 use crate::memory::nodes::Nodes;
+use crate::memory::place::Place;
 use crate::memory::signal::Signal;
 use crate::wire::end::End;
 use crate::wire::nodes::{Parcel, Reach, Report};
@@ -90,7 +91,9 @@
     clock: Clock,
     groups: Door,
     accounts: Door,
-    platform: String,
+    /// Where the list and the platform are asked.
+    pub discovery: Place,
+    pub platform: Place,
     connect: Duration,
     idle: Duration,
     vote_limit: Duration,
@@ -132,7 +135,12 @@
 }
 
 impl Exchange {
-    pub fn new(seed: u64, info: &serde_json::Value, platform: String) -> Result<Exchange, String> {
+    pub fn new(
+        seed: u64,
+        info: &serde_json::Value,
+        discovery: String,
+        platform: String,
+    ) -> Result<Exchange, String> {
         let Told { named, groups, accounts, zones, zone } = Told::read(info)?;
         let seconds = |name: &str, otherwise: f64| match named.get(name) {
             Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
@@ -152,7 +160,8 @@
             clock,
             groups,
             accounts,
-            platform,
+            discovery: Place::new(discovery),
+            platform: Place::new(platform),
             connect,
             idle,
             vote_limit,
--- a/agent/src/memory/mod.rs
+++ b/agent/src/memory/mod.rs
@@ -3,4 +3,5 @@
 pub mod exchange;
 pub mod keys;
 pub mod nodes;
+pub mod place;
 pub mod signal;
--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -22,7 +22,7 @@
 
 pub fn exchange() -> Rc<Exchange> {
     let info = serde_json::from_str(SETTINGS).expect("settings");
-    Rc::new(Exchange::new(1, &info, "127.0.0.1:1".into()).expect("an exchange"))
+    Rc::new(Exchange::new(1, &info, "127.0.0.1:1".into(), "127.0.0.1:1".into()).expect("an exchange"))
 }
 
 /// An exchange that knows these nodes.
--- a/agent/src/wire/line.rs
+++ b/agent/src/wire/line.rs
@@ -137,6 +137,16 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
+/// Whether anything of the call being polled was offered for writing.
+pub fn begun() -> bool {
+    TRACE.try_with(|t| t.begun.get()).unwrap_or(false)
+}
+
+/// Whether the other side's sending ended while its answer was read: one in pieces is whole before that.
+pub fn ended() -> bool {
+    TRACE.try_with(|t| t.ended.get()).unwrap_or(false)
+}
+
 /// Follows a call from outside, noting how far its connection got.
 pub async fn traced<F: Future>(call: F) -> (F::Output, Rc<Trace>) {
     let trace = Rc::<Trace>::default();
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -68,22 +68,35 @@
     tokio::time::timeout(WAIT + SLACK, asked).await.unwrap_or_else(|_| Err("no answer".into()))
 }
 
-/// Follows the list for as long as the program runs. When to ask again after a failure is not decided here.
-pub async fn follow(exchange: Rc<Exchange>, at: String) -> Infallible {
-    let client = line::client(SLACK, IDLE);
+/// Asks for the whole list and watches it until that fails.
+async fn watch(exchange: &Exchange, at: &str) -> String {
+    let (client, mut rev) = (line::client(SLACK, IDLE), None);
     loop {
-        exchange.follow.wait().await;
-        let mut rev = None;
-        let failed = loop {
-            let query =
-                rev.map_or(String::new(), |r: u64| format!("?after={r}&wait_ms={}", WAIT.as_millis()));
-            match call(&client, &at, &query).await.and_then(|list| take(&exchange, &list, true)) {
-                Ok(new) => rev = Some(new),
-                Err(e) => break e,
-            }
+        let query = rev.map_or(String::new(), |r: u64| format!("?after={r}&wait_ms={}", WAIT.as_millis()));
+        match call(&client, at, &query).await.and_then(|list| take(exchange, &list, true)) {
+            Ok(new) => rev = Some(new),
+            Err(e) => return e,
+        }
+    }
+}
+
+/// Follows the list for as long as the program runs, at once wherever a new configuration puts it. When to
+/// ask again after a failure is not decided here.
+pub async fn follow(exchange: Rc<Exchange>) -> Infallible {
+    let place = &exchange.discovery;
+    exchange.follow.wait().await;
+    loop {
+        let (turn, at) = (place.turn(), place.address());
+        let failed = tokio::select! {
+            failed = watch(&exchange, &at) => failed,
+            () = place.left(turn) => continue,
         };
         exchange.complain("list", &failed);
         exchange.list_failed();
+        tokio::select! {
+            () = exchange.follow.wait() => {}
+            () = place.left(turn) => {}
+        }
     }
 }
 
@@ -131,15 +144,19 @@
         });
     }
 
-    /// Discovery that answers one connection's calls with these texts, then is silent; and what was asked of it.
+    /// Discovery that answers its calls with these texts, then is silent; and what was asked of it.
     async fn discovery(texts: &'static [&'static str]) -> (String, Rc<RefCell<Vec<String>>>) {
         let asked = Rc::new(RefCell::new(Vec::new()));
         let noted = asked.clone();
         let at = server(move |mut stream| {
             let noted = noted.clone();
             async move {
-                for text in texts.iter().map(Some).chain([None]) {
+                loop {
                     let came = message(&mut stream).await;
+                    if came.is_empty() {
+                        return;
+                    }
+                    let text = texts.get(noted.borrow().len());
                     noted.borrow_mut().push(came.lines().next().unwrap_or("").to_owned());
                     let Some(text) = text else { return std::future::pending().await };
                     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
@@ -159,7 +176,8 @@
         run(async {
             let (at, asked) = discovery(&[SEVEN, EIGHT]).await;
             let exchange = exchange();
-            let _ = tokio::time::timeout(Duration::from_millis(200), follow(exchange.clone(), at)).await;
+            exchange.discovery.set(&at);
+            let _ = tokio::time::timeout(Duration::from_millis(200), follow(exchange.clone())).await;
             let watch = |rev| format!("GET /discovery/hosts?after={rev}&wait_ms=5000 HTTP/1.1");
             assert_eq!(*asked.borrow(), ["GET /discovery/hosts HTTP/1.1".to_owned(), watch(7), watch(8)]);
             assert!(exchange.ready());
@@ -173,7 +191,8 @@
             let (at, asked) = discovery(&["odd", SEVEN]).await;
             let exchange = exchange();
             actix_rt::spawn(exchange.clone().review());
-            actix_rt::spawn(follow(exchange.clone(), at));
+            exchange.discovery.set(&at);
+            actix_rt::spawn(follow(exchange.clone()));
             tokio::time::sleep(Duration::from_millis(50)).await;
             assert!(!exchange.ready());
             while !exchange.ready() {
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -72,7 +72,7 @@
         let body = whole(&mut answer, BODY_MOST).await;
         let end = match (status, body) {
             (503 | 504, _) if turned_away => End::TurnedAway,
-            (200, Ok(body)) if length.is_none_or(|l| l == body.len()) && !(chunked && ended()) => {
+            (200, Ok(body)) if length.is_none_or(|l| l == body.len()) && !(chunked && line::ended()) => {
                 End::Answered { kind, body }
             }
             (200, Ok(_) | Err(Unread::Broken(_))) => End::CutAfter,
@@ -83,11 +83,6 @@
     }
 }
 
-/// Whether the node's sending ended while its answer was read: one in pieces is whole before that.
-fn ended() -> bool {
-    line::TRACE.try_with(|t| t.ended.get()).unwrap_or(false)
-}
-
 /// What the client library's error says by itself.
 fn failed(error: SendRequestError) -> End {
     const NO_ROOM: [i32; 2] = [23, 24]; // ENFILE, EMFILE
--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -1,6 +1,7 @@
 //! The platform: its news as an event stream, and votes as forms answered in XML.
 
 use crate::memory::exchange::Exchange;
+use crate::memory::place::Place;
 use crate::wire::{line, whole, BODY_MOST};
 use futures_util::StreamExt;
 use magpieline::interface::{News, Phase, Receipt, Verdict, Vote};
@@ -81,8 +82,9 @@
     }
 }
 
-/// Casts a vote on a connection of its own: the platform closes idle ones when it likes.
-pub async fn cast(at: &str, vote: Vote, limit: Duration) -> (Receipt, Option<News>) {
+/// Casts a vote on a connection of its own: the platform closes idle ones when it likes. Should the platform
+/// move, one that has gone out still gets its answer; one that has not is provably not cast.
+pub async fn cast(place: &Place, vote: Vote, limit: Duration) -> (Receipt, Option<News>) {
     let opinion = match vote.verdict {
         Verdict::Clear => "clear",
         Verdict::On => "approve",
@@ -95,6 +97,7 @@
         .append_pair("ring", &vote.stage.to_string())
         .append_pair("opinion", opinion)
         .finish();
+    let (turn, at) = (place.turn(), place.address());
     let call = async {
         let call = line::client(CONNECT, Duration::ZERO).post(format!("http://{at}/api/")).force_close();
         let call = call.content_type("application/x-www-form-urlencoded");
@@ -102,7 +105,20 @@
         let body = whole(&mut answer, BODY_MOST).await.map_err(|e| format!("{e:?}"))?;
         Ok::<_, String>((answer.status().as_u16(), String::from_utf8_lossy(&body).into_owned()))
     };
-    let (answered, trace) = line::traced(tokio::time::timeout(limit, call)).await;
+    let unsent = async {
+        place.left(turn).await;
+        if line::begun() {
+            std::future::pending::<()>().await;
+        }
+        Err("the platform has moved".to_owned())
+    };
+    let either = async {
+        tokio::select! {
+            answered = call => answered,
+            moved = unsent => moved,
+        }
+    };
+    let (answered, trace) = line::traced(tokio::time::timeout(limit, either)).await;
     match answered {
         Ok(Ok((status, body))) => receipt(status, &body),
         failed => {
@@ -182,13 +198,21 @@
     }
 }
 
-/// Follows the news for as long as the program runs.
-pub async fn follow(exchange: Rc<Exchange>, at: String) -> Infallible {
+/// Follows the news for as long as the program runs, at once wherever a new configuration puts the platform.
+pub async fn follow(exchange: Rc<Exchange>) -> Infallible {
+    let place = &exchange.platform;
     loop {
-        if let Err(e) = listen(&exchange, &at).await {
-            exchange.complain("news", &e);
+        let (turn, at) = (place.turn(), place.address());
+        let listening = async {
+            if let Err(e) = listen(&exchange, &at).await {
+                exchange.complain("news", &e);
+            }
+            tokio::time::sleep(PAUSE).await;
+        };
+        tokio::select! {
+            () = listening => {}
+            () = place.left(turn) => {}
         }
-        tokio::time::sleep(PAUSE).await;
     }
 }
 
@@ -227,14 +251,14 @@
         run(async {
             let vote = Vote { verdict: Verdict::On, build: 42, stage: 1 };
             let limit = Duration::from_millis(200);
-            assert_eq!(cast(&nobody().await.to_string(), vote, limit).await.0, Receipt::Refused);
+            assert_eq!(cast(&Place::new(nobody().await.to_string()), vote, limit).await.0, Receipt::Refused);
             let drops = server(|mut stream| async move { message(&mut stream).await });
-            assert_eq!(cast(&drops.await.to_string(), vote, limit).await.0, Receipt::Unknown);
+            assert_eq!(cast(&Place::new(drops.await.to_string()), vote, limit).await.0, Receipt::Unknown);
             let silent = server(|mut stream| async move {
                 message(&mut stream).await;
                 tokio::time::sleep(Duration::from_secs(9)).await;
             });
-            assert_eq!(cast(&silent.await.to_string(), vote, limit).await.0, Receipt::Unknown);
+            assert_eq!(cast(&Place::new(silent.await.to_string()), vote, limit).await.0, Receipt::Unknown);
             let takes = server(|mut stream| async move {
                 let came = message(&mut stream).await;
                 assert!(came.starts_with("POST /api/ HTTP/1.1\r\n"), "{came}");
@@ -243,7 +267,7 @@
                 write(&mut stream, &format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{xml}", xml.len()))
                     .await;
             });
-            assert_eq!(cast(&takes.await.to_string(), vote, limit).await.0, Receipt::Counted);
+            assert_eq!(cast(&Place::new(takes.await.to_string()), vote, limit).await.0, Receipt::Counted);
         });
     }
 
@@ -290,7 +314,9 @@
                     write(&mut stream, &format!("{head}{:x}\r\n{event}\r\n", event.len())).await;
                 }
             });
-            let following = follow(exchange(), at.await.to_string());
+            let exchange = exchange();
+            exchange.platform.set(&at.await.to_string());
+            let following = follow(exchange);
             let _ = tokio::time::timeout(Duration::from_millis(400), following).await;
             let opened = opened.borrow();
             assert!(opened.len() == 2 && opened[1] - opened[0] >= PAUSE, "{opened:?}");
