Answers are measured before the client library sees any of them

Checked by tests against small listeners with awc as it stood: a 1xx in front was taken for the final answer (so a good answer behind it bound no key and stayed on a connection that was used again), bytes behind an answer were dropped with the connection kept, 3 GB were read to the bound, a part only held its forward to the time-out. At fault: nodes.rs judged what the library had already consumed.

--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -70,7 +70,7 @@
 
 /// Asks for the whole list and watches it until that fails.
 async fn watch(exchange: &Exchange, at: &str) -> String {
-    let (client, mut rev) = (line::client(SLACK, IDLE), None);
+    let (client, mut rev) = (line::client(SLACK, IDLE, Some(LIST_MOST)), None);
     loop {
         let query = rev.map_or(String::new(), |r: u64| format!("?after={r}&wait_ms={}", WAIT.as_millis()));
         match call(&client, at, &query).await.and_then(|list| take(exchange, &list, true)) {
--- a/agent/src/wire/mod.rs
+++ b/agent/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clients;
 pub mod end;
+pub mod framing;
 pub mod headers;
 pub mod line;
 pub mod list;
--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -99,7 +99,9 @@
         .finish();
     let (turn, at) = (place.turn(), place.address());
     let call = async {
-        let call = line::client(CONNECT, Duration::ZERO).post(format!("http://{at}/api/")).force_close();
+        let call = line::client(CONNECT, Duration::ZERO, Some(BODY_MOST))
+            .post(format!("http://{at}/api/"))
+            .force_close();
         let call = call.content_type("application/x-www-form-urlencoded");
         let mut answer = call.send_body(form).await.map_err(|e| e.to_string())?;
         let body = whole(&mut answer, BODY_MOST).await.map_err(|e| format!("{e:?}"))?;
@@ -180,7 +182,7 @@
 }
 
 async fn listen(exchange: &Exchange, at: &str) -> Result<(), String> {
-    let client = line::client(CONNECT, Duration::ZERO);
+    let client = line::client(CONNECT, Duration::ZERO, None);
     let asked = client.get(format!("http://{at}/api/bulletin")).send();
     let asked = tokio::time::timeout(SILENCE, asked).await.map_err(|_| "no answer")?;
     let mut answer = asked.map_err(|e| e.to_string())?;
