Answers that can't be read speak for no build and hide none

At fault: learn counted them as errors, so the usual share of errors rose to where the bad build's errors looked usual. May hurt where a build's own fault is to send what can't be read: it shows by its nodes' health and late answers only.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -441,8 +441,8 @@
     fn learn(&mut self, hit: &Hit, flying: &Flying, end: &Return) {
         let (now, group) = (self.now, hit.arrival.group);
         let served = end.ending == Ending::Delivered;
-        let answered = served || matches!(end.ending, Ending::Errored | Ending::Spoilt);
-        // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
+        let answered = served || end.ending == Ending::Errored; // what can't be read says nothing of a build
+                                                                // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
         let ailing = self.ailing(hit) || self.gap > 3.0 * TICK;
         let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
         self.tardy(hit, end);
@@ -478,7 +478,7 @@
         n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
         let own_fault = fault * (1.0 - 2.0 * self.echo).max(0.0);
-        if answered {
+        if answered || end.ending == Ending::Spoilt {
             n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
             (n.owes_since, n.strikes, n.shunned_until) = (now, n.strikes / 2, 0.0);
         // one success is luck
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -448,6 +448,19 @@
     assert!(score / 6.0 > 1.0);
 }
 
+#[test]
+fn answers_that_cannot_be_read_speak_for_no_build_and_hide_none() {
+    // Guards against taking noise on the way for a build's errors, or for the usual share of them.
+    let mut b = balancer(1, Phase::Trial, 0.5, &[]);
+    let usual = b.usual_faults;
+    for node in [5, 1].repeat(20) {
+        let handle = flying(&mut b, 0, node);
+        handle.returned(&mut b, 100.1, end(Ending::Spoilt));
+    }
+    assert_eq!((b.evidence.weight(ENOUGH), b.usual_faults, b.duel.outcomes), (0.0, usual, 0.0));
+    assert!(b.nodes[5].faults > 0.5, "but its node is taken less");
+}
+
 #[test]
 fn one_slow_node_is_no_slow_build() {
     let mut b = balancer(1, Phase::Trial, 0.3, &[]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -621,7 +621,7 @@
     pub(crate) fn land(&mut self, place: usize, ending: Ending) -> Option<Flying> {
         let hit = &mut self.slab.hits[place];
         let flying = hit.flying.take()?;
-        if matches!(ending, Ending::Errored | Ending::Spoilt) {
+        if ending == Ending::Errored {
             hit.erred = hit.erred.or(Some(flying.build));
         }
         let node = &mut self.nodes[flying.node];
