A sick node speaks for itself, and usual errors are those of more than a moment

Checked with a probe in ballot and one line a forward: 97% of all errors came from three nodes of each build, which failed 85 to 100% of what they got; the vote rested on errors alone (6.6, all groups), usual share taken for 0.004 where it was 0.027. Ruled out: slower, stays, pauses, payoffs (all quiet). At fault in learn: the share of the last fifty answers falls to nothing by chance, starts at nothing after a restart, and each error of one node counts as much as the first. Now the last five hundred count too, unknown is one in ten, and an error weighs less the more its node erred before. May hurt: a build that fails everything at few nodes is condemned later, by its payoffs.

--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -381,21 +381,26 @@
     /// Reviews when the decisions ask for it, for as long as the program runs.
     pub async fn review(self: Rc<Self>) -> Infallible {
         loop {
-            let review = self.state.borrow_mut().balancer.review(self.clock.now());
+            let (review, against) = {
+                let balancer = &mut self.state.borrow_mut().balancer;
+                let review = balancer.review(self.clock.now());
+                (review, review.vote.map(|_| balancer.against()).unwrap_or_default())
+            };
             if review.follow {
                 self.follow.give();
             }
             if let Some(vote) = review.vote {
-                actix_rt::spawn(self.clone().cast(vote));
+                actix_rt::spawn(self.clone().cast(vote, against));
             }
             tokio::time::sleep(time(review.again_in)).await;
         }
     }
 
-    async fn cast(self: Rc<Self>, vote: Vote) {
+    async fn cast(self: Rc<Self>, vote: Vote, against: String) {
         let cast = guarded("vote", platform::cast(&self.platform, vote, self.vote_limit)).await;
         let (receipt, news) = cast.unwrap_or((Receipt::Unknown, None));
-        log::info!("vote: {:?} on build {} stage {}: {receipt:?}", vote.verdict, vote.build, vote.stage);
+        let Vote { verdict, build, stage } = vote;
+        log::info!("vote: {verdict:?} on build {build} stage {stage}: {receipt:?} (against it: {against})");
         self.state.borrow_mut().balancer.vote_received(self.clock.now(), receipt);
         if let Some(news) = news {
             self.heard(news);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,6 @@
-//! Every decision of magpieline. A front makes one [`Balancer`] for each agent with [`Balancer::start`],
-//! tells it the list, the platform's news and complaints, and calls [`Balancer::review`] when that says so.
-//! [`Balancer::take`] turns a hit into a [`HitHandle`]; all that happens to the hit later is a call on the
-//! handle, and each returns what to do [`Next`]. Interface: `src/interface.rs`; plain data: `src/state.rs`.
+//! Every decision of magpieline. A front makes one [`Balancer`] for each agent, tells it the list, the news and
+//! complaints, and calls [`Balancer::review`] when that says so. [`Balancer::take`] turns a hit into a handle; all
+//! that happens to it later is a call on that, which returns what to do [`Next`].
 //!
 //! The ordinary path is the paper's EUCBV on two arms, the earlier and the trial build ([`Duel`]): the larger
 //! index takes a first forward while the cap allows, eliminations vote. Six mechanisms stand beside it:
@@ -108,7 +107,7 @@
         let groups = PathGroup::read(&named)?;
         let mut b = Balancer { now, started: now, zone, groups, named, retries: 3.0, ..Balancer::default() };
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
-        b.duel = Duel::new(b.groups.len(), 0.0);
+        (b.duel, b.long_faults) = (Duel::new(b.groups.len(), 0.0), Count { z: 2.0, sum: 0.2, squares: 0.2 });
         b.evidence = Evidence::new(b.groups.len());
         b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
@@ -441,8 +440,8 @@
     fn learn(&mut self, hit: &Hit, flying: &Flying, end: &Return) {
         let (now, group) = (self.now, hit.arrival.group);
         let served = end.ending == Ending::Delivered;
-        let answered = served || end.ending == Ending::Errored; // what can't be read says nothing of a build
-                                                                // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
+        let answered = served || end.ending == Ending::Errored;
+        // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
         let ailing = self.ailing(hit) || self.gap > 3.0 * TICK;
         let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
         self.tardy(hit, end);
@@ -471,17 +470,16 @@
         (n.open_until, n.met_at) = if lost { (0.0, n.met_at) } else { (now + self.idle, now) };
         if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
             n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
-            // reports are noisy
         }
         // An eighth of each answer: ten times slower shows within three, chance hardly does.
         let x = slow.filter(|_| !flying.cold).unwrap_or(n.slow);
         n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
-        let own_fault = fault * (1.0 - 2.0 * self.echo).max(0.0);
+        // A node that errs again and again speaks for itself, not for its build.
+        let (own_fault, said) = (fault * (1.0 - 2.0 * self.echo).max(0.0), (1.0 - n.faults).powi(4));
         if answered || end.ending == Ending::Spoilt {
             n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
             (n.owes_since, n.strikes, n.shunned_until) = (now, n.strikes / 2, 0.0);
-        // one success is luck
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
         } else if silent || lost {
@@ -502,17 +500,19 @@
         }
 
         let Some(news) = Some(news).filter(|_| answered) else { return };
-        // One error in twenty is bad where others hardly fail; where all fail it has to be far worse.
-        let usual = (1.5 * self.usual_faults).clamp(0.005, 0.2);
-        let bad = (4.0 * usual).max(0.05);
-        // A hit that errs twice speaks against itself: what it has said of the build is taken back.
+        // Usual is what erred more, the last fifty answers or five hundred; at the start one in ten is supposed.
+        let usual = (1.5 * self.usual_faults.max(self.long_faults.mean())).clamp(0.005, 0.2);
+        let bad = (4.0 * usual).max(0.05); // one in twenty where others hardly fail
+                                           // A hit that errs twice speaks against itself: what it has said of the build is taken back.
         let back = if hit.erred == Some(news.build) { fault } else { 0.0 };
-        let (faults, passes) = if arm == TRIAL { (own_fault - back, 1.0 - fault) } else { (-back, 0.0) };
+        let (faults, passes) =
+            if arm == TRIAL { (said * own_fault - back, 1.0 - fault) } else { (-back, 0.0) };
         for score in [group, self.groups.len()] {
             Evidence::lean(&mut self.evidence.faults[score], faults, passes, usual, bad);
         }
         if arm == EARLIER {
-            self.usual_faults += 0.02 * (fault - self.usual_faults); // the last fifty or so
+            self.usual_faults += 0.02 * (said * fault - self.usual_faults);
+            self.long_faults.follow(0.998, said * fault);
         } else {
             Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,11 @@
     pub fn fade(&mut self, keep: f64) {
         (self.z, self.sum, self.squares) = (self.z * keep, self.sum * keep, self.squares * keep);
     }
+    /// Adds one while those before it fade.
+    pub fn follow(&mut self, keep: f64, x: f64) {
+        self.fade(keep);
+        self.add(x);
+    }
     pub fn with(&self, other: &Count) -> Count {
         Count { z: self.z + other.z, sum: self.sum + other.sum, squares: self.squares + other.squares }
     }
@@ -405,7 +410,9 @@
     pub(crate) void: Vec<u32>,
     pub(crate) duel: Duel,
     pub(crate) evidence: Evidence,
+    /// Share of the earlier build's answers that were errors, of late and over ten times as many.
     pub(crate) usual_faults: f64,
+    pub(crate) long_faults: Count,
     /// How many of the hits that erred err again at another node.
     pub(crate) echo: f64,
     pub(crate) doubt: Doubt,
@@ -418,6 +425,17 @@
 }
 
 impl Balancer {
+    /// What speaks against the newest build, in a line for the log.
+    pub fn against(&self) -> String {
+        let (e, index) = (&self.evidence, [EARLIER, TRIAL].map(|arm| self.duel.moments(arm)));
+        let [earlier, trial] = index.map(|(pulls, mean, _)| format!("{mean:.2} of {pulls:.0}"));
+        let most = e.faults.iter().fold(0.0, |a: f64, b| a.max(*b));
+        format!(
+            "errors {most:.1}, again elsewhere {:.2}, complaints {:.1}, slower {:.2}, stays {:.2}, abated {}, payoffs {earlier} to {trial}",
+            self.echo, e.complaints, e.slower, e.stays, e.abated
+        )
+    }
+
     pub(crate) fn set(&self, name: &str, otherwise: f64) -> f64 {
         number(&self.named, name, otherwise)
     }
