A door for hits; connections that bring none in time are closed

At fault: clients.rs looked at no id, method or key, so nodes turned junk away as errors, twice each. New: wire/door.rs (id, method by path group, one of each header, whole milliseconds, length told beforehand); an id in hand is no hit; a connection waits 2 s for a hit; when room is short those that never brought one go first, eight at a time. The library's error line for each such client is off.

--- a/agent/src/life/stop.rs
+++ b/agent/src/life/stop.rs
@@ -55,7 +55,7 @@
     use tokio::io::AsyncReadExt;
     use tokio::net::{TcpListener, TcpStream};
 
-    const HIT: &str = "GET /read HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 1900\r\n\r\n";
+    const HIT: &str = "GET /read HTTP/1.1\r\nhost: a\r\nx-txn: %\r\nx-remaining-ms: 1900\r\n\r\n";
 
     /// An agent over one node that answers after a while, and where clients reach it.
     async fn agent(after: u64) -> (Rc<Exchange>, Rc<Crowd>, SocketAddr) {
@@ -74,7 +74,8 @@
 
     async fn asked(address: SocketAddr) -> std::io::Result<String> {
         let (mut stream, mut answer) = (TcpStream::connect(address).await?, String::new());
-        write(&mut stream, HIT).await;
+        let id = stream.local_addr()?.port().to_string();
+        write(&mut stream, &HIT.replace('%', &id)).await;
         stream.read_to_string(&mut answer).await.expect("an answer and the end");
         Ok(answer)
     }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -53,6 +53,9 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
+/// The library logs each client that sends what can't be read, as an error.
+const LOG: &str = "info,actix_http=off";
+
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(Serve { config }) => life::serve(life::start::named(config)?),
@@ -71,7 +74,7 @@
 
 fn main() -> ExitCode {
     let line: CommandLine = argh::from_env();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(LOG)).init();
     match run(line.command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -1,20 +1,20 @@
 //! The exchange: the one place where the clients' side and the servers' side meet. It alone holds the
 //! decisions, the clock and the timers, and carries out what the decisions say.
 
-use crate::memory::keys::Keys;
+use crate::memory::keys::{hash, Keys};
 use crate::memory::nodes::Nodes;
 use crate::memory::place::Place;
 use crate::memory::signal::Signal;
 use crate::wire::end::End;
 use crate::wire::nodes::{Parcel, Reach, Report};
-use crate::wire::{guarded, platform};
+use crate::wire::{guarded, headers, platform};
 use bytes::Bytes;
-use http::HeaderValue;
+use http::{HeaderValue, Method};
 use magpieline::balance::Balancer;
 use magpieline::interface::*;
 use magpieline::names::{Door, Told};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -46,6 +46,8 @@
 /// A hit in hand: what is sent on, and where its answer goes.
 struct Held {
     handle: HitHandle,
+    /// Its id, by its hash.
+    id: u64,
     parcel: Rc<Parcel>,
     answer: Option<oneshot::Sender<Answer>>,
 }
@@ -79,6 +81,8 @@
     zones: Door,
     /// Hits in hand, by the handle's place.
     held: Vec<Option<Held>>,
+    /// The ids of those.
+    ids: HashSet<u64>,
     listed: bool,
     /// What was last heard, for the log.
     news: Option<(u32, usize, Phase)>,
@@ -90,6 +94,8 @@
     state: RefCell<State>,
     clock: Clock,
     groups: Door,
+    /// How each group's hits may be repeated, by the settings' word.
+    repeats: Vec<String>,
     accounts: Door,
     /// Where the list and the platform are asked.
     pub discovery: Place,
@@ -151,14 +157,20 @@
         let idle = seconds("limits.conn_idle_s", 10.0).mul_f64(IDLE_PART);
         let vote_limit = seconds("family_info.call_timeout_s", 1.0);
         let wanted = !matches!(named.get("discovery"), Some(Value::Text(t)) if t == "on_request");
+        let repeat = |name: &str| match named.get(name) {
+            Some(Value::Text(word)) => Some(word.clone()),
+            _ => None,
+        };
+        let repeats = (0..).map_while(|i| repeat(&format!("classes.{i}.repeat"))).collect();
         let clock = Clock::start();
         let balancer = Balancer::start(seed, clock.now(), zone, named)?;
-        let (nodes, keys, held, complaints) = Default::default();
-        let state = State { balancer, nodes, keys, zones, held, listed: false, news: None, complaints };
+        let (nodes, keys, held, ids, complaints) = Default::default();
+        let state = State { balancer, nodes, keys, zones, held, ids, listed: false, news: None, complaints };
         Ok(Exchange {
             state: state.into(),
             clock,
             groups,
+            repeats,
             accounts,
             discovery: Place::new(discovery),
             platform: Place::new(platform),
@@ -177,6 +189,15 @@
         self.groups.known(name)
     }
 
+    /// Whether a method is that of a path group, with a key to tell repeats by or without.
+    pub fn fits(&self, group: usize, method: &Method, tagged: bool) -> bool {
+        match self.repeats.get(group).map(String::as_str) {
+            Some("retryable") => method == Method::GET,
+            Some("dedup") => method == Method::POST && tagged,
+            _ => method == Method::POST && !tagged,
+        }
+    }
+
     pub fn account(&self, name: &str) -> usize {
         self.accounts.known(name).unwrap_or(usize::MAX)
     }
@@ -200,8 +221,12 @@
         self.state.borrow().listed && !self.stopping.get()
     }
 
-    /// Takes a hit.
-    pub fn take(self: &Rc<Self>, arrival: Arrival, parcel: Parcel) -> Ticket {
+    /// Takes a hit, unless one in hand bears the same id.
+    pub fn take(self: &Rc<Self>, arrival: Arrival, parcel: Parcel) -> Option<Ticket> {
+        let id = hash(parcel.headers.get(headers::TXN).map_or(b"", |v| v.as_bytes()));
+        if !self.state.borrow_mut().ids.insert(id) {
+            return None;
+        }
         let (sender, answer) = oneshot::channel();
         let (handle, next) = {
             let state = &mut *self.state.borrow_mut();
@@ -210,11 +235,11 @@
             if place >= state.held.len() {
                 state.held.resize_with(place + 1, || None);
             }
-            state.held[place] = Some(Held { handle, parcel: Rc::new(parcel), answer: Some(sender) });
+            state.held[place] = Some(Held { handle, id, parcel: Rc::new(parcel), answer: Some(sender) });
             (handle, next)
         };
         self.carry_out(handle, next);
-        Ticket { exchange: self.clone(), handle, answer, answered: false }
+        Some(Ticket { exchange: self.clone(), handle, answer, answered: false })
     }
 
     /// The client has ended its sending or is gone: no further forward, but an answer under way is passed on.
@@ -266,8 +291,10 @@
             return;
         }
         self.answer(handle, Answer::Failed);
-        if let Some(place) = self.state.borrow_mut().held.get_mut(handle.place as usize) {
-            place.take_if(|h| h.handle == handle);
+        let state = &mut *self.state.borrow_mut();
+        let place = state.held.get_mut(handle.place as usize);
+        if let Some(held) = place.and_then(|p| p.take_if(|h| h.handle == handle)) {
+            state.ids.remove(&held.id);
         }
     }
 
@@ -452,18 +479,20 @@
         run(async {
             let exchange = exchange_of(&[nobody().await]);
             let arrival = Arrival { remaining: 1.0, ..Arrival::default() };
-            let parcel = Parcel {
-                method: http::Method::GET,
+            let parcel = || Parcel {
+                method: Method::GET,
                 target: http::uri::PathAndQuery::from_static("/read"),
                 headers: awc::http::header::HeaderMap::new(),
                 body: Bytes::new(),
             };
-            let mut ticket = exchange.take(arrival, parcel);
+            let mut ticket = exchange.take(arrival, parcel()).expect("a hit");
+            assert!(exchange.take(arrival, parcel()).is_none(), "its id is in hand");
             exchange.answer(ticket.handle, Answer::Bounced { again_after: 0.5 });
             exchange.answer(ticket.handle, Answer::Failed);
             assert!(matches!(ticket.answer().await, Answer::Bounced { again_after: 0.5 }));
             tokio::time::sleep(Duration::from_millis(300)).await;
             assert!(exchange.idle());
+            assert!(exchange.take(arrival, parcel()).is_some(), "its id is free again");
         });
     }
 }
--- a/agent/src/memory/keys.rs
+++ b/agent/src/memory/keys.rs
@@ -15,11 +15,16 @@
     places: HashMap<u64, u32>,
 }
 
+/// What a word is kept by: two alike are one in 10^19.
+pub fn hash(word: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    word.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Keys {
     pub fn index(&mut self, key: &str) -> usize {
-        let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
-        let (hash, next) = (hasher.finish(), self.places.len());
+        let (hash, next) = (hash(key.as_bytes()), self.places.len());
         match self.places.entry(hash) {
             Entry::Occupied(place) => *place.get() as usize,
             Entry::Vacant(_) if next >= MOST => hash as usize % MOST,
--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -12,7 +12,8 @@
 
 pub const SETTINGS: &str = r#"{"discovery":"pushed","classes":[
     {"name":"read","repeat":"retryable","hard_limit_us":2000000},
-    {"name":"pay","repeat":"fragile","hard_limit_us":2000000}]}"#;
+    {"name":"pay","repeat":"fragile","hard_limit_us":2000000},
+    {"name":"book","repeat":"dedup","dedup_scope":"all","hard_limit_us":2000000}]}"#;
 
 /// Plays a test on one thread, within five seconds.
 pub fn run<F: Future>(test: F) -> F::Output {
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -2,14 +2,14 @@
 
 use crate::memory::exchange::{Answer, Exchange};
 use crate::memory::signal::Signal;
+use crate::wire::door::{self, plain};
 use crate::wire::line::Line;
 use crate::wire::nodes::Parcel;
 use crate::wire::{guarded, headers, whole, Unread, BODY_MOST};
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, CONTENT_TYPE, RETRY_AFTER};
-use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
-use magpieline::interface::Arrival;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -22,11 +22,18 @@
 /// lost if its connection were closed under it.
 const LINGER: Duration = Duration::from_secs(1);
 /// Before accepting again when that failed or there is no room: some connections end in that time.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 /// Descriptors for all but clients and nodes: log, signals, timers, list, news, votes, listener.
 const OTHERS: usize = 32;
-/// A connection that has carried nothing for that long may go when room is short: its answer is long out.
-const IDLE: Duration = Duration::from_secs(1);
+/// A connection that waits for a hit for that long is closed: clients that ask once and stay would hold all
+/// places, and others allow it by then (2 s, with some room for clocks).
+const IDLE: Duration = Duration::from_millis(2050);
+/// A hit whose bytes have begun to come is waited for this long at least: what comes drop by drop never ends.
+const PIECES: Duration = Duration::from_millis(900);
+/// When room is short a connection that has been idle for that long may go: its answer is long out.
+const SHORT: Duration = Duration::from_secs(1);
+/// How many are asked to go at once when room is short: as many as come in a moment when hundreds do.
+const AT_ONCE: usize = 8;
 /// On stopping, how long a connection that came late is kept open for its first hit.
 const FRESH: Duration = Duration::from_millis(300);
 /// On stopping, how long after idle connections begin to close new ones are still taken. What comes later
@@ -35,11 +42,59 @@
 
 /// A client's connection, as those see it who look for room.
 struct Visit {
-    busy: Cell<u32>,
+    /// Whether a hit of it is in hand.
+    busy: Cell<bool>,
+    /// Whether it has ever brought a hit.
+    known: Cell<bool>,
+    /// Since when it has waited for a hit.
     since: Cell<Instant>,
+    /// When the first byte of that hit came.
+    heard: Rc<Cell<Option<Instant>>>,
     evict: Notify,
 }
 
+impl Visit {
+    fn new(heard: Rc<Cell<Option<Instant>>>) -> Visit {
+        let (busy, known) = Default::default();
+        Visit { busy, known, since: Instant::now().into(), heard, evict: Notify::new() }
+    }
+
+    /// It has brought one.
+    fn brought(&self) {
+        self.busy.set(true);
+        self.known.set(true);
+    }
+
+    /// It waits for the next hit from now on.
+    fn wait(&self) {
+        self.busy.set(false);
+        self.since.set(Instant::now());
+        self.heard.set(None);
+    }
+
+    /// Until when a hit has to have come whole.
+    fn due(&self) -> Instant {
+        let idle = self.since.get() + IDLE;
+        self.heard.get().map_or(idle, |heard| idle.max(heard + PIECES))
+    }
+
+    /// Ends once no hit has come in time.
+    async fn overdue(&self) {
+        loop {
+            let due = if self.busy.get() { Instant::now() + IDLE } else { self.due() };
+            if due <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(due.into()).await;
+        }
+    }
+
+    /// Whether it may go when room is short.
+    fn spare(&self) -> bool {
+        !self.busy.get() && self.since.get().elapsed() > SHORT
+    }
+}
+
 /// The clients' connections, oldest first. At most so many that each could have a node's beside it.
 pub struct Crowd {
     visits: RefCell<BTreeMap<u64, Rc<Visit>>>,
@@ -60,21 +115,20 @@
         self.visits.borrow().is_empty()
     }
 
-    /// Whether one more may be accepted; if not, an idle one is asked to go.
+    /// Whether one more may be accepted; if not, some are asked to go: those that never brought a hit, else
+    /// one that has long been idle.
     fn room(&self) -> bool {
         let visits = self.visits.borrow();
         if visits.len() < self.most {
             return true;
         }
-        if let Some(visit) = visits.values().find(|v| v.busy.get() == 0 && v.since.get().elapsed() > IDLE) {
-            visit.since.set(Instant::now()); // one at a time
-            visit.evict.notify_one();
-        }
+        let strange = visits.values().filter(|v| !v.known.get()).take(AT_ONCE);
+        let idle = visits.values().find(|v| v.spare()).filter(|_| visits.values().all(|v| v.known.get()));
+        strange.chain(idle).for_each(|v| v.evict.notify_one());
         false
     }
 
-    fn enter(&self) -> (u64, Rc<Visit>) {
-        let visit = Visit { busy: Cell::default(), since: Instant::now().into(), evict: Notify::new() };
+    fn enter(&self, visit: Visit) -> (u64, Rc<Visit>) {
         let (place, visit) = (self.next.get(), Rc::new(visit));
         self.next.set(place + 1);
         self.visits.borrow_mut().insert(place, visit.clone());
@@ -82,63 +136,13 @@
     }
 }
 
-/// A hit being answered on a connection.
-struct Busy(Rc<Visit>);
-
-impl Busy {
-    fn new(visit: &Rc<Visit>) -> Busy {
-        visit.busy.set(visit.busy.get() + 1);
-        Busy(visit.clone())
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.busy.set(self.0.busy.get() - 1);
-        self.0.since.set(Instant::now());
-    }
-}
-
-fn plain(status: StatusCode, text: impl Into<String>) -> Response<BoxBody> {
-    Response::with_body(status, BoxBody::new(text.into()))
-}
-
-/// A header as text; one that is no text counts as absent.
-fn word<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|v| v.to_str().ok())
-}
-
-/// A figure of a header; nothing where it is absent or can't be read.
-fn figure(headers: &HeaderMap, name: &str) -> Option<f64> {
-    word(headers, name)?.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
-}
-
-fn arrival(exchange: &Exchange, head: &actix_http::RequestHead) -> Result<Arrival, Response<BoxBody>> {
-    let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
-    let Some(group) = exchange.group(first) else {
-        return Err(plain(StatusCode::NOT_FOUND, "no such path group\n"));
-    };
-    if ![Method::GET, Method::POST].contains(&head.method) {
-        return Err(plain(StatusCode::METHOD_NOT_ALLOWED, "expected GET or POST\n"));
-    }
-    // Whole milliseconds, as the protocol says: a figure beyond all time would be no time-out at all.
-    let remaining = word(&head.headers, headers::REMAINING).and_then(|v| v.trim().parse::<u32>().ok());
-    let Some(remaining) = remaining else {
-        let text = format!("{}: expected whole milliseconds\n", headers::REMAINING);
-        return Err(plain(StatusCode::BAD_REQUEST, text));
-    };
-    Ok(Arrival {
-        group,
-        key: word(&head.headers, headers::ENTITY).map(|key| exchange.key(key)),
-        account: exchange.account(word(&head.headers, headers::ORG).unwrap_or("")),
-        remaining: f64::from(remaining) / 1e3,
-        hint: figure(&head.headers, headers::ESTIMATE).unwrap_or(0.0) / 1e6,
-    })
-}
-
-async fn hit(exchange: &Rc<Exchange>, mut request: Request) -> Result<Answer, Response<BoxBody>> {
+async fn hit(
+    exchange: &Rc<Exchange>,
+    visit: &Rc<Visit>,
+    mut request: Request,
+) -> Result<Answer, Response<BoxBody>> {
     let begun = Instant::now();
-    let mut arrival = arrival(exchange, request.head())?;
+    let mut arrival = door::arrival(exchange, request.head())?;
     let body = match whole(request.take_payload(), BODY_MOST).await {
         Ok(body) => body,
         Err(Unread::TooLarge) => return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n")),
@@ -157,7 +161,10 @@
         }
     }
     let parcel = Parcel { method: head.method.clone(), target, headers: passed, body };
-    let mut ticket = exchange.take(arrival, parcel);
+    let Some(mut ticket) = exchange.take(arrival, parcel) else {
+        return Err(plain(StatusCode::CONFLICT, "a hit in hand bears this id\n"));
+    };
+    visit.brought();
     tokio::select! {
         biased;
         answer = ticket.answer() => return Ok(answer),
@@ -189,17 +196,22 @@
     }
 }
 
-async fn respond(exchange: Rc<Exchange>, request: Request) -> Result<Response<BoxBody>, Infallible> {
+async fn respond(
+    exchange: Rc<Exchange>,
+    visit: Rc<Visit>,
+    request: Request,
+) -> Result<Response<BoxBody>, Infallible> {
     let mut response = match request.path() {
         "/up" | "/alive" if exchange.ready() => plain(StatusCode::OK, "up\n"),
         "/up" => plain(StatusCode::SERVICE_UNAVAILABLE, "not yet\n"),
         "/alive" => plain(StatusCode::OK, "alive\n"),
-        _ => match guarded("clients", hit(&exchange, request)).await {
+        _ => match guarded("clients", hit(&exchange, &visit, request)).await {
             Some(Ok(answer)) => worded(answer),
             Some(Err(response)) => response,
             None => worded(Answer::Failed),
         },
     };
+    visit.wait();
     if exchange.stopping() {
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
@@ -239,8 +251,8 @@
 
 /// Serves one connection to its end.
 async fn attend(exchange: Rc<Exchange>, crowd: Rc<Crowd>, line: Line) {
-    let ((place, visit), begun) = (crowd.enter(), Instant::now());
-    let (own, busy, closing) = (exchange.clone(), visit.clone(), exchange.clone());
+    let ((place, visit), begun) = (crowd.enter(Visit::new(line.heard.clone())), Instant::now());
+    let (own, asked, closing) = (exchange.clone(), visit.clone(), exchange.clone());
     let service = HttpService::<Line, _, _>::build()
         // The library's own time-outs would answer or close in the decisions' stead.
         .keep_alive(KeepAlive::Os)
@@ -257,14 +269,7 @@
         .on_connect_ext(|line: &Line, data| {
             data.insert(line.departure.clone());
         })
-        .h1(fn_service(move |request| {
-            let (own, busy) = (own.clone(), Busy::new(&busy));
-            async move {
-                let response = respond(own, request).await;
-                drop(busy);
-                response
-            }
-        }));
+        .h1(fn_service(move |request| respond(own.clone(), asked.clone(), request)));
     let serving = async {
         if let Ok(handler) = service.new_service(()).await {
             if let Err(e) = handler.call((line, None)).await {
@@ -275,6 +280,7 @@
     tokio::select! {
         _ = guarded("clients", serving) => {}
         () = visit.evict.notified() => {}
+        () = visit.overdue() => {}
     }
     crowd.visits.borrow_mut().remove(&place);
 }
@@ -323,10 +329,9 @@
     fn bad_input_is_answered_at_once_and_reaches_no_node() {
         run(async {
             let exchange = exchange_of(&[server(|_| async { panic!("reached a node") }).await]);
-            let large = format!(
-                "POST /read HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 400\r\ncontent-length: 65537\r\n\r\n{}",
-                "a".repeat(65537)
-            );
+            let head = "POST /pay HTTP/1.1\r\nhost: a\r\nx-txn: 1\r\nx-remaining-ms: 400\r\n";
+            let with = |more: &str| format!("{head}{more}\r\n\r\n0123456789");
+            let large = format!("{head}transfer-encoding: chunked\r\n\r\n10001\r\n{}", "a".repeat(65537));
             for (text, status) in [
                 ("GET /other/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 400\r\n\r\n", "404"),
                 ("GET /read/x HTTP/1.1\r\nhost: a\r\n\r\n", "400"),
@@ -334,6 +339,15 @@
                 ("GET /read/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 1e300\r\n\r\n", "400"),
                 ("PUT /read/x HTTP/1.1\r\nhost: a\r\nx-remaining-ms: 400\r\n\r\n", "405"),
                 (&large, "413"),
+                (&with("content-length: 62914560"), "413"),
+                (&with("content-length: -1"), "400"),
+                (&with("content-length: +10"), "400"),
+                (&with("content-length: 99999999999999999999"), "400"),
+                (&with("content-length: 10\r\ncontent-length: 10"), "400"),
+                (&with("content-length: 10, 10"), "400"),
+                (&with("content-length: 10\r\ntransfer-encoding: chunked"), "400"),
+                (&with("transfer-encoding: gzip, chunked"), "400"),
+                (&with("transfer-encoding : chunked"), "400"),
                 ("what is this\r\n\r\n", "400"),
             ] {
                 let answer = asked(&mut opened(&exchange).await, text).await;
@@ -458,16 +472,62 @@
     }
 
     #[test]
-    fn when_room_is_short_the_oldest_idle_connection_goes() {
-        let crowd = Crowd::new(OTHERS + 4);
-        let (_, busy) = crowd.enter();
-        let _hit = Busy::new(&busy);
+    fn when_room_is_short_strangers_go_first_then_the_longest_idle() {
+        let (crowd, visit) = (Crowd::new(OTHERS + 6), || Visit::new(Rc::default()));
+        let (_, busy) = crowd.enter(visit());
+        busy.brought();
+        let (_, idle) = crowd.enter(visit());
+        idle.brought();
+        idle.wait();
         assert!(crowd.room());
-        let (_, idle) = crowd.enter();
+        let (place, stranger) = crowd.enter(visit());
         assert!(!crowd.room());
-        let long_ago = Instant::now().checked_sub(2 * IDLE).expect("a clock that has run");
+        run(stranger.evict.notified());
+        stranger.known.set(true);
+        let long_ago = Instant::now().checked_sub(2 * SHORT).expect("a clock that has run");
         [&busy, &idle].iter().for_each(|visit| visit.since.set(long_ago));
         assert!(!crowd.room());
         run(idle.evict.notified());
+        crowd.visits.borrow_mut().remove(&place);
+        assert!(crowd.room());
+    }
+
+    /// Whoever brings no whole hit is closed: after silence, half a head, a body that comes drop by drop, an
+    /// answer with nothing behind it. A hit that takes longer than that is waited for.
+    #[test]
+    fn who_brings_no_hit_in_time_is_closed_and_who_waits_for_an_answer_is_not() {
+        run(async {
+            let slow = server(|mut stream| async move {
+                message(&mut stream).await;
+                tokio::time::sleep(Duration::from_millis(2500)).await;
+                write(&mut stream, SERVED).await;
+            });
+            let exchange = exchange_of(&[slow.await]);
+            let closed = |text: &'static str, drops: bool| {
+                let exchange = exchange.clone();
+                async move {
+                    let (mut stream, begun) = (opened(&exchange).await, Instant::now());
+                    write(&mut stream, text).await;
+                    let mut answer = [0; 512];
+                    while begun.elapsed() < Duration::from_secs(4) {
+                        let step = Duration::from_millis(if drops { 100 } else { 4000 });
+                        match tokio::time::timeout(step, stream.read(&mut answer)).await {
+                            Ok(Ok(0) | Err(_)) => break,
+                            Ok(Ok(_)) => {}
+                            Err(_) => write(&mut stream, "a").await,
+                        }
+                    }
+                    begun.elapsed()
+                }
+            };
+            let pay = "POST /pay HTTP/1.1\r\nhost: a\r\nx-txn: 5\r\nx-remaining-ms: 400\r\ncontent-length: 999\r\n\r\n";
+            let all = [("", false), ("GET /re", false), ("GET /re", true), (pay, true)];
+            let all = futures_util::future::join_all(all.map(|(text, drops)| closed(text, drops)));
+            let wait = HIT.replace("400", "4000").replace("GET /read", "POST /pay");
+            let served = async { asked(&mut opened(&exchange).await, &wait).await };
+            let (all, served) = futures_util::future::join(all, served).await;
+            assert!(all.iter().all(|t| t.as_secs_f64() > 1.9 && t.as_secs_f64() < 2.9), "{all:?}");
+            assert!(served.ends_with("body"), "{served}");
+        });
     }
 }
--- a/agent/src/wire/headers.rs
+++ b/agent/src/wire/headers.rs
@@ -1,5 +1,9 @@
 //! The names of headers, in one place.
 
+/// A hit's id: another one each time, a client's own retry included.
+pub const TXN: &str = "x-txn";
+/// By which nodes tell a tagged hit's repeats.
+pub const IDEMPOTENCY: &str = "idempotency-key";
 /// The subject of a hit: its key.
 pub const ENTITY: &str = "x-entity";
 /// The account of a hit.
--- a/agent/src/wire/line.rs
+++ b/agent/src/wire/line.rs
@@ -13,7 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -140,6 +140,8 @@
     stream: TcpStream,
     /// Given once the other side has ended its sending.
     pub departure: Rc<Signal>,
+    /// When the first byte came since this was last emptied.
+    pub heard: Rc<Cell<Option<Instant>>>,
     /// What is read of it: whole answers, or else whatever comes.
     answers: Option<Answers>,
 }
@@ -150,7 +152,7 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("no delay: {e}");
         }
-        Line { stream, departure: Rc::default(), answers: None }
+        Line { stream, departure: Rc::default(), heard: Rc::default(), answers: None }
     }
 }
 
@@ -177,6 +179,9 @@
             Poll::Ready(Err(_)) => true,
             Poll::Pending => false,
         };
+        if buf.filled().len() > before && self.heard.get().is_none() {
+            self.heard.set(Some(Instant::now()));
+        }
         if ended {
             self.departure.give();
         }
--- a/agent/src/wire/mod.rs
+++ b/agent/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! All that is spoken on sockets, one file a partner.
 
 pub mod clients;
+pub mod door;
 pub mod end;
 pub mod framing;
 pub mod headers;
