--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -210,6 +210,26 @@
         self.state.borrow_mut().zones.index(zone)
     }
 
+    /// The newest build by the news.
+    #[cfg(test)]
+    pub fn newest(&self) -> Option<u32> {
+        self.state.borrow().news.map(|news| news.0)
+    }
+
+    /// Forwards something to a node, whatever the decisions would say.
+    #[cfg(test)]
+    pub async fn try_node(&self, uid: &str) {
+        let reach = {
+            let state = self.state.borrow();
+            state.nodes.known(uid).and_then(|place| state.nodes.reach(place)).cloned().expect("a node")
+        };
+        let (headers, body) = (awc::http::header::HeaderMap::new(), Bytes::new());
+        let target = http::uri::PathAndQuery::from_static("/read");
+        let parcel = Parcel { method: Method::GET, target, headers, body };
+        let (end, _) = reach.forward(&parcel, COMPLAIN_EVERY).await;
+        assert!(matches!(end, End::Answered { .. }), "{end:?}");
+    }
+
     pub fn nodes_known(&self) -> usize {
         self.state.borrow_mut().nodes.reaches().flatten().count()
     }
@@ -344,9 +364,10 @@
         for line in lines {
             let node = state.nodes.index(&line.uid);
             listed.push(Listed { node, ..line.listed });
+            let process = (line.listed.build, line.listed.up_since, line.address);
             if line.gone {
                 state.nodes.set(node, None); // its idle connections close
-            } else if state.nodes.reach(node).is_none_or(|r| r.address != line.address) {
+            } else if state.nodes.is_new(node, process) {
                 let reach = Reach::new(line.address, self.connect, self.idle);
                 state.nodes.set(node, reach.map_err(|e| log::warn!("node {}: {e}", line.uid)).ok());
             }
--- a/agent/src/memory/nodes.rs
+++ b/agent/src/memory/nodes.rs
@@ -2,16 +2,27 @@
 
 use crate::wire::nodes::Reach;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 /// Beyond so many names a new one takes the place of a node that is gone. The decisions look at every place
 /// for each hit, so it is not large; it is far more than are ever listed at once.
 const MOST: usize = 1024;
 
+/// What tells one process from the next under the same name: build, start and address.
+type Process = (u32, f64, SocketAddr);
+
+/// A node's name, and how to reach it and as which process; none for one that is gone.
+#[derive(Default)]
+struct Held {
+    uid: String,
+    reach: Option<Reach>,
+    process: Option<Process>,
+}
+
 #[derive(Default)]
 pub struct Nodes {
     places: HashMap<String, usize>,
-    /// By place: its name, and how to reach it; none for one that is gone.
-    held: Vec<(String, Option<Reach>)>,
+    held: Vec<Held>,
 }
 
 impl Nodes {
@@ -24,32 +35,39 @@
         if let Some(place) = self.known(uid) {
             return place;
         }
-        let gone = || self.held.iter().position(|(_, reach)| reach.is_none());
+        let gone = || self.held.iter().position(|h| h.reach.is_none());
         let place = if self.held.len() < MOST { None } else { gone() };
         let place = place.unwrap_or(self.held.len());
         if place == self.held.len() {
             self.held.push(Default::default());
         }
-        self.places.remove(&self.held[place].0);
-        self.held[place].0 = uid.to_owned();
+        self.places.remove(&self.held[place].uid);
+        self.held[place].uid = uid.to_owned();
         self.places.insert(uid.to_owned(), place);
         place
     }
 
     pub fn reach(&self, place: usize) -> Option<&Reach> {
-        self.held.get(place)?.1.as_ref()
+        self.held.get(place)?.reach.as_ref()
     }
 
     /// Every way to reach a node, to be changed; none closes its idle connections.
     pub fn reaches(&mut self) -> impl Iterator<Item = &mut Option<Reach>> {
-        self.held.iter_mut().map(|(_, reach)| reach)
+        self.held.iter_mut().map(|h| &mut h.reach)
     }
 
     pub fn set(&mut self, place: usize, reach: Option<Reach>) {
         if let Some(held) = self.held.get_mut(place) {
-            held.1 = reach;
+            held.reach = reach;
         }
     }
+
+    /// Whether this is another process than was listed last at this place, or none could be reached; from now
+    /// on it is the one listed.
+    pub fn is_new(&mut self, place: usize, process: Process) -> bool {
+        let Some(held) = self.held.get_mut(place) else { return true };
+        held.process.replace(process) != Some(process) || held.reach.is_none()
+    }
 }
 
 #[cfg(test)]
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -520,7 +520,8 @@
                     begun.elapsed()
                 }
             };
-            let pay = "POST /pay HTTP/1.1\r\nhost: a\r\nx-txn: 5\r\nx-remaining-ms: 400\r\ncontent-length: 999\r\n\r\n";
+            let pay = "POST /pay HTTP/1.1\r\nhost: a\r\nx-txn: 5\r\nx-remaining-ms: 400\r\n\
+                content-length: 999\r\n\r\n";
             let all = [("", false), ("GET /re", false), ("GET /re", true), (pay, true)];
             let all = futures_util::future::join_all(all.map(|(text, drops)| closed(text, drops)));
             let wait = HIT.replace("400", "4000").replace("GET /read", "POST /pay");
--- a/agent/src/wire/door.rs
+++ b/agent/src/wire/door.rs
@@ -1,5 +1,5 @@
-//! What a hit must look like. Anything else gets its error here: it reaches no node, is no hit to the decisions,
-//! counts for no bound, and says nothing of nodes or builds.
+//! What a hit must look like. Anything else gets its error here: it reaches no node, is no hit to the
+//! decisions, counts for no bound, and says nothing of nodes or builds.
 
 use crate::memory::exchange::Exchange;
 use crate::wire::{headers, BODY_MOST};
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -12,10 +12,11 @@
 use std::time::Duration;
 
 /// How long one call of a watch may wait. What is told while it waits arrives at once; a shorter wait finds a
-/// dead connection sooner, a call in five seconds costs nothing.
-const WAIT: Duration = Duration::from_secs(5);
-/// How much longer than that an answer may take: the list counts as told two seconds after the wait.
-const SLACK: Duration = Duration::from_secs(1);
+/// dead connection sooner, a call every other second costs nothing.
+const WAIT: Duration = Duration::from_secs(2);
+/// How much longer than that an answer may take: the list counts as told two seconds after the wait, and asking
+/// anew needs a part of that.
+const SLACK: Duration = Duration::from_millis(500);
 /// The list's own bound: some thousand lines.
 const LIST_MOST: usize = 1 << 20;
 /// A new connection is made for each call that has been idle for that long: calls follow one another at once.
@@ -129,6 +130,35 @@
         });
     }
 
+    /// A name that comes back as another process, or at another address, is reached by connections of its own;
+    /// one that is merely told of again keeps those it has.
+    #[test]
+    fn another_process_under_the_same_name_gets_fresh_connections() {
+        run(async {
+            let (at, made) = counted(|mut stream| async move {
+                while !message(&mut stream).await.is_empty() {
+                    write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+                }
+            })
+            .await;
+            let (exchange, at) = (exchange(), at.to_string());
+            let told = |build: u32, boot_ms: u32, connections: usize| {
+                let mut body = list(false, &[("a", &at, "ready")]);
+                (body["targets"][0]["build"], body["targets"][0]["boot_ms"]) = (build.into(), boot_ms.into());
+                assert_eq!(take(&exchange, &body, true), Ok(7));
+                let (exchange, made) = (exchange.clone(), made.clone());
+                async move {
+                    exchange.try_node("a").await;
+                    assert_eq!(made.get(), connections);
+                }
+            };
+            told(41, 0, 1).await;
+            told(41, 0, 1).await;
+            told(42, 0, 2).await;
+            told(42, 9, 3).await;
+        });
+    }
+
     /// A list that can't be read changes nothing, not by half either.
     #[test]
     fn an_unreadable_list_leaves_what_was_known() {
@@ -178,7 +208,7 @@
             let exchange = exchange();
             exchange.discovery.set(&at);
             let _ = tokio::time::timeout(Duration::from_millis(200), follow(exchange.clone())).await;
-            let watch = |rev| format!("GET /discovery/hosts?after={rev}&wait_ms=5000 HTTP/1.1");
+            let watch = |rev| format!("GET /discovery/hosts?after={rev}&wait_ms=2000 HTTP/1.1");
             assert_eq!(*asked.borrow(), ["GET /discovery/hosts HTTP/1.1".to_owned(), watch(7), watch(8)]);
             assert!(exchange.ready());
         });
--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -11,13 +11,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A sign of life comes every second: after four missed ones the stream is taken for dead.
-const SILENCE: Duration = Duration::from_secs(5);
+/// A sign of life comes every second: after two missed ones the stream is taken for dead. A new one tells how
+/// the newest build stands, so it costs little to be wrong.
+const SILENCE: Duration = Duration::from_millis(2500);
 /// Before a stream is asked for anew: soon, since what is told meanwhile is lost, but a few times a second.
 const PAUSE: Duration = Duration::from_millis(250);
 /// The longest line of an event; the platform's are a hundred bytes.
 const LINE_MOST: usize = 4 << 10;
-/// How long a connection to the platform may take to come up.
+/// How long a connection to the platform may take to come up, and the head of a stream to come: at once.
 const CONNECT: Duration = Duration::from_secs(1);
 
 /// Names and values, as they stand in a form, an event or an answer's item.
@@ -140,7 +141,11 @@
 
 impl Events {
     /// Takes a piece in and hands on each event that it completes: its kind and its data.
-    fn feed(&mut self, piece: &[u8], mut each: impl FnMut(&str, &str)) -> Result<(), String> {
+    fn feed(
+        &mut self,
+        piece: &[u8],
+        mut each: impl FnMut(&str, &str) -> Result<(), String>,
+    ) -> Result<(), String> {
         for byte in piece {
             if *byte != b'\n' {
                 self.line.push(*byte);
@@ -156,35 +161,35 @@
                 ("data", data) => self.data = data.trim().to_owned(),
                 ("", "") if line.is_empty() => {
                     if !self.event.is_empty() {
-                        each(&self.event, &self.data);
+                        each(&self.event, &self.data)?;
                     }
                     (self.event, self.data) = Default::default();
                 }
-                _ => {} // a sign of life
+                ("" | "id" | "retry", _) => {} // a sign of life, or what this reader has no use for
+                _ => return Err(format!("{line:.40}: expected an event of the platform")),
             }
         }
         Ok(())
     }
 }
 
-fn told(exchange: &Exchange, kind: &str, data: &str) {
+/// Takes an event in. After one that can't be read nothing on its connection is of use.
+fn told(exchange: &Exchange, kind: &str, data: &str) -> Result<(), String> {
     let fields = form(data);
     match kind {
-        "ROLLOUT" => match news(&fields) {
-            Ok(news) => exchange.heard(news),
-            Err(e) => exchange.complain("news", &e),
-        },
+        "ROLLOUT" => exchange.heard(news(&fields)?),
         "DISPUTE" => exchange.complained(fields.get("host").map_or("", String::as_str)),
         // Tallies say less than an agent's own answers.
         "SAMPLE" => {}
-        _ => exchange.complain("news", &format!("{kind}: expected an event of the platform")),
+        _ => return Err(format!("{kind:.40}: expected an event of the platform")),
     }
+    Ok(())
 }
 
 async fn listen(exchange: &Exchange, at: &str) -> Result<(), String> {
     let client = line::client(CONNECT, Duration::ZERO, None);
     let asked = client.get(format!("http://{at}/api/bulletin")).send();
-    let asked = tokio::time::timeout(SILENCE, asked).await.map_err(|_| "no answer")?;
+    let asked = tokio::time::timeout(CONNECT, asked).await.map_err(|_| "no answer")?;
     let mut answer = asked.map_err(|e| e.to_string())?;
     if answer.status().as_u16() != 200 {
         return Err(format!("answered {}", answer.status()));
@@ -280,12 +285,33 @@
         for size in 1..stream.len() {
             let (mut events, mut got) = (Events::default(), Vec::new());
             for piece in stream.chunks(size) {
-                let fed = events.feed(piece, |kind, data| got.push(format!("{kind} {data}")));
+                let fed = events.feed(piece, |kind, data| {
+                    got.push(format!("{kind} {data}"));
+                    Ok(())
+                });
                 assert_eq!(fed, Ok(()));
             }
             assert_eq!(got, ["ROLLOUT image=42&ring=1", "SAMPLE n=1"], "pieces of {size}");
         }
-        assert!(Events::default().feed(&[b'a'; LINE_MOST + 1], |_, _| {}).is_err());
+        assert!(Events::default().feed(&[b'a'; LINE_MOST + 1], |_, _| Ok(())).is_err());
+    }
+
+    /// What can be read whole is taken; the rest ends the connection, and nothing is picked out of it.
+    #[test]
+    fn news_are_taken_up_to_the_first_that_cannot_be_read() {
+        const RELEASED: &str =
+            "event: ROLLOUT\ndata: image=42&ring=1&progress=COMPLETE&ceiling=1&lag_ms=0\n\n";
+        for noise in
+            ["event: ROLLOUT\ndata: image=43&ring=1\n\n", "event: \u{1}\n\n", "\u{2}x\n", "noise: x\n"]
+        {
+            let (exchange, mut events) = (exchange(), Events::default());
+            let text = format!(":\n\n{RELEASED}{noise}{}", RELEASED.replace("42", "44"));
+            assert!(
+                events.feed(text.as_bytes(), |kind, data| told(&exchange, kind, data)).is_err(),
+                "{noise}"
+            );
+            assert_eq!(exchange.newest(), Some(42), "{noise}");
+        }
     }
 
     #[test]
