One break leaves no node out; quick failures cost half a further forward

Checked with a line a forward: 10.7% of forwards on fresh connections broke, 12.4% on those idle below 0.25 s, so idle connections were not the cause (also ruled out: handshakes, late reports). At fault in learn and choose: each break left its node out for 0.5 s and more, at 23 breaks a second about half the fleet of twenty; the lost share made nodes that answered lately preferred, although they broke as often; in again a break cost as much of the budget as a time-out, so repeatable hits were bounced. May hurt where a node answers and breaks in turns: each second break then fails a hit more.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,6 +1,6 @@
-//! Every decision of magpieline. A front makes one [`Balancer`] for each agent, tells it the list, the news and
-//! complaints, and calls [`Balancer::review`] when that says so. [`Balancer::take`] turns a hit into a handle; all
-//! that happens to it later is a call on that, which returns what to do [`Next`].
+//! Every decision of magpieline. A front makes one [`Balancer`] for each agent, tells it the list and the
+//! news, and calls [`Balancer::review`] when that says so. [`Balancer::take`] turns a hit into a handle; what
+//! happens to it later is a call on that, which returns what to do [`Next`]. Plain data: `src/state.rs`.
 //!
 //! The ordinary path is the paper's EUCBV on two arms, the earlier and the trial build ([`Duel`]): the larger
 //! index takes a first forward while the cap allows, eliminations vote. Six mechanisms stand beside it:
@@ -140,7 +140,7 @@
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
-            // After a restart it may be used up; and all agents' free forwards at once would crowd cold nodes.
+            // After a restart it may be used up; all agents' free forwards at once would crowd cold nodes.
             let free = self.set("family_info.spare_tries", 0.0).min(1.0);
             self.tokens = if old.is_some() { free * self.chance.0.gen_range(0.0..1.0) } else { 0.0 };
         }
@@ -181,8 +181,7 @@
         self.retries = (self.retries + 0.1).min(10.0);
         self.lately.accounts.get_mut(arrival.account).into_iter().for_each(|a| a.0 += 1.0);
         // A bucket no deeper than the free count keeps the cap in every window. It fills no faster than the
-        // trial's part of the power: arms at unequal load can't be compared. Two saved up are enough: more
-        // would come to the same few nodes from all agents.
+        // trial's part of the power, as arms at unequal load can't be compared; two saved up crowd no node.
         let cap = self.news.map_or(0.0, |n| n.cap.clamp(0.0, 1.0));
         let share = if cap < 1.0 { self.share.0 } else { self.share.1 };
         let most = self.set("family_info.spare_tries", 0.0).min(2.0);
@@ -235,9 +234,8 @@
         busy
     }
 
-    /// Mechanism 4. Hits of an account or path group that is late at every node while another is not are
-    /// bounced but for one in three seconds, and say nothing of nodes or builds. Covers whatever makes one
-    /// kind of hit wait or hang. Hurts where late answers are worth much and places are free.
+    /// Mechanism 4. Hits of an account or path group late at every node, while another is not, are bounced
+    /// but for one in three seconds, and say nothing of nodes or builds. Hurts where late answers bring much.
     fn ailing(&self, hit: &Hit) -> bool {
         let account = self.groups.len().saturating_add(hit.arrival.account);
         [hit.arrival.group, account].iter().any(|i| self.lately.tardy.get(*i).is_some_and(|t| t.1))
@@ -318,8 +316,8 @@
             }
             pick = self.two(&fit);
             let Some(any) = pick else { continue };
-            // Where connections fail or are scarce, one that answered lately unless it is twice as loaded.
-            if self.lost > 0.05 {
+            // Where others fail more, one that answered lately unless it is twice as loaded.
+            if self.lost[0] > 0.05 && self.lost[0] > 2.0 * self.lost[1] {
                 fit.retain(|i| self.now < self.nodes[*i].open_until);
                 pick = self.two(&fit).filter(|i| self.load(*i) <= 2.0 * self.load(any)).or(pick);
             }
@@ -417,8 +415,8 @@
         half.min(left).max(if whole { left } else { 0.0 })
     }
 
-    /// Mechanism 3. Whether a hit whose forward failed gets another: only where nothing runs twice, in time
-    /// to be of use, and within the budget. Covers dead, silent, full and failing nodes, feeds no jam.
+    /// Mechanism 3. Whether a hit whose forward failed gets another: where nothing runs twice, in time and
+    /// within the budget, of which quick failures cost half. Covers dead, silent and failing nodes; no jam.
     fn again(&mut self, place: usize, ending: Ending) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
@@ -432,7 +430,8 @@
         let part = if hit.erred.is_some() && self.echo > 0.5 { 0.2 } else { 1.0 };
         let useful = end - self.now > 0.2 * self.pressure();
         let again = allowed && useful && self.retries >= 1.0 && self.chance.0.gen_bool(part);
-        self.retries -= f64::from(u8::from(again && ending != Ending::NoConnection));
+        let paid = f64::from(u8::from(again && ending != Ending::NoConnection));
+        self.retries -= paid * [0.5, 1.0][usize::from(ending == Ending::NoAnswer)];
         again
     }
 
@@ -441,7 +440,7 @@
         let (now, group) = (self.now, hit.arrival.group);
         let served = end.ending == Ending::Delivered;
         let answered = served || end.ending == Ending::Errored;
-        // Reviews come every tick: after a gap this agent itself stood still, and what it finds tells no times.
+        // Reviews come every tick: after a gap this agent itself stood still, what it finds tells nothing.
         let ailing = self.ailing(hit) || self.gap > 3.0 * TICK;
         let timed = (served || end.ending == Ending::NoAnswer) && !ailing;
         self.tardy(hit, end);
@@ -461,12 +460,14 @@
         let (fault, heard) =
             (f64::from(u8::from(!served)), f64::from(u8::from(hit.erred.is_some() && answered)));
         self.echo += 0.3 * heard * (fault - self.echo);
-        // Of the last fifty forwards. How long an idle connection lasts is learnt from those that broke.
-        let lost = matches!(end.ending, Ending::NoConnection | Ending::Broken);
-        self.lost += 0.02 * (f64::from(u8::from(lost)) - self.lost);
+        // Of the last fifty forwards to others and to nodes that had answered lately, where breaks tell how
+        // long idle connections last. One break after an answer is no death.
         let n = &mut self.nodes[flying.node];
-        let dead = end.ending == Ending::Broken && flying.sent < n.open_until;
-        self.idle = self.idle.min(if dead { flying.sent - n.met_at } else { self.idle }).max(0.2);
+        let (met, broke) = (flying.sent < n.open_until, end.ending == Ending::Broken);
+        let (lost, once) = (broke || end.ending == Ending::NoConnection, broke && n.open_until > 0.0);
+        let share = &mut self.lost[usize::from(met)];
+        *share += 0.02 * (f64::from(u8::from(lost)) - *share);
+        self.idle = self.idle.min(if broke && met { flying.sent - n.met_at } else { self.idle }).max(0.2);
         (n.open_until, n.met_at) = if lost { (0.0, n.met_at) } else { (now + self.idle, now) };
         if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
             n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
@@ -482,7 +483,7 @@
             (n.owes_since, n.strikes, n.shunned_until) = (now, n.strikes / 2, 0.0);
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
-        } else if silent || lost {
+        } else if silent || (lost && !once) {
             // Left out for 0.5 s, doubling to 4 s: long enough to spare hits, short enough to see it return.
             n.shunned_until = now + 0.5 * 2f64.powi(n.strikes.min(3)) * jitter;
             n.strikes = (n.strikes + 1).min(4);
@@ -500,15 +501,14 @@
         }
 
         let Some(news) = Some(news).filter(|_| answered) else { return };
-        // Usual is what erred more, the last fifty answers or five hundred; at the start one in ten is supposed.
+        // Usual is what erred more, the last fifty or five hundred answers; at the start one in ten. One in
+        // twenty is bad where others hardly fail. A hit that errs twice takes back what it said of the build.
         let usual = (1.5 * self.usual_faults.max(self.long_faults.mean())).clamp(0.005, 0.2);
-        let bad = (4.0 * usual).max(0.05); // one in twenty where others hardly fail
-                                           // A hit that errs twice speaks against itself: what it has said of the build is taken back.
+        let bad = (4.0 * usual).max(0.05);
         let back = if hit.erred == Some(news.build) { fault } else { 0.0 };
-        let (faults, passes) =
-            if arm == TRIAL { (said * own_fault - back, 1.0 - fault) } else { (-back, 0.0) };
+        let (faults, passes) = if arm == TRIAL { (said * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
         for score in [group, self.groups.len()] {
-            Evidence::lean(&mut self.evidence.faults[score], faults, passes, usual, bad);
+            Evidence::lean(&mut self.evidence.faults[score], faults - back, passes, usual, bad);
         }
         if arm == EARLIER {
             self.usual_faults += 0.02 * (said * fault - self.usual_faults);
@@ -679,9 +679,8 @@
         if settled || self.now < self.cast.again_at {
             return None;
         }
-        // Until it is answered the vote counts as unsettled.
         self.cast.again_at = self.now + 1.2 * self.set("family_info.call_timeout_s", 1.0);
-        (self.cast.vote, self.cast.good_until) = (Some(vote), self.now);
+        (self.cast.vote, self.cast.good_until) = (Some(vote), self.now); // unsettled until it is answered
         Some(vote)
     }
 
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -356,6 +356,35 @@
     assert!(b.fit(4, Repeat::Repeatable) && !b.fit(4, Repeat::Mutating));
 }
 
+#[test]
+fn one_broken_answer_leaves_no_node_out_and_two_in_a_row_do() {
+    // Guards against half a fleet left out where one answer in ten breaks off, and against taking that for
+    // dead connections, which keeping to a few nodes would spare.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    let mut end_at = |ending| flying(&mut b, 0, 4).returned(&mut b, 100.0, end(ending));
+    for ending in [Ending::Delivered, Ending::Broken, Ending::Delivered, Ending::Broken] {
+        end_at(ending);
+    }
+    assert!(b.fit(4, Repeat::Mutating));
+    flying(&mut b, 0, 4).returned(&mut b, 100.0, end(Ending::Broken));
+    assert!(!b.fit(4, Repeat::Repeatable));
+    (b.lost, b.nodes[5].open_until) = ([0.1, 0.1], 200.0);
+    let others = (0..50).filter(|_| !matches!(b.take(100.0, hit(0)).1, Next::Forward { node: 5, .. }));
+    assert!(others.count() > 10);
+}
+
+#[test]
+fn a_quick_failure_costs_half_a_further_forward_and_a_time_out_a_whole_one() {
+    // Guards against a budget that breaks use up, which bounces what could be sent again.
+    for (ending, paid) in [(Ending::Broken, 0.5), (Ending::NoAnswer, 1.0), (Ending::NoConnection, 0.0)] {
+        let mut b = balancer(0, Phase::Released, 1.0, &[]);
+        b.retries = 2.0;
+        let handle = flying(&mut b, 0, 4);
+        assert!(matches!(handle.returned(&mut b, 100.0, end(ending)), Next::Forward { .. }));
+        assert_eq!(b.retries, 2.0 - paid);
+    }
+}
+
 #[test]
 fn a_returned_id_forgets_what_it_was() {
     let mut b = balancer(0, Phase::Released, 1.0, &[]);
@@ -770,7 +799,7 @@
 fn nodes_that_answered_lately_are_kept_to_where_connections_fail() {
     // Guards against nodes that refuse new connections or drop idle ones, for all agents or for this one.
     let mut b = balancer(0, Phase::Trial, 0.0, &[("limits.conn_idle_s", 9.0)]);
-    (b.lost, b.idle) = (0.3, 9.0);
+    (b.lost, b.idle) = ([0.3, 0.0], 9.0);
     flying(&mut b, 0, 2).returned(&mut b, 100.0, end(Ending::Delivered));
     for _ in 0..5 {
         assert!(matches!(b.take(100.0, hit(0)).1, Next::Forward { node: 2, .. }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,6 +90,8 @@
     pub target: f64,
     pub late_share: f64,
     pub benefit: f64,
+    /// The shortest target latency of all groups that bring as much or more.
+    pub pace: f64,
     /// Logarithm of time over work in calm seconds, at a node's usual load.
     pub calm: Count,
 }
@@ -121,12 +123,17 @@
                 target: if target > 0.0 { target.min(client_timeout) } else { client_timeout },
                 late_share: number(named, &at("late_share"), 0.0),
                 benefit: number(named, &at("credit"), 1.0).max(0.0),
+                pace: f64::INFINITY,
                 calm: Count::default(),
             });
         }
         if groups.is_empty() {
             return Err("classes: expected at least one".into());
         }
+        for i in 0..groups.len() {
+            let as_much = groups.iter().filter(|g: &&PathGroup| g.benefit >= groups[i].benefit);
+            groups[i].pace = as_much.map(|g| g.target).fold(f64::INFINITY, f64::min);
+        }
         Ok(groups)
     }
 }
@@ -392,8 +399,9 @@
     pub(crate) flying: u32,
     pub(crate) lately: Lately,
     pub(crate) retries: f64,
-    /// Share of forwards that found no connection or a dead one; how long an idle one is taken to last.
-    pub(crate) lost: f64,
+    /// Share of forwards that found no connection or a dead one, and the same of those to nodes that had
+    /// answered lately; how long an idle connection is taken to last.
+    pub(crate) lost: [f64; 2],
     pub(crate) idle: f64,
     pub(crate) probe_at: f64,
     /// How times in calm seconds differ by a node's load step.
@@ -431,7 +439,8 @@
         let [earlier, trial] = index.map(|(pulls, mean, _)| format!("{mean:.2} of {pulls:.0}"));
         let most = e.faults.iter().fold(0.0, |a: f64, b| a.max(*b));
         format!(
-            "errors {most:.1}, again elsewhere {:.2}, complaints {:.1}, slower {:.2}, stays {:.2}, abated {}, payoffs {earlier} to {trial}",
+            "errors {most:.1}, again elsewhere {:.2}, complaints {:.1}, slower {:.2}, stays {:.2}, abated {}, \
+             payoffs {earlier} to {trial}",
             self.echo, e.complaints, e.slower, e.stays, e.abated
         )
     }
@@ -648,7 +657,7 @@
             let at = node.listed.map_or((usize::MAX, -1), |l| (l.zone, l.cell));
             hit.risk = Some((flying.sent, at.0, at.1));
         }
-        // An answer that was given up on, broke off or came spoilt may have been a good one: it binds the key too.
+        // An answer that came late, broke off or was spoilt may have been a good one: it binds the key too.
         let bound = hit.arrival.key.filter(|_| !unseen && ending != Ending::Errored);
         if let Some(key) = bound.and_then(|k| self.keys.get_mut(k)) {
             key.1 = key.1.max(flying.build);
