Who brings less gives way before those that bring more are late

At fault in too_busy: each group's bound was a part of its own target latency, so a group of benefit 2 and 600 ms was let in up to 366 ms where one of benefit 5 and 300 ms is late. May hurt where a group of little benefit has much slack and the others are seldom late.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -223,7 +223,7 @@
         let over = self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0;
         part *= if over { self.set("over_share_worth", 1.0).max(0.4) } else { 1.0 }; // beyond chance
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
-        let busy = known && expected > part * group.target.min(hit.due - self.now);
+        let busy = known && expected > part * group.pace.min(hit.due - self.now);
         if known && self.ailing(hit) {
             let probe = self.now >= self.probe_at;
             self.probe_at = if probe { self.later(3.0, 0) } else { self.probe_at };
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -440,6 +440,20 @@
     assert_eq!(places.map(|place| b.too_busy(place, 4)), [true, false]);
 }
 
+#[test]
+fn a_group_with_much_slack_gives_way_to_one_that_brings_more_and_has_little() {
+    // Guards against a queue of hits that may wait long, in which those that bring most are late.
+    let more = [("classes.1.credit", 5.0), ("classes.1.goal_time_s", 0.2), ("classes.0.goal_time_s", 1.5)];
+    let mut b = balancer(0, Phase::Released, 1.0, &more);
+    assert_eq!([0, 1].map(|group| b.groups[group].pace), [0.2, 0.2]);
+    (b.lately.spent, b.lately.loads, b.now) = (0.15, 1.0, 110.0);
+    let places = [0, 1].map(|group| {
+        let hit = Hit { owed: true, arrival: hit(group), taken: 110.0, due: 112.0, ..Hit::default() };
+        b.slab.put(hit).place as usize
+    });
+    assert_eq!(places.map(|place| b.too_busy(place, 4)), [true, false]);
+}
+
 #[test]
 fn an_account_is_over_its_share_only_beyond_chance() {
     // Guards against bounces for an account that sends a few hits more than its share by chance.
