--- a/src/balance.rs
+++ b/src/balance.rs
@@ -460,6 +460,8 @@
         let (fault, heard) =
             (f64::from(u8::from(!served)), f64::from(u8::from(hit.erred.is_some() && answered)));
         self.echo += 0.3 * heard * (fault - self.echo);
+        // A node that errs again and again speaks for itself, unless a third of its build's others err too.
+        let power = if self.erring(flying.node, 0.02) > 0.33 { 0 } else { 4 };
         // Of the last fifty forwards to others and to nodes that had answered lately, where breaks tell how
         // long idle connections last. One break after an answer is no death.
         let n = &mut self.nodes[flying.node];
@@ -476,8 +478,7 @@
         let x = slow.filter(|_| !flying.cold).unwrap_or(n.slow);
         n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
-        // A node that errs again and again speaks for itself, not for its build.
-        let (own_fault, said) = (fault * (1.0 - 2.0 * self.echo).max(0.0), (1.0 - n.faults).powi(4));
+        let (own_fault, said) = (fault * (1.0 - 2.0 * self.echo).max(0.0), (1.0 - n.faults).powi(power));
         if answered || end.ending == Ending::Spoilt {
             n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
             (n.owes_since, n.strikes, n.shunned_until) = (now, n.strikes / 2, 0.0);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -525,6 +525,23 @@
     assert!(nodes.repeat(4).iter().zip(0..).map(|(i, k)| answer(*i, k % 3 == 0)).fold(0.0, f64::max) > 1.0);
 }
 
+#[test]
+fn errors_at_a_third_of_the_nodes_weigh_in_full() {
+    // Guards against excusing a build by its nodes when most of them err, as one does that fails when busy.
+    let mut b = balancer(2, Phase::Trial, 1.0, &[]);
+    (4..8).for_each(|i| b.nodes[i].met_at = 200.0);
+    b.nodes[4].faults = 0.7;
+    assert_eq!((b.erring(4, 0.02), b.erring(5, 0.02)), (0.0, 1.0 / 3.0));
+    let weigh = |b: &mut Balancer| {
+        b.evidence = Evidence::new(b.groups.len());
+        flying(b, 0, 4).returned(b, 100.1, end(Ending::Errored));
+        b.evidence.weight(ENOUGH)
+    };
+    let alone = weigh(&mut b);
+    (b.nodes[4].faults, b.nodes[5].faults, b.nodes[6].faults) = (0.7, 0.2, 0.2);
+    assert!(weigh(&mut b) > 10.0 * alone);
+}
+
 #[test]
 fn an_agent_that_knows_no_earlier_build_condemns_none_by_a_few_errors() {
     // Guards against a restarted agent that takes the errors it finds for new.
--- a/src/state.rs
+++ b/src/state.rs
@@ -433,6 +433,23 @@
 }
 
 impl Balancer {
+    /// Of the other nodes of a node's build that have answered in this stage, the share with more faults than
+    /// this; all of them where none has.
+    pub(crate) fn erring(&self, node: usize, faults: f64) -> f64 {
+        let build = |n: &Node| n.listed.map(|l| l.build);
+        let own = build(&self.nodes[node]);
+        let (mut met, mut erring) = (0.0, 0.0);
+        for (_, n) in self.nodes.iter().enumerate().filter(|(i, n)| *i != node && build(n) == own) {
+            met += f64::from(u8::from(n.met_at > self.stage_began || n.faults > 0.0));
+            erring += f64::from(u8::from(n.faults > faults));
+        }
+        if met > 0.0 {
+            erring / met
+        } else {
+            1.0
+        }
+    }
+
     /// What speaks against the newest build, in a line for the log.
     pub fn against(&self) -> String {
         let (e, index) = (&self.evidence, [EARLIER, TRIAL].map(|arm| self.duel.moments(arm)));
