--- a/src/balance.rs
+++ b/src/balance.rs
@@ -219,7 +219,7 @@
         let most = self.groups.iter().map(|g| g.benefit).fold(f64::MIN_POSITIVE, f64::max);
         // The best keep twice the room of the least and more; where few misses are allowed all bounce sooner.
         let strict = (self.set("scoring_mix.miss_allowed", 0.05) / 0.05).sqrt().min(1.0);
-        let mut part = (0.35 + 0.65 * group.benefit / most) * strict;
+        let mut part = (0.45 + 0.55 * group.benefit / most) * strict;
         let over = self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0;
         part *= if over { self.set("over_share_worth", 1.0).max(0.4) } else { 1.0 }; // beyond chance
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
