A fresh client is given a tenth of a second when room is short

Read: a connection accepted a moment ago was the first to go, though its hit might be on the way, and no idle one went while any stranger was there. Now strangers go after 0.1 s, then idle ones after a second, eight at once.

--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -32,6 +32,8 @@
 const PIECES: Duration = Duration::from_millis(900);
 /// When room is short a connection that has been idle for that long may go: its answer is long out.
 const SHORT: Duration = Duration::from_secs(1);
+/// A connection that has brought nothing yet is left alone for that long: its hit may be on the way.
+const GREET: Duration = Duration::from_millis(100);
 /// How many are asked to go at once when room is short: as many as come in a moment when hundreds do.
 const AT_ONCE: usize = 8;
 /// On stopping, how long a connection that came late is kept open for its first hit.
@@ -88,11 +90,6 @@
             tokio::time::sleep_until(due.into()).await;
         }
     }
-
-    /// Whether it may go when room is short.
-    fn spare(&self) -> bool {
-        !self.busy.get() && self.since.get().elapsed() > SHORT
-    }
 }
 
 /// The clients' connections, oldest first. At most so many that each could have a node's beside it.
@@ -115,16 +112,17 @@
         self.visits.borrow().is_empty()
     }
 
-    /// Whether one more may be accepted; if not, some are asked to go: those that never brought a hit, else
-    /// one that has long been idle.
+    /// Whether one more may be accepted; if not, some are asked to go: those that never brought a hit first,
+    /// then those that have long been idle.
     fn room(&self) -> bool {
         let visits = self.visits.borrow();
         if visits.len() < self.most {
             return true;
         }
-        let strange = visits.values().filter(|v| !v.known.get()).take(AT_ONCE);
-        let idle = visits.values().find(|v| v.spare()).filter(|_| visits.values().all(|v| v.known.get()));
-        strange.chain(idle).for_each(|v| v.evict.notify_one());
+        let waited = |v: &&Rc<Visit>, long: Duration| !v.busy.get() && v.since.get().elapsed() > long;
+        let strange = visits.values().filter(|v| !v.known.get() && waited(v, GREET));
+        let idle = visits.values().filter(|v| v.known.get() && waited(v, SHORT));
+        strange.chain(idle).take(AT_ONCE).for_each(|v| v.evict.notify_one());
         false
     }
 
@@ -482,9 +480,12 @@
         assert!(crowd.room());
         let (place, stranger) = crowd.enter(visit());
         assert!(!crowd.room());
+        let long_ago = Instant::now().checked_sub(2 * SHORT).expect("a clock that has run");
+        stranger.since.set(long_ago);
+        assert!(!crowd.room());
         run(stranger.evict.notified());
         stranger.known.set(true);
-        let long_ago = Instant::now().checked_sub(2 * SHORT).expect("a clock that has run");
+        stranger.wait();
         [&busy, &idle].iter().for_each(|visit| visit.since.set(long_ago));
         assert!(!crowd.room());
         run(idle.evict.notified());
