A key on its way to the trial is kept to it until that has failed

At fault: a forward whose answer was written on a connection fallen silent binds its key only when it is given up, up to 2 s later; holding() saw answered keys alone. Now a key counts as held by the newest build that a hit of it is on its way to, until that forward has ended without an answer.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -388,7 +388,7 @@
         let bound = cap < 1.0 && flag(&self.named, "family_info.one_way");
         let Some(key) = hit.arrival.key.filter(|_| bound) else { return true };
         let usual = (self.keyed_hits / self.keys.len().max(1) as f64).max(1.0);
-        f64::from(self.keys[key].0) <= usual && self.held_share < 0.7 * cap && self.tokens >= 1.5
+        f64::from(self.keys[key].hits) <= usual && self.held_share < 0.7 * cap && self.tokens >= 1.5
     }
 
     fn send(&mut self, place: usize, node: usize, trial: bool) -> Next {
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -273,7 +273,7 @@
 fn one_way_keys_stay_with_the_trial() {
     let mut b = balancer(1, Phase::Trial, 0.5, &[]);
     b.named.insert("family_info.one_way".into(), Value::Flag(true));
-    b.keys = vec![(1, 2)];
+    b.keys = vec![Key { hits: 1, answered: 2, ..Key::default() }];
     let keyed = Arrival { key: Some(0), ..hit(0) };
     b.tokens = 1.0;
     let next = b.take(100.0, keyed).1;
@@ -297,20 +297,44 @@
         (Ending::NoConnection, 0),
     ] {
         let mut b = balancer(1, Phase::Trial, 0.5, &[]);
-        b.keys = vec![(1, 0)];
+        b.keys = vec![Key { hits: 1, answered: 0, ..Key::default() }];
         let handle = flying(&mut b, 0, 5);
         b.slab.hits[handle.place as usize].arrival.key = Some(0);
         b.land(handle.place as usize, ending);
-        assert_eq!(b.keys[0].1, bound, "{ending:?}");
+        assert_eq!(b.keys[0].answered, bound, "{ending:?}");
     }
 }
 
+#[test]
+fn a_key_on_its_way_to_the_trial_is_kept_to_it_until_that_has_failed() {
+    // Guards against an answer that was given on a connection fallen silent: its key counts as answered.
+    let mut b = balancer(1, Phase::Trial, 0.5, &[]);
+    b.named.insert("family_info.one_way".into(), Value::Flag(true));
+    b.keys = vec![Key { hits: 1, ..Key::default() }; 2];
+    let keyed = |b: &mut Balancer, key: usize, node: usize| {
+        let handle = flying(b, 0, 0);
+        b.land(handle.place as usize, Ending::NeverSent);
+        let hit = &mut b.slab.hits[handle.place as usize];
+        (hit.arrival.key, hit.forwards) = (Some(key), 0);
+        let (build, sent) = (b.nodes[node].listed.map_or(0, |l| l.build), b.now);
+        let way = Flying { node, build, sent, step: 0, load: 1.0, cold: false, first: true };
+        b.launch(handle.place as usize, way);
+        handle
+    };
+    let (first, second) = (keyed(&mut b, 0, 5), keyed(&mut b, 0, 6));
+    assert_eq!((b.holding(0), b.holding(1)), (Some(2), None));
+    b.land(first.place as usize, Ending::Errored);
+    assert_eq!(b.holding(0), Some(2), "another one is on its way");
+    b.land(second.place as usize, Ending::NoConnection);
+    assert_eq!(b.holding(0), None);
+}
+
 #[test]
 fn a_repeat_that_may_have_run_never_waits() {
     // Guards against a tagged repeat that waits for its turn past its window.
     let mut b = balancer(1, Phase::Trial, 0.5, &[]);
     b.named.insert("family_info.one_way".into(), Value::Flag(true));
-    (b.keys, b.tokens) = (vec![(1, 2)], 0.0);
+    (b.keys, b.tokens) = (vec![Key { hits: 1, answered: 2, ..Key::default() }], 0.0);
     let handle = flying(&mut b, 1, 5);
     b.slab.hits[handle.place as usize].arrival.key = Some(0);
     assert_eq!(handle.returned(&mut b, 100.1, end(Ending::Errored)), Next::GiveUp);
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::interface::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::cmp::Ordering;
 
 /// A setting that is a number, or `otherwise` where it is absent.
 pub(crate) fn number(named: &Named, name: &str, otherwise: f64) -> f64 {
@@ -163,6 +164,17 @@
     pub times: Count,
 }
 
+/// A key, as far as one way asks.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Key {
+    pub hits: u32,
+    /// The newest build that may have answered it.
+    pub answered: u32,
+    /// The newest build that a hit of it is on its way to, and how many are.
+    pub toward: u32,
+    pub flying: u32,
+}
+
 /// A forward on its way.
 #[derive(Clone, Copy)]
 pub(crate) struct Flying {
@@ -424,8 +436,7 @@
     /// How many of the hits that erred err again at another node.
     pub(crate) echo: f64,
     pub(crate) doubt: Doubt,
-    /// By key: hits seen and the newest build that answered.
-    pub(crate) keys: Vec<(u32, u32)>,
+    pub(crate) keys: Vec<Key>,
     pub(crate) keyed_hits: f64,
     pub(crate) held_share: f64,
     pub(crate) cast: Cast,
@@ -533,11 +544,12 @@
         })
     }
 
-    /// The build that must go on serving this key, under one way.
+    /// The build that must go on serving this key, under one way: the newest that may have answered it. One
+    /// that a hit is on its way to may have, unheard, on a connection that has fallen silent.
     pub(crate) fn holding(&self, key: usize) -> Option<u32> {
-        let build = self.keys.get(key).map_or(0, |k| k.1);
-        let stands = build > 0 && !self.void.contains(&build) && flag(&self.named, "family_info.one_way");
-        stands.then_some(build)
+        let key = self.keys.get(key).filter(|_| flag(&self.named, "family_info.one_way"))?;
+        let builds = [if key.flying > 0 { key.toward } else { 0 }, key.answered];
+        builds.into_iter().filter(|b| *b > 0 && !self.void.contains(b)).max()
     }
 
     /// The mean times of the earlier builds' nodes and of this build's, each against the earlier nodes whose
@@ -640,9 +652,9 @@
     pub(crate) fn note(&mut self, key: Option<usize>) {
         let Some(key) = key else { return };
         if key >= self.keys.len() {
-            self.keys.resize(key + 1, (0, 0));
+            self.keys.resize(key + 1, Key::default());
         }
-        self.keys[key].0 += 1;
+        self.keys[key].hits += 1;
         self.keyed_hits += 1.0;
     }
 
@@ -656,6 +668,14 @@
         node.flying += 1;
         node.ramp -= 1.0;
         let hit = &mut self.slab.hits[place];
+        if let Some(key) = hit.arrival.key.and_then(|k| self.keys.get_mut(k)) {
+            // Towards an older build as well it is kept to the newer one.
+            (key.toward, key.flying) = match flying.build.cmp(&key.toward) {
+                Ordering::Greater => (flying.build, 1),
+                Ordering::Equal => (key.toward, key.flying + 1),
+                Ordering::Less => (key.toward, key.flying),
+            };
+        }
         hit.flying = Some(flying);
         hit.forwards += 1;
     }
@@ -675,9 +695,10 @@
             hit.risk = Some((flying.sent, at.0, at.1));
         }
         // An answer that came late, broke off or was spoilt may have been a good one: it binds the key too.
-        let bound = hit.arrival.key.filter(|_| !unseen && ending != Ending::Errored);
-        if let Some(key) = bound.and_then(|k| self.keys.get_mut(k)) {
-            key.1 = key.1.max(flying.build);
+        if let Some(key) = hit.arrival.key.and_then(|k| self.keys.get_mut(k)) {
+            key.flying = key.flying.saturating_sub(u32::from(key.toward == flying.build));
+            let bound = !unseen && ending != Ending::Errored;
+            key.answered = key.answered.max(if bound { flying.build } else { 0 });
         }
         self.flying = self.flying.saturating_sub(1);
         node.flying = node.flying.saturating_sub(1);
