While connections are many a new one sends the longest idle away

May cost a usual client a new connection where many are open; one with a hit in hand or answered within 0.25 s never goes.

--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -34,6 +34,8 @@
 const SHORT: Duration = Duration::from_secs(1);
 /// A connection that has brought nothing yet is left alone for that long: its hit may be on the way.
 const GREET: Duration = Duration::from_millis(100);
+/// The same for one that has been answered, while connections are many: well past the way of its answer.
+const BRIEF: Duration = Duration::from_millis(250);
 /// How many are asked to go at once when room is short: as many as come in a moment when hundreds do.
 const AT_ONCE: usize = 8;
 /// On stopping, how long a connection that came late is kept open for its first hit.
@@ -97,6 +99,9 @@
     visits: RefCell<BTreeMap<u64, Rc<Visit>>>,
     next: Cell<u64>,
     most: usize,
+    /// Beyond so many, a quarter of the descriptors, each new one sends an idle one away: clients may hold a
+    /// third, and those that ask once and stay would use it up for all others.
+    ample: usize,
 }
 
 impl Crowd {
@@ -105,6 +110,7 @@
             visits: RefCell::default(),
             next: Cell::default(),
             most: (descriptors.saturating_sub(OTHERS) / 2).max(1),
+            ample: descriptors / 4,
         }
     }
 
@@ -127,6 +133,11 @@
     }
 
     fn enter(&self, visit: Visit) -> (u64, Rc<Visit>) {
+        if self.visits.borrow().len() >= self.ample {
+            let visits = self.visits.borrow();
+            let idle = visits.values().filter(|v| !v.busy.get() && v.since.get().elapsed() > BRIEF);
+            idle.min_by_key(|v| v.since.get()).into_iter().for_each(|v| v.evict.notify_one());
+        }
         let (place, visit) = (self.next.get(), Rc::new(visit));
         self.next.set(place + 1);
         self.visits.borrow_mut().insert(place, visit.clone());
@@ -493,6 +504,26 @@
         assert!(crowd.room());
     }
 
+    /// While connections are many a new one sends the longest idle away, one with a hit in hand never.
+    #[test]
+    fn who_asks_once_and_stays_gives_way_to_new_clients() {
+        let (crowd, visit) = (Crowd::new(12), || Visit::new(Rc::default()));
+        let all = [crowd.enter(visit()).1, crowd.enter(visit()).1, crowd.enter(visit()).1];
+        all.iter().for_each(|v| v.brought());
+        all[1..].iter().for_each(|v| v.wait());
+        let ago = |n| Instant::now().checked_sub(n * BRIEF).expect("a clock that has run");
+        all.iter().zip([9, 2, 3]).for_each(|(v, n)| v.since.set(ago(n)));
+        crowd.enter(visit());
+        run(all[2].evict.notified());
+        run(async {
+            let other = futures_util::future::select(
+                Box::pin(all[0].evict.notified()),
+                Box::pin(all[1].evict.notified()),
+            );
+            assert!(tokio::time::timeout(GREET, other).await.is_err());
+        });
+    }
+
     /// Whoever brings no whole hit is closed: after silence, half a head, a body that comes drop by drop, an
     /// answer with nothing behind it. A hit that takes longer than that is waited for.
     #[test]
