One listener for signals, one idle check; a probe's leftovers and needless walks gone

Read over the whole change; behaviour stays. Trace.rested and Answers.since were left of a probe and read by nobody. Listening for a signal stood in reload and stop, the idle check of a visit twice in clients.rs, one answer of a node three times in the module's tests (their assertions as before). learn asked all nodes which of them err for each answer; it matters only for a failed one, since the weight multiplies its fault.

--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -8,10 +8,16 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpSocket;
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Connections that the kernel holds for us until they are accepted: a burst of all clients at once.
 const BACKLOG: u32 = 1024;
 
+/// Listens for a signal; from then on it no longer ends the program.
+fn listen(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|e| format!("signals: could not be listened for: {e}"))
+}
+
 /// Serves until SIGTERM, on one thread.
 pub fn serve(path: PathBuf) -> Result<(), String> {
     let start = start::read(&path)?;
--- a/agent/src/life/reload.rs
+++ b/agent/src/life/reload.rs
@@ -1,19 +1,19 @@
 //! A new configuration: at SIGHUP the file is read anew. Its addresses of discovery and platform hold from
 //! then on; the list and the news that stand in it may be old and are left alone, both are asked for at once.
 
-use crate::life::start;
+use crate::life::{listen, start};
 use crate::memory::exchange::Exchange;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{Signal, SignalKind};
 
 /// Before a file that could not be read is looked at again: whoever replaces it may be half-way.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// The signal that asks for it.
 pub fn signals() -> Result<Signal, String> {
-    signal(SignalKind::hangup()).map_err(|e| format!("signals: could not be listened for: {e}"))
+    listen(SignalKind::hangup())
 }
 
 /// Takes the file's addresses; an error says what is wrong with it, and what held goes on.
--- a/agent/src/life/stop.rs
+++ b/agent/src/life/stop.rs
@@ -1,10 +1,11 @@
 //! The end: what has been taken and what still arrives is served, then the program ends by itself.
 
+use crate::life::listen;
 use crate::memory::exchange::Exchange;
 use crate::wire::clients::Crowd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{Signal, SignalKind};
 
 /// How long after the signal connections stay open: others hear of the end within four tenths of a second
 /// and go on using them until then.
@@ -18,7 +19,6 @@
 
 /// The signals that end the program: SIGTERM and SIGINT.
 pub fn signals() -> Result<[Signal; 2], String> {
-    let listen = |kind| signal(kind).map_err(|e| format!("signals: could not be listened for: {e}"));
     Ok([listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?])
 }
 
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -76,6 +76,11 @@
         self.heard.set(None);
     }
 
+    /// Whether it has waited for a hit for longer than this.
+    fn waited(&self, long: Duration) -> bool {
+        !self.busy.get() && self.since.get().elapsed() > long
+    }
+
     /// Until when a hit has to have come whole.
     fn due(&self) -> Instant {
         let idle = self.since.get() + IDLE;
@@ -125,9 +130,8 @@
         if visits.len() < self.most {
             return true;
         }
-        let waited = |v: &&Rc<Visit>, long: Duration| !v.busy.get() && v.since.get().elapsed() > long;
-        let strange = visits.values().filter(|v| !v.known.get() && waited(v, GREET));
-        let idle = visits.values().filter(|v| v.known.get() && waited(v, SHORT));
+        let strange = visits.values().filter(|v| !v.known.get() && v.waited(GREET));
+        let idle = visits.values().filter(|v| v.known.get() && v.waited(SHORT));
         strange.chain(idle).take(AT_ONCE).for_each(|v| v.evict.notify_one());
         false
     }
@@ -135,7 +139,7 @@
     fn enter(&self, visit: Visit) -> (u64, Rc<Visit>) {
         if self.visits.borrow().len() >= self.ample {
             let visits = self.visits.borrow();
-            let idle = visits.values().filter(|v| !v.busy.get() && v.since.get().elapsed() > BRIEF);
+            let idle = visits.values().filter(|v| v.waited(BRIEF));
             idle.min_by_key(|v| v.since.get()).into_iter().for_each(|v| v.evict.notify_one());
         }
         let (place, visit) = (self.next.get(), Rc::new(visit));
--- a/agent/src/wire/line.rs
+++ b/agent/src/wire/line.rs
@@ -24,8 +24,6 @@
     pub begun: Cell<bool>,
     /// Whether the last write took less than it was offered: then the last byte was never written.
     pub short: Cell<bool>,
-    /// How long its connection had lain idle before it; none for a fresh one.
-    pub rested: Cell<Option<Duration>>,
     /// Why what came was no answer.
     spoilt: Cell<Option<Spoilt>>,
 }
@@ -63,23 +61,13 @@
     whole: usize,
     /// Whether something was asked that is not answered yet.
     asked: bool,
-    /// When the last answer had come whole.
-    since: Option<Instant>,
     over: bool,
     patience: Option<Pin<Box<tokio::time::Sleep>>>,
 }
 
 impl Answers {
     fn new(most: usize) -> Answers {
-        Answers {
-            most,
-            bytes: BytesMut::new(),
-            whole: 0,
-            asked: false,
-            since: None,
-            over: false,
-            patience: None,
-        }
+        Answers { most, bytes: BytesMut::new(), whole: 0, asked: false, over: false, patience: None }
     }
 
     /// Looks at what has come; an interim answer is dropped.
@@ -92,7 +80,6 @@
                     // Bytes behind it may be the beginning of anything: the connection has done its service.
                     self.over = self.bytes.len() > length;
                     (self.whole, self.asked, self.patience) = (length, false, None);
-                    self.since = Some(Instant::now());
                     return Ok(());
                 }
             }
@@ -217,10 +204,7 @@
 impl AsyncWrite for Line {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Some(answers) = self.answers.as_mut().filter(|a| !a.asked) {
-            answers.asked = true;
-            let _ = TRACE.try_with(|t| t.rested.set(answers.since.map(|s| s.elapsed())));
-        }
+        self.answers.iter_mut().for_each(|a| a.asked = true);
         Line::note_write(&written, buf.len());
         written
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -461,7 +461,7 @@
             (f64::from(u8::from(!served)), f64::from(u8::from(hit.erred.is_some() && answered)));
         self.echo += 0.3 * heard * (fault - self.echo);
         // A node that errs again and again speaks for itself, unless a third of its build's others err too.
-        let power = if self.erring(flying.node, 0.02) > 0.33 { 0 } else { 4 };
+        let power = if served || self.erring(flying.node, 0.02) > 0.33 { 0 } else { 4 };
         // Of the last fifty forwards to others and to nodes that had answered lately, where breaks tell how
         // long idle connections last. One break after an answer is no death.
         let n = &mut self.nodes[flying.node];
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -50,6 +50,13 @@
     handle
 }
 
+/// What stands against the newest build once this node has answered, or erred.
+fn against(b: &mut Balancer, node: usize, errs: bool) -> f64 {
+    let handle = flying(b, 0, node);
+    handle.returned(b, 100.1, end(if errs { Ending::Errored } else { Ending::Delivered }));
+    b.evidence.weight(ENOUGH)
+}
+
 fn count(z: f64, mean: f64) -> Count {
     Count { z, sum: z * mean, squares: z * mean }
 }
@@ -519,11 +526,7 @@
 fn a_share_of_errors_that_was_there_before_condemns_no_build() {
     // Guards against an estimate of the usual errors that a short lull lets fall to nothing.
     let mut b = balancer(1, Phase::Trial, 0.5, &[]);
-    let mut answer = |node: usize, errs: bool| {
-        let handle = flying(&mut b, 0, node);
-        handle.returned(&mut b, 100.1, end(if errs { Ending::Errored } else { Ending::Delivered }));
-        b.evidence.weight(ENOUGH)
-    };
+    let mut answer = |node, errs| against(&mut b, node, errs);
     (0..520usize).for_each(|i| _ = answer(1, i < 400 && i.is_multiple_of(40)));
     let worst = |w: f64, x: f64| w.max(x);
     assert!((0..200usize).map(|i| answer(5, i.is_multiple_of(20))).fold(0.0, worst) < 1.0);
@@ -537,11 +540,7 @@
 fn a_node_that_fails_everything_condemns_no_build() {
     // Guards against taking a sick machine for a sick build: one of the trial's four errs always.
     let mut b = balancer(2, Phase::Trial, 1.0, &[]);
-    let mut answer = |node: usize, errs: bool| {
-        let handle = flying(&mut b, 0, node);
-        handle.returned(&mut b, 100.1, end(if errs { Ending::Errored } else { Ending::Delivered }));
-        b.evidence.weight(ENOUGH)
-    };
+    let mut answer = |node, errs| against(&mut b, node, errs);
     (0..500).for_each(|_| _ = answer(1, false));
     let nodes = [4, 6, 7, 6, 5, 7, 6, 7, 4, 7];
     assert!(nodes.repeat(20).iter().map(|i| answer(*i, *i == 4)).fold(0.0, f64::max) < 1.0);
@@ -571,13 +570,7 @@
     // Guards against a restarted agent that takes the errors it finds for new.
     let mut b = balancer(2, Phase::Released, 1.0, &[]);
     for i in 1..200usize {
-        let handle = flying(&mut b, 0, 5);
-        handle.returned(
-            &mut b,
-            100.1,
-            end(if i.is_multiple_of(20) { Ending::Errored } else { Ending::Delivered }),
-        );
-        assert!(b.evidence.weight(ENOUGH) < 1.0);
+        assert!(against(&mut b, 5, i.is_multiple_of(20)) < 1.0);
     }
 }
 
