--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,10 +9,12 @@
 //! 3. further forwards: time-outs and a retry budget (`limit`, `again`)
 //! 4. early bounces under overload, by benefit and time left (`too_busy`)
 //! 5. the present against the seconds before the trial, with pauses that tell the cause (`compare`)
-//! 6. evidence beyond the payoffs: faults, times, complaints (`Evidence`, `slower`)
+//! 6. evidence beyond the payoffs: faults, times, complaints (`Evidence`, `slower`); where rates are stated
+//!    the package `verdict` holds it instead, with 5's pauses on its coin (`witness`, `wish`)
 
 use crate::interface::*;
 use crate::state::*;
+use magpieline_verdict::{Case, End, Opinion, Outcome, Terms, Voters};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -109,6 +111,12 @@
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         (b.duel, b.long_faults) = (Duel::new(b.groups.len(), 0.0), Count { z: 2.0, sum: 0.2, squares: 0.2 });
         b.evidence = Evidence::new(b.groups.len());
+        let stated = |name: &str| match b.named.get(&format!("verdict.{name}")) {
+            Some(Value::Number(n)) => Some(*n),
+            _ => None,
+        };
+        let terms = Terms::read(stated, text(&b.named, "verdict.fallback"));
+        b.terms = terms.map_err(|e| format!("verdict: {e}"))?;
         b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
         b.following.on = text(&b.named, "discovery") != "on_request";
@@ -136,6 +144,7 @@
             self.duel = Duel::new(self.groups.len(), self.lately.taken / SPAN);
             self.cast.again_at = self.now;
         }
+        self.open_case(old, news);
         if old.is_none_or(|o| o.build != news.build) {
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
@@ -147,6 +156,49 @@
         self.remember(news);
     }
 
+    /// A release, and each time it is tried anew, is a case of its own; its stages are parts of one.
+    fn open_case(&mut self, old: Option<News>, news: News) {
+        let on = |n: &News| n.phase == Phase::Trial;
+        let Some(terms) = self.terms.clone() else { return };
+        if on(&news) && !old.is_some_and(|o| o.build == news.build && on(&o)) {
+            let [all, back, on] = ["peers_total", "family_info.noes_needed", "family_info.on_votes"]
+                .map(|name| self.set(name, 1.0).max(1.0));
+            // A pause lasts as long as the slowest group's answers may take.
+            let window = self.groups.iter().map(|g| g.target).fold(0.0, f64::max).clamp(0.5, 2.0);
+            let voters = Voters { all: all.max(back).max(on), back, on };
+            self.case = Some(Case::new(terms, voters, self.groups.len(), u64::from(news.build), window));
+            self.look = None;
+        } else if old.is_none_or(|o| o.build != news.build) {
+            (self.case, self.look) = (None, None);
+        }
+        let (now, usual) = (self.now, self.long_faults.mean());
+        let Some(case) = &mut self.case else { return };
+        match news.phase {
+            Phase::Trial
+                if !old.is_some_and(|o| (o.build, o.stage) == (news.build, news.stage) && on(&o)) =>
+            {
+                case.stage(now, news.since);
+            }
+            Phase::Released => case.released(now, usual),
+            _ => {}
+        }
+    }
+
+    /// Hands the outcome of a first forward to the stated evidence.
+    fn witness(&mut self, hit: &Hit, flying: &Flying, end: End, time: Option<f64>) {
+        let (now, Some(news)) = (self.now, self.news) else { return };
+        let Some(case) = self.case.as_mut().filter(|_| flying.first && flying.build <= news.build) else {
+            return;
+        };
+        let side = if flying.build == news.build { TRIAL } else { EARLIER };
+        let up_since = self.nodes[flying.node].listed.map_or(0.0, |l| l.up_since);
+        let (group, node, key, age) = (hit.arrival.group, flying.node, hit.arrival.key, now - up_since);
+        case.outcome(now, &Outcome { side, group, node, key, age, end, time });
+        if end == End::Passed {
+            case.complaint(now, side, node, 1.0, 0.0);
+        }
+    }
+
     fn standing(&self, build: u32) -> Standing {
         let Some(news) = self.news else {
             let lowest = self.open().map(|l| l.build).min();
@@ -165,9 +217,13 @@
     pub fn complained(&mut self, now: f64, node: usize) {
         self.at(now);
         let build = self.nodes.get(node).and_then(|n| n.listed).map(|l| l.build);
-        if build.is_some() && build == self.news.map(|n| n.build) {
+        let trial = build.is_some() && build == self.news.map(|n| n.build);
+        if trial {
             Evidence::lean(&mut self.evidence.complaints, 1.0, 0.0, WRONG.0, WRONG.1);
         }
+        if let Some(case) = self.case.as_mut().filter(|_| build.is_some()) {
+            case.complaint(now, [EARLIER, TRIAL][usize::from(trial)], node, 0.0, 1.0);
+        }
     }
 
     /// Takes a hit: its handle, and what to do with it.
@@ -454,6 +510,10 @@
             self.lately.loads += weight * (flying.load - self.lately.loads);
         }
         let slow = if timed { self.time(hit, flying, end) } else { None };
+        let heard_as = if served { End::Passed } else { End::Unheard };
+        if end.ending != Ending::Errored {
+            self.witness(hit, flying, heard_as, slow.filter(|_| !flying.cold));
+        }
         let (jitter, quick) = (self.chance.0.gen_range(0.8..1.2), (0.5 * self.pressure()).clamp(0.02, 0.2));
         // Hits that err wherever they are sent are no build's fault. The second forwards of those that erred
         // tell how much of the errors is theirs; half is enough to acquit.
@@ -498,6 +558,12 @@
                 let in_time = served && end.spent <= self.groups[group].target;
                 self.duel.arms[arm][group].add(f64::from(u8::from(in_time)));
                 self.duel.judge();
+                // Where rates are stated a trial does not go by this alone: its horizon starts anew.
+                let early = self.case.is_some() && self.look.is_none_or(|l| l.opinion != Opinion::Back);
+                if early && self.duel.dropped == Some(TRIAL) {
+                    let Duel { outcomes, horizon, .. } = self.duel;
+                    self.duel = Duel { outcomes, horizon, ..Duel::new(self.groups.len(), 0.0) };
+                }
             }
         }
 
@@ -545,6 +611,10 @@
         }
         if let Some(x) = own.filter(|_| !flying.cold && !on_trial) {
             self.lately.present.add(x);
+            let earlier = self.news.is_some_and(|n| flying.build < n.build);
+            // Not at equal load: what the trial's pause leaves to the others may only make them slower.
+            let plain = (end.spent / hit.work()).ln() - self.groups[hit.arrival.group].calm.mean();
+            self.case.iter_mut().filter(|_| earlier).for_each(|c| c.earlier_time(flying.sent, plain));
         }
         word
     }
@@ -570,6 +640,8 @@
         self.share = self.trial_share();
         self.idle = (1.01 * self.idle).min(self.set("limits.conn_idle_s", 10.0)); // twice in seven seconds
         self.compare();
+        let now = self.now;
+        self.look = self.case.as_mut().map(|case| case.look(now));
         self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
         let follow = !self.following.on && self.now >= self.following.ask_at;
         self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at }; // or asks again
@@ -594,6 +666,14 @@
             (self.doubt.paused_at, self.doubt.slow_for) = (None, 0); // a tenth can hardly slow the rest
             return;
         }
+        if let Some(case) = &mut self.case {
+            self.doubt.slow_for = self.doubt.slow_for.min(20); // a slowdown's length alone is no evidence here
+            self.doubt.until =
+                if self.doubt.slow_for >= 5 { self.now + 2.0 * PAUSE } else { self.doubt.until };
+            let rests = case.rest(self.now, trial && self.now < self.doubt.until);
+            self.doubt.paused_at = rests.then_some(present.mean());
+            return;
+        }
         let ready = trial && phase < 2.0 * TICK && self.now >= self.doubt.not_before;
         match self.doubt.paused_at {
             None if ready && self.doubt.raised() => self.doubt.paused_at = Some(present.mean()),
@@ -641,8 +721,13 @@
         let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
-        let guilty = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
-        let doubtful = trial && (weight >= 0.5 || self.now < self.doubt.until);
+        let plain = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
+        let guilty = self.look.map_or(plain, |l| l.opinion == Opinion::Back);
+        let weight = self.look.map_or(weight, |l| l.back);
+        // Where rates are stated only evidence against a bad build releases one, or the stated fallback.
+        let waits = news.cap >= 1.0 && self.look.is_some_and(|l| l.opinion != Opinion::On);
+        let waits = waits && !self.case.as_ref().is_some_and(Case::falls_back);
+        let doubtful = trial && (weight >= 0.5 || self.now < self.doubt.until || waits);
         if guilty {
             return Verdict::Back;
         } else if text(&self.named, "family_info.vote_mode") == "clocked" {
@@ -707,12 +792,23 @@
         let hit = b.slab.hits[place];
         let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
         b.learn(&hit, &flying, &end);
-        if end.over || end.ending == Ending::Delivered || !hit.owed {
+        let erred = end.ending == Ending::Errored;
+        if let Some(first) = b.slab.hits[place].accused.take() {
+            b.witness(&hit, &first, [End::Erred, End::ErredAgain][usize::from(erred)], None);
+        }
+        let next = if end.over || end.ending == Ending::Delivered || !hit.owed {
             b.slab.end(place);
-            return Next::Nothing;
+            Next::Nothing
+        } else {
+            let again = b.again(place, end.ending);
+            [Balancer::finish, Balancer::route][usize::from(again)](b, place)
+        };
+        match next {
+            Next::Forward { .. } if erred && flying.first => b.slab.hits[place].accused = Some(flying),
+            _ if erred && flying.first => b.witness(&hit, &flying, End::Erred, None),
+            _ => {}
         }
-        let again = b.again(place, end.ending);
-        [Balancer::finish, Balancer::route][usize::from(again)](b, place)
+        next
     }
 }
 
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -867,3 +867,109 @@
     flying(&mut b, 0, 4).returned(&mut b, 101.2, late);
     assert_eq!((b.lately.spent, b.duel.arms[TRIAL][0].z, b.duel.outcomes), (0.1, 0.0, 1.0));
 }
+
+// ---- stated rates ----
+
+const STATED: [(&str, f64); 3] =
+    [("verdict.good_sent_back", 0.01), ("verdict.bad_carried", 0.05), ("family_info.soak_s", 1.0)];
+
+/// On trial in a stage, with stated rates; news came at 100.
+fn stated(cap: f64, more: &[(&str, f64)]) -> Balancer {
+    let pairs: Vec<_> = STATED.iter().chain(more).copied().collect();
+    let mut b = balancer(0, Phase::Trial, cap, &pairs);
+    b.news = None;
+    b.heard(100.0, News { build: 2, stage: 0, phase: Phase::Trial, since: 0.0, cap });
+    b
+}
+
+/// So many seconds of outcomes at each node in turn, a hundred a second; the trial's err by this share.
+fn outcomes(b: &mut Balancer, seconds: usize, share: f64) {
+    for i in 0..seconds * 100 {
+        let node = i % 8;
+        let handle = flying(b, i % 3, node);
+        let errs = node >= 4 && (i / 8) % 100 < (share * 100.0) as usize;
+        let ending = if errs { Ending::Errored } else { Ending::Delivered };
+        b.now += 0.01;
+        handle.returned(b, b.now, Return { over: true, ..end(ending) });
+    }
+    b.review(b.now);
+}
+
+#[test]
+fn with_stated_rates_a_vote_takes_the_stated_evidence() {
+    let mut bad = stated(1.0, &[]);
+    outcomes(&mut bad, 1, 0.0);
+    assert_eq!(bad.wish(), Verdict::Clear, "ten outcomes release nothing: {}", bad.against());
+    outcomes(&mut bad, 8, 0.5);
+    assert_eq!(bad.wish(), Verdict::Back, "{}", bad.against());
+    let mut good = stated(1.0, &[]);
+    outcomes(&mut good, 12, 0.0);
+    assert_eq!(good.wish(), Verdict::On, "{}", good.against());
+    assert!(good.account().iter().any(|e| e.what == "errors" && e.log >= e.needed && e.needed > 0.0));
+}
+
+#[test]
+fn without_stated_rates_there_is_no_case() {
+    let mut b = balancer(0, Phase::Trial, 1.0, &[]);
+    b.heard(101.0, News { build: 2, stage: 1, phase: Phase::Trial, since: 0.0, cap: 1.0 });
+    b.review(101.1);
+    assert!(b.case.is_none() && b.look().is_none() && b.account().is_empty());
+    let wrong =
+        Balancer::start(1, 0.0, None, named(&[("verdict.bad_carried", 7.0)])).err().unwrap_or_default();
+    assert!(wrong.starts_with("verdict: bad_carried: found 7"), "{wrong}");
+}
+
+#[test]
+fn a_release_tried_anew_is_a_case_of_its_own_and_its_stages_are_one() {
+    let mut b = stated(0.5, &[]);
+    outcomes(&mut b, 8, 0.5);
+    assert_eq!(b.wish(), Verdict::Back);
+    let news = |stage, phase| News { build: 2, stage, phase, since: 0.0, cap: 0.5 };
+    b.heard(b.now, news(1, Phase::Trial));
+    b.review(b.now + 0.1);
+    assert_eq!(b.wish(), Verdict::Back, "the next stage forgets nothing that spoke against it");
+    b.heard(b.now, news(1, Phase::Withdrawn));
+    b.heard(b.now, news(0, Phase::Trial));
+    b.review(b.now + 0.1);
+    assert_ne!(b.wish(), Verdict::Back, "the same number, another release");
+}
+
+#[test]
+fn a_hit_that_errs_twice_says_nothing_against_a_build_that_stated_rates_would_count() {
+    let twice = |again: Ending| {
+        let mut b = stated(0.5, &[("limits.max_attempts", 3.0)]);
+        outcomes(&mut b, 1, 0.0);
+        b.retries = 10.0;
+        let handle = flying(&mut b, 0, 4);
+        let now = b.now + 0.01;
+        let next = handle.returned(&mut b, now, end(Ending::Errored));
+        assert!(matches!(next, Next::Forward { .. }));
+        let now = b.now + 0.02;
+        handle.returned(&mut b, now, Return { over: true, ..end(again) });
+        b.review(now + 1.0);
+        let against = |e: &&magpieline_verdict::Entry| {
+            e.vote == magpieline_verdict::Vote::Back && e.group.is_none() && e.what == "errors"
+        };
+        b.account().iter().find(against).map(|e| e.trial.1)
+    };
+    assert_eq!(twice(Ending::Delivered), Some(1.0));
+    assert_eq!(twice(Ending::Errored), Some(0.0));
+}
+
+#[test]
+fn a_slowdown_of_all_rests_the_trial_only_while_it_lasts() {
+    let mut b = stated(0.5, &[]);
+    b.groups.iter_mut().for_each(|g| g.calm = count(20.0, 0.0));
+    let mut rested = [0, 0];
+    for (part, slow) in [(0, 0.7), (1, 0.0)] {
+        for _ in 0..200 {
+            b.lately.present = count(30.0, slow);
+            b.lately.taken = 10.0;
+            b.review(b.now + 0.1);
+            rested[part] += usize::from(b.doubt.paused_at.is_some());
+        }
+        // Votes on wait while all are slow; what ends is forgotten after some seconds.
+        assert_eq!(b.now < b.doubt.until, part == 0);
+    }
+    assert!((60..140).contains(&rested[0]) && rested[1] < 40, "{rested:?}");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 //! made here and no value is chosen here; both belong to `balance`.
 
 use crate::interface::*;
+use magpieline_verdict::{Case, Entry, Look, Terms};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Ordering;
@@ -199,6 +200,8 @@
     pub flying: Option<Flying>,
     /// The first build that answered it with an error.
     pub erred: Option<u32>,
+    /// Its first forward, while a further one has to tell whether the build or the hit is to blame.
+    pub accused: Option<Flying>,
     /// When and where it first may have run.
     pub risk: Option<(f64, usize, i64)>,
 }
@@ -430,6 +433,10 @@
     pub(crate) void: Vec<u32>,
     pub(crate) duel: Duel,
     pub(crate) evidence: Evidence,
+    /// The stated rates, the evidence they ask for on the present release, and what it came to last.
+    pub(crate) terms: Option<Terms>,
+    pub(crate) case: Option<Case>,
+    pub(crate) look: Option<Look>,
     /// Share of the earlier build's answers that were errors, of late and over ten times as many.
     pub(crate) usual_faults: f64,
     pub(crate) long_faults: Count,
@@ -466,6 +473,12 @@
         let (e, index) = (&self.evidence, [EARLIER, TRIAL].map(|arm| self.duel.moments(arm)));
         let [earlier, trial] = index.map(|(pulls, mean, _)| format!("{mean:.2} of {pulls:.0}"));
         let most = e.faults.iter().fold(0.0, |a: f64, b| a.max(*b));
+        if let Some(Look { back, on, remaining, .. }) = self.look {
+            return format!(
+                "evidence to go back {back:.2}, to go on {on:.2} of what is stated, {remaining:.0} s more, \
+                 payoffs {earlier} to {trial}"
+            );
+        }
         format!(
             "errors {most:.1}, again elsewhere {:.2}, complaints {:.1}, slower {:.2}, stays {:.2}, abated {}, \
              payoffs {earlier} to {trial}",
@@ -473,6 +486,16 @@
         )
     }
 
+    /// All comparisons that speak for or against the newest build; none where no rates are stated.
+    pub fn account(&self) -> Vec<Entry> {
+        self.case.as_ref().map(Case::account).unwrap_or_default()
+    }
+
+    /// What they came to at the last review.
+    pub fn look(&self) -> Option<Look> {
+        self.look
+    }
+
     pub(crate) fn set(&self, name: &str, otherwise: f64) -> f64 {
         number(&self.named, name, otherwise)
     }
--- a/verdict/src/case.rs
+++ b/verdict/src/case.rs
@@ -8,6 +8,7 @@
 use crate::terms::{self, Terms, Voters};
 use crate::wealth::Bets;
 use serde::Serialize;
+use std::collections::VecDeque;
 
 pub const EARLIER: usize = 0;
 pub const TRIAL: usize = 1;
@@ -220,6 +221,10 @@
     keys: Keys,
     /// The mean time of the earlier nodes in the last blocks, the mark that times are held against.
     mark: Option<f64>,
+    /// Answers and complaints of the block now open, by side and place, and the answers of those before it, as far
+    /// back as complaints come.
+    answered: [Vec<Tally>; 2],
+    earlier_answers: VecDeque<[Vec<Tally>; 2]>,
     past: Option<Past>,
     past_block: Tally,
     pauses: Pauses,
@@ -228,6 +233,8 @@
     trail: Vec<(f64, f64, f64)>,
 }
 
+/// The most blocks for which answers are kept until their complaints have come: four minutes.
+const LATEST: f64 = 480.0;
 /// Over how many blocks growth is measured.
 const TRAIL: usize = 10;
 
@@ -246,6 +253,8 @@
             left_out: [None; 2],
             keys: Keys::default(),
             mark: None,
+            answered: Default::default(),
+            earlier_answers: VecDeque::new(),
             past: None,
             past_block: Tally::default(),
             pauses: Pauses::new(seed, window),
@@ -278,6 +287,9 @@
         }
         on("errors", None, holds(t.bad_errors));
         on("work", None, shifts(true));
+        if t.bad_complaints > 0.0 {
+            on("complaints", None, holds(t.bad_complaints));
+        }
         if t.shows_after > 0.0 {
             on("later errors", None, holds(t.bad_errors));
             on("later work", None, shifts(true));
@@ -359,10 +371,13 @@
     /// Answers and complaints of a side, as they come.
     pub fn complaint(&mut self, now: f64, side: usize, node: usize, answers: f64, complaints: f64) {
         self.advance(now);
-        let place = self.places[side.min(TRIAL)].of(node);
-        for s in self.streams.iter_mut().filter(|s| s.what == "complaints") {
-            s.add(side.min(TRIAL), place, Tally::new(answers, complaints));
+        let side = side.min(TRIAL);
+        let place = self.places[side].of(node);
+        let answered = &mut self.answered[side];
+        if place >= answered.len() {
+            answered.resize(place + 1, Tally::default());
         }
+        answered[place].add(Tally::new(answers, complaints));
     }
 
     /// Whether the trial's traffic should rest just now, to see if a slowdown of all nodes goes with it. To be
@@ -410,11 +425,6 @@
         self.terms.fallback_on && self.now - self.stage_began >= self.terms.patience
     }
 
-    /// In the last stage one first forward in so many is kept at the earlier build; 0: none.
-    pub fn control(&self) -> f64 {
-        self.terms.control
-    }
-
     /// All comparisons, for those who ask why.
     pub fn account(&self) -> Vec<Entry> {
         let pair = |t: Tally| (t.n, t.marked);
@@ -479,8 +489,29 @@
         }
     }
 
+    /// Complaints come after their answers. For a vote on they are held against the answers of a while ago, for
+    /// one back against the more of now and then.
+    fn close_complaints(&mut self) {
+        let now = std::mem::take(&mut self.answered);
+        self.earlier_answers.push_back(now.clone());
+        let blocks = (self.terms.complaints_late / BLOCK).min(LATEST) as usize;
+        let then = if self.earlier_answers.len() > blocks { self.earlier_answers.pop_front() } else { None };
+        let then = then.unwrap_or_default();
+        for side in [EARLIER, TRIAL] {
+            for place in 0..now[side].len().max(then[side].len()) {
+                let at = |list: &[Vec<Tally>; 2]| list[side].get(place).copied().unwrap_or_default();
+                let (now, then) = (at(&now), at(&then));
+                for s in self.streams.iter_mut().filter(|s| s.what == "complaints") {
+                    let n = if s.vote == Vote::Back { now.n.max(then.n) } else { then.n };
+                    s.add(side, place, Tally::new(n, now.marked.min(n)));
+                }
+            }
+        }
+    }
+
     fn close(&mut self) {
         self.close_times();
+        self.close_complaints();
         self.streams.iter_mut().for_each(Stream::close);
         if let Some(past) = &mut self.past {
             past.take(self.now, std::mem::take(&mut self.past_block));
--- a/verdict/src/terms.rs
+++ b/verdict/src/terms.rs
@@ -20,12 +20,14 @@
     pub good_slower: f64,
     /// Of a good build's answers at most this share is complained of beyond what is usual.
     pub good_complaints: f64,
+    /// Of a bad build's answers at least this share is complained of; 0: complaints are not waited for.
+    pub bad_complaints: f64,
+    /// Nearly all complaints come within this time of their answers.
+    pub complaints_late: f64,
     /// A build shows what it is once its nodes have run this long; 0: at once.
     pub shows_after: f64,
     /// No trouble that meets all nodes alike lasts longer: what only the past can tell has to outlast it.
     pub shared_lasts: f64,
-    /// In the last stage one first forward in so many is kept at the earlier build, to compare with; 0: none.
-    pub control: f64,
     /// After this long in a stage without enough evidence the fallback holds.
     pub patience: f64,
     /// The fallback votes on (true) or goes on waiting.
@@ -60,9 +62,10 @@
             good_slower: 1.35,
             bad_slower: 1.7,
             good_complaints: 0.003,
+            bad_complaints: 0.0,
+            complaints_late: 5.0,
             shows_after: 0.0,
             shared_lasts: 15.0,
-            control: 5.0,
             patience: 60.0,
             fallback_on: false,
         }
@@ -72,7 +75,7 @@
 /// What can be stated: the name, the least and the largest value that make sense.
 type Row = (&'static str, f64, f64, fn(&mut Terms) -> &mut f64);
 
-const ROWS: [Row; 12] = [
+const ROWS: [Row; 13] = [
     ("good_sent_back", 1e-6, 0.5, |t| &mut t.good_sent_back),
     ("bad_carried", 1e-6, 0.5, |t| &mut t.bad_carried),
     ("good_errors", 0.0, 0.5, |t| &mut t.good_errors),
@@ -81,9 +84,10 @@
     ("good_slower", 1.0, 100.0, |t| &mut t.good_slower),
     ("bad_slower", 1.0, 100.0, |t| &mut t.bad_slower),
     ("good_complaints", 0.0, 0.5, |t| &mut t.good_complaints),
+    ("bad_complaints", 0.0, 0.9, |t| &mut t.bad_complaints),
+    ("complaints_late_s", 0.0, 3600.0, |t| &mut t.complaints_late),
     ("shows_after_s", 0.0, 86_400.0, |t| &mut t.shows_after),
     ("shared_lasts_s", 0.0, 86_400.0, |t| &mut t.shared_lasts),
-    ("control", 0.0, 1000.0, |t| &mut t.control),
     ("patience_s", 0.0, 86_400.0, |t| &mut t.patience),
 ];
 
@@ -113,6 +117,9 @@
         if terms.bad_errors > terms.bad_group {
             wrong.push("bad_group: expected bad_errors or more".into());
         }
+        if terms.bad_complaints > 0.0 && terms.bad_complaints <= terms.good_complaints {
+            wrong.push("bad_complaints: expected 0 or more than good_complaints".into());
+        }
         if terms.good_slower >= terms.bad_slower {
             wrong.push("good_slower: expected less than bad_slower".into());
         }
--- a/verdict/src/tests.rs
+++ b/verdict/src/tests.rs
@@ -362,7 +362,7 @@
     assert_eq!(Terms::read(|_| None, "").expect("nothing stated"), None);
     let stated = Terms::read(one("bad_carried", 0.1), "on").expect("good").expect("stated");
     assert!(stated.fallback_on && stated.bad_carried == 0.1 && stated.good_sent_back == 0.01);
-    let wrong = Terms::read(|n| (n != "control").then_some(-3.0), "perhaps").expect_err("all wrong");
+    let wrong = Terms::read(|n| (n != "good_errors").then_some(-3.0), "perhaps").expect_err("all wrong");
     for name in
         ["good_sent_back: found -3", "patience_s", "fallback: found perhaps", "expected 0.000001 to 0.5"]
     {
