Operators' file with a schema that the program itself reads; verdict explain

Need: rates are the operators' to state, and whoever asks why a vote was cast should get one answer with figures.

Change: `operator/`, without I/O, reads deploy/magpieline.xsd (the part of XML Schema 1.1 that it uses) and holds the operators' file against it: all complaints at once with line, element, found and expected; bounded size and depth, no document types. On request the agent adds its looks at a release to a file of JSON lines by a thread of its own, `verdict explain` tells from it what decided, what else would have, and what is missing. A sick lone node condemns its build or makes the vote wait, as stated. Without the file nothing changes; the run line does not name it.

--- /dev/null
+++ b/agent/src/explain.rs
@@ -0,0 +1,196 @@
+//! What operators ask for, in words: why a release was voted on as it was, what a file sets.
+
+use crate::memory::record::Looked;
+use magpieline_operator::{Setting, Values};
+use magpieline_verdict::{Entry, Opinion, Vote};
+use std::fmt::Write;
+
+/// What a file sets: a line each, or one object.
+pub fn values(values: &Values, json: bool) -> String {
+    let plain = |s: &Setting| match s {
+        Setting::Number(n) => serde_json::json!(n),
+        Setting::Text(t) => serde_json::json!(t),
+        Setting::Flag(f) => serde_json::json!(f),
+    };
+    if json {
+        let all: serde_json::Map<_, _> = values.iter().map(|(n, s)| (n.clone(), plain(s))).collect();
+        return format!("{}\n", serde_json::Value::Object(all));
+    }
+    let width = values.keys().map(String::len).max().unwrap_or(0);
+    values.iter().map(|(n, s)| format!("{n:width$}  {}\n", plain(s))).collect()
+}
+
+/// What an entry is about.
+fn name(e: &Entry) -> String {
+    match e.group {
+        Some(group) => format!("{} of path group {group}", e.what),
+        None => e.what.to_owned(),
+    }
+}
+
+/// The looks that decide, one for each time a build was tried: the first whose opinion is there, else the last.
+fn deciding(text: &str, build: Option<u32>) -> Result<Vec<Looked>, String> {
+    let mut chosen: Vec<Looked> = Vec::new();
+    for (i, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+        let looked: Looked = match serde_json::from_str(line) {
+            Ok(looked) => looked,
+            // The last line may have been cut off when the program ended.
+            Err(_) if i + 1 == text.lines().count() && !text.ends_with('\n') => break,
+            Err(e) => return Err(format!("line {}: expected a look: {e}", i + 1)),
+        };
+        if build.is_some_and(|b| b != looked.build) {
+            continue;
+        }
+        let back = |l: &Looked| l.look.opinion == Opinion::Back;
+        match chosen.last_mut() {
+            // The same release: a look at an earlier stage is another one.
+            Some(last) if last.build == looked.build && last.stage <= looked.stage => {
+                let passed = last.stage < looked.stage && !back(last);
+                if passed || last.look.opinion == Opinion::NotYet || (back(&looked) && !back(last)) {
+                    *last = looked;
+                }
+            }
+            _ => chosen.push(looked),
+        }
+    }
+    Ok(chosen)
+}
+
+/// A record in words, or its deciding looks as JSON lines.
+pub fn record(text: &str, build: Option<u32>, json: bool) -> Result<String, String> {
+    let looks = deciding(text, build)?;
+    if looks.is_empty() {
+        return Err("expected a look at a release, found none".into());
+    }
+    let mut out = String::new();
+    for l in &looks {
+        if json {
+            let line = serde_json::to_string(l).map_err(|e| e.to_string())?;
+            let _ = writeln!(out, "{line}");
+        } else {
+            tell(l, &mut out);
+        }
+    }
+    Ok(out)
+}
+
+fn tell(l: &Looked, out: &mut String) {
+    let said = match l.look.opinion {
+        Opinion::Back => "the evidence to go back is there",
+        Opinion::On => "the evidence to go on is there",
+        Opinion::NotYet => "not enough evidence either way",
+    };
+    let _ = writeln!(out, "build {} stage {} ({}) at {:.1}: {said}", l.build, l.stage, l.phase, l.at);
+    if l.look.opinion == Opinion::NotYet {
+        let more = l.look.remaining.filter(|s| s.is_finite());
+        let _ = match more {
+            Some(s) => writeln!(out, "  at the present rate {s:.0} s more"),
+            None => writeln!(out, "  at the present rate never: neither side grows"),
+        };
+    }
+    let header = ["vote", "what", "evidence", "needed", "earlier", "trial", "without"];
+    let [vote, what, evidence, needed, earlier, trial, without] = header;
+    let _ = writeln!(
+        out,
+        "  {vote:<5} {what:<28} {evidence:>9} {needed:>7} {earlier:>14} {trial:>14} {without:>8}"
+    );
+    for e in &l.entries {
+        let side = |(n, marked): (f64, f64)| format!("{marked:.0} of {n:.0}");
+        let vote = if e.vote == Vote::Back { "back" } else { "on" };
+        let needed = if e.needed > 0.0 { format!("{:.1}", e.needed) } else { "rare".into() };
+        let without = e.without.map_or(String::new(), |n| format!("node {n}"));
+        let _ = writeln!(
+            out,
+            "  {vote:<5} {:<28} {:>9.1} {needed:>7} {:>14} {:>14} {without:>8}",
+            name(e),
+            e.log,
+            side(e.earlier),
+            side(e.trial)
+        );
+    }
+    let _ = writeln!(out, "  {}", otherwise(l));
+}
+
+/// What would have changed it.
+fn otherwise(l: &Looked) -> String {
+    let part = |e: &&Entry| e.log / e.needed;
+    let of = |vote: Vote| l.entries.iter().filter(move |e| e.vote == vote && e.needed > 0.0);
+    let strongest = of(Vote::Back).max_by(|a, b| part(a).total_cmp(&part(b)));
+    let weakest = of(Vote::On).min_by(|a, b| part(a).total_cmp(&part(b)));
+    match (l.look.opinion, strongest, weakest) {
+        (Opinion::Back, Some(e), _) => {
+            let others = of(Vote::Back).filter(|o| o.log >= o.needed).count() - 1;
+            format!(
+                "it rests on {} ({:.1} of {:.1}); {others} more would have done",
+                name(e),
+                e.log,
+                e.needed
+            )
+        }
+        (Opinion::On, _, Some(e)) => {
+            format!("the last to agree was {} ({:.1} of {:.1})", name(e), e.log, e.needed)
+        }
+        (Opinion::NotYet, Some(back), Some(on)) => {
+            format!(
+            "nearest to going back: {} ({:.1} of {:.1}); what keeps it from going on: {} ({:.1} of {:.1})",
+            name(back), back.log, back.needed, name(on), on.log, on.needed
+        )
+        }
+        _ => "nothing was compared yet".into(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use magpieline_verdict::Look;
+
+    fn entry(vote: Vote, what: &str, log: f64, needed: f64) -> Entry {
+        let (earlier, trial) = ((90.0, 1.0), (40.0, 9.0));
+        Entry { vote, what: what.into(), group: Some(2), log, needed, earlier, trial, without: Some(7) }
+    }
+
+    fn looked(build: u32, stage: usize, opinion: Opinion) -> String {
+        let look = Look { opinion, back: 1.2, on: 0.1, remaining: None };
+        let entries = vec![entry(Vote::Back, "errors", 7.2, 6.0), entry(Vote::On, "work", 0.4, 3.0)];
+        let (phase, vote) = ("Trial".into(), None);
+        let looked = Looked { at: 9.0, build, stage, phase, vote, look, entries };
+        serde_json::to_string(&looked).expect("a line") + "\n"
+    }
+
+    #[test]
+    fn a_record_says_what_decided_each_release() {
+        let text = [
+            looked(4, 0, Opinion::NotYet),
+            looked(4, 1, Opinion::Back),
+            looked(4, 1, Opinion::NotYet),
+            looked(5, 0, Opinion::NotYet),
+            looked(4, 0, Opinion::On),
+        ]
+        .concat();
+        let told = record(&text, None, false).expect("words");
+        for words in [
+            "build 4 stage 1 (Trial) at 9.0: the evidence to go back is there",
+            "errors of path group 2             7.2     6.0        1 of 90        9 of 40   node 7",
+            "it rests on errors of path group 2 (7.2 of 6.0); 0 more would have done",
+            "build 5 stage 0 (Trial) at 9.0: not enough evidence either way",
+            "at the present rate never",
+            "what keeps it from going on: work of path group 2 (0.4 of 3.0)",
+            "build 4 stage 0 (Trial) at 9.0: the evidence to go on is there",
+        ] {
+            assert!(told.contains(words), "{words} in:\n{told}");
+        }
+        let one = record(&text, Some(5), true).expect("JSON");
+        assert_eq!((one.lines().count(), one.contains("\"build\":5")), (1, true));
+    }
+
+    #[test]
+    fn a_line_cut_at_the_end_is_passed_over_and_one_within_is_told() {
+        let whole = looked(4, 0, Opinion::NotYet);
+        let cut = format!("{whole}{}", &whole[..40]);
+        assert!(record(&cut, None, false).is_ok());
+        let wrong = record(&format!("{whole}no\n{whole}"), None, false).expect_err("a complaint");
+        assert!(wrong.starts_with("line 2: expected a look"), "{wrong}");
+        assert!(record("", None, false).is_err());
+    }
+}
--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -19,8 +19,8 @@
 }
 
 /// Serves until SIGTERM, on one thread.
-pub fn serve(path: PathBuf) -> Result<(), String> {
-    let start = start::read(&path)?;
+pub fn serve(path: PathBuf, operators: Option<PathBuf>) -> Result<(), String> {
+    let start = start::read(&path, operators.as_deref())?;
     let exchange = Rc::new(start.exchange()?);
     actix_rt::System::new().block_on(async move {
         // Before anyone can know of this program: without them a signal would end it.
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -1,8 +1,11 @@
 //! What an agent is told at its start: the environment names the configuration, that holds the rest.
 
 use crate::memory::exchange::Exchange;
+use crate::memory::record::Chosen;
 use crate::wire::{list, platform};
+use magpieline::interface::Value;
 use magpieline::names::Message;
+use magpieline_operator::{Schema, Setting, Values};
 use serde_json::Value as Json;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -17,6 +20,32 @@
     pub descriptors: usize,
     seed: u64,
     body: Json,
+    /// What the operators chose; nothing without their file.
+    pub chosen: Chosen,
+}
+
+/// Reads an operators' file; an error lists all that is wrong with it.
+pub fn operators(path: &Path) -> Result<Values, String> {
+    let text =
+        std::fs::read_to_string(path).map_err(|e| format!("{}: could not be read: {e}", path.display()))?;
+    Schema::own().check(&text).map_err(|all| {
+        let lines = all.iter().map(|c| format!("{}: {c}", path.display()));
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+/// Hands values to those whom they concern.
+pub fn chosen(values: &Values) -> Chosen {
+    let mut chosen = Chosen::default();
+    for (name, setting) in values.iter().filter(|(name, _)| name.starts_with("verdict.")) {
+        match setting {
+            Setting::Text(text) if name == "verdict.record" => chosen.record = Some(text.into()),
+            Setting::Text(text) => drop(chosen.named.insert(name.clone(), Value::Text(text.clone()))),
+            Setting::Number(number) => drop(chosen.named.insert(name.clone(), Value::Number(*number))),
+            Setting::Flag(flag) => drop(chosen.named.insert(name.clone(), Value::Flag(*flag))),
+        }
+    }
+    chosen
 }
 
 fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
@@ -37,9 +66,12 @@
     Start::parse(body).map_err(told)
 }
 
-/// Reads the configuration for a start.
-pub fn read(path: &Path) -> Result<Start, String> {
+/// Reads the configuration for a start, and the operators' file where there is one.
+pub fn read(path: &Path, file_of_operators: Option<&Path>) -> Result<Start, String> {
     let mut start = file(path)?;
+    if let Some(file) = file_of_operators {
+        start.chosen = chosen(&operators(file)?);
+    }
     // The environment says the same; where it differs it is the nearer word.
     let variable = |name: &str| match std::env::var(name) {
         Ok(value) => address(name, &value).map(Some),
@@ -67,6 +99,7 @@
             descriptors: limits.whole("sockets")? as usize,
             seed,
             body,
+            chosen: Chosen::default(),
         })
     }
 
@@ -74,8 +107,9 @@
     pub fn exchange(&self) -> Result<Exchange, String> {
         let all = Message { name: "configuration", body: &self.body };
         let info = all.needed("settings", "an object of settings")?;
-        let exchange = Exchange::new(self.seed, info, self.discovery.clone(), self.platform.clone())
-            .map_err(|e| format!("settings: {e}"))?;
+        let exchange =
+            Exchange::new(self.seed, info, self.discovery.clone(), self.platform.clone(), &self.chosen)
+                .map_err(|e| format!("settings: {e}"))?;
         if let Some(known) = self.body.get("known").filter(|k| !k.is_null()) {
             list::take(&exchange, known, false).map_err(|e| format!("known: {e}"))?;
         }
@@ -131,6 +165,33 @@
         });
     }
 
+    #[test]
+    fn defaults_of_the_schema_are_those_that_the_decisions_take() {
+        let values = Schema::own().check("<magpieline><verdict/></magpieline>").expect("a file");
+        let chosen = chosen(&values);
+        let number = |name: &str| match chosen.named.get(&format!("verdict.{name}")) {
+            Some(Value::Number(n)) => Some(*n),
+            _ => None,
+        };
+        let word = |name: &str| match chosen.named.get(&format!("verdict.{name}")) {
+            Some(Value::Text(t)) => t.as_str(),
+            _ => "",
+        };
+        let terms = magpieline_verdict::Terms::read(number, word).expect("terms").expect("stated");
+        assert_eq!(terms, magpieline_verdict::Terms::default());
+        assert!(
+            Schema::own().check("<magpieline/>").expect("a file").is_empty(),
+            "nothing without its element"
+        );
+    }
+
+    #[test]
+    fn the_file_in_deploy_is_good() {
+        let values =
+            Schema::own().check(include_str!("../../../deploy/magpieline.xml")).expect("a good file");
+        assert_eq!(values.get("verdict.shows_after_s"), Some(&Setting::Number(12.0)));
+    }
+
     #[test]
     fn what_is_wrong_is_named_with_what_was_expected() {
         for (pointer, value, told) in [
@@ -153,7 +214,7 @@
         ] {
             assert_eq!(complaint(pointer, value), told);
         }
-        let missing = read(Path::new("/nowhere/at/all")).err().unwrap_or_default();
+        let missing = read(Path::new("/nowhere/at/all"), None).err().unwrap_or_default();
         assert!(missing.starts_with("/nowhere/at/all: could not be read"), "{missing}");
     }
 }
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -4,6 +4,7 @@
 use crate::memory::keys::{hash, Keys};
 use crate::memory::nodes::Nodes;
 use crate::memory::place::Place;
+use crate::memory::record::{Chosen, Looked, Record};
 use crate::memory::signal::Signal;
 use crate::wire::end::End;
 use crate::wire::nodes::{Parcel, Reach, Report};
@@ -28,6 +29,9 @@
 /// just as its node closes it.
 const IDLE_PART: f64 = 0.5;
 
+/// Looks at a release are kept once in this time, in seconds, and with each vote.
+const RECORD_EVERY: f64 = 1.0;
+
 /// The final answer to a hit.
 pub enum Answer {
     Delivered { kind: Option<HeaderValue>, body: Bytes },
@@ -103,6 +107,8 @@
     connect: Duration,
     idle: Duration,
     vote_limit: Duration,
+    /// Where looks at a release are kept, if anywhere.
+    record: Option<Record>,
     /// Given while the list is to be asked for its changes.
     pub follow: Signal,
     stopping: Cell<bool>,
@@ -146,8 +152,10 @@
         info: &serde_json::Value,
         discovery: String,
         platform: String,
+        chosen: &Chosen,
     ) -> Result<Exchange, String> {
-        let Told { named, groups, accounts, zones, zone } = Told::read(info)?;
+        let Told { mut named, groups, accounts, zones, zone } = Told::read(info)?;
+        named.extend(chosen.named.clone());
         let seconds = |name: &str, otherwise: f64| match named.get(name) {
             Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
             _ => Duration::from_secs_f64(otherwise),
@@ -177,6 +185,7 @@
             connect,
             idle,
             vote_limit,
+            record: chosen.record.as_ref().map(Record::open).transpose()?,
             follow: Signal::new(wanted),
             stopping: false.into(),
             closing: Signal::default(),
@@ -428,12 +437,18 @@
 
     /// Reviews when the decisions ask for it, for as long as the program runs.
     pub async fn review(self: Rc<Self>) -> Infallible {
+        let mut recorded = f64::NEG_INFINITY;
         loop {
+            let now = self.clock.now();
             let (review, against) = {
                 let balancer = &mut self.state.borrow_mut().balancer;
-                let review = balancer.review(self.clock.now());
+                let review = balancer.review(now);
                 (review, review.vote.map(|_| balancer.against()).unwrap_or_default())
             };
+            if review.vote.is_some() || now >= recorded + RECORD_EVERY {
+                recorded = now;
+                self.record(now, review.vote);
+            }
             if review.follow {
                 self.follow.give();
             }
@@ -444,6 +459,15 @@
         }
     }
 
+    /// Keeps a look at the present release, with all that it rests on.
+    fn record(&self, at: f64, vote: Option<Vote>) {
+        let state = self.state.borrow();
+        let parts = self.record.as_ref().zip(state.balancer.look()).zip(state.news);
+        let Some(((record, look), (build, stage, phase))) = parts else { return };
+        let (vote, phase) = (vote.map(|v| format!("{:?}", v.verdict)), format!("{phase:?}"));
+        record.add(&Looked { at, build, stage, phase, vote, look, entries: state.balancer.account() });
+    }
+
     async fn cast(self: Rc<Self>, vote: Vote, against: String) {
         let cast = guarded("vote", platform::cast(&self.platform, vote, self.vote_limit)).await;
         let (receipt, news) = cast.unwrap_or((Receipt::Unknown, None));
--- a/agent/src/memory/mod.rs
+++ b/agent/src/memory/mod.rs
@@ -4,4 +4,5 @@
 pub mod keys;
 pub mod nodes;
 pub mod place;
+pub mod record;
 pub mod signal;
--- /dev/null
+++ b/operator/src/lib.rs
@@ -0,0 +1,26 @@
+//! The operators' file and what it may hold. `deploy/magpieline.xsd` is the one place where elements, their
+//! values, bounds, defaults and explanations are written down; this package reads that schema and holds files
+//! against it, so the two cannot part.
+//!
+//! No I/O: texts come in, plain maps of dotted names to values go out.
+//!
+//! ```
+//! use magpieline_operator::{Schema, Setting};
+//!
+//! let file = r#"<magpieline><verdict good-sent-back="0.01" bad-carried="0.05"/></magpieline>"#;
+//! let values = Schema::own().check(file).expect("a good file");
+//! assert_eq!(values["verdict.good_sent_back"], Setting::Number(0.01));
+//!
+//! let wrong = Schema::own().check("<magpieline>\n<verdict good-sent-back='7'/></magpieline>").unwrap_err();
+//! assert!(wrong[0].to_string().starts_with("line 2: magpieline/verdict: good-sent-back: found '7'"));
+//! ```
+
+mod check;
+mod schema;
+pub mod xml;
+
+pub use check::{Complaint, Setting, Values};
+pub use schema::Schema;
+
+#[cfg(test)]
+mod tests;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -115,7 +115,7 @@
             Some(Value::Number(n)) => Some(*n),
             _ => None,
         };
-        let terms = Terms::read(stated, text(&b.named, "verdict.fallback"));
+        let terms = Terms::read(stated, |name| text(&b.named, &format!("verdict.{name}")));
         b.terms = terms.map_err(|e| format!("verdict: {e}"))?;
         b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
--- a/src/state.rs
+++ b/src/state.rs
@@ -474,8 +474,9 @@
         let [earlier, trial] = index.map(|(pulls, mean, _)| format!("{mean:.2} of {pulls:.0}"));
         let most = e.faults.iter().fold(0.0, |a: f64, b| a.max(*b));
         if let Some(Look { back, on, remaining, .. }) = self.look {
+            let remaining = remaining.map_or("no end".into(), |s| format!("{s:.0} s"));
             return format!(
-                "evidence to go back {back:.2}, to go on {on:.2} of what is stated, {remaining:.0} s more, \
+                "evidence to go back {back:.2}, to go on {on:.2} of what is stated, {remaining} more at this rate, \
                  payoffs {earlier} to {trial}"
             );
         }
--- a/verdict/src/case.rs
+++ b/verdict/src/case.rs
@@ -7,7 +7,7 @@
 use crate::pauses::Pauses;
 use crate::terms::{self, Terms, Voters};
 use crate::wealth::Bets;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 pub const EARLIER: usize = 0;
@@ -47,14 +47,14 @@
 }
 
 /// Which vote a comparison is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Vote {
     Back,
     On,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Opinion {
     /// The stated evidence to go back is there.
@@ -65,23 +65,23 @@
 }
 
 /// What it comes to at a moment.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Look {
     pub opinion: Opinion,
     /// The strongest evidence to go back, 1 being enough.
     pub back: f64,
     /// The weakest evidence to go on, 1 being enough.
     pub on: f64,
-    /// How much longer until either is enough, at the rate of the last seconds; infinite where neither grows.
-    pub remaining: f64,
+    /// How much longer until either is enough, in seconds, at the rate of the last few; none where neither grows.
+    pub remaining: Option<f64>,
 }
 
 /// One comparison, for those who ask why.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     pub vote: Vote,
     /// What was compared: errors, work, complaints, past, pauses, and those of nodes that have run for long.
-    pub what: &'static str,
+    pub what: String,
     /// The path group, where it is about one.
     pub group: Option<usize>,
     /// The logarithm of the evidence and what is needed.
@@ -158,6 +158,10 @@
         self.block.parts.fill(Tally::default());
     }
 
+    fn log(&self, terms: &Terms) -> (f64, Option<usize>) {
+        self.jury.log(self.vote == Vote::On || terms.lone_condemns)
+    }
+
     fn needed(&self) -> f64 {
         -self.rate.ln()
     }
@@ -396,7 +400,7 @@
             back = back.max(past.log() / self.past_needed());
         }
         for s in &self.streams {
-            let part = s.jury.log().0 / s.needed();
+            let part = s.log(&self.terms).0 / s.needed();
             match s.vote {
                 Vote::Back => back = back.max(part),
                 Vote::On if self.too_rare(s) => {}
@@ -408,6 +412,8 @@
             _ if on >= 1.0 && self.past.is_none() => Opinion::On,
             _ => Opinion::NotYet,
         };
+        // What nothing speaks for yet is no figure: JSON knows no infinity.
+        let on = if on.is_finite() { on } else { 0.0 };
         let remaining = self.trail.first().map_or(f64::INFINITY, |(then, old_back, old_on)| {
             let spent = self.now - then;
             let until = |now: f64, old: f64| match now - old {
@@ -417,7 +423,7 @@
             };
             until(back, *old_back).min(until(on, *old_on))
         });
-        Look { opinion, back, on, remaining }
+        Look { opinion, back, on, remaining: Some(remaining).filter(|r| r.is_finite()) }
     }
 
     /// Whether a stage has lasted so long without enough evidence that the fallback holds, and says on.
@@ -432,17 +438,26 @@
             .streams
             .iter()
             .map(|s| {
-                let (log, place) = s.jury.log();
+                let (log, place) = s.log(&self.terms);
                 let side = if s.vote == Vote::Back { TRIAL } else { EARLIER };
                 let without = place.and_then(|p| self.places[side].node(p));
                 let [earlier, trial] = s.jury.seen.map(pair);
                 let needed = if self.too_rare(s) { 0.0 } else { s.needed() };
-                Entry { vote: s.vote, what: s.what, group: s.group, log, needed, earlier, trial, without }
+                Entry {
+                    vote: s.vote,
+                    what: s.what.into(),
+                    group: s.group,
+                    log,
+                    needed,
+                    earlier,
+                    trial,
+                    without,
+                }
             })
             .collect();
-        let more = |what, log, needed, earlier, trial| Entry {
+        let more = |what: &str, log, needed, earlier, trial| Entry {
             vote: Vote::Back,
-            what,
+            what: what.into(),
             group: None,
             log,
             needed,
--- a/verdict/src/jury.rs
+++ b/verdict/src/jury.rs
@@ -56,11 +56,12 @@
         (0..2).for_each(|g| self.seen[g].add(block.sides[g]));
     }
 
-    /// The logarithm of the evidence, and the place whose absence makes it least.
-    pub fn log(&self) -> (f64, Option<usize>) {
+    /// The logarithm of the evidence, and the place whose absence makes it least. While the nodes are few they are
+    /// the build (`few_speak`), or what speaks is not heard.
+    pub fn log(&self, few_speak: bool) -> (f64, Option<usize>) {
         let met = self.without.iter().flatten().count();
         if met < FEW {
-            return (self.all.log, None);
+            return (if few_speak { self.all.log } else { self.all.log.min(0.0) }, None);
         }
         let each = self.without.iter().enumerate().filter_map(|(i, w)| Some((w.as_ref()?.log, Some(i))));
         each.fold((self.all.log, None), |least, next| if next.0 < least.0 { next } else { least })
--- a/verdict/src/lib.rs
+++ b/verdict/src/lib.rs
@@ -8,7 +8,7 @@
 //! ```
 //! use magpieline_verdict::{Case, End, Opinion, Outcome, Terms, Voters, EARLIER, TRIAL};
 //!
-//! let terms = Terms::read(|name| (name == "good_sent_back").then_some(0.01), "")?.expect("a rate is stated");
+//! let terms = Terms::read(|name| (name == "good_sent_back").then_some(0.01), |_| "")?.expect("a rate is stated");
 //! let mut case = Case::new(terms, Voters { all: 1.0, back: 1.0, on: 1.0 }, 1, 7, 1.0);
 //! for i in 0..2000 {
 //!     let (now, side) = (i as f64 * 0.01, if i % 5 == 0 { TRIAL } else { EARLIER });
--- a/verdict/src/terms.rs
+++ b/verdict/src/terms.rs
@@ -28,6 +28,9 @@
     pub shows_after: f64,
     /// No trouble that meets all nodes alike lasts longer: what only the past can tell has to outlast it.
     pub shared_lasts: f64,
+    /// While fewer than three nodes run the trial, a sick one can't be told from its build: it condemns the build
+    /// (true), or a vote back waits for the third.
+    pub lone_condemns: bool,
     /// After this long in a stage without enough evidence the fallback holds.
     pub patience: f64,
     /// The fallback votes on (true) or goes on waiting.
@@ -66,6 +69,7 @@
             complaints_late: 5.0,
             shows_after: 0.0,
             shared_lasts: 15.0,
+            lone_condemns: true,
             patience: 60.0,
             fallback_on: false,
         }
@@ -91,10 +95,21 @@
     ("patience_s", 0.0, 86_400.0, |t| &mut t.patience),
 ];
 
+/// What is stated by one of two words, the second meaning true.
+type Choice = (&'static str, [&'static str; 2], fn(&mut Terms) -> &mut bool);
+
+const WORDS: [Choice; 2] = [
+    ("fallback", ["wait", "on"], |t| &mut t.fallback_on),
+    ("lone_node", ["waits", "condemns"], |t| &mut t.lone_condemns),
+];
+
 impl Terms {
     /// Reads terms by name from wherever they are kept. `None` where `good_sent_back` and `bad_carried` are both
     /// absent: nothing is stated then. An error lists all that is wrong, each with what was expected.
-    pub fn read(number: impl Fn(&str) -> Option<f64>, word: &str) -> Result<Option<Terms>, String> {
+    pub fn read<'a>(
+        number: impl Fn(&str) -> Option<f64>,
+        word: impl Fn(&str) -> &'a str,
+    ) -> Result<Option<Terms>, String> {
         let (mut terms, mut wrong) = (Terms::default(), Vec::new());
         for (name, least, most, place) in ROWS {
             match number(name) {
@@ -103,14 +118,13 @@
                 None => {}
             }
         }
-        terms.fallback_on = match word {
-            "" | "wait" => false,
-            "on" => true,
-            other => {
-                wrong.push(format!("fallback: found {other}, expected wait or on"));
-                false
+        for (name, words, place) in WORDS {
+            match word(name) {
+                "" => {}
+                found if words.contains(&found) => *place(&mut terms) = found == words[1],
+                found => wrong.push(format!("{name}: found {found}, expected {} or {}", words[0], words[1])),
             }
-        };
+        }
         if terms.good_errors >= terms.bad_errors {
             wrong.push("good_errors: expected less than bad_errors".into());
         }
