--- a/agent/src/explain.rs
+++ b/agent/src/explain.rs
@@ -21,10 +21,11 @@
 }
 
 /// What an entry is about.
-fn name(e: &Entry) -> String {
-    match e.group {
-        Some(group) => format!("{} of path group {group}", e.what),
-        None => e.what.to_owned(),
+fn name(l: &Looked, e: &Entry) -> String {
+    match e.group.map(|g| (g, l.groups.get(g))) {
+        Some((_, Some(group))) => format!("{} of {group}", e.what),
+        Some((g, None)) => format!("{} of path group {g}", e.what),
+        None => e.what.clone(),
     }
 }
 
@@ -98,11 +99,12 @@
         let side = |(n, marked): (f64, f64)| format!("{marked:.0} of {n:.0}");
         let vote = if e.vote == Vote::Back { "back" } else { "on" };
         let needed = if e.needed > 0.0 { format!("{:.1}", e.needed) } else { "rare".into() };
-        let without = e.without.map_or(String::new(), |n| format!("node {n}"));
+        let without =
+            e.without.map_or(String::new(), |n| l.nodes.get(&n).cloned().unwrap_or(format!("node {n}")));
         let _ = writeln!(
             out,
             "  {vote:<5} {:<28} {:>9.1} {needed:>7} {:>14} {:>14} {without:>8}",
-            name(e),
+            name(l, e),
             e.log,
             side(e.earlier),
             side(e.trial)
@@ -122,18 +124,18 @@
             let others = of(Vote::Back).filter(|o| o.log >= o.needed).count() - 1;
             format!(
                 "it rests on {} ({:.1} of {:.1}); {others} more would have done",
-                name(e),
+                name(l, e),
                 e.log,
                 e.needed
             )
         }
         (Opinion::On, _, Some(e)) => {
-            format!("the last to agree was {} ({:.1} of {:.1})", name(e), e.log, e.needed)
+            format!("the last to agree was {} ({:.1} of {:.1})", name(l, e), e.log, e.needed)
         }
         (Opinion::NotYet, Some(back), Some(on)) => {
             format!(
             "nearest to going back: {} ({:.1} of {:.1}); what keeps it from going on: {} ({:.1} of {:.1})",
-            name(back), back.log, back.needed, name(on), on.log, on.needed
+            name(l, back), back.log, back.needed, name(l, on), on.log, on.needed
         )
         }
         _ => "nothing was compared yet".into(),
@@ -154,7 +156,17 @@
         let look = Look { opinion, back: 1.2, on: 0.1, remaining: None };
         let entries = vec![entry(Vote::Back, "errors", 7.2, 6.0), entry(Vote::On, "work", 0.4, 3.0)];
         let (phase, vote) = ("Trial".into(), None);
-        let looked = Looked { at: 9.0, build, stage, phase, vote, look, entries };
+        let looked = Looked {
+            at: 9.0,
+            build,
+            stage,
+            phase,
+            vote,
+            look,
+            entries,
+            groups: ["read", "hold", "pay"].map(String::from).to_vec(),
+            nodes: [(7, "n-7".to_owned())].into(),
+        };
         serde_json::to_string(&looked).expect("a line") + "\n"
     }
 
@@ -171,11 +183,11 @@
         let told = record(&text, None, false).expect("words");
         for words in [
             "build 4 stage 1 (Trial) at 9.0: the evidence to go back is there",
-            "errors of path group 2             7.2     6.0        1 of 90        9 of 40   node 7",
-            "it rests on errors of path group 2 (7.2 of 6.0); 0 more would have done",
+            "errors of pay                      7.2     6.0        1 of 90        9 of 40      n-7",
+            "it rests on errors of pay (7.2 of 6.0); 0 more would have done",
             "build 5 stage 0 (Trial) at 9.0: not enough evidence either way",
             "at the present rate never",
-            "what keeps it from going on: work of path group 2 (0.4 of 3.0)",
+            "what keeps it from going on: work of pay (0.4 of 3.0)",
             "build 4 stage 0 (Trial) at 9.0: the evidence to go on is there",
         ] {
             assert!(told.contains(words), "{words} in:\n{told}");
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -465,7 +465,12 @@
         let parts = self.record.as_ref().zip(state.balancer.look()).zip(state.news);
         let Some(((record, look), (build, stage, phase))) = parts else { return };
         let (vote, phase) = (vote.map(|v| format!("{:?}", v.verdict)), format!("{phase:?}"));
-        record.add(&Looked { at, build, stage, phase, vote, look, entries: state.balancer.account() });
+        let entries = state.balancer.account();
+        let named = |node: usize| Some((node, state.nodes.uid(node)?.to_owned()));
+        let nodes = entries.iter().filter_map(|e| named(e.without?)).collect();
+        let group = |i: usize| Some(self.groups.word(i)).filter(|w| !w.is_empty()).map(str::to_owned);
+        let groups = (0..).map_while(group).collect();
+        record.add(&Looked { at, build, stage, phase, vote, look, entries, groups, nodes });
     }
 
     async fn cast(self: Rc<Self>, vote: Vote, against: String) {
--- a/agent/src/memory/nodes.rs
+++ b/agent/src/memory/nodes.rs
@@ -47,6 +47,11 @@
         place
     }
 
+    /// The name of a place.
+    pub fn uid(&self, place: usize) -> Option<&str> {
+        self.held.get(place).map(|h| h.uid.as_str())
+    }
+
     pub fn reach(&self, place: usize) -> Option<&Reach> {
         self.held.get(place)?.reach.as_ref()
     }
--- a/agent/src/memory/record.rs
+++ b/agent/src/memory/record.rs
@@ -4,6 +4,7 @@
 use magpieline::interface::Named;
 use magpieline_verdict::{Entry, Look};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -34,6 +35,9 @@
     pub vote: Option<String>,
     pub look: Look,
     pub entries: Vec<Entry>,
+    /// The path groups' names, in order, and those of the nodes that entries mention.
+    pub groups: Vec<String>,
+    pub nodes: BTreeMap<usize, String>,
 }
 
 pub struct Record {
