A measurement of changes in a row: undo times, lost hits, false undos

Need: how soon a bad change is undone, and how often a harmless one is, has to be counted, also while something all nodes share goes wrong just after it.

Change: an ignored test that sends 500 hits a second through as many changes as asked for, a tenth of them bad, with a shared trouble on every third harmless one; it counts answers, hits over their version's bound, undos and their times.

--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -708,4 +708,129 @@
             without.keeper.is_none() && without.unkept.is_some_and(|w| w.contains("/proc/nowhere/journal"))
         );
     }
+
+    /// A measurement, not a check of CI: `cargo test --release -p magpieline-agent changes_in_a_row -- --ignored
+    /// --nocapture`. MAGPIELINE_CHANGES says how many, a tenth of them bad; hits come at 500 a second. On every third
+    /// harmless change all nodes are slow for a while just after it, old and new version alike.
+    #[test]
+    #[ignore = "takes minutes"]
+    fn changes_in_a_row() {
+        let many = std::env::var("MAGPIELINE_CHANGES").ok().and_then(|n| n.parse().ok()).unwrap_or(200u32);
+        run_within(3600, async move {
+            let forwards = Rc::new(RefCell::new(HashMap::new()));
+            let exchange = exchange_of(&nodes(&forwards).await);
+            let hands = hands_on(&exchange);
+            actix_rt::spawn(hands.clone().watch());
+            let text = |most: u32, longest: f64| {
+                let watch = "<watch least-s='0.5' longest-s='30'/>";
+                let group =
+                    format!("<group name='read' most-forwards='{most}' longest-forward-s='{longest}'/>");
+                format!("<magpieline><hits>{group}</hits>{watch}</magpieline>")
+            };
+            apply(&hands, &text(100, 1.9)).await;
+            hands.keep("ada", "the first").await.expect("kept");
+            let (owed, answered, spoilt) =
+                (Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0.0)));
+            let (over, slow) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+            let bounds = Rc::new(RefCell::new(HashMap::new()));
+            {
+                let (exchange, owed, answered) = (exchange.clone(), owed.clone(), answered.clone());
+                let (spoilt, over, slow, bounds) =
+                    (spoilt.clone(), over.clone(), slow.clone(), bounds.clone());
+                actix_rt::spawn(async move {
+                    let mut tick = tokio::time::interval(Duration::from_millis(2));
+                    for i in 0u64.. {
+                        tick.tick().await;
+                        if over.get() {
+                            return;
+                        }
+                        // While all nodes are slow a fifth of the hits errs, whatever version they go by.
+                        let kind = if slow.get() && i % 5 == 0 { 'f' } else { 'a' };
+                        let id = format!("{kind}{i}");
+                        let mut ticket = hit(&exchange, &id);
+                        let version = exchange.version_of(&ticket).unwrap_or_default();
+                        let values = exchange.changes(|c| c.versions.values(version).cloned()).flatten();
+                        let most = values.and_then(|v| v.get("hits.group.0.most_forwards").cloned());
+                        bounds.borrow_mut().insert(id, most);
+                        owed.set(owed.get() + 1);
+                        let (answered, spoilt) = (answered.clone(), spoilt.clone());
+                        actix_rt::spawn(async move {
+                            let answer = ticket.answer().await;
+                            answered.set(answered.get() + 1);
+                            if !matches!(answer, Answer::Delivered { .. }) && spoilt.get() == 0.0 {
+                                spoilt.set(now());
+                            }
+                        });
+                    }
+                });
+            }
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            let (mut undone, mut from_hit, mut missed, mut falsely, mut calm) =
+                (vec![], vec![], 0, [0, 0], [0, 0]);
+            for i in 0..many {
+                let bad = i % 10 == 9;
+                let shared = !bad && i % 3 == 0;
+                let file = if bad { text(1 + i % 9, 0.001) } else { text(1 + i % 9, 1.9) };
+                let (number, _) = hands.stage(&file, "ada", "a test").await.expect("staged");
+                spoilt.set(0.0);
+                let began = now();
+                if hands.apply(number, "ada").await.is_err() {
+                    continue; // the same text as the one that runs
+                }
+                slow.set(shared);
+                while exchange.changes(|c| c.watch.is_some()) == Some(true) {
+                    if now() > began + 2.0 {
+                        slow.set(false);
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                slow.set(false);
+                let kept = exchange.changes(|c| c.versions.kept()) == Some(number);
+                match (bad, kept) {
+                    (true, false) => {
+                        undone.push(now() - began);
+                        from_hit.push(now() - spoilt.get());
+                    }
+                    (true, true) => missed += 1,
+                    (false, kept) => {
+                        calm[usize::from(shared)] += 1;
+                        falsely[usize::from(shared)] += u32::from(!kept);
+                    }
+                }
+                // Until service is as usual again.
+                tokio::time::sleep(Duration::from_millis(if bad || shared { 1500 } else { 50 })).await;
+            }
+            over.set(true);
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            let (forwards, bounds) = (forwards.borrow(), bounds.borrow());
+            let mixed = forwards.iter().filter(|(id, count)| match bounds.get(*id) {
+                Some(Some(Setting::Number(most))) => f64::from(**count) > *most,
+                _ => false,
+            });
+            let mixed = mixed.count();
+            let middle = |v: &mut Vec<f64>, part: f64| {
+                v.sort_by(f64::total_cmp);
+                v.get(((v.len() as f64 * part) as usize).min(v.len().saturating_sub(1)))
+                    .copied()
+                    .unwrap_or(f64::NAN)
+            };
+            println!(
+                "{many} changes, {} hits, {} answers, {mixed} over their version's bound; bad: {} undone, {missed} kept; \
+                 seconds from apply {:.2} (median) {:.2} (99th), from the first harmed hit {:.2} {:.2}; harmless \
+                 undone: {} of {} calm, {} of {} under a shared trouble",
+                owed.get(),
+                answered.get(),
+                undone.len(),
+                middle(&mut undone.clone(), 0.5),
+                middle(&mut undone, 0.99),
+                middle(&mut from_hit.clone(), 0.5),
+                middle(&mut from_hit, 0.99),
+                falsely[0],
+                calm[0],
+                falsely[1],
+                calm[1],
+            );
+            assert_eq!((owed.get(), mixed), (answered.get(), 0));
+        });
+    }
 }
