An operators' file without a control element holds too, and unknown path groups end a start

Need: bounds on hits were taken only where the file enabled changes, and a group that the platform does not have was passed over silently at the start.

--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -139,9 +139,7 @@
 
     fn allowed<T>(&self, ask: impl FnOnce(&Versions) -> Result<T, Refusal>) -> Result<T, String> {
         let answer = self.exchange.changes(|c| ask(&c.versions).map_err(|refusal| refusal.to_string()));
-        answer.unwrap_or_else(|| {
-            Err("changes are not enabled: the operators' file has no control element".into())
-        })
+        answer.unwrap_or_else(|| Err("changes are not enabled: no operators' file is named".into()))
     }
 
     /// Stages a file: its number, and whether it is new.
@@ -521,7 +519,7 @@
     }
 
     fn hands_on(exchange: &Rc<Exchange>) -> Rc<Hands> {
-        exchange.hold(Versions::new(Schema::own()), 1);
+        exchange.hold(Versions::new(Schema::own()), 1).expect("nothing is chosen yet");
         Rc::new(Hands::new(exchange.clone(), None, None, Some("a test".into())))
     }
 
@@ -685,6 +683,21 @@
         });
     }
 
+    #[test]
+    fn a_start_refuses_groups_that_the_platform_does_not_have() {
+        run(async {
+            let exchange = exchange_of(&[nobody().await]);
+            let text = "<magpieline><hits><group name='odd'/></hits></magpieline>";
+            let begun = begin(text, None).expect("a good file by the schema");
+            let told = exchange.hold(begun.versions, 1).expect_err("refused");
+            assert_eq!(told, "hits/group: found 'odd', expected one of read, pay, book");
+            let bound = begin(&file(1, 1.0), None).expect("begun");
+            exchange.hold(bound.versions, 1).expect("held without a socket or a journal");
+            let ticket = hit(&exchange, "a1");
+            assert_eq!(exchange.version_of(&ticket), Some(1));
+        });
+    }
+
     #[test]
     fn a_start_takes_what_was_kept_and_the_file_where_nothing_was() {
         let path = folder("begin").join("changes.journal");
--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -26,17 +26,16 @@
     let mut start = start::read(&path, operators.as_deref())?;
     let places = control::places(&start.values);
     let mut begun = None;
-    if let (Some((_, journal)), Some(file)) = (&places, &operators) {
+    if let Some(file) = &operators {
         let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-        let begin = control::begin(&text, journal.as_deref())?;
-        let kept = control::running(&begin.versions);
+        let journal = places.as_ref().and_then(|(_, journal)| journal.as_deref());
+        let begin = control::begin(&text, journal)?;
         // What the journal keeps runs, but for what only a start reads.
-        if control::places(&kept) == places {
-            start.values = kept;
-            begun = Some(begin);
-        } else {
+        start.values = control::running(&begin.versions);
+        if control::places(&start.values) != places {
             return Err("control: the file and the version that was kept differ; mend the file".into());
         }
+        begun = Some(begin);
     }
     log_form::choose(&start.values);
     let exchange = Rc::new(start.exchange()?);
@@ -58,20 +57,19 @@
         actix_rt::spawn(async move { kept("list", || list::follow(own.clone())).await });
         let own = exchange.clone();
         actix_rt::spawn(async move { kept("news", || platform::follow(own.clone())).await });
-        let hands = match (begun, places) {
-            (Some(begun), Some((socket, _))) => {
-                exchange.hold(begun.versions, start.seed());
-                let hands = control::Hands::new(exchange.clone(), begun.keeper, operators, begun.unkept);
-                let hands = Rc::new(hands);
-                control::write_start(&hands, &begun.fresh).await;
+        let mut hands = None;
+        if let Some(begun) = begun {
+            exchange.hold(begun.versions, start.seed())?;
+            let held = Rc::new(control::Hands::new(exchange.clone(), begun.keeper, operators, begun.unkept));
+            if let Some((socket, _)) = places {
+                control::write_start(&held, &begun.fresh).await;
                 let listener = control::listen(&socket)?;
-                let own = hands.clone();
-                actix_rt::spawn(async move { kept("watch", || own.clone().watch()).await });
-                actix_rt::spawn(control::serve(hands.clone(), listener));
-                Some(hands)
+                actix_rt::spawn(control::serve(held.clone(), listener));
             }
-            _ => None,
-        };
+            let own = held.clone();
+            actix_rt::spawn(async move { kept("watch", || own.clone().watch()).await });
+            hands = Some(held);
+        }
         actix_rt::spawn(reload::follow(exchange.clone(), path, hands, reloads));
         let (own, visits) = (exchange.clone(), crowd.clone());
         actix_rt::spawn(async move {
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -248,6 +248,7 @@
         Command::Check(Check { config, operators }) => {
             let start = life::start::read(&life::start::named(config)?, operators.as_deref())?;
             let exchange = start.exchange()?;
+            exchange.fits_here(&start.values)?;
             println!("{}: listens on {}, {} nodes known", start.name, start.listen, exchange.nodes_known());
             Ok(())
         }
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange: the one place where the clients' side and the servers' side meet. It alone holds the
 //! decisions, the clock and the timers, and carries out what the decisions say.
 
-use crate::memory::changes::{Changes, Pinned};
+use crate::memory::changes::{self, Changes, Pinned};
 use crate::memory::keys::{hash, Keys};
 use crate::memory::nodes::Nodes;
 use crate::memory::place::Place;
@@ -517,8 +517,7 @@
         let entries = state.balancer.account();
         let named = |node: usize| Some((node, state.nodes.uid(node)?.to_owned()));
         let nodes = entries.iter().filter_map(|e| named(e.without?)).collect();
-        let group = |i: usize| Some(self.groups.word(i)).filter(|w| !w.is_empty()).map(str::to_owned);
-        let groups = (0..).map_while(group).collect();
+        let groups = self.group_names();
         record.add(&Looked { at, build, stage, phase, vote, look, entries, groups, nodes });
     }
 
@@ -535,11 +534,22 @@
 
     // Changes.
 
-    /// From now on hits go by these versions.
-    pub fn hold(&self, versions: Versions, seed: u64) {
+    /// From now on hits go by these versions; an error names what the running one can't be held to here.
+    pub fn hold(&self, versions: Versions, seed: u64) -> Result<(), String> {
+        let changes = Changes::new(versions, self.group_names(), seed);
+        changes.fits(&changes.values())?;
+        self.state.borrow_mut().changes = Some(changes);
+        Ok(())
+    }
+
+    /// Whether values name only path groups that there are.
+    pub fn fits_here(&self, values: &Values) -> Result<(), String> {
+        changes::bounds(values, &self.group_names()).map(drop)
+    }
+
+    fn group_names(&self) -> Vec<String> {
         let name = |i: usize| Some(self.groups.word(i)).filter(|w| !w.is_empty()).map(str::to_owned);
-        let groups = (0..).map_while(name).collect();
-        self.state.borrow_mut().changes = Some(Changes::new(versions, groups, seed));
+        (0..).map_while(name).collect()
     }
 
     /// Looks at the changes; nothing where they are not enabled.
