A pair of windows is begun by a coin only; what pinning a hit costs

Need: an outcome that came just after a pair of windows began the next one without a coin, the old version always first.

Change: pairs are begun where a hit is taken, by its draw; outcomes between pairs count for none. An ignored test times the pinning of a hit.

--- a/agent/src/memory/changes.rs
+++ b/agent/src/memory/changes.rs
@@ -238,4 +238,28 @@
             "the schema's defaults are those that hold without the element"
         );
     }
+
+    /// A measurement, not a check of CI: `cargo test --release -p magpieline-agent cost_of -- --ignored --nocapture`.
+    #[test]
+    #[ignore = "a measurement"]
+    fn cost_of_pinning_a_hit() {
+        let mut spent = Vec::new();
+        for round in 0..7 {
+            let mut c = changes();
+            apply(&mut c, 3);
+            if round == 6 {
+                c.watch = None;
+            }
+            let begun = std::time::Instant::now();
+            for i in 0..1_000_000 {
+                let now = f64::from(i) * 0.001;
+                let (pinned, bounds) = c.take(now, i as usize % 2);
+                std::hint::black_box(bounds);
+                c.outcome(now, pinned, i as usize % 2, i % 100 == 0);
+                c.ended(pinned);
+            }
+            spent.push(begun.elapsed().as_secs_f64() * 1e3);
+        }
+        println!("ns a hit, watched six times, then not: {spent:.0?}");
+    }
 }
--- a/operator/src/watch.rs
+++ b/operator/src/watch.rs
@@ -85,16 +85,21 @@
 }
 
 impl Windows {
-    /// The version of the window at this time, and whether it has settled; begins pairs as they come due.
-    fn at(&mut self, now: f64, draw: f64) -> (usize, bool) {
-        if self.pair.is_none_or(|(began, _)| now >= began + 2.0 * WINDOW) {
+    /// The version of the window at this time, and whether it has settled; none between pairs.
+    fn at(&self, now: f64) -> Option<(usize, bool)> {
+        let (began, old_first) = self.pair.filter(|(began, _)| now < began + 2.0 * WINDOW)?;
+        let within = now - began;
+        let side = if (within < WINDOW) == old_first { OLD } else { NEW };
+        Some((side, within.rem_euclid(WINDOW) >= SETTLES))
+    }
+
+    /// The version for a hit that is taken now; a pair that comes due is begun by this draw.
+    fn take(&mut self, now: f64, draw: f64) -> usize {
+        if self.at(now).is_none() {
             self.settle();
             self.pair = Some((now, draw < 0.5));
         }
-        let (began, old_first) = self.pair.unwrap_or((now, true));
-        let within = now - began;
-        let side = if (within < WINDOW) == old_first { OLD } else { NEW };
-        (side, within.rem_euclid(WINDOW) >= SETTLES)
+        self.at(now).map_or(OLD, |(side, _)| side)
     }
 
     fn settle(&mut self) {
@@ -179,7 +184,7 @@
         let old = if self.now < since + SIDE_BY_SIDE {
             draw < 0.5
         } else {
-            self.windows.at(self.now, draw).0 == OLD
+            self.windows.take(self.now, draw) == OLD
         };
         self.split[usize::from(!old)] += 1;
         old
@@ -202,12 +207,9 @@
         let x = f64::from(u8::from(spoilt));
         let last = self.parts.len() - 1;
         let side = if old { OLD } else { NEW };
-        if self.doubts() && !self.side_by_side() {
-            // Without a pair under way there is no window that it could belong to.
-            let window = self.windows.pair.map(|_| self.windows.at(now, 0.0));
-            if window == Some((side, true)) {
-                self.windows.seen[side].add(Tally::new(1.0, x));
-            }
+        let in_windows = self.doubts() && !self.side_by_side();
+        if in_windows && self.windows.at(now) == Some((side, true)) {
+            self.windows.seen[side].add(Tally::new(1.0, x));
         }
         for i in [group.min(last), last] {
             let part = &mut self.parts[i];
@@ -218,8 +220,7 @@
                 part.recent += (x - part.recent) / RECENT;
             }
             // A path group that was not met before the change is held against the other version only.
-            let dips = part.dips();
-            if dips {
+            if part.dips() {
                 // Goes on for as long as the new version's hits fare worse than was usual.
                 self.doubt_until = self.doubt_until.max(now + DOUBT);
             }
@@ -243,7 +244,7 @@
             return Next::Undo { group: (i < last).then_some(i) };
         }
         let lasted = self.now - self.began;
-        // In doubt it goes on, up to the longest watch and one doubt more.
+        // In doubt it goes on, up to the longest watch.
         let settled = !self.doubts() && lasted >= self.care.least;
         let quiet = !self.parts.iter().any(Part::dips);
         if (settled && quiet) || lasted >= self.care.longest {
