Read over the change: counts nobody read, one reading of stated rates, one buffer a talk

Need: read whole, the change held things twice. A watch counted its splits and its pairs of windows and nobody read either; the reading of stated rates stood behind a wrapper of its own; a right answer looked its node's place up twice.

Change: the counts are gone; `names::stated` is the one reading; `Case::answered` takes the place that the outcome has found. A talk at the control socket had a buffer on top of its buffer: what an operator sent ahead in one write was lost with it, now the one buffer keeps it. All else behaves as before.

--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -306,8 +306,7 @@
         let mut read = BufReader::new(read);
         loop {
             let mut line = String::new();
-            let one = (&mut read).take(REQUEST);
-            let mut one = BufReader::new(one);
+            let mut one = (&mut read).take(REQUEST);
             let came = tokio::time::timeout(PATIENCE, one.read_line(&mut line)).await;
             match came {
                 Ok(Ok(0)) | Err(_) => return Ok(()),
--- a/operator/src/changes.rs
+++ b/operator/src/changes.rs
@@ -353,7 +353,7 @@
 const CARE: Care = Care { false_undos: 0.01, harm: 0.01, least: 10.0, longest: 60.0 };
 
 /// Plays a watch at 500 hits a second: the share spoilt by time and version. Returns how it ended and when.
-fn watched(seed: u64, care: &Care, spoilt: &dyn Fn(f64, bool) -> f64) -> (Next, f64, u64) {
+fn watched(seed: u64, care: &Care, spoilt: &dyn Fn(f64, bool) -> f64) -> (Next, f64) {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
     let mut usual = Usual::new(2);
     for i in 0..2000 {
@@ -367,7 +367,7 @@
         watch.outcome(now, i % 2, old, doubtful, chance.gen_bool(spoilt(now, old)));
         let next = watch.look(now);
         if next != Next::GoOn {
-            return (next, now, watch.split[1]);
+            return (next, now);
         }
     }
     unreachable!("a watch ends")
@@ -376,8 +376,8 @@
 #[test]
 fn a_harmless_change_is_kept_after_the_least_watch() {
     let ends: Vec<_> = (0..20).map(|seed| watched(seed, &CARE, &|_, _| 0.01)).collect();
-    assert!(ends.iter().all(|(next, ..)| *next == Next::Keep), "{ends:?}");
-    assert!(ends.iter().filter(|(_, when, _)| *when < 15.0).count() >= 15, "{ends:?}");
+    assert!(ends.iter().all(|(next, _)| *next == Next::Keep), "{ends:?}");
+    assert!(ends.iter().filter(|(_, when)| *when < 15.0).count() >= 15, "{ends:?}");
 }
 
 #[test]
@@ -385,7 +385,7 @@
     let mut times: Vec<f64> = Vec::new();
     for seed in 0..40 {
         let share = [0.08, 0.2, 0.5, 1.0][seed as usize % 4];
-        let (next, when, _) = watched(seed, &CARE, &|t, old| if t < 0.0 || old { 0.01 } else { share });
+        let (next, when) = watched(seed, &CARE, &|t, old| if t < 0.0 || old { 0.01 } else { share });
         assert!(matches!(next, Next::Undo { .. }), "{next:?} at {when}, {share}");
         times.push(when);
     }
--- a/operator/src/watch.rs
+++ b/operator/src/watch.rs
@@ -81,7 +81,6 @@
     /// When the present pair began, whether its first window is the old version's, and what it brought.
     pair: Option<(f64, bool)>,
     seen: Sides,
-    pairs: (u32, u32),
 }
 
 impl Windows {
@@ -108,7 +107,6 @@
             // Worse by no more than what does no harm is no win.
             let better = new.share() > old.share() + self.harm * (1.0 - old.share());
             self.wealth.settle(|i| if better { 1.0 + STAKES[i] } else { 1.0 - STAKES[i] }.ln());
-            self.pairs = (self.pairs.0 + 1, self.pairs.1 + u32::from(better));
         }
     }
 }
@@ -125,8 +123,6 @@
     /// Since when there has been a doubt without an end.
     doubted: Option<f64>,
     windows: Windows,
-    /// Hits while in doubt: how many were taken under either version.
-    pub split: [u64; 2],
 }
 
 /// What is usual before any change, kept up to date all the time: the share of spoilt hits by path group.
@@ -162,15 +158,10 @@
         };
         let parts = usual.groups.iter().copied().chain([Some(mean)]).map(part).collect();
         let (began, block_ends) = (now, now + BLOCK);
-        let windows = Windows {
-            wealth: Wealth::of(STAKES.len()),
-            harm: care.harm,
-            pair: None,
-            seen: Sides::default(),
-            pairs: (0, 0),
-        };
-        let (doubt_until, doubted, split) = (now, None, [0; 2]);
-        Watch { care, began, now, block_ends, doubt_until, bets, parts, doubted, windows, split }
+        let windows =
+            Windows { wealth: Wealth::of(STAKES.len()), harm: care.harm, pair: None, seen: Sides::default() };
+        let (doubt_until, doubted) = (now, None);
+        Watch { care, began, now, block_ends, doubt_until, bets, parts, doubted, windows }
     }
 
     /// Whether a hit taken now goes under the version before, by a draw from 0 to 1.
@@ -181,13 +172,11 @@
             return false;
         }
         let since = *self.doubted.get_or_insert(self.now);
-        let old = if self.now < since + SIDE_BY_SIDE {
+        if self.now < since + SIDE_BY_SIDE {
             draw < 0.5
         } else {
             self.windows.take(self.now, draw) == OLD
-        };
-        self.split[usize::from(!old)] += 1;
-        old
+        }
     }
 
     /// Whether a hit taken now goes by a coin of its own.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -111,7 +111,7 @@
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         (b.duel, b.long_faults) = (Duel::new(b.groups.len(), 0.0), Count { z: 2.0, sum: 0.2, squares: 0.2 });
         b.evidence = Evidence::new(b.groups.len());
-        b.terms = stated(&b.named)?;
+        b.terms = crate::names::stated(&b.named)?;
         b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
         b.following.on = text(&b.named, "discovery") != "on_request";
--- a/src/names.rs
+++ b/src/names.rs
@@ -2,6 +2,8 @@
 //! fields out of JSON with a plain word on what is missing or wrong. Shared by all fronts.
 
 use crate::interface::{Named, Value};
+use crate::state::text;
+use magpieline_verdict::Terms;
 use serde_json::Value as Json;
 use std::collections::HashMap;
 
@@ -143,8 +145,12 @@
 }
 
 /// The rates that the settings state for votes, if any, or what is wrong with them.
-pub fn stated(named: &Named) -> Result<Option<magpieline_verdict::Terms>, String> {
-    crate::state::stated(named)
+pub fn stated(named: &Named) -> Result<Option<Terms>, String> {
+    let number = |name: &str| match named.get(&format!("verdict.{name}")) {
+        Some(Value::Number(n)) => Some(*n),
+        _ => None,
+    };
+    Terms::read(number, |name| text(named, &format!("verdict.{name}"))).map_err(|e| format!("verdict: {e}"))
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,15 +28,6 @@
     matches!(named.get(name), Some(Value::Flag(true)))
 }
 
-/// The rates that the settings state for votes, if any, or what is wrong with them.
-pub(crate) fn stated(named: &Named) -> Result<Option<Terms>, String> {
-    let number = |name: &str| match named.get(&format!("verdict.{name}")) {
-        Some(Value::Number(n)) => Some(*n),
-        _ => None,
-    };
-    Terms::read(number, |name| text(named, &format!("verdict.{name}"))).map_err(|e| format!("verdict: {e}"))
-}
-
 /// Whether a hit of a path group may run again.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Repeat {
--- a/verdict/src/case.rs
+++ b/verdict/src/case.rs
@@ -328,10 +328,10 @@
             }
             return;
         }
+        let place = self.places[side].of(o.node);
         if o.end == End::Passed {
-            self.complaint(now, side, o.node, 1.0, 0.0);
+            self.answered(side, place, Tally::new(1.0, 0.0));
         }
-        let place = self.places[side].of(o.node);
         if let Some(time) = o.time.filter(|t| t.is_finite()) {
             let times = &mut self.places[side].times[place];
             *times = (times.0 + 1.0, times.1 + time, times.2 || o.age >= self.terms.shows_after);
@@ -380,19 +380,19 @@
 
     /// A client has found an answer of this node wrong.
     pub fn complained(&mut self, now: f64, side: usize, node: usize) {
-        self.complaint(now, side, node, 0.0, 1.0);
-    }
-
-    /// Answers and complaints of a side, as they come.
-    fn complaint(&mut self, now: f64, side: usize, node: usize, answers: f64, complaints: f64) {
         self.advance(now);
         let side = side.min(TRIAL);
         let place = self.places[side].of(node);
+        self.answered(side, place, Tally::new(0.0, 1.0));
+    }
+
+    /// Answers of a place and complaints of them, as they come.
+    fn answered(&mut self, side: usize, place: usize, tally: Tally) {
         let answered = &mut self.answered[side];
         if place >= answered.len() {
             answered.resize(place + 1, Tally::default());
         }
-        answered[place].add(Tally::new(answers, complaints));
+        answered[place].add(tally);
     }
 
     /// Whether the trial's traffic should rest just now, to see if a slowdown of all nodes goes with it. To be
