Where agents may talk three judges vote on the pooled outcomes of all

Change: running totals by node and path group go to three agents named by number; these weigh them like their own outcomes and vote, the others only when no judge has been heard for three seconds. Loss, repeats and order do no harm (totals, not steps). The bucket, which fills by cold power, now stands alone where an agent meets a node less than once while it is cold.

--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -1,6 +1,7 @@
 //! The instances of this process: events in, calls on the decisions, actions out.
 
 use crate::decode::Words;
+use crate::peers::{self, Codes};
 use magpieline::balance::Balancer;
 use magpieline::interface::*;
 use magpieline::names::{Door, Message, Told};
@@ -21,6 +22,9 @@
 struct Instance {
     balancer: Balancer,
     nodes: Door,
+    codes: Codes,
+    /// Messages of other agents that could not be read.
+    unread: u64,
     keys: Door,
     zones: Door,
     groups: Door,
@@ -53,8 +57,8 @@
         let Told { named, groups, accounts, zones, zone } = Told::read(info)?;
         let balancer = Balancer::start(message.whole("entropy")?, now, zone, named)
             .map_err(|e| format!("{}: info: {e}", message.name))?;
-        let (nodes, keys, hits, waiting) = Default::default();
-        Ok(Instance { balancer, nodes, keys, zones, groups, accounts, hits, waiting })
+        let (nodes, codes, unread, keys, hits, waiting) = Default::default();
+        Ok(Instance { balancer, nodes, codes, unread, keys, zones, groups, accounts, hits, waiting })
     }
 
     /// Carries out what the decisions said of a hit.
@@ -90,6 +94,10 @@
             out.act("Tail", format_args!(",\"active\":true"));
         }
         if let Some(vote) = review.vote {
+            if vote.verdict == Verdict::Back {
+                let words = Json::from(self.balancer.against());
+                out.act("Print", format_args!(",\"words\":{words}"));
+            }
             let how = match vote.verdict {
                 Verdict::Clear => 0,
                 Verdict::On => 1,
@@ -101,6 +109,13 @@
                 format_args!(",\"how\":{how},\"image\":{},\"wave\":{}", vote.build, vote.stage),
             );
         }
+        for (whom, tidings) in self.balancer.tidings() {
+            let whom = whom.map_or(-1, |w| w as i64);
+            for contents in peers::write(&tidings, |node| self.nodes.word(node).to_owned()) {
+                let contents = Json::from(contents);
+                out.act("Notify", format_args!(",\"whom\":{whom},\"contents\":{contents}"));
+            }
+        }
         out.act("SetAlarm", format_args!(",\"token\":0,\"offset_us\":{}", micros(review.again_in)));
     }
 
@@ -157,8 +172,11 @@
         let list = Message { name: "Inventory", body: list };
         for body in list.list("hosts")? {
             let entry = Message { name: "Inventory: hosts", body };
+            let word = entry.text("appliance")?;
+            let node = self.nodes.index(word);
+            self.codes.learn(word, node);
             lines.push(Listed {
-                node: self.nodes.index(entry.text("appliance")?),
+                node,
                 open: entry.text("availability")? == "live",
                 build: entry.whole("build")? as u32,
                 zone: self.zones.index(entry.text_or_none("campus")?.unwrap_or("")),
@@ -218,8 +236,15 @@
                     self.balancer.complained(now, node);
                 }
             }
-            // Streams, checks and peers are not asked for; tallies say less than an agent's own answers.
-            "Headers" | "Sampled" | "NeighbourSays" | "Digest" => {}
+            "NeighbourSays" => {
+                let (from, contents) = (message.whole("from")? as usize, message.text("contents")?);
+                match peers::parse(contents, &self.codes) {
+                    Some(tidings) => self.balancer.told(now, from, &tidings),
+                    None => self.unread += 1,
+                }
+            }
+            // Streams and checks are not asked for; tallies say less than an agent's own answers.
+            "Headers" | "Sampled" | "Digest" => {}
             other => return Err(format!("{other}: expected a message of the wire")),
         }
         Ok(())
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -3,6 +3,7 @@
 
 mod decode;
 mod instance;
+mod peers;
 
 use instance::Process;
 use std::io::{self, BufRead, Write};
--- /dev/null
+++ b/benchlink/src/peers.rs
@@ -0,0 +1,207 @@
+//! What agents tell each other, as short text: `1 start build stage informed doubt|place...|node...`. Numbers
+//! are in base 36; a node goes by a short code of its word, since ids differ from agent to agent.
+//! What is malformed, of another version or too long is no message.
+
+use magpieline::interface::{Health, Tidings, Totals};
+use std::collections::HashMap;
+use std::fmt::Write;
+
+/// The wire's bound on a message, in bytes.
+const MOST: usize = 256;
+/// The version of this text; others are not read.
+const VERSION: &str = "1";
+
+/// Nodes by their codes; `None` where two words share one.
+#[derive(Default)]
+pub struct Codes(HashMap<u64, Option<usize>>);
+
+/// The first 30 bits of a word's FNV-1a hash.
+fn code(word: &str) -> u64 {
+    let hash = word
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
+    hash >> 34
+}
+
+impl Codes {
+    pub fn learn(&mut self, word: &str, node: usize) {
+        let held = self.0.entry(code(word)).or_insert(Some(node));
+        *held = held.filter(|n| *n == node);
+    }
+    fn node(&self, part: Option<&str>) -> Option<usize> {
+        self.0.get(&read(part)?).copied().flatten()
+    }
+}
+
+fn base36(mut n: u64, out: &mut String) {
+    let from = out.len();
+    loop {
+        let digit = (n % 36) as u8;
+        out.insert(from, char::from(if digit < 10 { b'0' + digit } else { b'a' + digit - 10 }));
+        n /= 36;
+        if n == 0 {
+            return;
+        }
+    }
+}
+
+/// A signed number in hundredths, so that small ones stay short.
+fn hundredths(x: f64) -> u64 {
+    let n = (x * 100.0).round().clamp(-1e9, 1e9) as i64;
+    ((n << 1) ^ (n >> 63)) as u64
+}
+
+fn read(part: Option<&str>) -> Option<u64> {
+    part.filter(|p| p.len() <= 12).and_then(|p| u64::from_str_radix(p, 36).ok())
+}
+
+fn read_hundredths(part: Option<&str>) -> Option<f64> {
+    let n = read(part)?;
+    Some(((n >> 1) as i64 ^ -((n & 1) as i64)) as f64 / 100.0)
+}
+
+/// The messages for these tidings: as many as their length asks for.
+pub fn write(tidings: &Tidings, word: impl Fn(usize) -> String) -> Vec<String> {
+    let mut head = format!("{VERSION} ");
+    for n in [u64::from(tidings.start), u64::from(tidings.build), tidings.stage as u64] {
+        base36(n, &mut head);
+        head.push(' ');
+    }
+    let doubt = tidings.doubt.map_or('-', |d| if d { 'y' } else { 'n' });
+    let _ = write!(head, "{}{doubt}", if tidings.informed { 'y' } else { 'n' });
+    let mut out = vec![head.clone()];
+    let mut put = |kind: char, node: usize, numbers: &[u64]| {
+        let mut part = String::from(kind);
+        base36(code(&word(node)), &mut part);
+        for n in numbers {
+            part.push('.');
+            base36(*n, &mut part);
+        }
+        if out.last().is_none_or(|m| m.len() + part.len() > MOST) {
+            out.push(head.clone());
+        }
+        out.last_mut().into_iter().for_each(|m| m.push_str(&part));
+    };
+    for (node, group, t) in &tidings.totals {
+        let counts = [t.answers, t.faults, t.outcomes, t.pulls, t.in_time, t.complaints, t.times];
+        let mut numbers = [*group as u64, 0, 0, 0, 0, 0, 0, 0, hundredths(t.slow)];
+        numbers[1..8].copy_from_slice(&counts.map(u64::from));
+        put('+', *node, &numbers);
+    }
+    for h in &tidings.nodes {
+        put('!', h.node, &[hundredths(h.slow), hundredths(h.faults)]);
+    }
+    out
+}
+
+/// The tidings of a message, or nothing. Nodes that this agent does not know are passed over.
+pub fn parse(text: &str, codes: &Codes) -> Option<Tidings> {
+    if text.len() > MOST || !text.is_ascii() {
+        return None;
+    }
+    let end = text.find(['+', '!']).unwrap_or(text.len());
+    let (head, mut rest) = text.split_at(end);
+    let mut fields = head.split(' ');
+    if fields.next() != Some(VERSION) {
+        return None;
+    }
+    let start = u32::try_from(read(fields.next())?).ok()?;
+    let build = u32::try_from(read(fields.next())?).ok()?;
+    let stage = usize::try_from(read(fields.next())?).ok()?;
+    let (informed, doubt) = match fields.next()? {
+        "y-" => (true, None),
+        "n-" => (false, None),
+        "yy" => (true, Some(true)),
+        "yn" => (true, Some(false)),
+        "ny" => (false, Some(true)),
+        "nn" => (false, Some(false)),
+        _ => return None,
+    };
+    let mut tidings = Tidings { start, build, stage, informed, doubt, ..Tidings::default() };
+    while let Some(kind) = rest.chars().next() {
+        let end = rest[1..].find(['+', '!']).map_or(rest.len(), |i| i + 1);
+        let mut parts = rest[1..end].split('.');
+        let node = codes.node(parts.next());
+        if kind == '+' {
+            let mut count = || u32::try_from(read(parts.next())?).ok();
+            let group = count()? as usize;
+            let [answers, faults, outcomes] = [count()?, count()?, count()?];
+            let [pulls, in_time, complaints, times] = [count()?, count()?, count()?, count()?];
+            let slow = read_hundredths(parts.next())?;
+            let t = Totals { answers, faults, outcomes, pulls, in_time, complaints, times, slow };
+            if let Some(node) = node {
+                tidings.totals.push((node, group, t));
+            }
+        } else {
+            let (slow, faults) = (read_hundredths(parts.next())?, read_hundredths(parts.next())?);
+            tidings.nodes.extend(node.map(|node| Health { node, slow, faults }));
+        }
+        if parts.next().is_some() {
+            return None;
+        }
+        rest = &rest[end..];
+    }
+    Some(tidings)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn codes() -> Codes {
+        let mut codes = Codes::default();
+        ["a", "b", "c"].iter().enumerate().for_each(|(i, w)| codes.learn(w, i));
+        codes
+    }
+
+    fn tidings(places: usize) -> Tidings {
+        let t = Totals { answers: 70, faults: 3, times: 9, slow: -1.25, ..Totals::default() };
+        let totals = (0..places).map(|i| (i % 3, i % 2, Totals { outcomes: i as u32, ..t })).collect();
+        let nodes = vec![Health { node: 2, slow: 0.5, faults: 0.25 }];
+        Tidings { start: 99, build: 42, stage: 1, informed: true, doubt: Some(false), totals, nodes }
+    }
+
+    fn word(node: usize) -> String {
+        ["a", "b", "c"][node].to_owned()
+    }
+
+    #[test]
+    fn what_is_written_is_read_again_whole_however_long() {
+        for places in [0, 1, 40] {
+            let (told, messages) = (tidings(places), write(&tidings(places), word));
+            assert!(messages.iter().all(|m| m.len() <= MOST), "{messages:?}");
+            let read = messages.iter().map(|m| parse(m, &codes()).expect(m));
+            let mut all = Tidings { totals: vec![], nodes: vec![], ..told.clone() };
+            read.for_each(|t| {
+                all.totals.extend(t.totals);
+                all.nodes.extend(t.nodes);
+            });
+            assert_eq!(all, told);
+        }
+    }
+
+    #[test]
+    fn what_is_spoilt_is_no_message_and_never_a_panic() {
+        let good = write(&tidings(3), word).remove(0);
+        for i in 0..good.len() {
+            for spoilt in [" ", "+", "!", ".", "zzzzzzzzzzzzz", "\u{e9}", "-", "0"] {
+                let text = format!("{}{spoilt}{}", &good[..i], &good[i + 1..]);
+                let _ = parse(&text, &codes());
+                let _ = parse(&good[..i], &codes());
+            }
+        }
+        for text in ["", "2 1 1 1 y-", "1 1 1 y-", "1 1 1 1 y-+0", "1 1 1 1 y-!0.1", "1 1 1 1 x-"] {
+            assert_eq!(parse(text, &codes()), None, "{text}");
+        }
+        assert_eq!(parse(&format!("1 1 1 1 y-{}", " ".repeat(300)), &codes()), None);
+    }
+
+    #[test]
+    fn two_words_of_one_code_name_no_node() {
+        let mut codes = codes();
+        let clash = codes.0.keys().copied().next().expect("a code");
+        codes.0.insert(clash, None);
+        let read = write(&tidings(3), word).iter().filter_map(|m| parse(m, &codes)).collect::<Vec<_>>();
+        assert_eq!(read.iter().map(|t| t.totals.len()).sum::<usize>(), 2);
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -98,6 +98,8 @@
 /// Rates are means over a span, reviews come every tick: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
 const TICK: f64 = 0.1;
+/// Judges speak once a second, agents tell them twice as often: a stage lasts a few.
+const WORD: f64 = 1.0;
 /// A released build is compared with the seconds before its trial for twice the time that condemns it.
 const WATCH: f64 = 30.0;
 /// Complaints per answer, usual and bad: a right answer is hardly ever complained of, a wrong one often.
@@ -114,6 +116,14 @@
         b.terms = crate::names::stated(&b.named)?;
         b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
+        if flag(&b.named, "limits.peers") {
+            // Three judges, as one may be away, or as many as their votes have to be; spread over the numbers.
+            let needed = ["family_info.on_votes", "family_info.noes_needed"].map(|name| b.set(name, 1.0));
+            let all = b.set("peers_total", 1.0).max(1.0);
+            let judges = needed.into_iter().fold(3.0, f64::max).min(all);
+            b.pool.judges = (0..judges as usize).map(|j| (j as f64 * all / judges) as usize).collect();
+        }
+        (b.pool.own, b.pool.start) = (b.set("self_index", 0.0) as usize, (now * 10.0) as u64 as u32);
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
     }
@@ -141,7 +151,8 @@
         let old = self.news.replace(news);
         if old.is_none_or(|o| (o.build, o.stage, o.phase) != (news.build, news.stage, news.phase)) {
             self.stage_began = self.now - news.since.max(0.0);
-            self.duel = Duel::new(self.groups.len(), self.lately.taken / SPAN);
+            self.duel = Duel::new(self.groups.len(), (self.lately.taken + self.pool.answers) / SPAN);
+            (self.pool.totals, self.pool.changed) = Default::default();
             self.cast.again_at = self.now;
         }
         self.open_case(old, news);
@@ -215,13 +226,21 @@
         self.at(now);
         let build = self.nodes.get(node).and_then(|n| n.listed).map(|l| l.build);
         let trial = build.is_some() && build == self.news.map(|n| n.build);
-        if trial {
-            Evidence::lean(&mut self.evidence.complaints, 1.0, 0.0, WRONG.0, WRONG.1);
+        build.into_iter().for_each(|b| self.wrong(b));
+        if build.is_some() && !self.pool.judges.is_empty() {
+            self.pool.count(node * self.groups.len()).complaints += 1;
         }
         let told = self.case.iter_mut().filter(|_| build.is_some());
         told.for_each(|c| c.complained(now, usize::from(trial), node));
     }
 
+    /// An answer of a build has been found wrong.
+    fn wrong(&mut self, build: u32) {
+        if Some(build) == self.news.map(|n| n.build) {
+            Evidence::lean(&mut self.evidence.complaints, 1.0, 0.0, WRONG.0, WRONG.1);
+        }
+    }
+
     /// Takes a hit: its handle, and what to do with it.
     pub fn take(&mut self, now: f64, arrival: Arrival) -> (HitHandle, Next) {
         self.at(now);
@@ -354,6 +373,10 @@
         }
         // One build's machines are meant to carry all traffic: the larger side is the fleet.
         let total = sides[EARLIER].max(sides[TRIAL]);
+        // The trial's bucket fills by the power of its cold nodes. An agent that meets a node less than once
+        // while it is cold goes by that alone: a ramp beside it would dam hits up until it ends.
+        let met = self.lately.taken / SPAN * self.set("obligations.cold_s", 0.0);
+        let paid = standing == Standing::OnTrial && met < self.open().count() as f64;
         let (mut fit, mut pick) = (std::mem::take(&mut self.fit), None);
         for (any_build, unfit) in [(false, false), (true, false), (true, true)] {
             fit.clear();
@@ -362,7 +385,12 @@
                 let same = repeat == Repeat::Repeatable || hit.within(scope, &line);
                 let able = if unfit { repeat != Repeat::Mutating } else { self.fit(i, repeat) };
                 let wanted = self.standing(line.build) == standing && line.build >= least_build;
-                if same && wanted && (any_build || line.build == newest) && able && self.ramp(i, total) {
+                if same
+                    && wanted
+                    && (any_build || line.build == newest)
+                    && able
+                    && (paid || self.ramp(i, total))
+                {
                     fit.push(i);
                 }
             }
@@ -524,8 +552,6 @@
         let (fault, heard) =
             (f64::from(u8::from(!served)), f64::from(u8::from(hit.erred.is_some() && answered)));
         self.echo += 0.3 * heard * (fault - self.echo);
-        // A node that errs again and again speaks for itself, unless a third of its build's others err too.
-        let power = if served || self.erring(flying.node, 0.02) > 0.33 { 0 } else { 4 };
         // Of the last fifty forwards to others and to nodes that had answered lately, where breaks tell how
         // long idle connections last. One break after an answer is no death.
         let n = &mut self.nodes[flying.node];
@@ -538,13 +564,10 @@
         if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
             n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
         }
-        // An eighth of each answer: ten times slower shows within three, chance hardly does.
-        let x = slow.filter(|_| !flying.cold).unwrap_or(n.slow);
-        n.slow = (n.slow + 0.125 * (x - n.slow)).clamp(-0.7, 2.5);
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
-        let (own_fault, said) = (fault * (1.0 - 2.0 * self.echo).max(0.0), (1.0 - n.faults).powi(power));
-        if answered || end.ending == Ending::Spoilt {
-            n.faults += 0.25 * (own_fault - n.faults); // two errors in a row show, one does not
+        let own_fault = fault * (1.0 - 2.0 * self.echo).max(0.0);
+        let heard = answered || end.ending == Ending::Spoilt;
+        if heard {
             (n.owes_since, n.strikes, n.shunned_until) = (now, n.strikes / 2, 0.0);
         } else if end.ending == Ending::TurnedAway {
             n.shunned_until = now + quick; // its queue is full: until about half of it is done
@@ -553,13 +576,44 @@
             n.shunned_until = now + 0.5 * 2f64.powi(n.strikes.min(3)) * jitter;
             n.strikes = (n.strikes + 1).min(4);
         }
-        let Some(news) = self.news.filter(|n| flying.build <= n.build && (answered || timed)) else { return };
-        let arm = if flying.build == news.build { TRIAL } else { EARLIER };
-        if flying.first && news.phase == Phase::Trial && flying.sent >= self.stage_began {
-            // A cold node shows its age, a slowdown of all its own cause: such a pull is an outcome only.
+        let outcome = flying.first && (answered || timed) && flying.sent >= self.stage_began;
+        // A cold node shows its age, a slowdown of all its own cause: such a pull is an outcome only.
+        let fair = !flying.cold && !ailing && own_fault >= 0.5 * fault && self.doubt.slow_for == 0;
+        // A hit that errs twice takes back what it said of the build.
+        let back = if hit.erred.is_some_and(|b| Some(b) == self.news.map(|n| n.build)) { fault } else { 0.0 };
+        let in_time = served && end.spent <= self.groups[group].target;
+        let slow = slow.filter(|_| !flying.cold);
+        let pull = Some(in_time).filter(|_| outcome && fair && self.trial().is_some());
+        let seen = Seen { heard, answered, outcome, pull, fault, own_fault, back, slow };
+        self.weigh(flying.node, group, flying.build, &seen);
+        if !self.pool.judges.is_empty() {
+            let own = u32::from(answered && own_fault >= 0.5);
+            let t = self.pool.count(flying.node * self.groups.len() + group);
+            t.answers += u32::from(answered);
+            t.faults += own;
+            t.outcomes += u32::from(outcome);
+            t.pulls += u32::from(pull.is_some());
+            t.in_time += u32::from(pull == Some(true));
+            t.times += u32::from(slow.is_some());
+            t.slow += slow.unwrap_or(0.0);
+        }
+    }
+
+    /// Weighs an outcome, this agent's or another's: the node's health, the arms' payoffs, the evidence.
+    fn weigh(&mut self, node: usize, group: usize, build: u32, seen: &Seen) {
+        let Seen { heard, answered, outcome, pull, fault, own_fault, back, slow } = *seen;
+        // A node that errs again and again speaks for itself, unless a third of its build's others err too.
+        let power = if fault == 0.0 || self.erring(node, 0.02) > 0.33 { 0 } else { 4 };
+        let n = &mut self.nodes[node];
+        // An eighth of each answer: ten times slower shows within three, chance hardly does.
+        n.slow = (n.slow + 0.125 * (slow.unwrap_or(n.slow) - n.slow)).clamp(-0.7, 2.5);
+        let said = (1.0 - n.faults).powi(power);
+        n.faults += if heard { 0.25 * (own_fault - n.faults) } else { 0.0 }; // two in a row show, one does not
+        let Some(news) = self.news.filter(|n| build <= n.build) else { return };
+        let arm = if build == news.build { TRIAL } else { EARLIER };
+        if outcome && news.phase == Phase::Trial {
             self.duel.outcomes += arm as f64;
-            if !flying.cold && !ailing && own_fault >= 0.5 * fault && self.doubt.slow_for == 0 {
-                let in_time = served && end.spent <= self.groups[group].target;
+            if let Some(in_time) = pull {
                 self.duel.arms[arm][group].add(f64::from(u8::from(in_time)));
                 self.duel.judge();
                 // Where rates are stated a trial does not go by this alone: its horizon starts anew.
@@ -571,12 +625,13 @@
             }
         }
 
-        let Some(news) = Some(news).filter(|_| answered) else { return };
+        if !answered {
+            return;
+        }
         // Usual is what erred more, the last fifty or five hundred answers; at the start one in ten. One in
-        // twenty is bad where others hardly fail. A hit that errs twice takes back what it said of the build.
+        // twenty is bad where others hardly fail.
         let usual = (1.5 * self.usual_faults.max(self.long_faults.mean())).clamp(0.005, 0.2);
         let bad = (4.0 * usual).max(0.05);
-        let back = if hit.erred == Some(news.build) { fault } else { 0.0 };
         let (faults, passes) = if arm == TRIAL { (said * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
         for score in [group, self.groups.len()] {
             Evidence::lean(&mut self.evidence.faults[score], faults - back, passes, usual, bad);
@@ -622,6 +677,90 @@
         word
     }
 
+    /// Whether the judges' word stands for what this agent makes of its own few outcomes: until none of them
+    /// has been heard for three of their words.
+    fn follows(&self) -> bool {
+        let judged = !self.pool.judges.is_empty() && !self.pool.judges();
+        judged && self.now < self.pool.heard_at.max(self.started) + 3.0 * WORD
+    }
+
+    /// What other agents (`None`: all) are to be told now. Own totals go to the judges, their word to all.
+    pub fn tidings(&mut self) -> Vec<(Option<usize>, Tidings)> {
+        let mut all = Vec::new();
+        let Some(news) = self.news.filter(|_| !self.pool.judges.is_empty()) else { return all };
+        let (start, informed) = (self.pool.start, self.informed);
+        let plain = Tidings { start, build: news.build, stage: news.stage, informed, ..Tidings::default() };
+        if self.now >= self.pool.tell_at && !self.pool.changed.is_empty() {
+            self.pool.tell_at = self.now + 0.5 * WORD;
+            let told = Tidings { totals: self.pool.changes(self.groups.len()), ..plain.clone() };
+            let others = self.pool.judges.iter().filter(|j| **j != self.pool.own);
+            all.extend(others.map(|j| (Some(*j), told.clone())));
+        }
+        if self.pool.judges() && self.now >= self.pool.word_at {
+            self.pool.word_at = self.now + WORD;
+            let health = |(node, n): (usize, &Node)| Health { node, slow: n.slow, faults: n.faults };
+            let sick = |h: &Health| h.slow > 0.5 || h.faults > 0.2;
+            let mut nodes: Vec<Health> = self.nodes.iter().enumerate().map(health).filter(sick).collect();
+            nodes.truncate(15);
+            all.push((None, Tidings { doubt: Some(self.doubt.raised()), nodes, ..plain }));
+        }
+        all
+    }
+
+    /// Another agent tells of its outcomes, or a judge of all.
+    pub fn told(&mut self, now: f64, from: usize, tidings: &Tidings) {
+        self.at(now);
+        if from as f64 >= self.set("peers_total", 1.0) || from == self.pool.own {
+            return;
+        }
+        if self.pool.judges() {
+            let of = (tidings.start, tidings.build, tidings.stage);
+            let groups = self.groups.len();
+            for (node, group, totals) in tidings.totals.iter().filter(|t| t.1 < groups) {
+                let place = node * groups + group;
+                let new = self.pool.news(from, of, place, *totals);
+                self.pool(*node, *group, &new, tidings);
+            }
+        } else if let Some(doubt) = tidings.doubt.filter(|_| self.pool.judges.contains(&from)) {
+            (self.pool.heard_at, self.pool.doubt) = (self.now, doubt);
+        }
+    }
+
+    /// Weighs what is new in another agent's totals as if the outcomes were this agent's.
+    fn pool(&mut self, node: usize, group: usize, new: &Totals, of: &Tidings) {
+        let Some(line) = self.nodes.get(node).and_then(|n| n.listed).filter(|_| group < self.groups.len())
+        else {
+            return;
+        };
+        let same = self.news.is_some_and(|n| (n.build, n.stage) == (of.build, of.stage));
+        let slow = (new.slow / f64::from(new.times.max(1))).clamp(-2.5, 2.5);
+        self.pool.answers += f64::from(new.answers.min(100));
+        for i in 0..new.answers.max(new.outcomes).max(new.times).min(100) {
+            let fault = f64::from(u8::from(i < new.faults));
+            let (answered, pull) = (i < new.answers, Some(i < new.in_time).filter(|_| i < new.pulls && same));
+            let slow = Some(slow).filter(|_| i < new.times);
+            let seen = Seen {
+                heard: answered,
+                answered,
+                outcome: i < new.outcomes && same,
+                pull,
+                fault,
+                own_fault: fault,
+                back: 0.0,
+                slow,
+            };
+            self.weigh(node, group, line.build, &seen);
+            if let Some(x) = slow {
+                self.nodes[node].times.add(x);
+                let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && line.build >= n.build);
+                if of.informed && !on_trial {
+                    self.lately.present.add(x);
+                }
+            }
+        }
+        (0..new.complaints.min(100)).for_each(|_| self.wrong(line.build));
+    }
+
     /// Ages what was counted, compares, votes. To be called when the last review asked for it.
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
@@ -629,6 +768,7 @@
         // Where answers are few the present reaches back further.
         let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) };
         self.lately.fade(keep, reach);
+        self.pool.answers *= keep;
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
@@ -658,9 +798,11 @@
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
+        let follows = self.follows();
         // A quarter slower, beyond a standard error; less where many agents have to say so.
         let beyond = self.enough() / ENOUGH * present.error().sqrt();
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
+        let slowed = if follows { self.pool.doubt } else { slowed };
         let before = self.doubt.slow_for;
         self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
@@ -720,7 +862,7 @@
 
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
-        let Some(news) = self.news else { return Verdict::Clear };
+        let Some(news) = self.news.filter(|_| !self.follows()) else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
@@ -742,7 +884,8 @@
         let own = self.open().filter(|l| l.build == news.build);
         let start = own.map(|l| l.up_since).fold(self.stage_began, f64::max);
         let votes = self.set("family_info.on_votes", 1.0).max(1.0);
-        let least = (news.cap * self.lately.taken / SPAN * (soak + 1.0)).clamp(1.0, (10.0 / votes).max(1.0));
+        let least = (news.cap * (self.lately.taken + self.pool.answers) / SPAN * (soak + 1.0))
+            .clamp(1.0, (10.0 / votes).max(1.0));
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
@@ -750,7 +893,8 @@
         let warm = if news.cap < 1.0 { 0.0 } else { self.set("obligations.cold_s", 0.0) + 2.0 * SPAN };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
-        let due = due && (self.informed || self.now >= self.started + 10.0);
+        let alone = if self.pool.judges.is_empty() { 10.0 } else { 3.0 * WORD };
+        let due = due && (self.informed || self.now >= self.started + alone);
         [Verdict::Clear, Verdict::On][usize::from(trial && !doubtful && ripe && due)]
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,6 +152,49 @@
     pub stage: usize,
 }
 
+/// Running totals of an agent's answers from one node in one path group since its news last changed. Totals,
+/// not steps: what is lost, doubled or late does no harm.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Totals {
+    /// Answers, and how many of them were errors of the node's own.
+    pub answers: u32,
+    pub faults: u32,
+    /// First forwards with an outcome, those of them that were fair pulls, and of these the ones in time.
+    pub outcomes: u32,
+    pub pulls: u32,
+    pub in_time: u32,
+    /// Answers found wrong.
+    pub complaints: u32,
+    /// Times that can be compared: how many, and the sum of their logarithms over the sender's calm seconds.
+    pub times: u32,
+    pub slow: f64,
+}
+
+/// A node as a judge sees it: the logarithm of its times over the usual, and the share of errors.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Health {
+    pub node: usize,
+    pub slow: f64,
+    pub faults: f64,
+}
+
+/// What one agent tells others, where the settings allow it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tidings {
+    /// A number that differs between starts of the sender.
+    pub start: u32,
+    pub build: u32,
+    pub stage: usize,
+    /// Whether the sender has seconds before the trial to compare with.
+    pub informed: bool,
+    /// Whether a slowdown is in doubt; told by judges.
+    pub doubt: Option<bool>,
+    /// Node, path group and totals, those that have changed.
+    pub totals: Vec<(usize, usize, Totals)>,
+    /// Nodes out of the ordinary; told by judges.
+    pub nodes: Vec<Health>,
+}
+
 /// What a regular review asks for, and when the next one is due.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Review {
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Ordering;
+use std::collections::HashMap;
 
 /// A setting that is a number, or `otherwise` where it is absent.
 pub(crate) fn number(named: &Named, name: &str, otherwise: f64) -> f64 {
@@ -374,6 +375,96 @@
     pub abated: u32,
 }
 
+/// An outcome to be weighed: whether the node was heard and answered, whether it counts as an outcome of the
+/// stage and as a pull in time or not, the fault, the part of it that is the node's own, what it takes back of
+/// what was said before, and the logarithm of its time over calm seconds.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Seen {
+    pub heard: bool,
+    pub answered: bool,
+    pub outcome: bool,
+    pub pull: Option<bool>,
+    pub fault: f64,
+    pub own_fault: f64,
+    pub back: f64,
+    pub slow: Option<f64>,
+}
+
+/// What is known from and told to other agents.
+#[derive(Default)]
+pub(crate) struct Pool {
+    pub start: u32,
+    pub own: usize,
+    /// Numbers of the agents that judge for all; empty where agents may not talk.
+    pub judges: Vec<usize>,
+    /// When a judge was heard last, and when to tell next.
+    pub heard_at: f64,
+    pub tell_at: f64,
+    pub word_at: f64,
+    /// Own totals by node and path group, and which of them have changed since they were told.
+    pub totals: Vec<Totals>,
+    pub changed: Vec<usize>,
+    /// What each agent told last, by node and path group, with its start, build and stage.
+    pub told: HashMap<usize, Told>,
+    /// Answers of others that were heard of lately.
+    pub answers: f64,
+    /// Whether a judge holds a slowdown to be in doubt.
+    pub doubt: bool,
+}
+
+/// What one agent has told.
+#[derive(Default)]
+pub(crate) struct Told {
+    pub of: (u32, u32, usize),
+    pub totals: HashMap<usize, Totals>,
+}
+
+impl Pool {
+    pub fn judges(&self) -> bool {
+        self.judges.contains(&self.own)
+    }
+    /// The own totals of a place, to be changed.
+    pub fn count(&mut self, place: usize) -> &mut Totals {
+        if place >= self.totals.len() {
+            self.totals.resize(place + 1, Totals::default());
+        }
+        if !self.changed.contains(&place) {
+            self.changed.push(place);
+        }
+        &mut self.totals[place]
+    }
+    /// What has changed since this was last asked for, by node and path group.
+    pub fn changes(&mut self, groups: usize) -> Vec<(usize, usize, Totals)> {
+        let totals = &self.totals;
+        self.changed.drain(..).map(|p| (p / groups, p % groups, totals[p])).collect()
+    }
+    /// What is new in an agent's totals of a place; those of another start, build or stage are all new.
+    pub fn news(&mut self, from: usize, of: (u32, u32, usize), place: usize, now: Totals) -> Totals {
+        let told = self.told.entry(from).or_default();
+        if of > told.of {
+            *told = Told { of, ..Told::default() };
+        } else if of < told.of {
+            return Totals::default(); // from before its last news, come late
+        }
+        let old = told.totals.insert(place, now).unwrap_or_default();
+        let counts = |t: &Totals| [t.answers, t.outcomes, t.times, t.complaints];
+        if counts(&now).into_iter().zip(counts(&old)).any(|(now, old)| now < old) {
+            told.totals.insert(place, old); // an older message that came late
+            return Totals::default();
+        }
+        Totals {
+            answers: now.answers - old.answers,
+            faults: now.faults.saturating_sub(old.faults),
+            outcomes: now.outcomes - old.outcomes,
+            pulls: now.pulls.saturating_sub(old.pulls),
+            in_time: now.in_time.saturating_sub(old.in_time),
+            complaints: now.complaints - old.complaints,
+            times: now.times - old.times,
+            slow: now.slow - old.slow,
+        }
+    }
+}
+
 impl Duel {
     /// Pulls, mean and variance of an arm; the earlier one's in the trial's mix of path groups.
     pub(crate) fn moments(&self, arm: usize) -> (f64, f64, f64) {
@@ -454,6 +545,7 @@
     pub(crate) held_share: f64,
     pub(crate) cast: Cast,
     pub(crate) following: Following,
+    pub(crate) pool: Pool,
 }
 
 impl Balancer {
