--- a/benchlink/src/peers.rs
+++ b/benchlink/src/peers.rs
@@ -1,10 +1,9 @@
-//! What agents tell each other, as short text: `1 start build stage informed doubt|place...|node...`. Numbers
+//! What agents tell each other, as short text: `1 start build stage informed [doubt]+place...`. Numbers
 //! are in base 36; a node goes by a short code of its word, since ids differ from agent to agent.
 //! What is malformed, of another version or too long is no message.
 
-use magpieline::interface::{Health, Tidings, Totals};
+use magpieline::interface::{Tidings, Totals};
 use std::collections::HashMap;
-use std::fmt::Write;
 
 /// The wire's bound on a message, in bytes.
 const MOST: usize = 256;
@@ -67,29 +66,22 @@
         base36(n, &mut head);
         head.push(' ');
     }
-    let doubt = tidings.doubt.map_or('-', |d| if d { 'y' } else { 'n' });
-    let _ = write!(head, "{}{doubt}", if tidings.informed { 'y' } else { 'n' });
+    head.push(if tidings.informed { 'y' } else { 'n' });
+    head.push_str(tidings.doubt.map_or("", |d| if d { " y" } else { " n" }));
     let mut out = vec![head.clone()];
-    let mut put = |kind: char, node: usize, numbers: &[u64]| {
-        let mut part = String::from(kind);
-        base36(code(&word(node)), &mut part);
+    for (node, group, t) in &tidings.totals {
+        let counts = [t.answers, t.faults, t.outcomes, t.pulls, t.in_time, t.complaints, t.times];
+        let mut part = String::from('+');
+        base36(code(&word(*node)), &mut part);
+        let numbers = [*group as u64].into_iter().chain(counts.map(u64::from)).chain([hundredths(t.slow)]);
         for n in numbers {
             part.push('.');
-            base36(*n, &mut part);
+            base36(n, &mut part);
         }
         if out.last().is_none_or(|m| m.len() + part.len() > MOST) {
             out.push(head.clone());
         }
         out.last_mut().into_iter().for_each(|m| m.push_str(&part));
-    };
-    for (node, group, t) in &tidings.totals {
-        let counts = [t.answers, t.faults, t.outcomes, t.pulls, t.in_time, t.complaints, t.times];
-        let mut numbers = [*group as u64, 0, 0, 0, 0, 0, 0, 0, hundredths(t.slow)];
-        numbers[1..8].copy_from_slice(&counts.map(u64::from));
-        put('+', *node, &numbers);
-    }
-    for h in &tidings.nodes {
-        put('!', h.node, &[hundredths(h.slow), hundredths(h.faults)]);
     }
     out
 }
@@ -99,47 +91,41 @@
     if text.len() > MOST || !text.is_ascii() {
         return None;
     }
-    let end = text.find(['+', '!']).unwrap_or(text.len());
-    let (head, mut rest) = text.split_at(end);
-    let mut fields = head.split(' ');
+    let mut parts = text.split('+');
+    let mut fields = parts.next()?.split(' ');
     if fields.next() != Some(VERSION) {
         return None;
     }
     let start = u32::try_from(read(fields.next())?).ok()?;
     let build = u32::try_from(read(fields.next())?).ok()?;
     let stage = usize::try_from(read(fields.next())?).ok()?;
-    let (informed, doubt) = match fields.next()? {
-        "y-" => (true, None),
-        "n-" => (false, None),
-        "yy" => (true, Some(true)),
-        "yn" => (true, Some(false)),
-        "ny" => (false, Some(true)),
-        "nn" => (false, Some(false)),
-        _ => return None,
+    let mark = |part: Option<&str>| match part {
+        Some("y") => Some(true),
+        Some("n") => Some(false),
+        _ => None,
     };
+    let informed = mark(fields.next())?;
+    let doubt = match fields.next() {
+        Some(part) => Some(mark(Some(part))?),
+        None => None,
+    };
+    if fields.next().is_some() {
+        return None;
+    }
     let mut tidings = Tidings { start, build, stage, informed, doubt, ..Tidings::default() };
-    while let Some(kind) = rest.chars().next() {
-        let end = rest[1..].find(['+', '!']).map_or(rest.len(), |i| i + 1);
-        let mut parts = rest[1..end].split('.');
-        let node = codes.node(parts.next());
-        if kind == '+' {
-            let mut count = || u32::try_from(read(parts.next())?).ok();
-            let group = count()? as usize;
-            let [answers, faults, outcomes] = [count()?, count()?, count()?];
-            let [pulls, in_time, complaints, times] = [count()?, count()?, count()?, count()?];
-            let slow = read_hundredths(parts.next())?;
-            let t = Totals { answers, faults, outcomes, pulls, in_time, complaints, times, slow };
-            if let Some(node) = node {
-                tidings.totals.push((node, group, t));
-            }
-        } else {
-            let (slow, faults) = (read_hundredths(parts.next())?, read_hundredths(parts.next())?);
-            tidings.nodes.extend(node.map(|node| Health { node, slow, faults }));
-        }
-        if parts.next().is_some() {
+    for part in parts {
+        let mut numbers = part.split('.');
+        let node = codes.node(numbers.next());
+        let mut count = || u32::try_from(read(numbers.next())?).ok();
+        let group = count()? as usize;
+        let [answers, faults, outcomes] = [count()?, count()?, count()?];
+        let [pulls, in_time, complaints, times] = [count()?, count()?, count()?, count()?];
+        let slow = read_hundredths(numbers.next())?;
+        let t = Totals { answers, faults, outcomes, pulls, in_time, complaints, times, slow };
+        if numbers.next().is_some() {
             return None;
         }
-        rest = &rest[end..];
+        tidings.totals.extend(node.map(|node| (node, group, t)));
     }
     Some(tidings)
 }
@@ -157,8 +143,7 @@
     fn tidings(places: usize) -> Tidings {
         let t = Totals { answers: 70, faults: 3, times: 9, slow: -1.25, ..Totals::default() };
         let totals = (0..places).map(|i| (i % 3, i % 2, Totals { outcomes: i as u32, ..t })).collect();
-        let nodes = vec![Health { node: 2, slow: 0.5, faults: 0.25 }];
-        Tidings { start: 99, build: 42, stage: 1, informed: true, doubt: Some(false), totals, nodes }
+        Tidings { start: 99, build: 42, stage: 1, informed: true, doubt: Some(false), totals }
     }
 
     fn word(node: usize) -> String {
@@ -171,11 +156,8 @@
             let (told, messages) = (tidings(places), write(&tidings(places), word));
             assert!(messages.iter().all(|m| m.len() <= MOST), "{messages:?}");
             let read = messages.iter().map(|m| parse(m, &codes()).expect(m));
-            let mut all = Tidings { totals: vec![], nodes: vec![], ..told.clone() };
-            read.for_each(|t| {
-                all.totals.extend(t.totals);
-                all.nodes.extend(t.nodes);
-            });
+            let mut all = Tidings { totals: vec![], ..told.clone() };
+            read.for_each(|t| all.totals.extend(t.totals));
             assert_eq!(all, told);
         }
     }
@@ -184,16 +166,25 @@
     fn what_is_spoilt_is_no_message_and_never_a_panic() {
         let good = write(&tidings(3), word).remove(0);
         for i in 0..good.len() {
-            for spoilt in [" ", "+", "!", ".", "zzzzzzzzzzzzz", "\u{e9}", "-", "0"] {
+            for spoilt in [" ", "+", ".", "zzzzzzzzzzzzz", "\u{e9}", "-", "0"] {
                 let text = format!("{}{spoilt}{}", &good[..i], &good[i + 1..]);
                 let _ = parse(&text, &codes());
                 let _ = parse(&good[..i], &codes());
             }
         }
-        for text in ["", "2 1 1 1 y-", "1 1 1 y-", "1 1 1 1 y-+0", "1 1 1 1 y-!0.1", "1 1 1 1 x-"] {
+        for text in [
+            "",
+            "2 1 1 1 y",
+            "1 1 1 y",
+            "1 1 1 1 y+0",
+            "1 1 1 1 y!0.1",
+            "1 1 1 1 x",
+            "1 1 1 1 y y",
+            "1 1 1 1 y y 0 0",
+        ] {
             assert_eq!(parse(text, &codes()), None, "{text}");
         }
-        assert_eq!(parse(&format!("1 1 1 1 y-{}", " ".repeat(300)), &codes()), None);
+        assert_eq!(parse(&format!("1 1 1 1 y{}", " ".repeat(300)), &codes()), None);
     }
 
     #[test]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -294,7 +294,7 @@
         let over = self.lately.over(hit.arrival.account, self.set("peers_total", 1.0) / SPAN) > 3.0;
         part *= if over { self.set("over_share_worth", 1.0).max(0.4) } else { 1.0 }; // beyond chance
         let expected = self.load(node) * self.lately.spent / self.lately.loads;
-        let busy = known && expected > part * group.pace.min(hit.due - self.now);
+        let busy = known && expected > (part * group.pace).min(2.0 * (hit.due - self.now));
         if known && self.ailing(hit) {
             let probe = self.now >= self.probe_at;
             self.probe_at = if probe { self.later(3.0, 0) } else { self.probe_at };
@@ -341,7 +341,9 @@
         let Some(line) = self.nodes[node].listed else { return false };
         let warmth = self.warmth(&line);
         // Half as much again, since random draws leave some of it unused.
-        let rate = 1.5 * warmth * self.lately.taken / SPAN * line.rating.max(0.1) / total;
+        let sent = self.lately.done.max(0.25 * self.lately.taken) / SPAN;
+        let part = 0.6 * self.set("obligations.fall_multiple", 2.5);
+        let rate = part * warmth * sent * line.rating.max(0.1) / total;
         let n = &mut self.nodes[node];
         n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate); // saves a fifth of a second
         n.ramp_at = self.now;
@@ -473,12 +475,13 @@
     }
 
     fn send(&mut self, place: usize, node: usize, trial: bool) -> Next {
+        // A bounce is paid for like a forward, or the trial would get the full share of what is mostly bounced.
+        self.tokens -= f64::from(u8::from(trial));
         let line = self.nodes[node].listed.filter(|_| !self.too_busy(place, node));
         let Some(line) = line else { return self.finish(place) };
         let (step, load, sent) = (self.step(node), self.load(node), self.now);
         // For the comparisons it is cold a span longer: what piled up has to go first.
         let cold = line.up_since > 0.0 && sent < line.up_since + self.set("obligations.cold_s", 0.0) + SPAN;
-        self.tokens -= f64::from(u8::from(trial));
         self.case.iter_mut().filter(|_| trial).for_each(|c| c.trial_sent(sent));
         let first = self.slab.hits[place].forwards == 0;
         self.launch(place, Flying { node, build: line.build, sent, step, load, cold, first });
@@ -698,11 +701,7 @@
         }
         if self.pool.judges() && self.now >= self.pool.word_at {
             self.pool.word_at = self.now + WORD;
-            let health = |(node, n): (usize, &Node)| Health { node, slow: n.slow, faults: n.faults };
-            let sick = |h: &Health| h.slow > 0.5 || h.faults > 0.2;
-            let mut nodes: Vec<Health> = self.nodes.iter().enumerate().map(health).filter(sick).collect();
-            nodes.truncate(15);
-            all.push((None, Tidings { doubt: Some(self.doubt.raised()), nodes, ..plain }));
+            all.push((None, Tidings { doubt: Some(self.doubt.raised()), ..plain }));
         }
         all
     }
@@ -833,7 +832,9 @@
         }
         // A doubt outlasts a round of pauses: in another agent's pause the slowdown goes for this one too.
         self.doubt.until = if self.doubt.raised() { self.now + 2.0 * PAUSE } else { self.doubt.until };
-        self.evidence.stays = self.doubt.slow_for as f64 * TICK / 15.0; // other slowdowns mostly pass sooner
+        let stays = self.doubt.slow_for as f64 * TICK / 15.0;
+        self.evidence.stays = if self.pool.judges.is_empty() { stays } else { 0.0 };
+        // other slowdowns mostly pass sooner
     }
 
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -170,14 +170,6 @@
     pub slow: f64,
 }
 
-/// A node as a judge sees it: the logarithm of its times over the usual, and the share of errors.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Health {
-    pub node: usize,
-    pub slow: f64,
-    pub faults: f64,
-}
-
 /// What one agent tells others, where the settings allow it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tidings {
@@ -191,8 +183,6 @@
     pub doubt: Option<bool>,
     /// Node, path group and totals, those that have changed.
     pub totals: Vec<(usize, usize, Totals)>,
-    /// Nodes out of the ordinary; told by judges.
-    pub nodes: Vec<Health>,
 }
 
 /// What a regular review asks for, and when the next one is due.
