--- a/src/balance.rs
+++ b/src/balance.rs
@@ -641,7 +641,13 @@
         // twenty is bad where others hardly fail.
         let usual = (1.5 * self.usual_faults.max(self.long_faults.mean())).clamp(0.005, 0.2);
         let bad = (4.0 * usual).max(0.05);
-        let (faults, passes) = if arm == TRIAL { (said * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
+        // Sick nodes are met in both builds: errors speak in so far as more of the trial's nodes err. Only a judge
+        // hears of enough nodes to tell.
+        let [earlier, trial] =
+            if fault > 0.0 && self.pool.judges() { self.erring_shares(news.build) } else { [0.0, 1.0] };
+        let said_of_build = said * (1.0 - earlier / trial.max(f64::MIN_POSITIVE)).max(0.0);
+        let (faults, passes) =
+            if arm == TRIAL { (said_of_build * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
         for score in [group, self.groups.len()] {
             Evidence::lean(&mut self.evidence.faults[score], faults - back, passes, usual, bad);
         }
@@ -763,6 +769,7 @@
                 }
             }
         }
+        self.nodes[node].told_at = self.now;
         (0..new.complaints.min(100)).for_each(|_| self.wrong(line.build));
     }
 
@@ -790,7 +797,8 @@
         self.compare();
         let now = self.now;
         self.look = self.case.as_mut().map(|case| case.look(now));
-        self.evidence.slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
+        let equal = self.trial().filter(|n| self.pool.judges.is_empty() || n.cap < 1.0);
+        self.evidence.slower = equal.map_or(self.evidence.slower, |n| self.slower(n.build));
         let follow = !self.following.on && self.now >= self.following.ask_at;
         self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at }; // or asks again
         Review { vote: self.ballot(), follow, again_in: TICK }
@@ -873,7 +881,9 @@
         let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
-        let plain = weight >= 1.0 || sunk || self.duel.dropped == Some(TRIAL);
+        // In a stage without a cap the trial is the busier one, which an agent that meets few hits can't see.
+        let blind = !self.pool.judges.is_empty() && news.cap >= 1.0;
+        let plain = weight >= 1.0 || !blind && (sunk || self.duel.dropped == Some(TRIAL));
         let guilty = self.look.map_or(plain, |l| l.opinion == Opinion::Back);
         let weight = self.look.map_or(weight, |l| l.back);
         // Where rates are stated only evidence against a bad build releases one, or the stated fallback.
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -835,7 +835,8 @@
 #[test]
 fn a_zone_with_little_power_does_not_draw_all_near_hits() {
     // Guards against a zone's only new node that takes the hits of all agents near it.
-    let mut b = balancer(0, Phase::Trial, 0.0, &[("costs.cross_zone", 0.02)]);
+    let mut b = balancer(0, Phase::Trial, 0.0, &[("costs.cross_zone", 0.08)]);
+    b.lately.sides = [count(10.0, 0.1); 2];
     let lines: Vec<Listed> = (0..8).map(|i| Listed { zone: usize::from(i > 0), ..line(i, 1, 0.0) }).collect();
     b.list(true, false, &lines);
     let all: Vec<usize> = (0..8).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,8 @@
     /// Until when a connection that served last is taken to stand.
     pub open_until: f64,
     pub met_at: f64,
+    /// When another agent last told of an answer.
+    pub told_at: f64,
     /// Share of its last few answers that were errors.
     pub faults: f64,
     /// Allowance while cold, and when it was last filled.
@@ -558,7 +560,7 @@
         let own = build(&self.nodes[node]);
         let (mut met, mut erring) = (0.0, 0.0);
         for (_, n) in self.nodes.iter().enumerate().filter(|(i, n)| *i != node && build(n) == own) {
-            met += f64::from(u8::from(n.met_at > self.stage_began || n.faults > 0.0));
+            met += f64::from(u8::from(n.met_at.max(n.told_at) > self.stage_began || n.faults > 0.0));
             erring += f64::from(u8::from(n.faults > faults));
         }
         if met > 0.0 {
@@ -568,6 +570,16 @@
         }
     }
 
+    /// The shares of the earlier builds' and of this build's nodes heard in this stage that err.
+    pub(crate) fn erring_shares(&self, build: u32) -> [f64; 2] {
+        let mut shares = [Count::default(); 2];
+        let met = self.nodes.iter().filter(|n| n.met_at.max(n.told_at) > self.stage_began || n.faults > 0.0);
+        for (n, line) in met.filter_map(|n| Some((n, n.listed?))) {
+            shares[usize::from(line.build == build)].add(f64::from(u8::from(n.faults > 0.02)));
+        }
+        shares.map(|s| s.mean())
+    }
+
     /// What speaks against the newest build, in a line for the log.
     pub fn against(&self) -> String {
         let (e, index) = (&self.evidence, [EARLIER, TRIAL].map(|arm| self.duel.moments(arm)));
