--- a/src/balance.rs
+++ b/src/balance.rs
@@ -421,7 +421,7 @@
         let [near, far] = self.lately.sides;
         let price = self.set("costs.cross_zone", 0.0) * (far.mean() / near.mean().max(1e-6)).clamp(0.0, 1.0);
         let part = (10.0 * price).clamp(0.0, 0.8) * self.near_part(fit).clamp(0.0, 1.0);
-        let local = self.chance.0.gen_bool(part);
+        let local = part > 0.0 && self.chance.0.gen_bool(part);
         let [first, second] = self.draw(fit, [false, local]);
         // An erring node answers fast: its empty hands must not draw hits.
         let far = |i: usize| if local && !self.is_near(i) { 1.0 + 12.5 * price } else { 1.0 };
@@ -861,10 +861,10 @@
         if earlier.z < 3.0 || trial.z < 3.0 || beyond < 0.7 * trial.z {
             return 0.0; // a build is slow on all its nodes, with some room for chance
         }
-        // Four standard errors of like nodes convince.
+        // Four standard errors of like nodes convince, fewer where many agents have to say so.
         let like = earlier.variance();
         let error = (like / earlier.z + like.max(noise / trial.z) / trial.z).sqrt().max(0.05);
-        (trial.mean() - earlier.mean() - margin) / error / 4.0
+        (trial.mean() - earlier.mean() - margin) / error / (4.0 * (self.enough() / ENOUGH).sqrt())
     }
 
     /// The evidence that one agent needs: three errors among thirty answers where its vote is enough. Where k
