Complaints go by the earlier builds' rate; load reports and plumbing leave the module

Complaints: the fixed 3 in 1000 hid builds that spoil 3 answers in 100 where 30% are reported; now the rate of the earlier builds' answers, and a bad one by the told share.

--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -8,7 +8,7 @@
 use crate::memory::record::{Chosen, Looked, Record};
 use crate::memory::signal::Signal;
 use crate::wire::end::End;
-use crate::wire::nodes::{Parcel, Reach, Report};
+use crate::wire::nodes::{Parcel, Reach};
 use crate::wire::{guarded, headers, platform};
 use bytes::Bytes;
 use http::{HeaderValue, Method};
@@ -264,7 +264,7 @@
         let (headers, body) = (awc::http::header::HeaderMap::new(), Bytes::new());
         let target = http::uri::PathAndQuery::from_static("/read");
         let parcel = Parcel { method: Method::GET, target, headers, body };
-        let (end, _) = reach.forward(&parcel, COMPLAIN_EVERY).await;
+        let end = reach.forward(&parcel, COMPLAIN_EVERY).await;
         assert!(matches!(end, End::Answered { .. }), "{end:?}");
     }
 
@@ -385,17 +385,17 @@
         actix_rt::spawn(async move {
             let begun = Instant::now();
             let limit = time(limit);
-            let (end, report) = match (reach, parcel) {
-                (Some(reach), Some(parcel)) => guarded("forward", reach.forward(&parcel, limit))
-                    .await
-                    .unwrap_or((End::Fault, Report::default())),
-                _ => (End::Nowhere, Report::default()),
+            let end = match (reach, parcel) {
+                (Some(reach), Some(parcel)) => {
+                    guarded("forward", reach.forward(&parcel, limit)).await.unwrap_or(End::Fault)
+                }
+                _ => End::Nowhere,
             };
-            own.returned(handle, end, begun.elapsed(), report);
+            own.returned(handle, end, begun.elapsed());
         });
     }
 
-    fn returned(self: &Rc<Self>, handle: HitHandle, end: End, spent: Duration, report: Report) {
+    fn returned(self: &Rc<Self>, handle: HitHandle, end: End, spent: Duration) {
         log::trace!("{handle:?}: {end:?} after {spent:?}");
         let ending = end.ending();
         if matches!(end, End::NoRoom) {
@@ -406,8 +406,7 @@
             self.answer(handle, Answer::Delivered { kind, body });
         }
         let over = ending == Ending::Delivered;
-        let Report { holds, service } = report;
-        let end = Return { ending, spent: spent.as_secs_f64(), over, holds, service };
+        let end = Return { ending, spent: spent.as_secs_f64(), over };
         let next = self.ask(|b, now| handle.returned(b, now, end));
         self.carry_out(handle, next);
     }
--- a/agent/src/wire/headers.rs
+++ b/agent/src/wire/headers.rs
@@ -14,8 +14,6 @@
 pub const ESTIMATE: &str = "x-estimate";
 /// Set where a node turned a hit away unseen.
 pub const TURNED_AWAY: &str = "x-turned-away";
-/// A node's report of its load: `name=value,name=value`.
-pub const PRESSURE: &str = "x-pressure";
 
 /// Headers that concern one connection only and are not passed on (RFC 9110, 7.6.1), and those that the
 /// next connection writes anew.
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -31,13 +31,6 @@
     client: Client,
 }
 
-/// What a node reports of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    pub holds: Option<f64>,
-    pub service: Option<f64>,
-}
-
 impl Reach {
     pub fn new(address: SocketAddr, connect: Duration, idle: Duration) -> Result<Reach, String> {
         let authority = address.to_string().parse().map_err(|e| format!("{address}: {e}"))?;
@@ -45,13 +38,13 @@
     }
 
     /// Sends a hit and waits for its end, all within `limit`. Dropping this closes the connection.
-    pub async fn forward(&self, parcel: &Parcel, limit: Duration) -> (End, Report) {
+    pub async fn forward(&self, parcel: &Parcel, limit: Duration) -> End {
         let sending = tokio::time::timeout(limit, self.send(parcel, limit));
         let (ended, trace) = line::traced(sending).await;
-        ended.unwrap_or(Err(End::Silent)).unwrap_or_else(|end| (cut(&trace, end), Report::default()))
+        ended.unwrap_or(Err(End::Silent)).unwrap_or_else(|end| cut(&trace, end))
     }
 
-    async fn send(&self, parcel: &Parcel, limit: Duration) -> Result<(End, Report), End> {
+    async fn send(&self, parcel: &Parcel, limit: Duration) -> Result<End, End> {
         let uri = Uri::builder().scheme(Scheme::HTTP).authority(self.authority.clone());
         let uri = uri.path_and_query(parcel.target.clone()).build().map_err(|_| End::Nowhere)?;
         let mut call = self.client.request(parcel.method.clone(), uri).address(self.address).camel_case();
@@ -63,19 +56,17 @@
             call.send_body(parcel.body.clone()).await
         };
         let mut answer = answered.map_err(failed)?;
-        let report = report(answer.headers().get(headers::PRESSURE).and_then(|v| v.to_str().ok()));
         let status = answer.status().as_u16();
         let turned_away = answer.headers().get(headers::TURNED_AWAY).is_some_and(|v| v.as_bytes() == b"1");
         let kind = answer.headers().get(CONTENT_TYPE).cloned();
         let body = whole(&mut answer, BODY_MOST).await;
-        let end = match (status, body) {
+        Ok(match (status, body) {
             (503 | 504, _) if turned_away => End::TurnedAway,
             (200, Ok(body)) => End::Answered { kind, body },
             (200, Err(Unread::Broken(_))) => End::CutAfter,
             (200, Err(Unread::TooLarge)) => End::TooLarge,
             _ => End::Failed,
-        };
-        Ok((end, report))
+        })
     }
 }
 
@@ -113,13 +104,6 @@
     }
 }
 
-/// A node's word on its load: `name=value,name=value` under the settings' names.
-fn report(line: Option<&str>) -> Report {
-    let pairs = || line.unwrap_or("").split(',').filter_map(|pair| pair.split_once('='));
-    let find = |name: &str| pairs().find(|(n, _)| n.trim() == name).and_then(|(_, v)| v.trim().parse().ok());
-    Report { holds: find("concurrent"), service: find("mean_ms").map(|ms: f64| ms / 1e3) }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -148,7 +132,7 @@
                 message(&mut stream).await;
                 write(&mut stream, text).await;
             });
-            reach(address.await).forward(&parcel("body"), LIMIT).await.0
+            reach(address.await).forward(&parcel("body"), LIMIT).await
         })
     }
 
@@ -163,7 +147,7 @@
                 )
                 .await;
             });
-            let (end, _) = reach(address.await).forward(&parcel("{ \"a\" : 1}"), LIMIT).await;
+            let end = reach(address.await).forward(&parcel("{ \"a\" : 1}"), LIMIT).await;
             let End::Answered { body, .. } = end else { panic!("{end:?}") };
             let came = String::from_utf8_lossy(&body).into_owned();
             assert!(came.starts_with("POST /read/a%20b?c=d HTTP/1.1\r\n"), "{came}");
@@ -211,16 +195,16 @@
     #[test]
     fn a_connection_that_is_refused_or_never_up_never_ran_and_silence_may_have() {
         run(async {
-            assert!(matches!(reach(nobody().await).forward(&parcel(""), LIMIT).await.0, End::Refused));
+            assert!(matches!(reach(nobody().await).forward(&parcel(""), LIMIT).await, End::Refused));
             let (address, _listener, _held) = full().await;
-            assert!(matches!(reach(address).forward(&parcel(""), LIMIT).await.0, End::NeverUp));
+            assert!(matches!(reach(address).forward(&parcel(""), LIMIT).await, End::NeverUp));
             let short = Duration::from_millis(20); // before the connect's own bound
-            assert!(matches!(reach(address).forward(&parcel(""), short).await.0, End::NeverUp));
+            assert!(matches!(reach(address).forward(&parcel(""), short).await, End::NeverUp));
             let silent = server(|mut stream| async move {
                 message(&mut stream).await;
                 tokio::time::sleep(Duration::from_secs(9)).await;
             });
-            assert!(matches!(reach(silent.await).forward(&parcel(""), LIMIT).await.0, End::Silent));
+            assert!(matches!(reach(silent.await).forward(&parcel(""), LIMIT).await, End::Silent));
         });
     }
 
@@ -243,7 +227,7 @@
                     assert!(matches!(closed, Ok(0) | Err(_)));
                 });
                 let (reach, begun) = (reach(address.await), std::time::Instant::now());
-                let (end, _) = reach.forward(&parcel("body"), 3 * LIMIT).await;
+                let end = reach.forward(&parcel("body"), 3 * LIMIT).await;
                 assert!(matches!(end, End::Unreadable | End::TooLarge), "{text}: {end:?}");
                 assert!(begun.elapsed() < LIMIT / 2, "{text}: {:?}", begun.elapsed());
             });
@@ -255,7 +239,7 @@
                 write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody").await;
                 std::future::pending::<()>().await
             });
-            let (end, _) = reach(address.await).forward(&parcel("body"), 3 * LIMIT).await;
+            let end = reach(address.await).forward(&parcel("body"), 3 * LIMIT).await;
             assert!(matches!(end, End::Unreadable), "{end:?}");
         });
     }
@@ -283,7 +267,7 @@
                 .await;
                 let reach = reach(address);
                 for _ in 0..3 {
-                    let (end, _) = reach.forward(&parcel(""), LIMIT).await;
+                    let end = reach.forward(&parcel(""), LIMIT).await;
                     assert!(
                         matches!(&end, End::Answered { body, .. } if body == "ok"),
                         "{behind}{later}: {end:?}"
@@ -309,7 +293,7 @@
                     seen.set(matches!(stream.read(&mut [0; 8]).await, Ok(0) | Err(_)));
                 }
             });
-            assert!(matches!(reach(address.await).forward(&parcel(""), LIMIT / 2).await.0, End::Silent));
+            assert!(matches!(reach(address.await).forward(&parcel(""), LIMIT / 2).await, End::Silent));
             tokio::time::sleep(Duration::from_millis(50)).await;
             assert!(closed.get());
         });
@@ -331,11 +315,11 @@
             let reach = reach(address);
             let hit = parcel("");
             for _ in 0..2 {
-                assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+                assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
             }
-            assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::CutAfter));
+            assert!(matches!(reach.forward(&hit, LIMIT).await, End::CutAfter));
             assert_eq!(made.get(), 1);
-            assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+            assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
             assert_eq!(made.get(), 2);
 
             // The node closes it while it is idle: it is not written to again, and its end is not taken for
@@ -347,7 +331,7 @@
             });
             let reach = super::tests::reach(once.await);
             for _ in 0..2 {
-                assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+                assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
 
@@ -355,7 +339,7 @@
                 answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok").await;
             let reach = super::tests::reach(closing);
             for _ in 0..2 {
-                assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+                assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
             }
         });
     }
@@ -375,19 +359,11 @@
             let reach = Reach::new(address, LIMIT, idle).expect("an address");
             let hit = parcel("");
             let all = futures_util::future::join_all((0..150).map(|_| reach.forward(&hit, 3 * LIMIT))).await;
-            assert!(all.iter().all(|(end, _)| matches!(end, End::Answered { .. })));
+            assert!(all.iter().all(|end| matches!(end, End::Answered { .. })));
             assert_eq!(made.get(), 150);
             tokio::time::sleep(2 * idle).await;
-            assert!(matches!(reach.forward(&hit, LIMIT).await.0, End::Answered { .. }));
+            assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
             assert_eq!(made.get(), 151);
         });
     }
-
-    #[test]
-    fn a_report_is_read_where_there_is_one() {
-        let both = Report { holds: Some(3.0), service: Some(0.0125) };
-        assert_eq!(report(Some("concurrent=3, mean_ms=12.5,tps=9")), both);
-        assert_eq!(report(Some("concurrent=many")), Report::default());
-        assert_eq!(report(None), Report::default());
-    }
 }
--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -144,10 +144,8 @@
 
     fn returned(&mut self, message: &Message, now: f64, out: &mut Out) -> Result<(), String> {
         let id = message.whole("corr")?;
-        let load = |name: &str| message.body.get("load").and_then(|l| l.get(name)).and_then(Json::as_f64);
-        let (holds, service) = (load("concurrent"), load("mean_ms").map(|ms| ms / 1e3));
         let (ending, spent) = (message.ending()?, message.seconds("spent_us")?);
-        let end = Return { ending, spent, over: message.mark("done_flag")?, holds, service };
+        let end = Return { ending, spent, over: message.mark("done_flag")? };
         if let Some(handle) = self.hits.get(&id).copied() {
             let next = handle.returned(&mut self.balancer, now, end);
             self.carry_out(id, handle, next, out);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,6 +1,7 @@
 //! Every decision of magpieline. A front makes one [`Balancer`] for each agent, tells it the list and the
 //! news, and calls [`Balancer::review`] when that says so. [`Balancer::take`] turns a hit into a handle; what
 //! happens to it later is a call on that, which returns what to do [`Next`]. Plain data: `src/state.rs`.
+//! Where agents may talk, [`Balancer::tidings`] and [`Balancer::told`] pool outcomes at a few judges.
 //!
 //! The ordinary path is the paper's EUCBV on two arms, the earlier and the trial build ([`Duel`]): the larger
 //! index takes a first forward while the cap allows, eliminations vote. Six mechanisms stand beside it:
@@ -14,7 +15,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use magpieline_verdict::{Case, End, Opinion, Outcome, Terms, Voters};
+use magpieline_verdict::{Case, End, Opinion};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -102,7 +103,7 @@
 const WORD: f64 = 1.0;
 /// A released build is compared with the seconds before its trial for twice the time that condemns it.
 const WATCH: f64 = 30.0;
-/// Complaints per answer, usual and bad: a right answer is hardly ever complained of, a wrong one often.
+/// Complaints per answer: usual until more is known, and the least wrong share that is held to be bad.
 const WRONG: (f64, f64) = (0.003, 0.03);
 
 impl Balancer {
@@ -113,26 +114,20 @@
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         (b.duel, b.long_faults) = (Duel::new(b.groups.len(), 0.0), Count { z: 2.0, sum: 0.2, squares: 0.2 });
         b.evidence = Evidence::new(b.groups.len());
+        b.wrong = Count { z: 1000.0, sum: 1000.0 * WRONG.0, squares: 0.0 };
         b.terms = crate::names::stated(&b.named)?;
         b.idle = b.set("limits.conn_idle_s", 10.0);
         b.lately.read(&b.named, b.groups.len());
         if flag(&b.named, "limits.peers") {
-            // Three judges, as one may be away, or as many as their votes have to be; spread over the numbers.
+            // Three judges, as one may be away, or as many as have to vote.
             let needed = ["family_info.on_votes", "family_info.noes_needed"].map(|name| b.set(name, 1.0));
-            let all = b.set("peers_total", 1.0).max(1.0);
-            let judges = needed.into_iter().fold(3.0, f64::max).min(all);
-            b.pool.judges = (0..judges as usize).map(|j| (j as f64 * all / judges) as usize).collect();
+            b.pool.seat(needed.into_iter().fold(3.0, f64::max), b.set("peers_total", 1.0));
         }
         (b.pool.own, b.pool.start) = (b.set("self_index", 0.0) as usize, (now * 10.0) as u64 as u32);
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
     }
 
-    /// The operators have chosen anew. A release under way goes on by the terms under which it began.
-    pub fn choose_terms(&mut self, terms: Option<Terms>) {
-        self.terms = terms;
-    }
-
     /// When to try again: a time doubled with each failure, four times at most, spread over agents.
     fn later(&mut self, first: f64, failures: i32) -> f64 {
         self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
@@ -155,7 +150,9 @@
             (self.pool.totals, self.pool.changed) = Default::default();
             self.cast.again_at = self.now;
         }
-        self.open_case(old, news);
+        // A pause lasts as long as the slowest group's answers may take.
+        let pause = self.groups.iter().map(|g| g.target).fold(0.0, f64::max).clamp(0.5, 2.0);
+        self.open_case(old, news, pause);
         if old.is_none_or(|o| o.build != news.build) {
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
@@ -167,46 +164,6 @@
         self.remember(news);
     }
 
-    /// A release, and each time it is tried anew, is a case of its own; its stages are parts of one.
-    fn open_case(&mut self, old: Option<News>, news: News) {
-        let on = |n: &News| n.phase == Phase::Trial;
-        let Some(terms) = self.terms.clone() else { return };
-        if on(&news) && !old.is_some_and(|o| o.build == news.build && on(&o)) {
-            let [all, back, on] = ["peers_total", "family_info.noes_needed", "family_info.on_votes"]
-                .map(|name| self.set(name, 1.0).max(1.0));
-            // A pause lasts as long as the slowest group's answers may take.
-            let window = self.groups.iter().map(|g| g.target).fold(0.0, f64::max).clamp(0.5, 2.0);
-            let voters = Voters { all: all.max(back).max(on), back, on };
-            self.case = Some(Case::new(terms, voters, self.groups.len(), u64::from(news.build), window));
-            self.look = None;
-        } else if old.is_none_or(|o| o.build != news.build) {
-            (self.case, self.look) = (None, None);
-        }
-        let (now, usual) = (self.now, self.long_faults.mean());
-        let Some(case) = &mut self.case else { return };
-        match news.phase {
-            Phase::Trial
-                if !old.is_some_and(|o| (o.build, o.stage) == (news.build, news.stage) && on(&o)) =>
-            {
-                case.stage(now, news.since);
-            }
-            Phase::Released => case.released(now, usual),
-            _ => {}
-        }
-    }
-
-    /// Hands the outcome of a first forward to the stated evidence.
-    fn witness(&mut self, hit: &Hit, flying: &Flying, end: End, time: Option<f64>) {
-        let (now, Some(news)) = (self.now, self.news) else { return };
-        let Some(case) = self.case.as_mut().filter(|_| flying.first && flying.build <= news.build) else {
-            return;
-        };
-        let side = if flying.build == news.build { TRIAL } else { EARLIER };
-        let up_since = self.nodes[flying.node].listed.map_or(0.0, |l| l.up_since);
-        let (group, node, key, age) = (hit.arrival.group, flying.node, hit.arrival.key, now - up_since);
-        case.outcome(now, &Outcome { side, group, node, key, age, end, time });
-    }
-
     fn standing(&self, build: u32) -> Standing {
         let Some(news) = self.news else {
             let lowest = self.open().map(|l| l.build).min();
@@ -226,7 +183,7 @@
         self.at(now);
         let build = self.nodes.get(node).and_then(|n| n.listed).map(|l| l.build);
         let trial = build.is_some() && build == self.news.map(|n| n.build);
-        build.into_iter().for_each(|b| self.wrong(b));
+        build.into_iter().for_each(|b| self.wrong(b, 1.0));
         if build.is_some() && !self.pool.judges.is_empty() {
             self.pool.count(node * self.groups.len()).complaints += 1;
         }
@@ -234,10 +191,14 @@
         told.for_each(|c| c.complained(now, usize::from(trial), node));
     }
 
-    /// An answer of a build has been found wrong.
-    fn wrong(&mut self, build: u32) {
-        if Some(build) == self.news.map(|n| n.build) {
-            Evidence::lean(&mut self.evidence.complaints, 1.0, 0.0, WRONG.0, WRONG.1);
+    /// An answer of a build has been found wrong, or just given. Usual is what the earlier builds' answers get.
+    pub(crate) fn wrong(&mut self, build: u32, found: f64) {
+        if self.news.is_some_and(|n| n.build == build) {
+            let usual = self.wrong.mean();
+            let bad = usual + WRONG.1 * self.set("family_info.complaint_share", 1.0);
+            Evidence::lean(&mut self.evidence.complaints, found, 1.0 - found, usual, bad);
+        } else {
+            self.wrong.follow(0.9998, found); // of five thousand answers, as complaints are few
         }
     }
 
@@ -265,7 +226,7 @@
     }
 
     /// Answers at once: a bounce where nothing can run twice, else an error page.
-    fn finish(&mut self, place: usize) -> Next {
+    pub(crate) fn finish(&mut self, place: usize) -> Next {
         let hit = &self.slab.hits[place];
         let harmless = hit.risk.is_none() || self.groups[hit.arrival.group].repeat == Repeat::Repeatable;
         self.slab.end(place);
@@ -479,7 +440,7 @@
     }
 
     fn send(&mut self, place: usize, node: usize, trial: bool) -> Next {
-        // A bounce is paid for like a forward, or the trial would get the full share of what is mostly bounced.
+        // A bounce is paid for like a forward, or the trial would get its share of what is bounced, too.
         self.tokens -= f64::from(u8::from(trial));
         let line = self.nodes[node].listed.filter(|_| !self.too_busy(place, node));
         let Some(line) = line else { return self.finish(place) };
@@ -508,7 +469,7 @@
 
     /// Mechanism 3. Whether a hit whose forward failed gets another: where nothing runs twice, in time and
     /// within the budget, of which quick failures cost half. Covers dead, silent and failing nodes; no jam.
-    fn again(&mut self, place: usize, ending: Ending) -> bool {
+    pub(crate) fn again(&mut self, place: usize, ending: Ending) -> bool {
         let hit = &self.slab.hits[place];
         let group = &self.groups[hit.arrival.group];
         let allowed = match (group.repeat, hit.risk) {
@@ -527,7 +488,7 @@
     }
 
     /// Learns from a forward's end: the node's health, the arms' payoffs, the evidence.
-    fn learn(&mut self, hit: &Hit, flying: &Flying, end: &Return) {
+    pub(crate) fn learn(&mut self, hit: &Hit, flying: &Flying, end: &Return) {
         let (now, group) = (self.now, hit.arrival.group);
         // Cut off by the operators' bound before a silent node would show: it tells nothing.
         if end.ending == Ending::NoAnswer && hit.bounds().1 < (3.0 * self.pressure()).clamp(0.1, 2.0) {
@@ -570,9 +531,6 @@
         *share += 0.02 * (f64::from(u8::from(lost)) - *share);
         self.idle = self.idle.min(if broke && met { flying.sent - n.met_at } else { self.idle }).max(0.2);
         (n.open_until, n.met_at) = if lost { (0.0, n.met_at) } else { (now + self.idle, now) };
-        if let Some(holds) = end.holds.filter(|h| h.is_finite()) {
-            n.others += 0.5 * ((holds - f64::from(n.flying)).max(0.0) - n.others);
-        }
         let silent = end.ending == Ending::NoAnswer && n.owes_since <= flying.sent;
         let own_fault = fault * (1.0 - 2.0 * self.echo).max(0.0);
         let heard = answered || end.ending == Ending::Spoilt;
@@ -595,21 +553,11 @@
         let pull = Some(in_time).filter(|_| outcome && fair && self.trial().is_some());
         let seen = Seen { heard, answered, outcome, pull, fault, own_fault, back, slow };
         self.weigh(flying.node, group, flying.build, &seen);
-        if !self.pool.judges.is_empty() {
-            let own = u32::from(answered && own_fault >= 0.5);
-            let t = self.pool.count(flying.node * self.groups.len() + group);
-            t.answers += u32::from(answered);
-            t.faults += own;
-            t.outcomes += u32::from(outcome);
-            t.pulls += u32::from(pull.is_some());
-            t.in_time += u32::from(pull == Some(true));
-            t.times += u32::from(slow.is_some());
-            t.slow += slow.unwrap_or(0.0);
-        }
+        self.pool.note(flying.node * self.groups.len() + group, &seen);
     }
 
     /// Weighs an outcome, this agent's or another's: the node's health, the arms' payoffs, the evidence.
-    fn weigh(&mut self, node: usize, group: usize, build: u32, seen: &Seen) {
+    pub(crate) fn weigh(&mut self, node: usize, group: usize, build: u32, seen: &Seen) {
         let Seen { heard, answered, outcome, pull, fault, own_fault, back, slow } = *seen;
         // A node that errs again and again speaks for itself, unless a third of its build's others err too.
         let power = if fault == 0.0 || self.erring(node, 0.02) > 0.33 { 0 } else { 4 };
@@ -617,7 +565,7 @@
         // An eighth of each answer: ten times slower shows within three, chance hardly does.
         n.slow = (n.slow + 0.125 * (slow.unwrap_or(n.slow) - n.slow)).clamp(-0.7, 2.5);
         let said = (1.0 - n.faults).powi(power);
-        n.faults += if heard { 0.25 * (own_fault - n.faults) } else { 0.0 }; // two in a row show, one does not
+        n.faults += if heard { 0.25 * (own_fault - n.faults) } else { 0.0 }; // two in a row show
         let Some(news) = self.news.filter(|n| build <= n.build) else { return };
         let arm = if build == news.build { TRIAL } else { EARLIER };
         if outcome && news.phase == Phase::Trial {
@@ -641,26 +589,21 @@
         // twenty is bad where others hardly fail.
         let usual = (1.5 * self.usual_faults.max(self.long_faults.mean())).clamp(0.005, 0.2);
         let bad = (4.0 * usual).max(0.05);
-        // Sick nodes are met in both builds: errors speak in so far as more of the trial's nodes err. Only a judge
+        // Sick nodes are met in both builds: errors speak in so far as more of the trial's nodes err. A judge
         // hears of enough nodes to tell.
-        let [earlier, trial] =
-            if fault > 0.0 && self.pool.judges() { self.erring_shares(news.build) } else { [0.0, 1.0] };
-        let said_of_build = said * (1.0 - earlier / trial.max(f64::MIN_POSITIVE)).max(0.0);
-        let (faults, passes) =
-            if arm == TRIAL { (said_of_build * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
+        let more = if fault > 0.0 && self.pool.judges() { self.erring_more(news.build) } else { 1.0 };
+        let (faults, passes) = if arm == TRIAL { (more * said * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
         for score in [group, self.groups.len()] {
             Evidence::lean(&mut self.evidence.faults[score], faults - back, passes, usual, bad);
         }
         if arm == EARLIER {
             self.usual_faults += 0.02 * (said * fault - self.usual_faults);
             self.long_faults.follow(0.998, said * fault);
-        } else {
-            Evidence::lean(&mut self.evidence.complaints, 0.0, 1.0, WRONG.0, WRONG.1);
         }
+        self.wrong(build, 0.0);
     }
 
-    /// The logarithm of a forward's time, at least, over that of calm seconds at equal load. For nodes
-    /// against nodes their own word on their service is better, where there is one.
+    /// The logarithm of a forward's time, at least, over that of calm seconds at equal load.
     fn time(&mut self, hit: &Hit, flying: &Flying, end: &Return) -> Option<f64> {
         // In a stage without a cap the trial's nodes are the present, as after the release.
         let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && flying.build >= n.build);
@@ -679,17 +622,15 @@
             past(step, ln - calm.mean());
             past(calm, ln - step.mean())
         });
-        let word = end.service.filter(seen).and_then(|s| past(&mut self.service, s.ln())).or(own);
-        if let Some(x) = word.filter(|_| !flying.cold) {
-            self.nodes[flying.node].times.add(x);
-        }
-        if let Some(x) = own.filter(|_| !flying.cold && !on_trial) {
+        let warm = own.filter(|_| !flying.cold);
+        warm.into_iter().for_each(|x| self.nodes[flying.node].times.add(x));
+        if let Some(x) = warm.filter(|_| !on_trial) {
             self.lately.present.add(x);
             let earlier = self.news.is_some_and(|n| flying.build < n.build);
             let plain = (end.spent / hit.work()).ln() - self.groups[hit.arrival.group].calm.mean();
             self.case.iter_mut().filter(|_| earlier).for_each(|c| c.earlier_time(flying.sent, plain, x));
         }
-        word
+        own
     }
 
     /// Whether the judges' word stands for what this agent makes of its own few outcomes: until none of them
@@ -699,7 +640,7 @@
         judged && self.now < self.pool.heard_at.max(self.started) + 3.0 * WORD
     }
 
-    /// What other agents (`None`: all) are to be told now. Own totals go to the judges, their word to all.
+    /// What other agents (`None`: all) are to be told: own totals to the judges, their word to all.
     pub fn tidings(&mut self) -> Vec<(Option<usize>, Tidings)> {
         let mut all = Vec::new();
         let Some(news) = self.news.filter(|_| !self.pool.judges.is_empty()) else { return all };
@@ -737,42 +678,6 @@
         }
     }
 
-    /// Weighs what is new in another agent's totals as if the outcomes were this agent's.
-    fn pool(&mut self, node: usize, group: usize, new: &Totals, of: &Tidings) {
-        let Some(line) = self.nodes.get(node).and_then(|n| n.listed).filter(|_| group < self.groups.len())
-        else {
-            return;
-        };
-        let same = self.news.is_some_and(|n| (n.build, n.stage) == (of.build, of.stage));
-        let slow = (new.slow / f64::from(new.times.max(1))).clamp(-2.5, 2.5);
-        self.pool.answers += f64::from(new.answers.min(100));
-        for i in 0..new.answers.max(new.outcomes).max(new.times).min(100) {
-            let fault = f64::from(u8::from(i < new.faults));
-            let (answered, pull) = (i < new.answers, Some(i < new.in_time).filter(|_| i < new.pulls && same));
-            let slow = Some(slow).filter(|_| i < new.times);
-            let seen = Seen {
-                heard: answered,
-                answered,
-                outcome: i < new.outcomes && same,
-                pull,
-                fault,
-                own_fault: fault,
-                back: 0.0,
-                slow,
-            };
-            self.weigh(node, group, line.build, &seen);
-            if let Some(x) = slow {
-                self.nodes[node].times.add(x);
-                let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && line.build >= n.build);
-                if of.informed && !on_trial {
-                    self.lately.present.add(x);
-                }
-            }
-        }
-        self.nodes[node].told_at = self.now;
-        (0..new.complaints.min(100)).for_each(|_| self.wrong(line.build));
-    }
-
     /// Ages what was counted, compares, votes. To be called when the last review asked for it.
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
@@ -784,7 +689,7 @@
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
-            // Reports age: others are taken to hold as much as this agent.
+            // Others are taken to hold as much as this agent.
             let size = n.listed.map_or(1.0, |l| l.rating.max(0.1));
             n.others += (1.0 - keep) * (usual * size - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
@@ -797,8 +702,8 @@
         self.compare();
         let now = self.now;
         self.look = self.case.as_mut().map(|case| case.look(now));
-        let equal = self.trial().filter(|n| self.pool.judges.is_empty() || n.cap < 1.0);
-        self.evidence.slower = equal.map_or(self.evidence.slower, |n| self.slower(n.build));
+        let slower = self.trial().map_or(self.evidence.slower, |n| self.slower(n.build));
+        self.evidence.slower = if self.blind() { 0.0 } else { slower };
         let follow = !self.following.on && self.now >= self.following.ask_at;
         self.following.ask_at = if follow { self.now + 5.0 } else { self.following.ask_at }; // or asks again
         Review { vote: self.ballot(), follow, again_in: TICK }
@@ -875,15 +780,19 @@
         ((self.set("peers_total", 1.0) / needed).max(1.0).ln() + 1.0 + ENOUGH / needed).min(ENOUGH)
     }
 
+    /// In a stage without a cap the trial is the busier one, which agents that meet few hits can't see: times
+    /// of nodes and payoffs say nothing then where they are pooled.
+    fn blind(&self) -> bool {
+        !self.pool.judges.is_empty() && self.trial().is_some_and(|n| n.cap >= 1.0)
+    }
+
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
         let Some(news) = self.news.filter(|_| !self.follows()) else { return Verdict::Clear };
         let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
-        // In a stage without a cap the trial is the busier one, which an agent that meets few hits can't see.
-        let blind = !self.pool.judges.is_empty() && news.cap >= 1.0;
-        let plain = weight >= 1.0 || !blind && (sunk || self.duel.dropped == Some(TRIAL));
+        let plain = weight >= 1.0 || !self.blind() && (sunk || self.duel.dropped == Some(TRIAL));
         let guilty = self.look.map_or(plain, |l| l.opinion == Opinion::Back);
         let weight = self.look.map_or(weight, |l| l.back);
         // Where rates are stated only evidence against a bad build releases one, or the stated fallback.
@@ -948,33 +857,5 @@
     }
 }
 
-impl HitHandle {
-    /// Its forward has ended.
-    pub fn returned(self, b: &mut Balancer, now: f64, end: Return) -> Next {
-        b.at(now);
-        let Some(place) = b.slab.find(self) else { return Next::Nothing };
-        let hit = b.slab.hits[place];
-        let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
-        b.learn(&hit, &flying, &end);
-        let erred = end.ending == Ending::Errored;
-        if let Some(first) = b.slab.hits[place].accused.take() {
-            b.witness(&hit, &first, [End::Erred, End::ErredAgain][usize::from(erred)], None);
-        }
-        let next = if end.over || end.ending == Ending::Delivered || !hit.owed {
-            b.slab.end(place);
-            Next::Nothing
-        } else {
-            let again = b.again(place, end.ending);
-            [Balancer::finish, Balancer::route][usize::from(again)](b, place)
-        };
-        match next {
-            Next::Forward { .. } if erred && flying.first => b.slab.hits[place].accused = Some(flying),
-            _ if erred && flying.first => b.witness(&hit, &flying, End::Erred, None),
-            _ => {}
-        }
-        next
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -37,7 +37,7 @@
 }
 
 fn end(ending: Ending) -> Return {
-    Return { ending, spent: 0.1, over: false, holds: None, service: None }
+    Return { ending, spent: 0.1, over: false }
 }
 
 /// A hit of this group with one forward out to this node.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -75,17 +75,13 @@
     NeverSent,
 }
 
-/// A forward's end, with what the node reports of itself, where it does.
+/// A forward's end.
 #[derive(Clone, Copy, Debug)]
 pub struct Return {
     pub ending: Ending,
     pub spent: f64,
     /// Whether the hit is over, by this or earlier.
     pub over: bool,
-    /// Hits that the node holds.
-    pub holds: Option<f64>,
-    /// Its recent time of service, without waiting.
-    pub service: Option<f64>,
 }
 
 /// One line of the node list.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,7 @@
 //! let (handle, next) = balancer.take(0.1, Arrival { remaining: 2.0, ..Arrival::default() });
 //! assert!(matches!(next, Next::Forward { node: 0, .. }));
 //!
-//! let end = Return { ending: Ending::Delivered, spent: 0.05, over: true, holds: None, service: None };
+//! let end = Return { ending: Ending::Delivered, spent: 0.05, over: true };
 //! assert_eq!(handle.returned(&mut balancer, 0.15, end), Next::Nothing);
 //! assert!(!handle.pending(&balancer));
 //! # Ok::<(), String>(())
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 //! made here and no value is chosen here; both belong to `balance`.
 
 use crate::interface::*;
-use magpieline_verdict::{Case, Entry, Look, Terms};
+use magpieline_verdict::{Case, End, Entry, Look, Outcome, Terms, Voters};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Ordering;
@@ -146,7 +146,7 @@
 pub(crate) struct Node {
     pub listed: Option<Listed>,
     pub flying: u32,
-    /// Hits of other agents, by the node's reports.
+    /// Hits of other agents, taken to be like its own.
     pub others: f64,
     /// Logarithm of its times over the usual.
     pub slow: f64,
@@ -424,6 +424,11 @@
 }
 
 impl Pool {
+    /// Names the judges, spread over the numbers of all agents.
+    pub fn seat(&mut self, judges: f64, all: f64) {
+        let judges = judges.min(all).clamp(1.0, 1000.0);
+        self.judges = (0..judges as usize).map(|j| (j as f64 * all / judges) as usize).collect();
+    }
     pub fn judges(&self) -> bool {
         self.judges.contains(&self.own)
     }
@@ -437,6 +442,20 @@
         }
         &mut self.totals[place]
     }
+    /// Counts an outcome of the own into the totals, where anyone is to be told.
+    pub fn note(&mut self, place: usize, seen: &Seen) {
+        if self.judges.is_empty() {
+            return;
+        }
+        let t = self.count(place);
+        t.answers += u32::from(seen.answered);
+        t.faults += u32::from(seen.answered && seen.own_fault >= 0.5);
+        t.outcomes += u32::from(seen.outcome);
+        t.pulls += u32::from(seen.pull.is_some());
+        t.in_time += u32::from(seen.pull == Some(true));
+        t.times += u32::from(seen.slow.is_some());
+        t.slow += seen.slow.unwrap_or(0.0);
+    }
     /// What has changed since this was last asked for, by node and path group.
     pub fn changes(&mut self, groups: usize) -> Vec<(usize, usize, Totals)> {
         let totals = &self.totals;
@@ -522,8 +541,6 @@
     pub(crate) probe_at: f64,
     /// How times in calm seconds differ by a node's load step.
     pub(crate) steps: [Count; LOADS],
-    /// Times of service that nodes report in calm seconds.
-    pub(crate) service: Count,
     pub(crate) news: Option<News>,
     pub(crate) stage_began: f64,
     /// The last build seen on trial, and whether this agent ran before that.
@@ -541,6 +558,8 @@
     /// Share of the earlier build's answers that were errors, of late and over ten times as many.
     pub(crate) usual_faults: f64,
     pub(crate) long_faults: Count,
+    /// Share of the earlier builds' answers that clients found wrong.
+    pub(crate) wrong: Count,
     /// How many of the hits that erred err again at another node.
     pub(crate) echo: f64,
     pub(crate) doubt: Doubt,
@@ -570,14 +589,95 @@
         }
     }
 
-    /// The shares of the earlier builds' and of this build's nodes heard in this stage that err.
-    pub(crate) fn erring_shares(&self, build: u32) -> [f64; 2] {
+    /// A release, and each time it is tried anew, is a case of its own; its stages are parts of one.
+    pub(crate) fn open_case(&mut self, old: Option<News>, news: News, window: f64) {
+        let on = |n: &News| n.phase == Phase::Trial;
+        let Some(terms) = self.terms.clone() else { return };
+        if on(&news) && !old.is_some_and(|o| o.build == news.build && on(&o)) {
+            let [all, back, on] = ["peers_total", "family_info.noes_needed", "family_info.on_votes"]
+                .map(|name| self.set(name, 1.0).max(1.0));
+            let voters = Voters { all: all.max(back).max(on), back, on };
+            self.case = Some(Case::new(terms, voters, self.groups.len(), u64::from(news.build), window));
+            self.look = None;
+        } else if old.is_none_or(|o| o.build != news.build) {
+            (self.case, self.look) = (None, None);
+        }
+        let (now, usual) = (self.now, self.long_faults.mean());
+        let Some(case) = &mut self.case else { return };
+        match news.phase {
+            Phase::Trial
+                if !old.is_some_and(|o| (o.build, o.stage) == (news.build, news.stage) && on(&o)) =>
+            {
+                case.stage(now, news.since);
+            }
+            Phase::Released => case.released(now, usual),
+            _ => {}
+        }
+    }
+
+    /// Hands the outcome of a first forward to the stated evidence.
+    pub(crate) fn witness(&mut self, hit: &Hit, flying: &Flying, end: End, time: Option<f64>) {
+        let (now, Some(news)) = (self.now, self.news) else { return };
+        let Some(case) = self.case.as_mut().filter(|_| flying.first && flying.build <= news.build) else {
+            return;
+        };
+        let side = if flying.build == news.build { TRIAL } else { EARLIER };
+        let up_since = self.nodes[flying.node].listed.map_or(0.0, |l| l.up_since);
+        let (group, node, key, age) = (hit.arrival.group, flying.node, hit.arrival.key, now - up_since);
+        case.outcome(now, &Outcome { side, group, node, key, age, end, time });
+    }
+
+    /// Weighs what is new in another agent's totals as if the outcomes were this agent's.
+    pub(crate) fn pool(&mut self, node: usize, group: usize, new: &Totals, of: &Tidings) {
+        let Some(line) = self.nodes.get(node).and_then(|n| n.listed).filter(|_| group < self.groups.len())
+        else {
+            return;
+        };
+        let same = self.news.is_some_and(|n| (n.build, n.stage) == (of.build, of.stage));
+        let slow = (new.slow / f64::from(new.times.max(1))).clamp(-2.5, 2.5);
+        self.pool.answers += f64::from(new.answers.min(100));
+        for i in 0..new.answers.max(new.outcomes).max(new.times).min(100) {
+            let fault = f64::from(u8::from(i < new.faults));
+            let (answered, pull) = (i < new.answers, Some(i < new.in_time).filter(|_| i < new.pulls && same));
+            let slow = Some(slow).filter(|_| i < new.times);
+            let seen = Seen {
+                heard: answered,
+                answered,
+                outcome: i < new.outcomes && same,
+                pull,
+                fault,
+                own_fault: fault,
+                back: 0.0,
+                slow,
+            };
+            self.weigh(node, group, line.build, &seen);
+            if let Some(x) = slow {
+                self.nodes[node].times.add(x);
+                let on_trial = self.trial().is_some_and(|n| n.cap < 1.0 && line.build >= n.build);
+                if of.informed && !on_trial {
+                    self.lately.present.add(x);
+                }
+            }
+        }
+        self.nodes[node].told_at = self.now;
+        (0..new.complaints.min(100)).for_each(|_| self.wrong(line.build, 1.0));
+    }
+
+    /// The operators have chosen anew. A release under way goes on by the terms under which it began.
+    pub fn choose_terms(&mut self, terms: Option<Terms>) {
+        self.terms = terms;
+    }
+
+    /// Of the share of this build's nodes that err, the part beyond that of the earlier builds' nodes; of those
+    /// heard in this stage.
+    pub(crate) fn erring_more(&self, build: u32) -> f64 {
         let mut shares = [Count::default(); 2];
         let met = self.nodes.iter().filter(|n| n.met_at.max(n.told_at) > self.stage_began || n.faults > 0.0);
         for (n, line) in met.filter_map(|n| Some((n, n.listed?))) {
             shares[usize::from(line.build == build)].add(f64::from(u8::from(n.faults > 0.02)));
         }
-        shares.map(|s| s.mean())
+        let [earlier, own] = shares.map(|s| s.mean());
+        (1.0 - earlier / own.max(f64::MIN_POSITIVE)).max(0.0)
     }
 
     /// What speaks against the newest build, in a line for the log.
@@ -726,12 +826,7 @@
 
     /// Fades what calm seconds have shown.
     pub(crate) fn fade_calm(&mut self, keep: f64) {
-        self.groups
-            .iter_mut()
-            .map(|g| &mut g.calm)
-            .chain(&mut self.steps)
-            .chain([&mut self.service])
-            .for_each(|c| c.fade(keep));
+        self.groups.iter_mut().map(|g| &mut g.calm).chain(&mut self.steps).for_each(|c| c.fade(keep));
     }
 
     /// Remembers a build seen on trial, and one that goes back.
@@ -843,6 +938,32 @@
 }
 
 impl HitHandle {
+    /// Its forward has ended.
+    pub fn returned(self, b: &mut Balancer, now: f64, end: Return) -> Next {
+        b.at(now);
+        let Some(place) = b.slab.find(self) else { return Next::Nothing };
+        let hit = b.slab.hits[place];
+        let Some(flying) = b.land(place, end.ending) else { return Next::Nothing };
+        b.learn(&hit, &flying, &end);
+        let erred = end.ending == Ending::Errored;
+        if let Some(first) = b.slab.hits[place].accused.take() {
+            b.witness(&hit, &first, [End::Erred, End::ErredAgain][usize::from(erred)], None);
+        }
+        let next = if end.over || end.ending == Ending::Delivered || !hit.owed {
+            b.slab.end(place);
+            Next::Nothing
+        } else {
+            let again = b.again(place, end.ending);
+            [Balancer::finish, Balancer::route][usize::from(again)](b, place)
+        };
+        match next {
+            Next::Forward { .. } if erred && flying.first => b.slab.hits[place].accused = Some(flying),
+            _ if erred && flying.first => b.witness(&hit, &flying, End::Erred, None),
+            _ => {}
+        }
+        next
+    }
+
     /// The client has left: nothing is owed any more.
     pub fn left(self, b: &mut Balancer, now: f64) {
         b.at(now);
--- a/trials/src/release.rs
+++ b/trials/src/release.rs
@@ -405,7 +405,7 @@
         if hit.forward == 1 && matches!(ending, Ending::Delivered | Ending::Errored) && self.phase.is_some() {
             self.agents[agent].seen.add(trial, ending);
         }
-        let end = Return { ending, spent, over: false, holds: None, service: None };
+        let end = Return { ending, spent, over: false };
         let next = handle.returned(&mut self.agents[agent].balancer, self.now, end);
         self.carry_out(i, next);
     }
