--- a/agent/src/life/reload.rs
+++ b/agent/src/life/reload.rs
@@ -1,5 +1,6 @@
-//! A new configuration: at SIGHUP the file is read anew. Its addresses of discovery and platform hold from
-//! then on; the list and the news that stand in it may be old and are left alone, both are asked for at once.
+//! A new configuration: at SIGHUP the file is read anew. Its settings and its addresses of discovery and platform
+//! hold from then on, all or nothing; the list and the news that stand in it may be old and are left alone, both
+//! are asked for at once. The way back is the same: the file as it was, and the signal.
 
 use crate::life::control::Hands;
 use crate::life::{listen, start};
@@ -17,12 +18,20 @@
     listen(SignalKind::hangup())
 }
 
-/// Takes the file's addresses; an error says what is wrong with it, and what held goes on.
+/// Takes the file's settings and addresses; an error says what is wrong with it, and what held goes on.
 fn take(exchange: &Exchange, path: &Path) -> Result<(), String> {
     let start = start::file(path)?;
+    let settled = exchange
+        .take_settings(start.settings()?)
+        .map_err(|e| format!("{}: settings: {e}", path.display()))?;
     exchange.discovery.set(&start.discovery);
     exchange.platform.set(&start.platform);
-    log::info!("reload: discovery at {}, platform at {}", start.discovery, start.platform);
+    let settings = if settled { "new" } else { "as before" };
+    log::info!(
+        "reload: discovery at {}, platform at {}, settings {settings}",
+        start.discovery,
+        start.platform
+    );
     Ok(())
 }
 
@@ -45,8 +54,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::memory::exchange::Answer;
     use crate::testing::*;
+    use crate::wire::nodes::Parcel;
     use crate::wire::{list, platform};
+    use magpieline::interface::Arrival;
 
     /// Discovery, or a platform, that answers its first call and then keeps silent; which turn was asked.
     async fn silent(answer: String) -> (String, Rc<std::cell::Cell<usize>>) {
@@ -98,4 +110,78 @@
             std::fs::remove_file(&path).expect("removed");
         });
     }
+    /// Guards the switch: hits are in hand whenever settings change, there and back. Mutating ones, as a second
+    /// forward of one of those shows at once; the stand-in counts what comes, and answers late.
+    #[test]
+    fn settings_change_under_load_both_ways_and_every_hit_has_one_answer() {
+        run_within(20, async {
+            let seen = Rc::new(std::cell::RefCell::new(std::collections::BTreeMap::<String, u32>::new()));
+            let count = seen.clone();
+            let node = server(move |mut stream| {
+                let count = count.clone();
+                async move {
+                    loop {
+                        let text = message(&mut stream).await;
+                        let Some(path) = text.split(' ').nth(1) else { break };
+                        *count.borrow_mut().entry(path.to_owned()).or_default() += 1;
+                        actix_rt::time::sleep(PAUSE).await;
+                        write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+                    }
+                }
+            })
+            .await;
+            let exchange = exchange_of(&[node]);
+            let before: serde_json::Value = serde_json::from_str(SETTINGS).expect("settings");
+            let mut after = before.clone();
+            after["limits"] = serde_json::json!({"max_attempts": 7, "peers": true, "conn_idle_us": 9000000});
+            after["obligations"] = serde_json::json!({"cold_us": 4900000, "fall_multiple": 2.0});
+            after["classes"][0]["goal_time_us"] = 400000.into();
+            let mut odd = after.clone();
+            odd["classes"][1]["name"] = "sell".into();
+            let mut wild = after.clone();
+            wild["obligations"]["fall_multiple"] = "twice".into();
+
+            let path = folder("switch").join("configuration.json");
+            let put = |settings: &serde_json::Value| {
+                let mut body = start::tests::body_at("127.0.0.1:1", "127.0.0.1:1");
+                body["settings"] = settings.clone();
+                std::fs::write(&path, body.to_string()).expect("a file");
+                take(&exchange, &path)
+            };
+            let mut tickets = Vec::new();
+            for i in 0..100 {
+                let mut headers = awc::http::header::HeaderMap::new();
+                let id = awc::http::header::HeaderValue::from(i);
+                headers.insert(awc::http::header::HeaderName::from_static(crate::wire::headers::TXN), id);
+                let arrival = Arrival { group: 1, remaining: 2.0, ..Arrival::default() };
+                let target = format!("/pay/{i}").parse().expect("a target");
+                let parcel =
+                    Parcel { method: awc::http::Method::POST, target, headers, body: Default::default() };
+                tickets.push(exchange.take(arrival, parcel).expect("a hit"));
+                match i {
+                    20 | 60 => assert_eq!(put(&after), Ok(())),
+                    40 | 80 => assert_eq!(put(&before), Ok(())),
+                    50 => {
+                        let told = put(&odd).expect_err("other path groups");
+                        assert!(
+                            told.ends_with("classes.1.name: found 'sell', expected 'pay' as at the start")
+                        );
+                        let told = put(&wild).expect_err("a word for a number");
+                        assert!(
+                            told.contains("fall_multiple: found 'twice', expected a number from"),
+                            "{told}"
+                        );
+                        assert_eq!(exchange.take_settings(&before), Ok(false), "what held goes on");
+                    }
+                    _ => {}
+                }
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+            for ticket in &mut tickets {
+                assert!(matches!(ticket.answer().await, Answer::Delivered { .. }));
+            }
+            assert_eq!(seen.borrow().len(), 100);
+            assert!(seen.borrow().values().all(|n| *n == 1), "none is sent twice");
+        });
+    }
 }
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -113,10 +113,14 @@
         self.seed
     }
 
+    /// The settings of the deployment.
+    pub fn settings(&self) -> Result<&Json, String> {
+        Message { name: "configuration", body: &self.body }.needed("settings", "an object of settings")
+    }
+
     /// The exchange, told what the configuration knows.
     pub fn exchange(&self) -> Result<Exchange, String> {
-        let all = Message { name: "configuration", body: &self.body };
-        let info = all.needed("settings", "an object of settings")?;
+        let info = self.settings()?;
         let exchange = Exchange::new(
             self.seed,
             info,
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -85,6 +85,53 @@
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
 }
 
+/// What the settings say of the transport: how long a connect may take, how long a connection idles, how long a
+/// vote's answer is waited for.
+#[derive(Clone, Copy)]
+struct Times {
+    connect: Duration,
+    idle: Duration,
+    vote: Duration,
+}
+
+fn seconds(named: &Named, name: &str, otherwise: f64) -> Duration {
+    match named.get(name) {
+        Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
+        _ => Duration::from_secs_f64(otherwise),
+    }
+}
+
+impl Times {
+    fn read(named: &Named) -> Times {
+        // Where the settings say nothing: what TCP users commonly allow.
+        Times {
+            connect: seconds(named, "limits.connect_timeout_s", 1.0),
+            idle: seconds(named, "limits.conn_idle_s", 10.0).mul_f64(IDLE_PART),
+            vote: seconds(named, "family_info.call_timeout_s", 1.0),
+        }
+    }
+}
+
+/// Target latencies by path group, in seconds.
+fn targets(named: &Named) -> Vec<f64> {
+    let target = |i: usize| {
+        named.contains_key(&format!("classes.{i}.name")).then(|| {
+            let of = |name: &str| {
+                seconds(named, &format!("classes.{i}.{name}"), f64::from(u32::MAX)).as_secs_f64()
+            };
+            of("goal_time_s").min(of("hard_limit_s"))
+        })
+    };
+    (0..).map_while(target).collect()
+}
+
+/// This program has no way to talk to other agents: it decides as where the settings forbid it.
+fn alone(named: &mut Named) {
+    if named.insert("limits.peers".into(), Value::Flag(false)) == Some(Value::Flag(true)) {
+        log::info!("settings: limits.peers: this agent does not talk to others and judges for itself");
+    }
+}
+
 struct State {
     balancer: Balancer,
     nodes: Nodes,
@@ -113,13 +160,13 @@
     /// Where the list and the platform are asked.
     pub discovery: Place,
     pub platform: Place,
-    connect: Duration,
-    idle: Duration,
-    vote_limit: Duration,
+    times: Cell<Times>,
+    /// The settings that hold, as they were told.
+    settings: RefCell<serde_json::Value>,
     /// Where looks at a release are kept, if anywhere.
     record: RefCell<Option<Record>>,
     /// Target latencies by path group, in seconds.
-    targets: Vec<f64>,
+    targets: RefCell<Vec<f64>>,
     /// Given while the list is to be asked for its changes.
     pub follow: Signal,
     stopping: Cell<bool>,
@@ -167,28 +214,14 @@
     ) -> Result<Exchange, String> {
         let Told { mut named, groups, accounts, zones, zone } = Told::read(info)?;
         named.extend(chosen.named.clone());
-        let seconds = |name: &str, otherwise: f64| match named.get(name) {
-            Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
-            _ => Duration::from_secs_f64(otherwise),
-        };
-        // Where the settings say nothing: what TCP users commonly allow.
-        let connect = seconds("limits.connect_timeout_s", 1.0);
-        let idle = seconds("limits.conn_idle_s", 10.0).mul_f64(IDLE_PART);
-        let vote_limit = seconds("family_info.call_timeout_s", 1.0);
+        alone(&mut named);
         let wanted = !matches!(named.get("discovery"), Some(Value::Text(t)) if t == "on_request");
         let repeat = |name: &str| match named.get(name) {
             Some(Value::Text(word)) => Some(word.clone()),
             _ => None,
         };
-        let target = |i: usize| {
-            named.contains_key(&format!("classes.{i}.name")).then(|| {
-                let of =
-                    |name: &str| seconds(&format!("classes.{i}.{name}"), f64::from(u32::MAX)).as_secs_f64();
-                of("goal_time_s").min(of("hard_limit_s"))
-            })
-        };
-        let targets = (0..).map_while(target).collect();
         let repeats = (0..).map_while(|i| repeat(&format!("classes.{i}.repeat"))).collect();
+        let (times, targets) = (Times::read(&named), targets(&named));
         let clock = Clock::start();
         let balancer = Balancer::start(seed, clock.now(), zone, named)?;
         let (nodes, keys, held, ids, complaints) = Default::default();
@@ -202,17 +235,44 @@
             accounts,
             discovery: Place::new(discovery),
             platform: Place::new(platform),
-            connect,
-            idle,
-            vote_limit,
+            times: times.into(),
+            settings: RefCell::new(info.clone()),
             record: chosen.record.as_ref().map(Record::open).transpose()?.into(),
-            targets,
+            targets: targets.into(),
             follow: Signal::new(wanted),
             stopping: false.into(),
             closing: Signal::default(),
         })
     }
 
+    /// Puts new settings in place of those that hold, all or none of them; whether anything has changed. Hits in
+    /// hand go on. An error says where, what was found and what was expected, and nothing has changed.
+    pub fn take_settings(&self, info: &serde_json::Value) -> Result<bool, String> {
+        if *self.settings.borrow() == *info {
+            return Ok(false);
+        }
+        let Told { mut named, groups, accounts, .. } = Told::read(info)?;
+        let order = |what: &str, old: &Door, new: &Door| match (0..old.len().max(new.len()))
+            .find(|i| old.word(*i) != new.word(*i))
+        {
+            Some(i) => Err(format!(
+                "{what}.{i}.name: found '{}', expected '{}' as at the start",
+                new.word(i),
+                old.word(i)
+            )),
+            None => Ok(()),
+        };
+        order("classes", &self.groups, &groups)?;
+        order("accounts", &self.accounts, &accounts)?;
+        alone(&mut named);
+        let (times, targets) = (Times::read(&named), targets(&named));
+        self.state.borrow_mut().balancer.settle(self.clock.now(), named)?;
+        self.times.set(times);
+        self.targets.replace(targets);
+        self.settings.replace(info.clone());
+        Ok(true)
+    }
+
     // Ids at the door.
 
     pub fn group(&self, name: &str) -> Option<usize> {
@@ -349,7 +409,7 @@
         let Some(sender) = held.answer.take() else { return };
         let (pinned, now) = (held.pinned, self.clock.now());
         if let (Some((pin, group, taken)), Some(changes)) = (pinned, &mut state.changes) {
-            let in_time = now - taken <= self.targets.get(group).copied().unwrap_or(f64::INFINITY);
+            let in_time = now - taken <= self.targets.borrow().get(group).copied().unwrap_or(f64::INFINITY);
             let spoilt = !(matches!(answer, Answer::Delivered { .. }) && in_time);
             // One whose client has left says nothing of service.
             if !sender.is_closed() {
@@ -424,7 +484,7 @@
             if line.gone {
                 state.nodes.set(node, None); // its idle connections close
             } else if state.nodes.is_new(node, process) {
-                let reach = Reach::new(line.address, self.connect, self.idle);
+                let reach = Reach::new(line.address, self.times.get().connect, self.times.get().idle);
                 state.nodes.set(node, reach.map_err(|e| log::warn!("node {}: {e}", line.uid)).ok());
             }
         }
@@ -476,7 +536,9 @@
     /// Closes all connections to nodes that carry nothing: descriptors run short.
     pub fn drop_idle(&self) {
         for reach in self.state.borrow_mut().nodes.reaches() {
-            *reach = reach.take().and_then(|r| Reach::new(r.address, self.connect, self.idle).ok());
+            *reach = reach
+                .take()
+                .and_then(|r| Reach::new(r.address, self.times.get().connect, self.times.get().idle).ok());
         }
     }
 
@@ -521,7 +583,7 @@
     }
 
     async fn cast(self: Rc<Self>, vote: Vote, against: String) {
-        let cast = guarded("vote", platform::cast(&self.platform, vote, self.vote_limit)).await;
+        let cast = guarded("vote", platform::cast(&self.platform, vote, self.times.get().vote)).await;
         let (receipt, news) = cast.unwrap_or((Receipt::Unknown, None));
         let Vote { verdict, build, stage } = vote;
         log::info!("vote: {verdict:?} on build {build} stage {stage}: {receipt:?} (against it: {against})");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -99,6 +99,8 @@
 /// Rates are means over a span, reviews come every tick: a few times faster than stages and bursts.
 const SPAN: f64 = 1.0;
 const TICK: f64 = 0.1;
+/// Where agents may talk so many judge for all, since one may be away, or as many as have to vote.
+pub(crate) const JUDGES: f64 = 3.0;
 /// Judges speak once a second, agents tell them twice as often: a stage lasts a few.
 const WORD: f64 = 1.0;
 /// A released build is compared with the seconds before its trial for twice the time that condemns it.
@@ -109,21 +111,15 @@
 impl Balancer {
     /// Starts with nothing but the settings; an error says what is expected of them. `zone` is its own.
     pub fn start(seed: u64, now: f64, zone: Option<usize>, named: Named) -> Result<Balancer, String> {
-        let groups = PathGroup::read(&named)?;
-        let mut b = Balancer { now, started: now, zone, groups, named, retries: 3.0, ..Balancer::default() };
+        let mut b = Balancer { now, started: now, zone, retries: 3.0, ..Balancer::default() };
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
+        b.settle(now, named)?;
         (b.duel, b.long_faults) = (Duel::new(b.groups.len(), 0.0), Count { z: 2.0, sum: 0.2, squares: 0.2 });
         b.evidence = Evidence::new(b.groups.len());
         b.wrong = Count { z: 1000.0, sum: 1000.0 * WRONG.0, squares: 0.0 };
         b.terms = crate::names::stated(&b.named)?;
         b.idle = b.set("limits.conn_idle_s", 10.0);
-        b.lately.read(&b.named, b.groups.len());
-        if flag(&b.named, "limits.peers") {
-            // Three judges, as one may be away, or as many as have to vote.
-            let needed = ["family_info.on_votes", "family_info.noes_needed"].map(|name| b.set(name, 1.0));
-            b.pool.seat(needed.into_iter().fold(3.0, f64::max), b.set("peers_total", 1.0));
-        }
-        (b.pool.own, b.pool.start) = (b.set("self_index", 0.0) as usize, (now * 10.0) as u64 as u32);
+        b.pool.start = (now * 10.0) as u64 as u32;
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
     }
@@ -712,15 +708,14 @@
     /// Mechanism 5. Earlier nodes (from the last stage on all) slower than before the trial: is it the
     /// build? While in doubt votes wait, and the trial's traffic pauses in every other two seconds of
     /// the stage, at all agents together. What goes in two pauses in a row came with that traffic; what stays
-    /// goes back as well. May hurt a good build when another slowdown lasts as long.
+    /// goes back as well, unless pooled: then the pauses tell. May hurt when another slowdown lasts as long.
     fn compare(&mut self) {
         const PAUSE: f64 = 2.0; // twice the span over which the present is seen
         let present = self.lately.present;
-        let follows = self.follows();
         // A quarter slower, beyond a standard error; less where many agents have to say so.
         let beyond = self.enough() / ENOUGH * present.error().sqrt();
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
-        let slowed = if follows { self.pool.doubt } else { slowed };
+        let slowed = if self.follows() { self.pool.doubt } else { slowed };
         let before = self.doubt.slow_for;
         self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
@@ -751,9 +746,8 @@
         }
         // A doubt outlasts a round of pauses: in another agent's pause the slowdown goes for this one too.
         self.doubt.until = if self.doubt.raised() { self.now + 2.0 * PAUSE } else { self.doubt.until };
-        let stays = self.doubt.slow_for as f64 * TICK / 15.0;
+        let stays = self.doubt.slow_for as f64 * TICK / 15.0; // other slowdowns mostly pass sooner
         self.evidence.stays = if self.pool.judges.is_empty() { stays } else { 0.0 };
-        // other slowdowns mostly pass sooner
     }
 
     /// Mechanism 6, more work: how far the trial's nodes are slower than the others at equal load. Nodes are
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -974,3 +974,162 @@
     }
     assert!((60..140).contains(&rested[0]) && rested[1] < 40, "{rested:?}");
 }
+
+/// Agent `own` of nine, who may talk; 0, 3 and 6 judge.
+fn talking(own: f64) -> Balancer {
+    let mut b = balancer(1, Phase::Trial, 0.25, &[("peers_total", 9.0), ("self_index", own)]);
+    let named = [("limits.peers".to_owned(), Value::Flag(true))].into_iter().chain(b.named.clone()).collect();
+    b.settle(100.0, named).expect("settings that fit");
+    b
+}
+
+/// Eight answers of node 4, four of them errors.
+fn tidings() -> Tidings {
+    let totals = vec![(4, 0, Totals { answers: 8, faults: 4, outcomes: 8, ..Totals::default() })];
+    Tidings { start: 7, build: 2, stage: 1, informed: true, totals, ..Tidings::default() }
+}
+
+#[test]
+fn a_judge_counts_what_others_tell_once_whatever_is_lost_doubled_or_late() {
+    let mut b = talking(3.0);
+    let told = |b: &mut Balancer, answers, start| {
+        let mut t = tidings();
+        (t.start, t.totals[0].2.answers, t.totals[0].2.outcomes) = (start, answers, answers);
+        b.told(100.0, 1, &t);
+        b.duel.outcomes
+    };
+    assert_eq!(told(&mut b, 8, 7), 8.0);
+    assert_eq!(told(&mut b, 8, 7), 8.0); // twice
+    assert_eq!(told(&mut b, 20, 7), 20.0); // one between them was lost
+    assert_eq!(told(&mut b, 8, 7), 20.0); // late
+    assert_eq!(told(&mut b, 5, 9), 25.0); // started anew
+    assert_eq!(told(&mut b, 30, 7), 25.0); // from before that
+}
+
+#[test]
+fn what_others_tell_wrongly_is_bounded() {
+    // Guards against agents that are not there, groups and nodes that no setting or list names, wild numbers.
+    let mut b = talking(3.0);
+    let wild =
+        Totals { answers: u32::MAX, faults: u32::MAX, times: u32::MAX, slow: f64::NAN, ..Totals::default() };
+    let totals = vec![(4, 7, wild), (99, 0, wild), (usize::MAX / 8, 0, wild)];
+    b.told(100.0, 1, &Tidings { totals, ..tidings() });
+    b.told(100.0, 9, &tidings());
+    b.told(100.0, 3, &tidings());
+    assert_eq!((b.duel.outcomes, b.evidence.weight(ENOUGH)), (0.0, 0.0));
+    b.told(100.0, 1, &Tidings { totals: vec![(4, 0, wild)], ..tidings() });
+    assert!(b.nodes[4].slow.is_finite() && b.lately.present.mean().is_finite());
+}
+
+#[test]
+fn who_hears_a_judge_leaves_the_vote_to_it_and_votes_again_when_none_is_heard() {
+    let mut b = talking(4.0);
+    b.evidence.complaints = 2.0 * ENOUGH;
+    let mut heard = |from, now| {
+        b.told(now, from, &Tidings { doubt: Some(true), ..tidings() });
+        b.wish()
+    };
+    assert_eq!(heard(0, 110.0), Verdict::Clear);
+    assert_eq!(heard(5, 112.9), Verdict::Clear); // five is no judge
+    assert_eq!(heard(5, 113.1), Verdict::Back);
+    assert_eq!(heard(6, 114.0), Verdict::Clear);
+}
+
+#[test]
+fn totals_go_to_the_judges_and_their_word_to_all() {
+    let whom = |own: f64| {
+        let mut b = talking(own);
+        against(&mut b, 4, false);
+        let all = b.tidings();
+        let of = |t: &Tidings| (t.totals.len(), t.doubt);
+        all.iter().map(|(whom, t)| (*whom, of(t))).collect::<Vec<_>>()
+    };
+    assert_eq!(whom(4.0), [0, 3, 6].map(|j| (Some(j), (1, None))));
+    assert_eq!(whom(3.0), [(Some(0), (1, None)), (Some(6), (1, None)), (None, (0, Some(false)))]);
+    let mut silent = balancer(1, Phase::Trial, 0.25, &[("peers_total", 9.0)]);
+    against(&mut silent, 4, false);
+    assert_eq!(silent.tidings(), []);
+}
+
+#[test]
+fn errors_of_sick_nodes_that_are_met_in_both_builds_condemn_none() {
+    // Guards against a trial whose few nodes are among many that fail at once.
+    let weight = |earlier: usize| {
+        let mut b = talking(3.0);
+        (0..earlier).for_each(|i| (b.nodes[i].faults, b.nodes[i].met_at) = (0.5, 100.5));
+        (4..8).for_each(|i| b.nodes[i].met_at = 100.5);
+        b.long_faults = count(100.0, 0.0);
+        b.told(101.0, 1, &tidings());
+        b.evidence.weight(ENOUGH)
+    };
+    assert!(weight(0) > 0.3);
+    assert!(weight(2) < 0.1);
+}
+
+#[test]
+fn in_a_stage_without_a_cap_pooled_payoffs_condemn_no_build() {
+    // Guards against a good build that carries nearly all hits and looks late beside idle earlier nodes.
+    let mut b = talking(3.0);
+    b.duel.dropped = Some(TRIAL);
+    assert_eq!(b.wish(), Verdict::Back);
+    b.news = b.news.map(|n| News { stage: 3, cap: 1.0, ..n });
+    assert_eq!(b.wish(), Verdict::Clear);
+}
+
+#[test]
+fn a_bounce_at_the_trial_uses_its_token_up() {
+    // Guards against a trial that gets its full share of hits of which the earlier nodes bounce a third.
+    let mut b = balancer(1, Phase::Trial, 0.25, &[]);
+    (b.tokens, b.lately.spent, b.started) = (2.0, 100.0, 0.0);
+    assert!(matches!(b.take(100.0, hit(0)).1, Next::Bounce { .. }));
+    assert!(b.tokens < 1.5);
+}
+
+#[test]
+fn a_client_short_of_time_is_tried_while_an_idle_node_may_make_it() {
+    let mut b = balancer(0, Phase::Trial, 0.0, &[]);
+    (b.lately.spent, b.lately.loads, b.started) = (0.15, 1.0, 0.0);
+    let short = |remaining| Arrival { remaining, ..hit(0) };
+    assert!(matches!(b.take(100.0, short(0.1)).1, Next::Forward { .. }));
+    assert!(matches!(b.take(100.0, short(0.05)).1, Next::Bounce { .. }));
+}
+
+#[test]
+fn near_nodes_are_preferred_less_the_longer_they_take() {
+    // Guards against traffic that moves to one zone for good.
+    let mut b = balancer(0, Phase::Trial, 0.0, &[("costs.cross_zone", 0.08)]);
+    let mut near = |time: f64| {
+        b.lately.sides = [count(10.0, time), count(10.0, 0.1)];
+        (0..1000).filter(|_| b.two(&[0, 1, 2, 3]).is_some_and(|i| i % 2 == 0)).count()
+    };
+    assert!(near(0.1) > near(0.4) + 150);
+}
+
+#[test]
+fn settings_that_do_not_fit_change_nothing() {
+    let mut b = balancer(0, Phase::Trial, 0.0, &[("costs.cross_zone", 0.08)]);
+    let with = |name: &str, value: Value| {
+        let mut named = b.named.clone();
+        named.insert(name.into(), value);
+        named
+    };
+    for (name, value, told) in [
+        ("classes.0.name", Value::Text("else".into()), "classes.0.name: found 'else', expected "),
+        ("classes.0.repeat", Value::Text("fragile".into()), "classes.0.repeat: found 'fragile', expected "),
+        ("accounts.0.allowance_per_s", Value::Number(1.0), "accounts: found 1, expected 0 as at the start"),
+        ("discovery", Value::Text("on_request".into()), "discovery: found 'on_request', expected ''"),
+        ("limits.peers", Value::Number(1.0), "limits.peers: found 1, expected true or false"),
+        ("self_index", Value::Number(-1.0), "self_index: found -1, expected a number from 0"),
+        ("costs.cross_zone", Value::Number(f64::NAN), "costs.cross_zone: found NaN, expected a number"),
+    ] {
+        let error = b.fits(&with(name, value)).expect_err(name);
+        assert!(error.starts_with(told), "{error}");
+    }
+    let other = with("costs.cross_zone", Value::Number(0.01));
+    let handle = flying(&mut b, 0, 1);
+    b.groups[0].calm = count(9.0, 0.5);
+    b.settle(101.0, other).expect("settings that fit");
+    assert_eq!((b.set("costs.cross_zone", 0.0), b.groups[0].calm.z), (0.01, 9.0));
+    assert_eq!(handle.returned(&mut b, 101.1, end(Ending::Delivered)), Next::Nothing);
+    assert!(!handle.pending(&b));
+}
--- a/src/names.rs
+++ b/src/names.rs
@@ -24,6 +24,15 @@
         self.words.len() - 1
     }
 
+    /// How many words it knows.
+    pub fn len(&self) -> usize {
+        self.words.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
     pub fn known(&self, word: &str) -> Option<usize> {
         self.places.get(word).copied()
     }
@@ -144,6 +153,69 @@
     }
 }
 
+/// What the decisions read as a number, with the least and the most that makes sense.
+const NUMBERS: [(&str, f64, f64); 22] = [
+    ("peers_total", 0.0, 1e6),
+    ("self_index", 0.0, 1e6),
+    ("over_share_worth", 0.0, 1.0),
+    ("costs.cross_zone", 0.0, 1e6),
+    ("limits.max_attempts", 0.0, 1e6),
+    ("limits.conn_idle_s", 0.0, 1e6),
+    ("limits.max_retry_after_s", 0.0, 1e6),
+    ("scoring_mix.miss_allowed", 0.0, 1.0),
+    ("obligations.cold_s", 0.0, 1e6),
+    ("obligations.cold_share", 0.0, 1.0),
+    ("obligations.fall_multiple", 0.0, 1e6),
+    ("obligations.drain_grace_s", 0.0, 1e6),
+    ("family_info.spare_tries", 0.0, 1e6),
+    ("family_info.closed_stages", 0.0, 1e6),
+    ("family_info.noes_needed", 0.0, 1e6),
+    ("family_info.on_votes", 0.0, 1e6),
+    ("family_info.soak_s", 0.0, 1e6),
+    ("family_info.call_timeout_s", 0.0, 1e6),
+    ("family_info.vote_stands_s", 0.0, 1e6),
+    ("family_info.complaint_share", 0.0, 1.0),
+    ("family_info.span_s", 0.0, 1e6),
+    ("family_info.tally_s", 0.0, 1e6),
+];
+
+/// What they read as a mark.
+const MARKS: [&str; 5] =
+    ["limits.peers", "limits.probes", "limits.retry_after", "family_info.one_way", "family_info.warm_keys"];
+
+/// Whether what the decisions read is of the right kind and within bounds; what is absent has its default.
+pub fn sound(named: &Named) -> Result<(), String> {
+    let found = |value: &Value| match value {
+        Value::Number(n) => n.to_string(),
+        Value::Text(t) => format!("'{t}'"),
+        Value::Flag(f) => f.to_string(),
+    };
+    for (name, least, most) in NUMBERS {
+        match named.get(name) {
+            None => {}
+            Some(Value::Number(n)) if (least..=most).contains(n) => {}
+            Some(v) => {
+                return Err(format!("{name}: found {}, expected a number from {least} to {most}", found(v)))
+            }
+        }
+    }
+    for name in MARKS {
+        if let Some(v) = named.get(name).filter(|v| !matches!(v, Value::Flag(_))) {
+            return Err(format!("{name}: found {}, expected true or false", found(v)));
+        }
+    }
+    let number = |name: &str| match named.get(name) {
+        Some(Value::Number(n)) => Some(*n),
+        _ => None,
+    };
+    match (number("self_index"), number("peers_total")) {
+        (Some(own), Some(all)) if all >= 1.0 && own >= all => {
+            Err(format!("self_index: found {own}, expected less than peers_total, {all}"))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// The rates that the settings state for votes, if any, or what is wrong with them.
 pub fn stated(named: &Named) -> Result<Option<Terms>, String> {
     let number = |name: &str| match named.get(&format!("verdict.{name}")) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -424,10 +424,13 @@
 }
 
 impl Pool {
-    /// Names the judges, spread over the numbers of all agents.
-    pub fn seat(&mut self, judges: f64, all: f64) {
-        let judges = judges.min(all).clamp(1.0, 1000.0);
-        self.judges = (0..judges as usize).map(|j| (j as f64 * all / judges) as usize).collect();
+    /// Names the judges, spread over the numbers of all agents; 0: none. What was told to others is forgotten.
+    pub fn seat(&mut self, judges: f64, all: f64, own: f64) {
+        let judges = judges.min(all).clamp(0.0, 1000.0);
+        let named: Vec<usize> = (0..judges as usize).map(|j| (j as f64 * all / judges) as usize).collect();
+        if (&named, own as usize) != (&self.judges, self.own) {
+            *self = Pool { judges: named, own: own as usize, start: self.start, ..Pool::default() };
+        }
     }
     pub fn judges(&self) -> bool {
         self.judges.contains(&self.own)
@@ -635,6 +638,7 @@
         };
         let same = self.news.is_some_and(|n| (n.build, n.stage) == (of.build, of.stage));
         let slow = (new.slow / f64::from(new.times.max(1))).clamp(-2.5, 2.5);
+        let slow = if slow.is_nan() { 0.0 } else { slow };
         self.pool.answers += f64::from(new.answers.min(100));
         for i in 0..new.answers.max(new.outcomes).max(new.times).min(100) {
             let fault = f64::from(u8::from(i < new.faults));
@@ -668,6 +672,67 @@
         self.terms = terms;
     }
 
+    /// Takes settings, at the start or while it runs: hits in hand go on and what was learnt stays. Later ones
+    /// have to fit ([`Balancer::fits`]); an error says what is expected, and nothing has changed.
+    pub fn settle(&mut self, now: f64, named: Named) -> Result<(), String> {
+        self.fits(&named)?;
+        self.at(now);
+        self.adopt(named)?;
+        let needed = ["family_info.on_votes", "family_info.noes_needed"].map(|name| self.set(name, 1.0));
+        let judges = if flag(&self.named, "limits.peers") {
+            needed.into_iter().fold(crate::balance::JUDGES, f64::max)
+        } else {
+            0.0
+        };
+        self.pool.seat(judges, self.set("peers_total", 1.0), self.set("self_index", 0.0));
+        Ok(())
+    }
+
+    /// Whether settings can be taken: sound in themselves and, once it runs, with the path groups (and how they
+    /// may be repeated) and accounts that hits in hand and counts go by.
+    pub fn fits(&self, named: &Named) -> Result<(), String> {
+        crate::names::sound(named)?;
+        let groups = PathGroup::read(named)?;
+        let (old, new) = (text(&self.named, "discovery"), text(named, "discovery"));
+        if !self.groups.is_empty() && old != new {
+            return Err(format!("discovery: found '{new}', expected '{old}' as at the start"));
+        }
+        for i in 0..groups.len().max(self.groups.len()) {
+            for part in ["name", "repeat", "dedup_scope"] {
+                let name = format!("classes.{i}.{part}");
+                let (old, new) = (text(&self.named, &name), text(named, &name));
+                if !self.groups.is_empty() && old != new {
+                    return Err(format!("{name}: found '{new}', expected '{old}' as at the start"));
+                }
+            }
+        }
+        let mut accounts = Lately::default();
+        accounts.read(named, 0);
+        let (old, new) = (self.lately.accounts.len(), accounts.accounts.len());
+        if !self.groups.is_empty() && old != new {
+            return Err(format!("accounts: found {new}, expected {old} as at the start"));
+        }
+        Ok(())
+    }
+
+    /// Puts settings that fit in place of the present ones. What operators stated stays theirs.
+    pub(crate) fn adopt(&mut self, named: Named) -> Result<(), String> {
+        let mut groups = PathGroup::read(&named)?;
+        groups.iter_mut().zip(&self.groups).for_each(|(new, old)| new.calm = old.calm);
+        let (first, stated) = (self.groups.is_empty(), std::mem::replace(&mut self.named, named));
+        self.named.extend(stated.into_iter().filter(|(name, _)| name.starts_with("verdict.")));
+        self.groups = groups;
+        let mut lately = Lately::default();
+        lately.read(&self.named, self.groups.len());
+        if first {
+            self.lately = lately;
+        } else {
+            let shares = lately.accounts.iter().map(|a| a.1);
+            self.lately.accounts.iter_mut().zip(shares).for_each(|(old, share)| old.1 = share);
+        }
+        Ok(())
+    }
+
     /// Of the share of this build's nodes that err, the part beyond that of the earlier builds' nodes; of those
     /// heard in this stage.
     pub(crate) fn erring_more(&self, build: u32) -> f64 {
