--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -473,6 +473,7 @@
     use crate::hands::Talk;
     use crate::memory::exchange::{Answer, Ticket};
     use crate::testing::*;
+    use crate::wire::clients::Crowd;
     use crate::wire::nodes::Parcel;
     use magpieline::interface::Arrival;
     use std::cell::RefCell;
@@ -721,6 +722,44 @@
         );
     }
 
+    /// With a change being watched and hits of both versions in hand the platform's configuration changes and the
+    /// end is asked for: every hit has its one answer, none is forwarded twice, and the next start runs what was kept.
+    #[test]
+    fn a_reload_and_the_end_in_the_middle_of_a_change_lose_no_hit() {
+        run_within(20, async {
+            let path = folder("middle").join("changes.journal");
+            let forwards = Rc::new(RefCell::new(HashMap::new()));
+            let exchange = exchange_of(&nodes(&forwards).await);
+            let Begun { versions, keeper, fresh, .. } = begin(&file(1, 1.8), Some(&path)).expect("begun");
+            exchange.hold(versions, 1).expect("held");
+            let hands = Rc::new(Hands::new(exchange.clone(), keeper, None, None));
+            write_start(&hands, &fresh).await;
+            actix_rt::spawn(hands.clone().watch());
+            let mut tickets: Vec<Ticket> = (0..20).map(|i| hit(&exchange, &format!("s{i}"))).collect();
+            let number = apply(&hands, &file(1, 1.9)).await;
+            tickets.extend((20..40).map(|i| hit(&exchange, &format!("s{i}"))));
+            let mut settings: serde_json::Value = serde_json::from_str(SETTINGS).expect("settings");
+            settings["classes"][0]["goal_time_us"] = 900000.into();
+            assert_eq!(exchange.take_settings(&settings), Ok(true));
+            tickets.extend((40..60).map(|i| hit(&exchange, &format!("s{i}"))));
+            assert_eq!(exchange.changes(|c| c.versions.running()), Some(number));
+            // The end waits for what is in hand, whichever version that goes by; a change may still be asked for.
+            let end = actix_rt::spawn(crate::life::stop::finish(exchange.clone(), Rc::new(Crowd::new(1))));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let late = hands.stage(&file(3, 1.9), "ada", "at the end").await.expect("staged").0;
+            assert!(hands.apply(late, "ada").await.is_err(), "one change is being watched");
+            for ticket in &mut tickets {
+                assert!(matches!(ticket.answer().await, Answer::Delivered { .. }));
+            }
+            end.await.expect("an end");
+            assert_eq!(forwards.borrow().len(), 60);
+            assert!(forwards.borrow().values().all(|n| *n == 1));
+            drop(hands);
+            let again = begin(&file(2, 1.0), Some(&path)).expect("begun");
+            assert_eq!((again.versions.running(), again.versions.kept()), (1, 1));
+        });
+    }
+
     /// A measurement, not a check of CI: `cargo test --release -p magpieline-agent changes_in_a_row -- --ignored
     /// --nocapture`. MAGPIELINE_CHANGES says how many, a tenth of them bad; hits come at 500 a second. On every third
     /// harmless change all nodes are slow for a while just after it, old and new version alike.
@@ -728,7 +767,7 @@
     #[ignore = "takes minutes"]
     fn changes_in_a_row() {
         let many = std::env::var("MAGPIELINE_CHANGES").ok().and_then(|n| n.parse().ok()).unwrap_or(200u32);
-        run_within(3600, async move {
+        run_within(4 * 3600, async move {
             let forwards = Rc::new(RefCell::new(HashMap::new()));
             let exchange = exchange_of(&nodes(&forwards).await);
             let hands = hands_on(&exchange);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -810,7 +810,11 @@
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
         // Before the release the machines have to be warm to show what they can do; pooled, older ones are met.
-        let warm = if news.cap < 1.0 || self.blind() { 0.0 } else { self.set("obligations.cold_s", 0.0) + 2.0 * SPAN };
+        let warm = if news.cap < 1.0 || self.blind() {
+            0.0
+        } else {
+            self.set("obligations.cold_s", 0.0) + 2.0 * SPAN
+        };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
         let alone = if self.pool.judges.is_empty() { 10.0 } else { 3.0 * WORD };
