--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -127,7 +127,8 @@
             log::warn!("{e}");
             None
         });
-        self.exchange.choose(start::terms(&start::chosen(&values)).unwrap_or_default(), record);
+        let chosen = start::chosen(&values);
+        self.exchange.choose(start::terms(&chosen).unwrap_or_default(), record, chosen.clients);
         Ok(())
     }
 
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -43,6 +43,9 @@
 /// Hands values to those whom they concern.
 pub fn chosen(values: &Values) -> Chosen {
     let mut chosen = Chosen::default();
+    if let Some(Setting::Number(most)) = values.get("transport.client_connections") {
+        chosen.clients = Some(*most as usize); // the schema has bounded it
+    }
     for (name, setting) in values.iter().filter(|(name, _)| name.starts_with("verdict.")) {
         match setting {
             Setting::Text(text) if name == "verdict.record" => chosen.record = Some(text.into()),
--- a/agent/src/memory/exchange.rs
+++ b/agent/src/memory/exchange.rs
@@ -169,6 +169,8 @@
     targets: RefCell<Vec<f64>>,
     /// Given while the list is to be asked for its changes.
     pub follow: Signal,
+    /// How many connections clients may hold by the operators' word.
+    pub clients_most: Cell<usize>,
     stopping: Cell<bool>,
     /// Given once clients' connections are to close as soon as they carry nothing.
     pub closing: Signal,
@@ -240,6 +242,7 @@
             record: chosen.record.as_ref().map(Record::open).transpose()?.into(),
             targets: targets.into(),
             follow: Signal::new(wanted),
+            clients_most: chosen.clients.unwrap_or(usize::MAX).into(),
             stopping: false.into(),
             closing: Signal::default(),
         })
@@ -633,7 +636,8 @@
     }
 
     /// What operators choose for all hits alike: rates of releases to come, where looks at them go.
-    pub fn choose(&self, terms: Option<Terms>, record: Option<Record>) {
+    pub fn choose(&self, terms: Option<Terms>, record: Option<Record>, clients: Option<usize>) {
+        self.clients_most.set(clients.unwrap_or(usize::MAX));
         self.state.borrow_mut().balancer.choose_terms(terms);
         *self.record.borrow_mut() = record;
     }
--- a/agent/src/memory/record.rs
+++ b/agent/src/memory/record.rs
@@ -21,6 +21,8 @@
     pub named: Named,
     /// Where looks at releases go.
     pub record: Option<PathBuf>,
+    /// How many connections clients may hold at most.
+    pub clients: Option<usize>,
 }
 
 /// A look at a release.
