--- a/agent/src/explain.rs
+++ b/agent/src/explain.rs
@@ -1,6 +1,6 @@
 //! What operators ask for, in words: why a release was voted on as it was, what a file sets.
 
-use crate::memory::record::Looked;
+use magpieline_exchange::Looked;
 use magpieline_operator::{Setting, Values};
 use magpieline_verdict::{Entry, Opinion, Vote};
 use std::fmt::Write;
--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -3,9 +3,8 @@
 
 use crate::life::keeper::Keeper;
 use crate::life::{log_form, start};
-use crate::memory::changes::Changes;
-use crate::memory::exchange::Exchange;
-use crate::memory::record::Record;
+use magpieline_exchange::Changes;
+use magpieline_exchange::Exchange;
 use magpieline_operator::versions::{hash, Refusal, Standing, Step, Version, Versions};
 use magpieline_operator::watch::Next;
 use magpieline_operator::{Schema, Setting, Values};
@@ -123,12 +122,12 @@
         let Some(values) = self.exchange.adopt(step)? else { return Ok(()) };
         log_form::choose(&values);
         // What was tried before the step and fails now is told; service goes on without.
-        let record = record(&values).unwrap_or_else(|e| {
+        let looks = start::looks(&values).unwrap_or_else(|e| {
             log::warn!("{e}");
             None
         });
         let chosen = start::chosen(&values);
-        self.exchange.choose(start::terms(&chosen).unwrap_or_default(), record, chosen.clients);
+        self.exchange.choose(start::terms(&chosen).unwrap_or_default(), looks, chosen.clients);
         Ok(())
     }
 
@@ -169,7 +168,7 @@
         let values =
             self.exchange.changes(|c| c.versions.values(number).cloned()).flatten().unwrap_or_default();
         self.can_be(&values)?;
-        record(&values)?;
+        start::looks(&values)?;
         self.carry_out(step).await?;
         log::info!(version = number, who = who; "config applied, watched");
         Ok(())
@@ -452,11 +451,6 @@
     }
 }
 
-/// Opens the record that is named, if one is.
-fn record(values: &Values) -> Result<Option<Record>, String> {
-    start::chosen(values).record.as_ref().map(Record::open).transpose()
-}
-
 /// Whether what the new values say can be done at all; names what takes a restart.
 pub fn can_be(values: &Values, runs: &Values) -> Result<(), String> {
     let of = |v: &Values| -> Vec<(String, Setting)> {
@@ -472,11 +466,10 @@
 mod tests {
     use super::*;
     use crate::hands::Talk;
-    use crate::memory::exchange::{Answer, Ticket};
     use crate::testing::*;
-    use crate::wire::clients::Crowd;
-    use crate::wire::nodes::Parcel;
+    use crate::wire::nodes::Head;
     use magpieline::interface::Arrival;
+    use magpieline_exchange::{hash, Answer, Crowd, Load, Ticket};
     use std::cell::RefCell;
     use std::collections::HashMap;
 
@@ -529,8 +522,9 @@
         let name = awc::http::header::HeaderName::from_static(crate::wire::headers::TXN);
         headers.insert(name, awc::http::header::HeaderValue::from_str(id).expect("a value"));
         let target = http::uri::PathAndQuery::from_static("/read");
-        let parcel = Parcel { method: http::Method::GET, target, headers, body: bytes::Bytes::new() };
-        exchange.take(Arrival { remaining: 1.9, ..Arrival::default() }, parcel).expect("a hit")
+        let head = Head { method: http::Method::GET, target, headers };
+        let load = Load { id: hash(id.as_bytes()), head: Box::new(head), body: bytes::Bytes::new() };
+        exchange.take(Arrival { remaining: 1.9, ..Arrival::default() }, load).expect("a hit")
     }
 
     async fn apply(hands: &Hands, text: &str) -> u64 {
--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -3,11 +3,13 @@
 pub mod control;
 mod keeper;
 pub mod log_form;
+pub mod record;
 mod reload;
 pub mod start;
 mod stop;
 
-use crate::wire::{clients, kept, list, platform};
+use crate::wire::{clients, list, platform};
+use magpieline_exchange::{kept, Crowd};
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpSocket;
@@ -38,7 +40,8 @@
         begun = Some(begin);
     }
     log_form::choose(&start.values);
-    let exchange = Rc::new(start.exchange()?);
+    let around = Rc::new(start.around()?);
+    let exchange = Rc::new(start.exchange(&around)?);
     actix_rt::System::new().block_on(async move {
         // Before anyone can know of this program: without them a signal would end it.
         let (reloads, stops) = (reload::signals()?, stop::signals()?);
@@ -50,13 +53,13 @@
         };
         let listener = bind().map_err(|e| format!("{}: could not be listened on: {e}", start.listen))?;
         log::info!("{}: listening on {}", start.name, start.listen);
-        let (listener, crowd) = (Rc::new(listener), Rc::new(clients::Crowd::new(start.descriptors)));
-        let own = exchange.clone();
-        actix_rt::spawn(async move { kept("review", || own.clone().review()).await });
-        let own = exchange.clone();
-        actix_rt::spawn(async move { kept("list", || list::follow(own.clone())).await });
-        let own = exchange.clone();
-        actix_rt::spawn(async move { kept("news", || platform::follow(own.clone())).await });
+        let (listener, crowd) = (Rc::new(listener), Rc::new(Crowd::new(start.descriptors)));
+        let (own, desk) = (exchange.clone(), Rc::new(platform::Clerk(around.clone())));
+        actix_rt::spawn(async move { kept("review", || own.clone().review(desk.clone())).await });
+        let (own, at) = (exchange.clone(), around.clone());
+        actix_rt::spawn(async move { kept("list", || list::follow(own.clone(), at.clone())).await });
+        let (own, at) = (exchange.clone(), around.clone());
+        actix_rt::spawn(async move { kept("news", || platform::follow(own.clone(), at.clone())).await });
         let mut hands = None;
         if let Some(begun) = begun {
             exchange.hold(begun.versions, start.seed())?;
@@ -70,7 +73,7 @@
             actix_rt::spawn(async move { kept("watch", || own.clone().watch()).await });
             hands = Some(held);
         }
-        actix_rt::spawn(reload::follow(exchange.clone(), path, hands, reloads));
+        actix_rt::spawn(reload::follow(exchange.clone(), around, path, hands, reloads));
         let (own, visits) = (exchange.clone(), crowd.clone());
         actix_rt::spawn(async move {
             kept("clients", || clients::serve(own.clone(), listener.clone(), visits.clone())).await;
--- a/agent/src/memory/record.rs
+++ b/agent/src/life/record.rs
@@ -1,10 +1,7 @@
-//! What operators chose, and the record of looks at releases: a file of JSON lines, written by a thread of its own
+//! The record of looks at releases: a file of JSON lines, written by a thread of its own
 //! so that a slow disk holds up no hit.
 
-use magpieline::interface::Named;
-use magpieline_verdict::{Entry, Look};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use magpieline_exchange::{Looked, Looks};
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -14,34 +11,6 @@
 /// The longest a record grows before it begins anew, with what was there put aside: some hours of releases.
 const LONGEST: u64 = 64 << 20;
 
-/// What the operators' file says, as far as the exchange is concerned.
-#[derive(Clone, Debug, Default)]
-pub struct Chosen {
-    /// For the decisions.
-    pub named: Named,
-    /// Where looks at releases go.
-    pub record: Option<PathBuf>,
-    /// How many connections clients may hold at most.
-    pub clients: Option<usize>,
-}
-
-/// A look at a release.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Looked {
-    /// Unix time.
-    pub at: f64,
-    pub build: u32,
-    pub stage: usize,
-    pub phase: String,
-    /// The vote that was cast with it, if one was.
-    pub vote: Option<String>,
-    pub look: Look,
-    pub entries: Vec<Entry>,
-    /// The path groups' names, in order, and those of the nodes that entries mention.
-    pub groups: Vec<String>,
-    pub nodes: BTreeMap<usize, String>,
-}
-
 pub struct Record {
     lines: SyncSender<String>,
 }
@@ -60,6 +29,12 @@
         Ok(Record { lines })
     }
 
+    /// Opens a record for looks to go to.
+    pub fn looks(path: &PathBuf) -> Result<Looks, String> {
+        let record = Record::open(path)?;
+        Ok(Box::new(move |looked| record.add(looked)))
+    }
+
     /// Adds a look. If the disk does not follow it is left out, and the log says so.
     pub fn add(&self, looked: &Looked) {
         let line = serde_json::to_string(looked).unwrap_or_default();
--- a/agent/src/life/reload.rs
+++ b/agent/src/life/reload.rs
@@ -4,7 +4,8 @@
 
 use crate::life::control::Hands;
 use crate::life::{listen, start};
-use crate::memory::exchange::Exchange;
+use crate::wire::place::Around;
+use magpieline_exchange::Exchange;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,13 +20,14 @@
 }
 
 /// Takes the file's settings and addresses; an error says what is wrong with it, and what held goes on.
-fn take(exchange: &Exchange, path: &Path) -> Result<(), String> {
+fn take(exchange: &Exchange, around: &Around, path: &Path) -> Result<(), String> {
     let start = start::file(path)?;
-    let settled = exchange
-        .take_settings(start.settings()?)
-        .map_err(|e| format!("{}: settings: {e}", path.display()))?;
-    exchange.discovery.set(&start.discovery);
-    exchange.platform.set(&start.platform);
+    let settings = start.settings()?;
+    let settled =
+        exchange.take_settings(settings).map_err(|e| format!("{}: settings: {e}", path.display()))?;
+    around.settle(settings);
+    around.discovery.set(&start.discovery);
+    around.platform.set(&start.platform);
     let settings = if settled { "new" } else { "as before" };
     log::info!(
         "reload: discovery at {}, platform at {}, settings {settings}",
@@ -36,7 +38,13 @@
 }
 
 /// Reads the file as often as told; one that is wrong, until it is right.
-pub async fn follow(exchange: Rc<Exchange>, path: PathBuf, hands: Option<Rc<Hands>>, mut asked: Signal) {
+pub async fn follow(
+    exchange: Rc<Exchange>,
+    around: Rc<Around>,
+    path: PathBuf,
+    hands: Option<Rc<Hands>>,
+    mut asked: Signal,
+) {
     while asked.recv().await.is_some() {
         // The operators' file goes the way of every change: checked, applied as a whole, watched.
         if let Some(hands) = &hands {
@@ -44,7 +52,7 @@
                 log::warn!("config: {e}");
             }
         }
-        while let Err(e) = take(&exchange, &path) {
+        while let Err(e) = take(&exchange, &around, &path) {
             exchange.complain("reload", &e);
             tokio::time::sleep(PAUSE).await;
         }
@@ -54,11 +62,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::memory::exchange::Answer;
     use crate::testing::*;
-    use crate::wire::nodes::Parcel;
+    use crate::wire::nodes::Head;
     use crate::wire::{list, platform};
     use magpieline::interface::Arrival;
+    use magpieline_exchange::{Answer, Load};
 
     /// Discovery, or a platform, that answers its first call and then keeps silent; which turn was asked.
     async fn silent(answer: String) -> (String, Rc<std::cell::Cell<usize>>) {
@@ -85,19 +93,20 @@
             let (old_list, new_list) = (silent(list.clone()).await, silent(list).await);
             let (old_news, new_news) = (silent(stream.clone()).await, silent(stream).await);
             let exchange = exchange();
-            exchange.discovery.set(&old_list.0);
-            exchange.platform.set(&old_news.0);
-            actix_rt::spawn(list::follow(exchange.clone()));
-            actix_rt::spawn(platform::follow(exchange.clone()));
+            let around = around();
+            around.discovery.set(&old_list.0);
+            around.platform.set(&old_news.0);
+            actix_rt::spawn(list::follow(exchange.clone(), around.clone()));
+            actix_rt::spawn(platform::follow(exchange.clone(), around.clone()));
             actix_rt::time::sleep(PAUSE).await;
             assert_eq!((old_list.1.get(), old_news.1.get()), (1, 1));
 
             let path = std::env::temp_dir().join(format!("magpieline-reload-{}.json", std::process::id()));
             std::fs::write(&path, "{").expect("a file");
-            let told = take(&exchange, &path).expect_err("a complaint");
+            let told = take(&exchange, &around, &path).expect_err("a complaint");
             assert!(told.contains("expected JSON"), "{told}");
             let signal = signals().expect("a signal");
-            actix_rt::spawn(follow(exchange.clone(), path.clone(), None, signal));
+            actix_rt::spawn(follow(exchange.clone(), around.clone(), path.clone(), None, signal));
             let id = std::process::id().to_string();
             let sent = std::process::Command::new("kill").args(["-HUP", &id]).status();
             assert!(sent.is_ok_and(|s| s.success()));
@@ -130,7 +139,7 @@
                 }
             })
             .await;
-            let exchange = exchange_of(&[node]);
+            let (exchange, around) = (exchange_of(&[node]), around());
             let before: serde_json::Value = serde_json::from_str(SETTINGS).expect("settings");
             let mut after = before.clone();
             after["limits"] = serde_json::json!({"max_attempts": 7, "peers": true, "conn_idle_us": 9000000});
@@ -146,7 +155,7 @@
                 let mut body = start::tests::body_at("127.0.0.1:1", "127.0.0.1:1");
                 body["settings"] = settings.clone();
                 std::fs::write(&path, body.to_string()).expect("a file");
-                take(&exchange, &path)
+                take(&exchange, &around, &path)
             };
             let mut tickets = Vec::new();
             for i in 0..100 {
@@ -155,9 +164,9 @@
                 headers.insert(awc::http::header::HeaderName::from_static(crate::wire::headers::TXN), id);
                 let arrival = Arrival { group: 1, remaining: 2.0, ..Arrival::default() };
                 let target = format!("/pay/{i}").parse().expect("a target");
-                let parcel =
-                    Parcel { method: awc::http::Method::POST, target, headers, body: Default::default() };
-                tickets.push(exchange.take(arrival, parcel).expect("a hit"));
+                let head = Head { method: awc::http::Method::POST, target, headers };
+                let load = Load { id: i, head: Box::new(head), body: Default::default() };
+                tickets.push(exchange.take(arrival, load).expect("a hit"));
                 match i {
                     20 | 60 => assert_eq!(put(&after), Ok(())),
                     40 | 80 => assert_eq!(put(&before), Ok(())),
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -1,10 +1,11 @@
 //! What an agent is told at its start: the environment names the configuration, that holds the rest.
 
-use crate::memory::exchange::Exchange;
-use crate::memory::record::Chosen;
-use crate::wire::{list, platform};
+use crate::life::record::Record;
+use crate::wire::place::Around;
+use crate::wire::{list, nodes, platform};
 use magpieline::interface::Value;
 use magpieline::names::{self, Message};
+use magpieline_exchange::{Chosen, Exchange, Looks};
 use magpieline_operator::{Schema, Setting, Values};
 use magpieline_verdict::Terms;
 use serde_json::Value as Json;
@@ -48,7 +49,7 @@
     }
     for (name, setting) in values.iter().filter(|(name, _)| name.starts_with("verdict.")) {
         match setting {
-            Setting::Text(text) if name == "verdict.record" => chosen.record = Some(text.into()),
+            Setting::Text(_) if name == "verdict.record" => {}
             Setting::Text(text) => drop(chosen.named.insert(name.clone(), Value::Text(text.clone()))),
             Setting::Number(number) => drop(chosen.named.insert(name.clone(), Value::Number(*number))),
             Setting::Flag(flag) => drop(chosen.named.insert(name.clone(), Value::Flag(*flag))),
@@ -57,6 +58,14 @@
     chosen
 }
 
+/// Opens the record of looks that is named, if one is.
+pub fn looks(values: &Values) -> Result<Option<Looks>, String> {
+    match values.get("verdict.record") {
+        Some(Setting::Text(path)) => Record::looks(&path.into()).map(Some),
+        _ => Ok(None),
+    }
+}
+
 fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{what}: expected an address and a port, not '{text}'"))
 }
@@ -121,17 +130,16 @@
         Message { name: "configuration", body: &self.body }.needed("settings", "an object of settings")
     }
 
+    /// The partners that the configuration names.
+    pub fn around(&self) -> Result<Around, String> {
+        Ok(Around::new(self.discovery.clone(), self.platform.clone(), self.settings()?))
+    }
+
     /// The exchange, told what the configuration knows.
-    pub fn exchange(&self) -> Result<Exchange, String> {
-        let info = self.settings()?;
-        let exchange = Exchange::new(
-            self.seed,
-            info,
-            self.discovery.clone(),
-            self.platform.clone(),
-            &chosen(&self.values),
-        )
-        .map_err(|e| format!("settings: {e}"))?;
+    pub fn exchange(&self, around: &Around) -> Result<Exchange, String> {
+        let (info, ways) = (self.settings()?, nodes::ways(around.times.clone()));
+        let exchange = Exchange::new(self.seed, info, &chosen(&self.values), looks(&self.values)?, ways)
+            .map_err(|e| format!("settings: {e}"))?;
         if let Some(known) = self.body.get("known").filter(|k| !k.is_null()) {
             list::take(&exchange, known, false).map_err(|e| format!("known: {e}"))?;
         }
@@ -172,7 +180,7 @@
     fn complaint(pointer: &str, value: Json) -> String {
         let mut body = body();
         *body.pointer_mut(pointer).expect("a field") = value;
-        let started = Start::parse(body).and_then(|s| s.exchange().map(|_| ()));
+        let started = Start::parse(body).and_then(|s| s.exchange(&s.around()?).map(|_| ()));
         started.expect_err("a complaint")
     }
 
@@ -181,7 +189,7 @@
         crate::testing::run(async {
             let start = Start::parse(body()).expect("a start");
             assert_eq!((start.name.as_str(), start.descriptors), ("n1", 1024));
-            let exchange = start.exchange().expect("an exchange");
+            let exchange = start.exchange(&start.around().expect("partners")).expect("an exchange");
             assert!(exchange.ready());
             assert_eq!(exchange.nodes_known(), 1);
         });
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -2,13 +2,11 @@
 //! decides nothing itself: `magpieline::balance` does.
 //!
 //! - `wire`: all that is spoken, one file a partner
-//! - `memory`: what is kept: the exchange in which both sides meet, ids at the door
 //! - `life`: start, reload and stop
 
 mod explain;
 mod hands;
 mod life;
-mod memory;
 #[cfg(test)]
 mod testing;
 mod wire;
@@ -247,7 +245,7 @@
         Command::Serve(Serve { config, operators }) => life::serve(life::start::named(config)?, operators),
         Command::Check(Check { config, operators }) => {
             let start = life::start::read(&life::start::named(config)?, operators.as_deref())?;
-            let exchange = start.exchange()?;
+            let exchange = start.exchange(&start.around()?)?;
             exchange.fits_here(&start.values)?;
             println!("{}: listens on {}, {} nodes known", start.name, start.listen, exchange.nodes_known());
             Ok(())
--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -1,8 +1,9 @@
 //! What several tests need: a runtime, small servers that play a script, an exchange.
 
-use crate::memory::exchange::{Entry, Exchange};
-use crate::memory::record::Chosen;
+use crate::wire::nodes;
+use crate::wire::place::Around;
 use magpieline::interface::Listed;
+use magpieline_exchange::{Chosen, Entry, Exchange};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -35,12 +36,16 @@
     actix_rt::System::new().block_on(timed).expect("a test ends in time")
 }
 
+/// Partners at addresses where nobody is.
+pub fn around() -> Rc<Around> {
+    let info = serde_json::from_str(SETTINGS).expect("settings");
+    Rc::new(Around::new("127.0.0.1:1".into(), "127.0.0.1:1".into(), &info))
+}
+
 pub fn exchange() -> Rc<Exchange> {
     let info = serde_json::from_str(SETTINGS).expect("settings");
-    Rc::new(
-        Exchange::new(1, &info, "127.0.0.1:1".into(), "127.0.0.1:1".into(), &Chosen::default())
-            .expect("an exchange"),
-    )
+    let ways = nodes::ways(around().times.clone());
+    Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"))
 }
 
 /// An exchange that knows these nodes.
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -1,159 +1,30 @@
 //! The clients' side: reads hits, hands them to the exchange, words the answers.
 
-use crate::memory::exchange::{Answer, Exchange};
-use crate::memory::signal::Signal;
 use crate::wire::door::{self, plain};
 use crate::wire::line::Line;
-use crate::wire::nodes::Parcel;
-use crate::wire::{guarded, headers, whole, Unread, BODY_MOST};
+use crate::wire::nodes::Head;
+use crate::wire::{headers, whole, Unread, BODY_MOST};
 use actix_http::body::BoxBody;
-use actix_http::header::{HeaderMap, CONTENT_TYPE, RETRY_AFTER};
+use actix_http::header::{HeaderMap, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use magpieline_exchange::{guarded, hash, Answer, Crowd, Exchange, Load, Signal, Visit};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 
 /// How long a client that has been answered early may go on sending what nobody reads: the answer would be
 /// lost if its connection were closed under it.
 const LINGER: Duration = Duration::from_secs(1);
 /// Before accepting again when that failed or there is no room: some connections end in that time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
-/// Descriptors for all but clients and nodes: log, signals, timers, list, news, votes, listener.
-const OTHERS: usize = 32;
-/// A connection that waits for a hit for that long is closed: clients that ask once and stay would hold all
-/// places, and others allow it by then (2 s, with some room for clocks).
-const IDLE: Duration = Duration::from_millis(2050);
-/// A hit whose bytes have begun to come is waited for this long at least: what comes drop by drop never ends.
-const PIECES: Duration = Duration::from_millis(900);
-/// When room is short a connection that has been idle for that long may go: its answer is long out.
-const SHORT: Duration = Duration::from_secs(1);
-/// A connection that has brought nothing yet is left alone for that long: its hit may be on the way.
-const GREET: Duration = Duration::from_millis(100);
-/// The same for one that has been answered, while connections are many: well past the way of its answer.
-const BRIEF: Duration = Duration::from_millis(250);
-/// How many are asked to go at once when room is short: as many as come in a moment when hundreds do.
-const AT_ONCE: usize = 8;
 /// On stopping, how long a connection that came late is kept open for its first hit.
 const FRESH: Duration = Duration::from_millis(300);
 /// On stopping, how long after idle connections begin to close new ones are still taken. What comes later
 /// could not be answered before the end that others set.
 const LAST: Duration = Duration::from_millis(200);
 
-/// A client's connection, as those see it who look for room.
-struct Visit {
-    /// Whether a hit of it is in hand.
-    busy: Cell<bool>,
-    /// Whether it has ever brought a hit.
-    known: Cell<bool>,
-    /// Since when it has waited for a hit.
-    since: Cell<Instant>,
-    /// When the first byte of that hit came.
-    heard: Rc<Cell<Option<Instant>>>,
-    evict: Notify,
-}
-
-impl Visit {
-    fn new(heard: Rc<Cell<Option<Instant>>>) -> Visit {
-        let (busy, known) = Default::default();
-        Visit { busy, known, since: Instant::now().into(), heard, evict: Notify::new() }
-    }
-
-    /// It has brought one.
-    fn brought(&self) {
-        self.busy.set(true);
-        self.known.set(true);
-    }
-
-    /// It waits for the next hit from now on.
-    fn wait(&self) {
-        self.busy.set(false);
-        self.since.set(Instant::now());
-        self.heard.set(None);
-    }
-
-    /// Whether it has waited for a hit for longer than this.
-    fn waited(&self, long: Duration) -> bool {
-        !self.busy.get() && self.since.get().elapsed() > long
-    }
-
-    /// Until when a hit has to have come whole.
-    fn due(&self) -> Instant {
-        let idle = self.since.get() + IDLE;
-        self.heard.get().map_or(idle, |heard| idle.max(heard + PIECES))
-    }
-
-    /// Ends once no hit has come in time.
-    async fn overdue(&self) {
-        loop {
-            let due = if self.busy.get() { Instant::now() + IDLE } else { self.due() };
-            if due <= Instant::now() {
-                return;
-            }
-            tokio::time::sleep_until(due.into()).await;
-        }
-    }
-}
-
-/// The clients' connections, oldest first. At most so many that each could have a node's beside it.
-pub struct Crowd {
-    visits: RefCell<BTreeMap<u64, Rc<Visit>>>,
-    next: Cell<u64>,
-    most: usize,
-    /// Beyond so many, a quarter of the descriptors, each new one sends an idle one away: clients may hold a
-    /// third, and those that ask once and stay would use it up for all others.
-    ample: usize,
-}
-
-impl Crowd {
-    pub fn new(descriptors: usize) -> Crowd {
-        Crowd {
-            visits: RefCell::default(),
-            next: Cell::default(),
-            most: (descriptors.saturating_sub(OTHERS) / 2).max(1),
-            ample: descriptors / 4,
-        }
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.visits.borrow().is_empty()
-    }
-
-    /// Whether one more may be accepted; if not, some are asked to go: those that never brought a hit first,
-    /// then those that have long been idle.
-    fn room(&self, bound: usize) -> bool {
-        let visits = self.visits.borrow();
-        if visits.len() < self.most.min(bound) {
-            return true;
-        }
-        let strange = visits.values().filter(|v| !v.known.get() && v.waited(GREET));
-        let idle = visits.values().filter(|v| v.known.get() && v.waited(SHORT));
-        strange.chain(idle).take(AT_ONCE).for_each(|v| v.evict.notify_one());
-        false
-    }
-
-    /// Whether there are more than operators allow by now: each that is answered then leaves with its answer.
-    fn over(&self, bound: usize) -> bool {
-        self.visits.borrow().len() > bound
-    }
-
-    fn enter(&self, visit: Visit) -> (u64, Rc<Visit>) {
-        if self.visits.borrow().len() >= self.ample {
-            let visits = self.visits.borrow();
-            let idle = visits.values().filter(|v| v.waited(BRIEF));
-            idle.min_by_key(|v| v.since.get()).into_iter().for_each(|v| v.evict.notify_one());
-        }
-        let (place, visit) = (self.next.get(), Rc::new(visit));
-        self.next.set(place + 1);
-        self.visits.borrow_mut().insert(place, visit.clone());
-        (place, visit)
-    }
-}
-
 async fn hit(
     exchange: &Rc<Exchange>,
     visit: &Rc<Visit>,
@@ -178,8 +49,9 @@
             passed.append(name.clone(), value.clone());
         }
     }
-    let parcel = Parcel { method: head.method.clone(), target, headers: passed, body };
-    let Some(mut ticket) = exchange.take(arrival, parcel) else {
+    let id = hash(passed.get(headers::TXN).map_or(b"", |v| v.as_bytes()));
+    let head = Head { method: head.method.clone(), target, headers: passed };
+    let Some(mut ticket) = exchange.take(arrival, Load { id, head: Box::new(head), body }) else {
         return Err(plain(StatusCode::CONFLICT, "a hit in hand bears this id\n"));
     };
     visit.brought();
@@ -196,7 +68,7 @@
     match answer {
         Answer::Delivered { kind, body } => {
             let mut response = Response::build(StatusCode::OK);
-            if let Some(kind) = kind {
+            if let Some(kind) = kind.and_then(|k| HeaderValue::from_maybe_shared(k).ok()) {
                 response.insert_header((CONTENT_TYPE, kind));
             }
             response
@@ -299,16 +171,17 @@
     };
     tokio::select! {
         _ = guarded("clients", serving) => {}
-        () = visit.evict.notified() => {}
+        () = visit.evicted() => {}
         () = visit.overdue() => {}
     }
-    crowd.visits.borrow_mut().remove(&place);
+    crowd.leave(place);
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::testing::*;
+    use std::cell::Cell;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpStream;
 
@@ -491,50 +364,6 @@
         });
     }
 
-    #[test]
-    fn when_room_is_short_strangers_go_first_then_the_longest_idle() {
-        let (crowd, visit) = (Crowd::new(OTHERS + 6), || Visit::new(Rc::default()));
-        let (_, busy) = crowd.enter(visit());
-        busy.brought();
-        let (_, idle) = crowd.enter(visit());
-        idle.brought();
-        idle.wait();
-        assert!(crowd.room(usize::MAX));
-        let (place, stranger) = crowd.enter(visit());
-        assert!(!crowd.room(usize::MAX));
-        let long_ago = Instant::now().checked_sub(2 * SHORT).expect("a clock that has run");
-        stranger.since.set(long_ago);
-        assert!(!crowd.room(usize::MAX));
-        run(stranger.evict.notified());
-        stranger.known.set(true);
-        stranger.wait();
-        [&busy, &idle].iter().for_each(|visit| visit.since.set(long_ago));
-        assert!(!crowd.room(usize::MAX));
-        run(idle.evict.notified());
-        crowd.visits.borrow_mut().remove(&place);
-        assert!(crowd.room(usize::MAX));
-    }
-
-    /// While connections are many a new one sends the longest idle away, one with a hit in hand never.
-    #[test]
-    fn who_asks_once_and_stays_gives_way_to_new_clients() {
-        let (crowd, visit) = (Crowd::new(12), || Visit::new(Rc::default()));
-        let all = [crowd.enter(visit()).1, crowd.enter(visit()).1, crowd.enter(visit()).1];
-        all.iter().for_each(|v| v.brought());
-        all[1..].iter().for_each(|v| v.wait());
-        let ago = |n| Instant::now().checked_sub(n * BRIEF).expect("a clock that has run");
-        all.iter().zip([9, 2, 3]).for_each(|(v, n)| v.since.set(ago(n)));
-        crowd.enter(visit());
-        run(all[2].evict.notified());
-        run(async {
-            let other = futures_util::future::select(
-                Box::pin(all[0].evict.notified()),
-                Box::pin(all[1].evict.notified()),
-            );
-            assert!(tokio::time::timeout(GREET, other).await.is_err());
-        });
-    }
-
     /// Whoever brings no whole hit is closed: after silence, half a head, a body that comes drop by drop, an
     /// answer with nothing behind it. A hit that takes longer than that is waited for.
     #[test]
@@ -607,7 +436,7 @@
             }
             assert!((4..6).contains(&closing), "{closing}");
             tokio::time::sleep(Duration::from_millis(50)).await;
-            assert!(crowd.visits.borrow().len() <= 2);
+            assert!(crowd.len() <= 2);
             // A newcomer is served once one of those that stay has been idle for a while.
             let mut late = TcpStream::connect(address).await.expect("in the kernel's queue");
             let answer = asked(&mut late, &HIT.replace("x-txn: 1", "x-txn: 9")).await;
--- a/agent/src/wire/door.rs
+++ b/agent/src/wire/door.rs
@@ -1,12 +1,12 @@
 //! What a hit must look like. Anything else gets its error here: it reaches no node, is no hit to the
 //! decisions, counts for no bound, and says nothing of nodes or builds.
 
-use crate::memory::exchange::Exchange;
 use crate::wire::{headers, BODY_MOST};
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{Method, RequestHead, Response, StatusCode};
 use magpieline::interface::Arrival;
+use magpieline_exchange::Exchange;
 
 /// The longest id or key; those in use are a few dozen bytes.
 const WORD_MOST: usize = 256;
@@ -43,7 +43,12 @@
     let Some(group) = exchange.group(first) else {
         return Err(plain(StatusCode::NOT_FOUND, "no such path group\n"));
     };
-    let fits = exchange.fits(group, &head.method, word(&head.headers, headers::IDEMPOTENCY)?.is_some());
+    let tagged = word(&head.headers, headers::IDEMPOTENCY)?.is_some();
+    let fits = match exchange.repeat(group) {
+        "retryable" => head.method == Method::GET,
+        "dedup" => head.method == Method::POST && tagged,
+        _ => head.method == Method::POST && !tagged,
+    };
     if !fits {
         return Err(plain(StatusCode::METHOD_NOT_ALLOWED, "not the method of this path group\n"));
     }
--- a/agent/src/wire/line.rs
+++ b/agent/src/wire/line.rs
@@ -1,12 +1,12 @@
 //! A connection that notes how far things went, for those who have to prove it.
 
-use crate::memory::signal::Signal;
 use crate::wire::framing::{measure, Come, Spoilt};
 use actix_service::ServiceExt;
 use actix_tls::connect::{Connection, Connector, Resolver};
 use awc::Client;
 use bytes::{Buf, BytesMut};
 use http::Uri;
+use magpieline_exchange::Signal;
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -1,10 +1,11 @@
 //! The node list: the whole of it once, then a watch on its changes.
 
-use crate::memory::exchange::{Entry, Exchange};
+use crate::wire::place::Around;
 use crate::wire::{line, whole};
 use awc::Client;
 use magpieline::interface::Listed;
 use magpieline::names::Message;
+use magpieline_exchange::{Entry, Exchange};
 use serde_json::Value as Json;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -83,8 +84,8 @@
 
 /// Follows the list for as long as the program runs, at once wherever a new configuration puts it. When to
 /// ask again after a failure is not decided here.
-pub async fn follow(exchange: Rc<Exchange>) -> Infallible {
-    let place = &exchange.discovery;
+pub async fn follow(exchange: Rc<Exchange>, around: Rc<Around>) -> Infallible {
+    let place = &around.discovery;
     exchange.follow.wait().await;
     loop {
         let (turn, at) = (place.turn(), place.address());
@@ -105,6 +106,8 @@
 mod tests {
     use super::*;
     use crate::testing::*;
+    use crate::wire::nodes::Head;
+    use magpieline_exchange::{End, Load};
     use std::cell::RefCell;
 
     fn list(all: bool, targets: &[(&str, &str, &str)]) -> Json {
@@ -115,6 +118,16 @@
         serde_json::json!({"rev": 7, "all": all, "targets": targets.iter().map(target).collect::<Vec<_>>()})
     }
 
+    /// Forwards something to a node, whatever the decisions would say.
+    async fn try_node(exchange: &Exchange, uid: &str) {
+        let headers = awc::http::header::HeaderMap::new();
+        let target = http::uri::PathAndQuery::from_static("/read");
+        let head = Box::new(Head { method: http::Method::GET, target, headers });
+        let load = Rc::new(Load { id: 1, head, body: Default::default() });
+        let end = exchange.way(uid).expect("a node").forward(load, WAIT).await;
+        assert!(matches!(end, End::Answered { .. }), "{end:?}");
+    }
+
     #[test]
     fn what_is_gone_or_absent_from_a_whole_list_is_no_longer_reached() {
         run(async {
@@ -148,7 +161,7 @@
                 assert_eq!(take(&exchange, &body, true), Ok(7));
                 let (exchange, made) = (exchange.clone(), made.clone());
                 async move {
-                    exchange.try_node("a").await;
+                    try_node(&exchange, "a").await;
                     assert_eq!(made.get(), connections);
                 }
             };
@@ -206,8 +219,9 @@
         run(async {
             let (at, asked) = discovery(&[SEVEN, EIGHT]).await;
             let exchange = exchange();
-            exchange.discovery.set(&at);
-            let _ = tokio::time::timeout(Duration::from_millis(200), follow(exchange.clone())).await;
+            let around = around();
+            around.discovery.set(&at);
+            let _ = tokio::time::timeout(Duration::from_millis(200), follow(exchange.clone(), around)).await;
             let watch = |rev| format!("GET /discovery/hosts?after={rev}&wait_ms=2000 HTTP/1.1");
             assert_eq!(*asked.borrow(), ["GET /discovery/hosts HTTP/1.1".to_owned(), watch(7), watch(8)]);
             assert!(exchange.ready());
@@ -220,9 +234,10 @@
         run(async {
             let (at, asked) = discovery(&["odd", SEVEN]).await;
             let exchange = exchange();
-            actix_rt::spawn(exchange.clone().review());
-            exchange.discovery.set(&at);
-            actix_rt::spawn(follow(exchange.clone()));
+            let around = around();
+            actix_rt::spawn(exchange.clone().review(Rc::new(crate::wire::platform::Clerk(around.clone()))));
+            around.discovery.set(&at);
+            actix_rt::spawn(follow(exchange.clone(), around));
             tokio::time::sleep(Duration::from_millis(50)).await;
             assert!(!exchange.ready());
             while !exchange.ready() {
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -1,6 +1,5 @@
 //! Forwards to nodes: the client's own bytes, a time-out over all of it, and how it ended.
 
-use crate::wire::end::End;
 use crate::wire::framing::Spoilt;
 use crate::wire::line::{self, Trace};
 use crate::wire::{headers, whole, Unread, BODY_MOST};
@@ -9,17 +8,48 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::Client;
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{Method, Uri};
+use magpieline_exchange::{End, Load, Way, Ways};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-/// A hit as it came: what goes on unchanged.
-pub struct Parcel {
+/// The head of a hit as it came: what goes on unchanged.
+pub struct Head {
     pub method: Method,
     pub target: PathAndQuery,
     pub headers: awc::http::header::HeaderMap,
-    pub body: Bytes,
+}
+
+/// How long a connect to a node may take, and how long a connection to it idles. New settings change them for
+/// nodes that are listed from then on.
+#[derive(Clone, Copy)]
+pub struct Times {
+    pub connect: Duration,
+    pub idle: Duration,
+}
+
+/// Ways to nodes over HTTP/1.1.
+pub fn ways(times: Rc<Cell<Times>>) -> Ways {
+    Box::new(move |address| {
+        let Times { connect, idle } = times.get();
+        Ok(Rc::new(Reach::new(address, connect, idle)?))
+    })
+}
+
+impl Way for Reach {
+    fn forward(&self, load: Rc<Load>, limit: Duration) -> LocalBoxFuture<'static, End> {
+        let own = self.clone();
+        Box::pin(async move {
+            match load.head.downcast_ref::<Head>() {
+                Some(head) => own.forward(head, &load.body, limit).await,
+                None => End::Nowhere, // another front's hit
+            }
+        })
+    }
 }
 
 /// How to reach a node: its address and the connections kept to it. A copy uses the same connections; they
@@ -38,29 +68,25 @@
     }
 
     /// Sends a hit and waits for its end, all within `limit`. Dropping this closes the connection.
-    pub async fn forward(&self, parcel: &Parcel, limit: Duration) -> End {
-        let sending = tokio::time::timeout(limit, self.send(parcel, limit));
+    pub async fn forward(&self, head: &Head, body: &Bytes, limit: Duration) -> End {
+        let sending = tokio::time::timeout(limit, self.send(head, body, limit));
         let (ended, trace) = line::traced(sending).await;
         ended.unwrap_or(Err(End::Silent)).unwrap_or_else(|end| cut(&trace, end))
     }
 
-    async fn send(&self, parcel: &Parcel, limit: Duration) -> Result<End, End> {
+    async fn send(&self, head: &Head, body: &Bytes, limit: Duration) -> Result<End, End> {
         let uri = Uri::builder().scheme(Scheme::HTTP).authority(self.authority.clone());
-        let uri = uri.path_and_query(parcel.target.clone()).build().map_err(|_| End::Nowhere)?;
-        let mut call = self.client.request(parcel.method.clone(), uri).address(self.address).camel_case();
-        *call.headers_mut() = parcel.headers.clone();
+        let uri = uri.path_and_query(head.target.clone()).build().map_err(|_| End::Nowhere)?;
+        let mut call = self.client.request(head.method.clone(), uri).address(self.address).camel_case();
+        *call.headers_mut() = head.headers.clone();
         let call = call.no_decompress().insert_header((headers::REMAINING, limit.as_millis() as u64));
-        let answered = if parcel.body.is_empty() {
-            call.send().await
-        } else {
-            call.send_body(parcel.body.clone()).await
-        };
+        let answered = if body.is_empty() { call.send().await } else { call.send_body(body.clone()).await };
         let mut answer = answered.map_err(failed)?;
         let status = answer.status().as_u16();
         let turned_away = answer.headers().get(headers::TURNED_AWAY).is_some_and(|v| v.as_bytes() == b"1");
-        let kind = answer.headers().get(CONTENT_TYPE).cloned();
-        let body = whole(&mut answer, BODY_MOST).await;
-        Ok(match (status, body) {
+        let kind = answer.headers().get(CONTENT_TYPE).map(|v| Bytes::copy_from_slice(v.as_bytes()));
+        let whole_body = whole(&mut answer, BODY_MOST).await;
+        Ok(match (status, whole_body) {
             (503 | 504, _) if turned_away => End::TurnedAway,
             (200, Ok(body)) => End::Answered { kind, body },
             (200, Err(Unread::Broken(_))) => End::CutAfter,
@@ -114,11 +140,17 @@
 
     const LIMIT: Duration = Duration::from_millis(300);
 
-    fn parcel(body: &'static str) -> Parcel {
+    fn parcel(body: &'static str) -> (Head, Bytes) {
         let mut headers = awc::http::header::HeaderMap::new();
         headers.insert(http::HeaderName::from_static("x-txn"), http::HeaderValue::from_static("a1"));
         let method = if body.is_empty() { Method::GET } else { Method::POST };
-        Parcel { method, target: PathAndQuery::from_static("/read/a%20b?c=d"), headers, body: body.into() }
+        (Head { method, target: PathAndQuery::from_static("/read/a%20b?c=d"), headers }, body.into())
+    }
+
+    impl Reach {
+        async fn sent(&self, (head, body): &(Head, Bytes), limit: Duration) -> End {
+            self.forward(head, body, limit).await
+        }
     }
 
     fn reach(address: SocketAddr) -> Reach {
@@ -132,7 +164,7 @@
                 message(&mut stream).await;
                 write(&mut stream, text).await;
             });
-            reach(address.await).forward(&parcel("body"), LIMIT).await
+            reach(address.await).sent(&parcel("body"), LIMIT).await
         })
     }
 
@@ -147,7 +179,7 @@
                 )
                 .await;
             });
-            let end = reach(address.await).forward(&parcel("{ \"a\" : 1}"), LIMIT).await;
+            let end = reach(address.await).sent(&parcel("{ \"a\" : 1}"), LIMIT).await;
             let End::Answered { body, .. } = end else { panic!("{end:?}") };
             let came = String::from_utf8_lossy(&body).into_owned();
             assert!(came.starts_with("POST /read/a%20b?c=d HTTP/1.1\r\n"), "{came}");
@@ -195,16 +227,16 @@
     #[test]
     fn a_connection_that_is_refused_or_never_up_never_ran_and_silence_may_have() {
         run(async {
-            assert!(matches!(reach(nobody().await).forward(&parcel(""), LIMIT).await, End::Refused));
+            assert!(matches!(reach(nobody().await).sent(&parcel(""), LIMIT).await, End::Refused));
             let (address, _listener, _held) = full().await;
-            assert!(matches!(reach(address).forward(&parcel(""), LIMIT).await, End::NeverUp));
+            assert!(matches!(reach(address).sent(&parcel(""), LIMIT).await, End::NeverUp));
             let short = Duration::from_millis(20); // before the connect's own bound
-            assert!(matches!(reach(address).forward(&parcel(""), short).await, End::NeverUp));
+            assert!(matches!(reach(address).sent(&parcel(""), short).await, End::NeverUp));
             let silent = server(|mut stream| async move {
                 message(&mut stream).await;
                 tokio::time::sleep(Duration::from_secs(9)).await;
             });
-            assert!(matches!(reach(silent.await).forward(&parcel(""), LIMIT).await, End::Silent));
+            assert!(matches!(reach(silent.await).sent(&parcel(""), LIMIT).await, End::Silent));
         });
     }
 
@@ -227,7 +259,7 @@
                     assert!(matches!(closed, Ok(0) | Err(_)));
                 });
                 let (reach, begun) = (reach(address.await), std::time::Instant::now());
-                let end = reach.forward(&parcel("body"), 3 * LIMIT).await;
+                let end = reach.sent(&parcel("body"), 3 * LIMIT).await;
                 assert!(matches!(end, End::Unreadable | End::TooLarge), "{text}: {end:?}");
                 assert!(begun.elapsed() < LIMIT / 2, "{text}: {:?}", begun.elapsed());
             });
@@ -239,7 +271,7 @@
                 write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody").await;
                 std::future::pending::<()>().await
             });
-            let end = reach(address.await).forward(&parcel("body"), 3 * LIMIT).await;
+            let end = reach(address.await).sent(&parcel("body"), 3 * LIMIT).await;
             assert!(matches!(end, End::Unreadable), "{end:?}");
         });
     }
@@ -267,7 +299,7 @@
                 .await;
                 let reach = reach(address);
                 for _ in 0..3 {
-                    let end = reach.forward(&parcel(""), LIMIT).await;
+                    let end = reach.sent(&parcel(""), LIMIT).await;
                     assert!(
                         matches!(&end, End::Answered { body, .. } if body == "ok"),
                         "{behind}{later}: {end:?}"
@@ -293,7 +325,7 @@
                     seen.set(matches!(stream.read(&mut [0; 8]).await, Ok(0) | Err(_)));
                 }
             });
-            assert!(matches!(reach(address.await).forward(&parcel(""), LIMIT / 2).await, End::Silent));
+            assert!(matches!(reach(address.await).sent(&parcel(""), LIMIT / 2).await, End::Silent));
             tokio::time::sleep(Duration::from_millis(50)).await;
             assert!(closed.get());
         });
@@ -315,11 +347,11 @@
             let reach = reach(address);
             let hit = parcel("");
             for _ in 0..2 {
-                assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
+                assert!(matches!(reach.sent(&hit, LIMIT).await, End::Answered { .. }));
             }
-            assert!(matches!(reach.forward(&hit, LIMIT).await, End::CutAfter));
+            assert!(matches!(reach.sent(&hit, LIMIT).await, End::CutAfter));
             assert_eq!(made.get(), 1);
-            assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
+            assert!(matches!(reach.sent(&hit, LIMIT).await, End::Answered { .. }));
             assert_eq!(made.get(), 2);
 
             // The node closes it while it is idle: it is not written to again, and its end is not taken for
@@ -331,7 +363,7 @@
             });
             let reach = super::tests::reach(once.await);
             for _ in 0..2 {
-                assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
+                assert!(matches!(reach.sent(&hit, LIMIT).await, End::Answered { .. }));
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
 
@@ -339,7 +371,7 @@
                 answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok").await;
             let reach = super::tests::reach(closing);
             for _ in 0..2 {
-                assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
+                assert!(matches!(reach.sent(&hit, LIMIT).await, End::Answered { .. }));
             }
         });
     }
@@ -358,11 +390,11 @@
             let idle = Duration::from_millis(50);
             let reach = Reach::new(address, LIMIT, idle).expect("an address");
             let hit = parcel("");
-            let all = futures_util::future::join_all((0..150).map(|_| reach.forward(&hit, 3 * LIMIT))).await;
+            let all = futures_util::future::join_all((0..150).map(|_| reach.sent(&hit, 3 * LIMIT))).await;
             assert!(all.iter().all(|end| matches!(end, End::Answered { .. })));
             assert_eq!(made.get(), 150);
             tokio::time::sleep(2 * idle).await;
-            assert!(matches!(reach.forward(&hit, LIMIT).await, End::Answered { .. }));
+            assert!(matches!(reach.sent(&hit, LIMIT).await, End::Answered { .. }));
             assert_eq!(made.get(), 151);
         });
     }
--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -1,10 +1,11 @@
 //! The platform: its news as an event stream, and votes as forms answered in XML.
 
-use crate::memory::exchange::Exchange;
-use crate::memory::place::Place;
+use crate::wire::place::{Around, Place};
 use crate::wire::{line, whole, BODY_MOST};
+use futures_util::future::LocalBoxFuture;
 use futures_util::StreamExt;
 use magpieline::interface::{News, Phase, Receipt, Verdict, Vote};
+use magpieline_exchange::{Desk, Exchange};
 use quick_xml::events::Event;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -83,6 +84,16 @@
     }
 }
 
+/// Casts votes wherever the platform is by now.
+pub struct Clerk(pub Rc<Around>);
+
+impl Desk for Clerk {
+    fn cast(&self, vote: Vote) -> LocalBoxFuture<'static, (Receipt, Option<News>)> {
+        let around = self.0.clone();
+        Box::pin(async move { cast(&around.platform, vote, around.vote.get()).await })
+    }
+}
+
 /// Casts a vote on a connection of its own: the platform closes idle ones when it likes. Should the platform
 /// move, one that has gone out still gets its answer; one that has not is provably not cast.
 pub async fn cast(place: &Place, vote: Vote, limit: Duration) -> (Receipt, Option<News>) {
@@ -206,8 +217,8 @@
 }
 
 /// Follows the news for as long as the program runs, at once wherever a new configuration puts the platform.
-pub async fn follow(exchange: Rc<Exchange>) -> Infallible {
-    let place = &exchange.platform;
+pub async fn follow(exchange: Rc<Exchange>, around: Rc<Around>) -> Infallible {
+    let place = &around.platform;
     loop {
         let (turn, at) = (place.turn(), place.address());
         let listening = async {
@@ -342,9 +353,9 @@
                     write(&mut stream, &format!("{head}{:x}\r\n{event}\r\n", event.len())).await;
                 }
             });
-            let exchange = exchange();
-            exchange.platform.set(&at.await.to_string());
-            let following = follow(exchange);
+            let around = around();
+            around.platform.set(&at.await.to_string());
+            let following = follow(exchange(), around);
             let _ = tokio::time::timeout(Duration::from_millis(400), following).await;
             let opened = opened.borrow();
             assert!(opened.len() == 2 && opened[1] - opened[0] >= PAUSE, "{opened:?}");
--- a/agent/src/wire/end.rs
+++ b/exchange/src/end.rs
@@ -1,17 +1,16 @@
 //! Every way in which a forward can end, and what each means to the decisions.
 
 use bytes::Bytes;
-use http::HeaderValue;
 use magpieline::interface::Ending;
 
 /// How a forward's connection ended.
 #[derive(Debug)]
 pub enum End {
-    /// 200 and a whole body.
-    Answered { kind: Option<HeaderValue>, body: Bytes },
-    /// Any other whole answer that does not say that the hit was turned away.
+    /// An answer that counts, whole.
+    Answered { kind: Option<Bytes>, body: Bytes },
+    /// Any other whole answer that does not prove that the hit was turned away.
     Failed,
-    /// 503 or 504 that says so.
+    /// The node's word that it was turned away unseen.
     TurnedAway,
     /// The connection was refused, or could not be made at once.
     Refused,
@@ -23,7 +22,7 @@
     CutBefore,
     /// It ended after that, before the answer or within it.
     CutAfter,
-    /// What came is no HTTP answer.
+    /// What came is no answer of the protocol.
     Unreadable,
     /// The answer's body is larger than the protocol allows.
     TooLarge,
--- a/agent/src/memory/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -1,24 +1,23 @@
 //! The exchange: the one place where the clients' side and the servers' side meet. It alone holds the
 //! decisions, the clock and the timers, and carries out what the decisions say.
 
-use crate::memory::changes::{self, Changes, Pinned};
-use crate::memory::keys::{hash, Keys};
-use crate::memory::nodes::Nodes;
-use crate::memory::place::Place;
-use crate::memory::record::{Chosen, Looked, Record};
-use crate::memory::signal::Signal;
-use crate::wire::end::End;
-use crate::wire::nodes::{Parcel, Reach};
-use crate::wire::{guarded, headers, platform};
+use crate::changes::{self, Changes, Pinned};
+use crate::end::End;
+use crate::guard::guarded;
+use crate::keys::Keys;
+use crate::nodes::Nodes;
+use crate::signal::Signal;
 use bytes::Bytes;
-use http::{HeaderValue, Method};
+use futures_util::future::LocalBoxFuture;
 use magpieline::balance::Balancer;
 use magpieline::interface::*;
 use magpieline::names::{Door, Told};
 use magpieline_operator::versions::{Step, Versions};
 use magpieline_operator::watch;
 use magpieline_operator::Values;
-use magpieline_verdict::Terms;
+use magpieline_verdict::{Look, Terms};
+use serde::{Deserialize, Serialize};
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
@@ -30,20 +29,69 @@
 
 /// Complaints of one kind are logged once in this time, with their count: what fails, fails often.
 const COMPLAIN_EVERY: Duration = Duration::from_secs(5);
-/// Idle connections are dropped after this part of the time after which nodes close them: none is written to
-/// just as its node closes it.
-const IDLE_PART: f64 = 0.5;
 
 /// Looks at a release are kept once in this time, in seconds, and with each vote.
 const RECORD_EVERY: f64 = 1.0;
 
-/// The final answer to a hit.
+/// What a hit carries on its way: its id, bytes, and what its front needs besides to send them.
+pub struct Load {
+    /// The id's [`hash`](crate::hash): one in hand at a time.
+    pub id: u64,
+    /// A front's own type; a way that does not know it sends nothing.
+    pub head: Box<dyn Any>,
+    pub body: Bytes,
+}
+
+/// The final answer to a hit. `kind` says what the body is, in the words of the front's protocol.
 pub enum Answer {
-    Delivered { kind: Option<HeaderValue>, body: Bytes },
+    Delivered { kind: Option<Bytes>, body: Bytes },
     Bounced { again_after: f64 },
     Failed,
 }
 
+/// A way to a node: one protocol's connections to it.
+pub trait Way {
+    /// Sends a hit and waits for its end, all within `limit`. Dropping the future gives it up.
+    fn forward(&self, load: Rc<Load>, limit: Duration) -> LocalBoxFuture<'static, End>;
+}
+
+/// How a way to a listed node is made; an error says what is wrong with its line.
+pub type Ways = Box<dyn Fn(SocketAddr) -> Result<Rc<dyn Way>, String>>;
+
+/// Where votes are cast: the receipt, and the news that came with it.
+pub trait Desk {
+    fn cast(&self, vote: Vote) -> LocalBoxFuture<'static, (Receipt, Option<News>)>;
+}
+
+/// Where looks at releases are kept.
+pub type Looks = Box<dyn Fn(&Looked)>;
+
+/// What operators chose, as far as the exchange is concerned.
+#[derive(Clone, Debug, Default)]
+pub struct Chosen {
+    /// For the decisions.
+    pub named: Named,
+    /// How many connections clients may hold at most.
+    pub clients: Option<usize>,
+}
+
+/// A look at a release.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Looked {
+    /// Unix time.
+    pub at: f64,
+    pub build: u32,
+    pub stage: usize,
+    pub phase: String,
+    /// The vote that was cast with it, if one was.
+    pub vote: Option<String>,
+    pub look: Look,
+    pub entries: Vec<magpieline_verdict::Entry>,
+    /// The path groups' names, in order, and those of the nodes that entries mention.
+    pub groups: Vec<String>,
+    pub nodes: BTreeMap<usize, String>,
+}
+
 /// One line of the list, with the node's name and its address here; its index is given when it is taken in.
 pub struct Entry {
     pub uid: String,
@@ -55,9 +103,7 @@
 /// A hit in hand: what is sent on, and where its answer goes.
 struct Held {
     handle: HitHandle,
-    /// Its id, by its hash.
-    id: u64,
-    parcel: Rc<Parcel>,
+    load: Rc<Load>,
     answer: Option<oneshot::Sender<Answer>>,
     /// The version of the operators' file that it goes by, with its path group and when it was taken.
     pinned: Option<(Pinned, usize, f64)>,
@@ -85,15 +131,6 @@
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
 }
 
-/// What the settings say of the transport: how long a connect may take, how long a connection idles, how long a
-/// vote's answer is waited for.
-#[derive(Clone, Copy)]
-struct Times {
-    connect: Duration,
-    idle: Duration,
-    vote: Duration,
-}
-
 fn seconds(named: &Named, name: &str, otherwise: f64) -> Duration {
     match named.get(name) {
         Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
@@ -101,17 +138,6 @@
     }
 }
 
-impl Times {
-    fn read(named: &Named) -> Times {
-        // Where the settings say nothing: what TCP users commonly allow.
-        Times {
-            connect: seconds(named, "limits.connect_timeout_s", 1.0),
-            idle: seconds(named, "limits.conn_idle_s", 10.0).mul_f64(IDLE_PART),
-            vote: seconds(named, "family_info.call_timeout_s", 1.0),
-        }
-    }
-}
-
 /// Target latencies by path group, in seconds.
 fn targets(named: &Named) -> Vec<f64> {
     let target = |i: usize| {
@@ -157,14 +183,11 @@
     /// How each group's hits may be repeated, by the settings' word.
     repeats: Vec<String>,
     accounts: Door,
-    /// Where the list and the platform are asked.
-    pub discovery: Place,
-    pub platform: Place,
-    times: Cell<Times>,
+    ways: Ways,
     /// The settings that hold, as they were told.
     settings: RefCell<serde_json::Value>,
     /// Where looks at a release are kept, if anywhere.
-    record: RefCell<Option<Record>>,
+    looks: RefCell<Option<Looks>>,
     /// Target latencies by path group, in seconds.
     targets: RefCell<Vec<f64>>,
     /// Given while the list is to be asked for its changes.
@@ -207,12 +230,13 @@
 }
 
 impl Exchange {
+    /// An exchange told these settings; an error says where, what was found and what was expected.
     pub fn new(
         seed: u64,
         info: &serde_json::Value,
-        discovery: String,
-        platform: String,
         chosen: &Chosen,
+        looks: Option<Looks>,
+        ways: Ways,
     ) -> Result<Exchange, String> {
         let Told { mut named, groups, accounts, zones, zone } = Told::read(info)?;
         named.extend(chosen.named.clone());
@@ -223,7 +247,7 @@
             _ => None,
         };
         let repeats = (0..).map_while(|i| repeat(&format!("classes.{i}.repeat"))).collect();
-        let (times, targets) = (Times::read(&named), targets(&named));
+        let targets = targets(&named);
         let clock = Clock::start();
         let balancer = Balancer::start(seed, clock.now(), zone, named)?;
         let (nodes, keys, held, ids, complaints) = Default::default();
@@ -235,11 +259,9 @@
             groups,
             repeats,
             accounts,
-            discovery: Place::new(discovery),
-            platform: Place::new(platform),
-            times: times.into(),
+            ways,
             settings: RefCell::new(info.clone()),
-            record: chosen.record.as_ref().map(Record::open).transpose()?.into(),
+            looks: looks.into(),
             targets: targets.into(),
             follow: Signal::new(wanted),
             clients_most: chosen.clients.unwrap_or(usize::MAX).into(),
@@ -268,9 +290,8 @@
         order("classes", &self.groups, &groups)?;
         order("accounts", &self.accounts, &accounts)?;
         alone(&mut named);
-        let (times, targets) = (Times::read(&named), targets(&named));
+        let targets = targets(&named);
         self.state.borrow_mut().balancer.settle(self.clock.now(), named)?;
-        self.times.set(times);
         self.targets.replace(targets);
         self.settings.replace(info.clone());
         Ok(true)
@@ -282,13 +303,9 @@
         self.groups.known(name)
     }
 
-    /// Whether a method is that of a path group, with a key to tell repeats by or without.
-    pub fn fits(&self, group: usize, method: &Method, tagged: bool) -> bool {
-        match self.repeats.get(group).map(String::as_str) {
-            Some("retryable") => method == Method::GET,
-            Some("dedup") => method == Method::POST && tagged,
-            _ => method == Method::POST && !tagged,
-        }
+    /// How hits of a path group may be repeated, by the settings' word.
+    pub fn repeat(&self, group: usize) -> &str {
+        self.repeats.get(group).map_or("", String::as_str)
     }
 
     pub fn account(&self, name: &str) -> usize {
@@ -304,31 +321,21 @@
     }
 
     /// The newest build by the news.
-    #[cfg(test)]
     pub fn newest(&self) -> Option<u32> {
         self.state.borrow().news.map(|news| news.0)
     }
 
     /// The version of the operators' file that a hit goes by.
-    #[cfg(test)]
     pub fn version_of(&self, ticket: &Ticket) -> Option<u64> {
         let state = self.state.borrow();
         let held = state.held.get(ticket.handle.place as usize)?.as_ref()?;
         held.pinned.map(|(pin, ..)| pin.version)
     }
 
-    /// Forwards something to a node, whatever the decisions would say.
-    #[cfg(test)]
-    pub async fn try_node(&self, uid: &str) {
-        let reach = {
-            let state = self.state.borrow();
-            state.nodes.known(uid).and_then(|place| state.nodes.reach(place)).cloned().expect("a node")
-        };
-        let (headers, body) = (awc::http::header::HeaderMap::new(), Bytes::new());
-        let target = http::uri::PathAndQuery::from_static("/read");
-        let parcel = Parcel { method: Method::GET, target, headers, body };
-        let end = reach.forward(&parcel, COMPLAIN_EVERY).await;
-        assert!(matches!(end, End::Answered { .. }), "{end:?}");
+    /// The way to a node of this name.
+    pub fn way(&self, uid: &str) -> Option<Rc<dyn Way>> {
+        let state = self.state.borrow();
+        state.nodes.known(uid).and_then(|place| state.nodes.reach(place)).cloned()
     }
 
     pub fn nodes_known(&self) -> usize {
@@ -343,9 +350,8 @@
     }
 
     /// Takes a hit, unless one in hand bears the same id.
-    pub fn take(self: &Rc<Self>, arrival: Arrival, parcel: Parcel) -> Option<Ticket> {
-        let id = hash(parcel.headers.get(headers::TXN).map_or(b"", |v| v.as_bytes()));
-        if !self.state.borrow_mut().ids.insert(id) {
+    pub fn take(self: &Rc<Self>, arrival: Arrival, load: Load) -> Option<Ticket> {
+        if !self.state.borrow_mut().ids.insert(load.id) {
             return None;
         }
         let (sender, answer) = oneshot::channel();
@@ -362,8 +368,7 @@
             if place >= state.held.len() {
                 state.held.resize_with(place + 1, || None);
             }
-            state.held[place] =
-                Some(Held { handle, id, parcel: Rc::new(parcel), answer: Some(sender), pinned });
+            state.held[place] = Some(Held { handle, load: Rc::new(load), answer: Some(sender), pinned });
             (handle, next)
         };
         self.carry_out(handle, next);
@@ -391,7 +396,7 @@
             Next::Forward { node, limit } => self.forward(handle, node, limit),
             Next::Wait { pause } => {
                 let own = self.clone();
-                actix_rt::spawn(async move {
+                tokio::task::spawn_local(async move {
                     tokio::time::sleep(time(pause)).await;
                     let next = own.ask(|b, now| handle.resume(b, now));
                     own.carry_out(handle, next);
@@ -431,7 +436,7 @@
         let state = &mut *self.state.borrow_mut();
         let place = state.held.get_mut(handle.place as usize);
         if let Some(held) = place.and_then(|p| p.take_if(|h| h.handle == handle)) {
-            state.ids.remove(&held.id);
+            state.ids.remove(&held.load.id);
             if let (Some((pin, ..)), Some(changes)) = (held.pinned, &mut state.changes) {
                 changes.ended(pin);
             }
@@ -439,18 +444,18 @@
     }
 
     fn forward(self: &Rc<Self>, handle: HitHandle, node: usize, limit: f64) {
-        let (reach, parcel) = {
+        let (way, load) = {
             let state = self.state.borrow();
             let held = state.held.get(handle.place as usize).and_then(Option::as_ref);
-            (state.nodes.reach(node).cloned(), held.map(|h| h.parcel.clone()))
+            (state.nodes.reach(node).cloned(), held.map(|h| h.load.clone()))
         };
         let own = self.clone();
-        actix_rt::spawn(async move {
+        tokio::task::spawn_local(async move {
             let begun = Instant::now();
             let limit = time(limit);
-            let end = match (reach, parcel) {
-                (Some(reach), Some(parcel)) => {
-                    guarded("forward", reach.forward(&parcel, limit)).await.unwrap_or(End::Fault)
+            let end = match (way, load) {
+                (Some(way), Some(load)) => {
+                    guarded("forward", way.forward(load, limit)).await.unwrap_or(End::Fault)
                 }
                 _ => End::Nowhere,
             };
@@ -487,8 +492,8 @@
             if line.gone {
                 state.nodes.set(node, None); // its idle connections close
             } else if state.nodes.is_new(node, process) {
-                let reach = Reach::new(line.address, self.times.get().connect, self.times.get().idle);
-                state.nodes.set(node, reach.map_err(|e| log::warn!("node {}: {e}", line.uid)).ok());
+                let way = (self.ways)(line.address).map_err(|e| log::warn!("node {}: {e}", line.uid));
+                state.nodes.set(node, way.ok());
             }
         }
         if whole {
@@ -538,17 +543,14 @@
 
     /// Closes all connections to nodes that carry nothing: descriptors run short.
     pub fn drop_idle(&self) {
-        for reach in self.state.borrow_mut().nodes.reaches() {
-            *reach = reach
-                .take()
-                .and_then(|r| Reach::new(r.address, self.times.get().connect, self.times.get().idle).ok());
-        }
+        let state = &mut *self.state.borrow_mut();
+        state.nodes.anew(&self.ways);
     }
 
     // The timers.
 
-    /// Reviews when the decisions ask for it, for as long as the program runs.
-    pub async fn review(self: Rc<Self>) -> Infallible {
+    /// Reviews when the decisions ask for it, for as long as the program runs. Votes go to the desk.
+    pub async fn review(self: Rc<Self>, desk: Rc<dyn Desk>) -> Infallible {
         let mut recorded = f64::NEG_INFINITY;
         loop {
             let now = self.clock.now();
@@ -565,7 +567,7 @@
                 self.follow.give();
             }
             if let Some(vote) = review.vote {
-                actix_rt::spawn(self.clone().cast(vote, against));
+                tokio::task::spawn_local(self.clone().cast(desk.clone(), vote, against));
             }
             tokio::time::sleep(time(review.again_in)).await;
         }
@@ -574,19 +576,19 @@
     /// Keeps a look at the present release, with all that it rests on.
     fn record(&self, at: f64, vote: Option<Vote>) {
         let state = self.state.borrow();
-        let record = self.record.borrow();
-        let parts = record.as_ref().zip(state.balancer.look()).zip(state.news);
-        let Some(((record, look), (build, stage, phase))) = parts else { return };
+        let looks = self.looks.borrow();
+        let parts = looks.as_ref().zip(state.balancer.look()).zip(state.news);
+        let Some(((keep, look), (build, stage, phase))) = parts else { return };
         let (vote, phase) = (vote.map(|v| format!("{:?}", v.verdict)), format!("{phase:?}"));
         let entries = state.balancer.account();
         let named = |node: usize| Some((node, state.nodes.uid(node)?.to_owned()));
         let nodes = entries.iter().filter_map(|e| named(e.without?)).collect();
         let groups = self.group_names();
-        record.add(&Looked { at, build, stage, phase, vote, look, entries, groups, nodes });
+        keep(&Looked { at, build, stage, phase, vote, look, entries, groups, nodes });
     }
 
-    async fn cast(self: Rc<Self>, vote: Vote, against: String) {
-        let cast = guarded("vote", platform::cast(&self.platform, vote, self.times.get().vote)).await;
+    async fn cast(self: Rc<Self>, desk: Rc<dyn Desk>, vote: Vote, against: String) {
+        let cast = guarded("vote", desk.cast(vote)).await;
         let (receipt, news) = cast.unwrap_or((Receipt::Unknown, None));
         let Vote { verdict, build, stage } = vote;
         log::info!("vote: {verdict:?} on build {build} stage {stage}: {receipt:?} (against it: {against})");
@@ -636,10 +638,10 @@
     }
 
     /// What operators choose for all hits alike: rates of releases to come, where looks at them go.
-    pub fn choose(&self, terms: Option<Terms>, record: Option<Record>, clients: Option<usize>) {
+    pub fn choose(&self, terms: Option<Terms>, looks: Option<Looks>, clients: Option<usize>) {
         self.clients_most.set(clients.unwrap_or(usize::MAX));
         self.state.borrow_mut().balancer.choose_terms(terms);
-        *self.record.borrow_mut() = record;
+        *self.looks.borrow_mut() = looks;
     }
 
     /// What the watch of a change says now.
@@ -668,7 +670,29 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::testing::*;
+
+    /// A way on which nothing ever comes back.
+    struct Silence;
+
+    impl Way for Silence {
+        fn forward(&self, _: Rc<Load>, limit: Duration) -> LocalBoxFuture<'static, End> {
+            Box::pin(async move {
+                tokio::time::sleep(limit).await;
+                End::Silent
+            })
+        }
+    }
+
+    fn exchange() -> Rc<Exchange> {
+        let info = serde_json::json!({"classes": [{"name": "read", "repeat": "retryable", "hard_limit_us": 2000000}]});
+        let ways: Ways = Box::new(|_| Ok(Rc::new(Silence)));
+        Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"))
+    }
+
+    fn run<F: std::future::Future>(test: F) -> F::Output {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, test)
+    }
 
     #[test]
     fn any_number_is_a_time() {
@@ -691,22 +715,21 @@
     #[test]
     fn a_hit_gets_one_answer() {
         run(async {
-            let exchange = exchange_of(&[nobody().await]);
-            let arrival = Arrival { remaining: 1.0, ..Arrival::default() };
-            let parcel = || Parcel {
-                method: Method::GET,
-                target: http::uri::PathAndQuery::from_static("/read"),
-                headers: awc::http::header::HeaderMap::new(),
-                body: Bytes::new(),
-            };
-            let mut ticket = exchange.take(arrival, parcel()).expect("a hit");
-            assert!(exchange.take(arrival, parcel()).is_none(), "its id is in hand");
+            let exchange = exchange();
+            let listed =
+                Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
+            let address = "127.0.0.1:1".parse().expect("an address");
+            exchange.listed(true, true, vec![Entry { uid: "a".into(), listed, address, gone: false }]);
+            let arrival = Arrival { remaining: 0.2, ..Arrival::default() };
+            let load = || Load { id: 7, head: Box::new(()), body: Bytes::new() };
+            let mut ticket = exchange.take(arrival, load()).expect("a hit");
+            assert!(exchange.take(arrival, load()).is_none(), "its id is in hand");
             exchange.answer(ticket.handle, Answer::Bounced { again_after: 0.5 });
             exchange.answer(ticket.handle, Answer::Failed);
             assert!(matches!(ticket.answer().await, Answer::Bounced { again_after: 0.5 }));
             tokio::time::sleep(Duration::from_millis(300)).await;
             assert!(exchange.idle());
-            assert!(exchange.take(arrival, parcel()).is_some(), "its id is free again");
+            assert!(exchange.take(arrival, load()).is_some(), "its id is free again");
         });
     }
 }
--- a/agent/src/memory/nodes.rs
+++ b/exchange/src/nodes.rs
@@ -1,8 +1,9 @@
 //! Nodes at the door: small indices for their names, and how to reach them, in bounded memory.
 
-use crate::wire::nodes::Reach;
+use crate::exchange::{Way, Ways};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Beyond so many names a new one takes the place of a node that is gone. The decisions look at every place
 /// for each hit, so it is not large; it is far more than are ever listed at once.
@@ -15,7 +16,7 @@
 #[derive(Default)]
 struct Held {
     uid: String,
-    reach: Option<Reach>,
+    reach: Option<Rc<dyn Way>>,
     process: Option<Process>,
 }
 
@@ -52,16 +53,27 @@
         self.held.get(place).map(|h| h.uid.as_str())
     }
 
-    pub fn reach(&self, place: usize) -> Option<&Reach> {
+    pub fn reach(&self, place: usize) -> Option<&Rc<dyn Way>> {
         self.held.get(place)?.reach.as_ref()
     }
 
     /// Every way to reach a node, to be changed; none closes its idle connections.
-    pub fn reaches(&mut self) -> impl Iterator<Item = &mut Option<Reach>> {
+    pub fn reaches(&mut self) -> impl Iterator<Item = &mut Option<Rc<dyn Way>>> {
         self.held.iter_mut().map(|h| &mut h.reach)
     }
 
-    pub fn set(&mut self, place: usize, reach: Option<Reach>) {
+    /// New ways to all nodes that have one: the old ones close their idle connections once nothing is on them.
+    pub fn anew(&mut self, ways: &Ways) {
+        for held in &mut self.held {
+            if let (Some(way), Some((.., address))) = (&mut held.reach, held.process) {
+                if let Ok(new) = ways(address) {
+                    *way = new;
+                }
+            }
+        }
+    }
+
+    pub fn set(&mut self, place: usize, reach: Option<Rc<dyn Way>>) {
         if let Some(held) = self.held.get_mut(place) {
             held.reach = reach;
         }
@@ -78,12 +90,23 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::end::End;
+    use crate::exchange::Load;
+    use futures_util::future::LocalBoxFuture;
     use std::time::Duration;
 
+    struct Nothing;
+
+    impl Way for Nothing {
+        fn forward(&self, _: Rc<Load>, _: Duration) -> LocalBoxFuture<'static, End> {
+            Box::pin(async { End::Nowhere })
+        }
+    }
+
     #[test]
     fn places_of_gone_nodes_are_used_again_once_there_are_many() {
-        let (mut nodes, second) = (Nodes::default(), Duration::from_secs(1));
-        let reach = || Reach::new("127.0.0.1:1".parse().unwrap(), second, second).ok();
+        let mut nodes = Nodes::default();
+        let reach = || -> Option<Rc<dyn Way>> { Some(Rc::new(Nothing)) };
         for i in 0..MOST {
             let place = nodes.index(&i.to_string());
             nodes.set(place, reach());
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -115,10 +115,9 @@
         b.chance = Chance(ChaCha8Rng::seed_from_u64(seed));
         b.settle(now, named)?;
         (b.duel, b.long_faults) = (Duel::new(b.groups.len(), 0.0), Count { z: 2.0, sum: 0.2, squares: 0.2 });
-        b.evidence = Evidence::new(b.groups.len());
         b.wrong = Count { z: 1000.0, sum: 1000.0 * WRONG.0, squares: 0.0 };
         b.terms = crate::names::stated(&b.named)?;
-        b.idle = b.set("limits.conn_idle_s", 10.0);
+        (b.evidence, b.idle) = (Evidence::new(b.groups.len()), b.set("limits.conn_idle_s", 10.0));
         b.pool.start = (now * 10.0) as u64 as u32;
         b.following.on = text(&b.named, "discovery") != "on_request";
         Ok(b)
@@ -187,7 +186,7 @@
         told.for_each(|c| c.complained(now, usize::from(trial), node));
     }
 
-    /// An answer of a build has been found wrong, or just given. Usual is what the earlier builds' answers get.
+    /// An answer was found wrong, or just given. Usual is what the earlier builds' answers get.
     pub(crate) fn wrong(&mut self, build: u32, found: f64) {
         if self.news.is_some_and(|n| n.build == build) {
             let usual = self.wrong.mean();
@@ -632,8 +631,8 @@
     /// Whether the judges' word stands for what this agent makes of its own few outcomes: until none of them
     /// has been heard for three of their words.
     fn follows(&self) -> bool {
-        let judged = !self.pool.judges.is_empty() && !self.pool.judges();
-        judged && self.now < self.pool.heard_at.max(self.started) + 3.0 * WORD
+        let judged = self.pool.judges.is_empty() || self.pool.judges();
+        !judged && self.now < self.pool.heard_at.max(self.started) + 3.0 * WORD
     }
 
     /// What other agents (`None`: all) are to be told: own totals to the judges, their word to all.
@@ -682,10 +681,10 @@
         let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) };
         self.lately.fade(keep, reach);
         self.pool.answers *= keep;
+        // Others are taken to hold as much as this agent.
         let usual = (self.set("peers_total", 1.0) - 1.0).max(0.0) * f64::from(self.flying)
             / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
-            // Others are taken to hold as much as this agent.
             let size = n.listed.map_or(1.0, |l| l.rating.max(0.1));
             n.others += (1.0 - keep) * (usual * size - n.others);
             n.slow *= 1.0 - 0.1 * (1.0 - keep);
@@ -809,16 +808,13 @@
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         // A vote given for a stage stands, whatever machines are listed after it.
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
-        // Before the release the machines have to be warm to show what they can do; pooled, older ones are met.
-        let warm = if news.cap < 1.0 || self.blind() {
-            0.0
-        } else {
-            self.set("obligations.cold_s", 0.0) + 2.0 * SPAN
-        };
+        // Before the release the machines have to be warm to show what they do; pooled, older ones are met.
+        let full = self.set("obligations.cold_s", 0.0) + 2.0 * SPAN;
+        let warm = if news.cap < 1.0 || self.blind() { 0.0 } else { full };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
-        let alone = if self.pool.judges.is_empty() { 10.0 } else { 3.0 * WORD };
-        let due = due && (self.informed || self.now >= self.started + alone);
+        let alone = self.started + if self.pool.judges.is_empty() { 10.0 } else { 3.0 * WORD };
+        let due = due && (self.informed || self.now >= alone);
         [Verdict::Clear, Verdict::On][usize::from(trial && !doubtful && ripe && due)]
     }
 
