--- a/resp/src/reader.rs
+++ b/resp/src/reader.rs
@@ -300,7 +300,7 @@
                 };
                 Ok(Some(match mark {
                     b'!' => Value::BulkError(bytes),
-                    b'=' => match (&bytes[..]).split_at_checked(4) {
+                    b'=' => match bytes[..].split_at_checked(4) {
                         Some(([a, b, c, b':'], _)) => Value::Verbatim([*a, *b, *c], bytes.slice(4..)),
                         _ => return Err(Unreadable("a verbatim string: expected its kind")),
                     },
