--- a/exchange/src/end.rs
+++ b/exchange/src/end.rs
@@ -32,6 +32,8 @@
     Fault,
     /// The node has no address here: nothing was sent.
     Nowhere,
+    /// As many as may be are on their way to it: nothing was sent.
+    Busy,
 }
 
 impl End {
@@ -41,7 +43,7 @@
             End::Answered { .. } => Ending::Delivered,
             End::Failed => Ending::Errored,
             End::Unreadable | End::TooLarge => Ending::Spoilt,
-            End::TurnedAway => Ending::TurnedAway,
+            End::TurnedAway | End::Busy => Ending::TurnedAway,
             End::Refused | End::NeverUp | End::CutBefore => Ending::NoConnection,
             End::CutAfter | End::Fault => Ending::Broken,
             End::Silent => Ending::NoAnswer,
@@ -71,6 +73,7 @@
             (End::Silent, Ending::NoAnswer),
             (End::NoRoom, Ending::NeverSent),
             (End::Nowhere, Ending::NeverSent),
+            (End::Busy, Ending::TurnedAway),
         ];
         all.into_iter().for_each(|(end, means)| assert_eq!(end.ending(), means, "{end:?}"));
     }
