--- a/exchange/src/signal.rs
+++ b/exchange/src/signal.rs
@@ -19,6 +19,10 @@
         self.told.notify_waiters();
     }
 
+    pub fn given(&self) -> bool {
+        self.given.get()
+    }
+
     pub fn take_back(&self) {
         self.given.set(false);
     }
