The agent listens for RESP clients and reaches RESP nodes where its operators say so

An operators' file with a resp element (schema, checked at start, a change takes a restart); list lines may say that a node speaks resp; a hit goes only where its own protocol is spoken.

--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -453,11 +453,16 @@
 
 /// Whether what the new values say can be done at all; names what takes a restart.
 pub fn can_be(values: &Values, runs: &Values) -> Result<(), String> {
-    let of = |v: &Values| -> Vec<(String, Setting)> {
-        v.iter().filter(|(n, _)| n.starts_with("control.")).map(|(n, s)| (n.clone(), s.clone())).collect()
+    let of = |v: &Values, what: &str| -> Vec<(String, Setting)> {
+        v.iter().filter(|(n, _)| n.starts_with(what)).map(|(n, s)| (n.clone(), s.clone())).collect()
     };
-    if of(values) != of(runs) {
-        return Err("control: expected as it runs, a change of it takes a restart".into());
+    for what in ["control", "resp"] {
+        let what = format!("{what}.");
+        if of(values, &what) != of(runs, &what) {
+            return Err(
+                format!("{what} expected as it runs, a change of it takes a restart").replace(". ", ": ")
+            );
+        }
     }
     start::terms(&start::chosen(values)).map(drop)
 }
--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -5,11 +5,13 @@
 pub mod log_form;
 pub mod record;
 mod reload;
+mod resp;
 pub mod start;
 mod stop;
 
 use crate::wire::{clients, list, platform};
 use magpieline_exchange::{kept, Crowd};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpSocket;
@@ -45,15 +47,23 @@
     actix_rt::System::new().block_on(async move {
         // Before anyone can know of this program: without them a signal would end it.
         let (reloads, stops) = (reload::signals()?, stop::signals()?);
-        let bind = || {
-            let socket = if start.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-            socket.set_reuseaddr(true)?; // the address is the same after a restart
-            socket.bind(start.listen)?;
-            socket.listen(BACKLOG)
+        let bind = |at: SocketAddr| {
+            let listen = || {
+                let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+                socket.set_reuseaddr(true)?; // the address is the same after a restart
+                socket.bind(at)?;
+                socket.listen(BACKLOG)
+            };
+            listen().map_err(|e: std::io::Error| format!("{at}: could not be listened on: {e}"))
         };
-        let listener = bind().map_err(|e| format!("{}: could not be listened on: {e}", start.listen))?;
+        let listener = bind(start.listen)?;
         log::info!("{}: listening on {}", start.name, start.listen);
         let (listener, crowd) = (Rc::new(listener), Rc::new(Crowd::new(start.descriptors)));
+        if let Some((at, front)) = resp::front(&start.values, &exchange, &crowd)? {
+            let listener = bind(at)?;
+            log::info!("{}: listening on {at} for RESP", start.name);
+            actix_rt::spawn(magpieline_front_resp::serve(front, listener));
+        }
         let (own, desk) = (exchange.clone(), Rc::new(platform::Clerk(around.clone())));
         actix_rt::spawn(async move { kept("review", || own.clone().review(desk.clone())).await });
         let (own, at) = (exchange.clone(), around.clone());
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -1,6 +1,7 @@
 //! What an agent is told at its start: the environment names the configuration, that holds the rest.
 
 use crate::life::record::Record;
+use crate::life::resp;
 use crate::wire::place::Around;
 use crate::wire::{list, nodes, platform};
 use magpieline::interface::Value;
@@ -137,7 +138,8 @@
 
     /// The exchange, told what the configuration knows.
     pub fn exchange(&self, around: &Around) -> Result<Exchange, String> {
-        let (info, ways) = (self.settings()?, nodes::ways(around.times.clone()));
+        let login = resp::login(&self.values)?;
+        let (info, ways) = (self.settings()?, nodes::ways(around.times.clone(), login, self.seed));
         let exchange = Exchange::new(self.seed, info, &chosen(&self.values), looks(&self.values)?, ways)
             .map_err(|e| format!("settings: {e}"))?;
         if let Some(known) = self.body.get("known").filter(|k| !k.is_null()) {
--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -44,14 +44,15 @@
 
 pub fn exchange() -> Rc<Exchange> {
     let info = serde_json::from_str(SETTINGS).expect("settings");
-    let ways = nodes::ways(around().times.clone());
+    let ways = nodes::ways(around().times.clone(), None, 1);
     Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"))
 }
 
 /// An exchange that knows these nodes.
 pub fn exchange_of(nodes: &[SocketAddr]) -> Rc<Exchange> {
     let exchange = exchange();
-    let listed = Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
+    let listed =
+        Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
     let line =
         |address: &SocketAddr| Entry { uid: address.to_string(), listed, address: *address, gone: false };
     exchange.listed(true, true, nodes.iter().map(line).collect());
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -53,6 +53,11 @@
         cell: entry.number_or("pod_group", 0.0)? as i64,
         rating: entry.number_or("capacity_hint", 1.0)?,
         up_since: entry.number_or("boot_ms", 0.0)? / 1e3,
+        speaks: match entry.text_or_none("speaks")? {
+            None | Some("http") => 0,
+            Some("resp") => magpieline_front_resp::SPEAKS,
+            Some(_) => return wrong("speaks", "http or resp"),
+        },
     };
     Ok(Entry { uid: entry.text("uid")?.to_owned(), listed, address, gone: state == "gone" })
 }
--- a/agent/src/wire/nodes.rs
+++ b/agent/src/wire/nodes.rs
@@ -12,6 +12,7 @@
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{Method, Uri};
 use magpieline_exchange::{End, Load, Way, Ways};
+use magpieline_front_resp::{Login, Pipes};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,10 +33,14 @@
     pub idle: Duration,
 }
 
-/// Ways to nodes over HTTP/1.1.
-pub fn ways(times: Rc<Cell<Times>>) -> Ways {
-    Box::new(move |address| {
+/// Ways to nodes over HTTP/1.1, and over RESP to those that are listed with it.
+pub fn ways(times: Rc<Cell<Times>>, login: Option<Login>, seed: u64) -> Ways {
+    Box::new(move |address, speaks| {
         let Times { connect, idle } = times.get();
+        if speaks == magpieline_front_resp::SPEAKS {
+            let spread = seed ^ magpieline_exchange::hash(address.to_string().as_bytes());
+            return Ok(Rc::new(Pipes::new(address, connect, idle, login.clone(), spread)));
+        }
         Ok(Rc::new(Reach::new(address, connect, idle)?))
     })
 }
--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -181,6 +181,7 @@
                 cell: entry.number_or("cell", 0.0)? as i64,
                 rating: entry.number_or("rating", 1.0)?,
                 up_since: entry.seconds_or_0("up_since_us")?,
+                speaks: 0,
             });
         }
         self.balancer.listed(now, whole, fresh, &lines);
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -55,8 +55,9 @@
     fn forward(&self, load: Rc<Load>, limit: Duration) -> LocalBoxFuture<'static, End>;
 }
 
-/// How a way to a listed node is made; an error says what is wrong with its line.
-pub type Ways = Box<dyn Fn(SocketAddr) -> Result<Rc<dyn Way>, String>>;
+/// How a way to a listed node is made, by its address and the protocol that it speaks; an error says what is wrong
+/// with its line.
+pub type Ways = Box<dyn Fn(SocketAddr, u8) -> Result<Rc<dyn Way>, String>>;
 
 /// Where votes are cast: the receipt, and the news that came with it.
 pub trait Desk {
@@ -488,11 +489,12 @@
         for line in lines {
             let node = state.nodes.index(&line.uid);
             listed.push(Listed { node, ..line.listed });
-            let process = (line.listed.build, line.listed.up_since, line.address);
+            let process = (line.listed.build, line.listed.up_since, line.address, line.listed.speaks);
             if line.gone {
                 state.nodes.set(node, None); // its idle connections close
             } else if state.nodes.is_new(node, process) {
-                let way = (self.ways)(line.address).map_err(|e| log::warn!("node {}: {e}", line.uid));
+                let way = (self.ways)(line.address, line.listed.speaks)
+                    .map_err(|e| log::warn!("node {}: {e}", line.uid));
                 state.nodes.set(node, way.ok());
             }
         }
@@ -685,7 +687,7 @@
 
     fn exchange() -> Rc<Exchange> {
         let info = serde_json::json!({"classes": [{"name": "read", "repeat": "retryable", "hard_limit_us": 2000000}]});
-        let ways: Ways = Box::new(|_| Ok(Rc::new(Silence)));
+        let ways: Ways = Box::new(|_, _| Ok(Rc::new(Silence)));
         Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"))
     }
 
@@ -716,8 +718,16 @@
     fn a_hit_gets_one_answer() {
         run(async {
             let exchange = exchange();
-            let listed =
-                Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
+            let listed = Listed {
+                node: 0,
+                open: true,
+                build: 1,
+                zone: 0,
+                cell: 0,
+                rating: 1.0,
+                up_since: 0.0,
+                speaks: 0,
+            };
             let address = "127.0.0.1:1".parse().expect("an address");
             exchange.listed(true, true, vec![Entry { uid: "a".into(), listed, address, gone: false }]);
             let arrival = Arrival { remaining: 0.2, ..Arrival::default() };
--- a/exchange/src/nodes.rs
+++ b/exchange/src/nodes.rs
@@ -9,8 +9,8 @@
 /// for each hit, so it is not large; it is far more than are ever listed at once.
 const MOST: usize = 1024;
 
-/// What tells one process from the next under the same name: build, start and address.
-type Process = (u32, f64, SocketAddr);
+/// What tells one process from the next under the same name: build, start, address and protocol.
+type Process = (u32, f64, SocketAddr, u8);
 
 /// A node's name, and how to reach it and as which process; none for one that is gone.
 #[derive(Default)]
@@ -65,8 +65,8 @@
     /// New ways to all nodes that have one: the old ones close their idle connections once nothing is on them.
     pub fn anew(&mut self, ways: &Ways) {
         for held in &mut self.held {
-            if let (Some(way), Some((.., address))) = (&mut held.reach, held.process) {
-                if let Ok(new) = ways(address) {
+            if let (Some(way), Some((.., address, speaks))) = (&mut held.reach, held.process) {
+                if let Ok(new) = ways(address, speaks) {
                     *way = new;
                 }
             }
--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -1,7 +1,7 @@
 //! Clients over RESP: commands in, each handed to the exchange or answered here, replies out in their order.
 
 use crate::table::{Odd, Table};
-use crate::way::Command;
+use crate::way::{Command, SPEAKS};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesOrdered;
@@ -255,6 +255,7 @@
                         key,
                         account: usize::MAX,
                         remaining,
+                        speaks: SPEAKS,
                         ..Arrival::default()
                     };
                     self.hit(front, visit, gone, arrival, &words)
@@ -452,10 +453,19 @@
             {"name": "book", "repeat": "dedup", "dedup_scope": "all", "dedup_window_us": 1000000, "hard_limit_us": 2000000}]});
         let second = Duration::from_secs(1);
         let ways: Ways =
-            Box::new(move |address| Ok(Rc::new(Pipes::new(address, second, 9 * second, None, 1))));
+            Box::new(move |address, _| Ok(Rc::new(Pipes::new(address, second, 9 * second, None, 1))));
         let exchange = Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange");
         let exchange = Rc::new(exchange);
-        let listed = Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
+        let listed = Listed {
+            node: 0,
+            open: true,
+            build: 1,
+            zone: 0,
+            cell: 0,
+            rating: 1.0,
+            up_since: 0.0,
+            speaks: SPEAKS,
+        };
         let entry =
             |address: &SocketAddr| Entry { uid: address.to_string(), listed, address: *address, gone: false };
         if !nodes.is_empty() {
--- a/front-resp/src/lib.rs
+++ b/front-resp/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use front::{serve, Front};
 pub use table::{Row, Table};
-pub use way::{Command, Login, Pipes};
+pub use way::{Command, Login, Pipes, SPEAKS};
--- a/front-resp/src/way.rs
+++ b/front-resp/src/way.rs
@@ -34,6 +34,9 @@
 const UNSEEN: [&[u8]; 8] =
     [b"TRYAGAIN", b"LOADING", b"BUSY", b"CLUSTERDOWN", b"MASTERDOWN", b"READONLY", b"OOM", b"NOAUTH"];
 
+/// How the decisions count this protocol; HTTP/1.1 is 0.
+pub const SPEAKS: u8 = 1;
+
 /// The head of a hit that came as a command; its bytes are the load's body.
 pub struct Command;
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -340,7 +340,7 @@
             fit.clear();
             for i in 0..self.nodes.len() {
                 let Some(line) = self.nodes[i].listed.filter(|l| l.open) else { continue };
-                let same = repeat == Repeat::Repeatable || hit.within(scope, &line);
+                let same = hit.may_go(repeat, scope, &line);
                 let able = if unfit { repeat != Repeat::Mutating } else { self.fit(i, repeat) };
                 let wanted = self.standing(line.build) == standing && line.build >= least_build;
                 if same
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -19,7 +19,7 @@
 }
 
 fn line(node: usize, build: u32, up_since: f64) -> Listed {
-    Listed { node, open: true, build, zone: node % 2, cell: 0, rating: 1.0, up_since }
+    Listed { node, open: true, build, zone: node % 2, cell: 0, rating: 1.0, up_since, speaks: 0 }
 }
 
 /// Four nodes of build 1 (0 to 3) and four of build 2 (4 to 7), with news of build 2.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -40,6 +40,8 @@
     /// where they state none. They only narrow what the settings allow.
     pub most: u32,
     pub longest: f64,
+    /// The protocol that it came in.
+    pub speaks: u8,
 }
 
 /// What is to be done with a hit now.
@@ -96,6 +98,8 @@
     pub rating: f64,
     /// When it last started; 0: long ago.
     pub up_since: f64,
+    /// The protocol it speaks, as the front counts them; a hit goes only where its own is spoken.
+    pub speaks: u8,
 }
 
 /// How a build stands.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 //! named.insert("classes.0.hard_limit_s".into(), Value::Number(2.0));
 //! let mut balancer = Balancer::start(1, 0.0, None, named)?;
 //!
-//! let line = Listed { node: 0, open: true, build: 41, zone: 0, cell: 0, rating: 1.0, up_since: 0.0 };
+//! let line = Listed { node: 0, open: true, build: 41, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
 //! balancer.listed(0.0, true, true, &[line]);
 //! let (handle, next) = balancer.take(0.1, Arrival { remaining: 2.0, ..Arrival::default() });
 //! assert!(matches!(next, Next::Forward { node: 0, .. }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,8 +224,11 @@
         let most = if most > 0 { f64::from(most) } else { f64::INFINITY };
         (most, if longest > 0.0 { longest } else { f64::INFINITY })
     }
-    /// Whether a node drops repeats of this hit, if it may have run.
-    pub fn within(&self, scope: Scope, line: &Listed) -> bool {
+    /// Whether a node speaks this hit's protocol and, if it may have run and is not repeatable, drops its repeats.
+    pub fn may_go(&self, repeat: Repeat, scope: Scope, line: &Listed) -> bool {
+        self.arrival.speaks == line.speaks && (repeat == Repeat::Repeatable || self.within(scope, line))
+    }
+    fn within(&self, scope: Scope, line: &Listed) -> bool {
         match (self.risk, scope) {
             (Some((_, zone, _)), Scope::Zone) => zone == line.zone,
             (Some((_, _, cell)), Scope::Cell) => cell == line.cell,
--- a/trials/src/release.rs
+++ b/trials/src/release.rs
@@ -216,6 +216,7 @@
             cell: 0,
             rating: 1.0,
             up_since: n.up_since,
+            speaks: 0,
         };
         self.fleet.nodes.iter().enumerate().map(line).collect()
     }
