--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -722,4 +722,30 @@
             assert!(told(row("book", 0.0)).contains("mark: expected, its group is tagged"));
         });
     }
+    /// A client library from the registry, unmodified: single commands, a pipeline, the newer version, an error.
+    #[test]
+    fn a_client_library_talks_through_it() {
+        run(async {
+            let node = echo(Duration::from_millis(1)).await;
+            let (_, at) = front(&[node.address], Some("secret")).await;
+            let (done, answered) = tokio::sync::oneshot::channel();
+            std::thread::spawn(move || {
+                let talk = |query: &str| -> redis::RedisResult<()> {
+                    let client = redis::Client::open(format!("redis://:secret@{at}/{query}"))?;
+                    let mut connection = client.get_connection()?;
+                    let one: String = redis::cmd("GET").arg("k").query(&mut connection)?;
+                    assert_eq!(one, "k");
+                    let mut pipe = redis::pipe();
+                    (0..50).for_each(|i| drop(pipe.cmd("GET").arg(format!("k{i}"))));
+                    let all: Vec<String> = pipe.query(&mut connection)?;
+                    assert_eq!(all, (0..50).map(|i| format!("k{i}")).collect::<Vec<_>>());
+                    let refused: redis::RedisResult<String> = redis::cmd("FLUSHALL").query(&mut connection);
+                    assert!(refused.expect_err("refused").to_string().contains("unknown command"));
+                    Ok(())
+                };
+                let _ = done.send(talk("").and_then(|()| talk("?protocol=resp3")).map_err(|e| e.to_string()));
+            });
+            assert_eq!(answered.await.expect("the client's thread ends well"), Ok(()));
+        });
+    }
 }
