--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -736,7 +736,9 @@
                     let one: String = redis::cmd("GET").arg("k").query(&mut connection)?;
                     assert_eq!(one, "k");
                     let mut pipe = redis::pipe();
-                    (0..50).for_each(|i| drop(pipe.cmd("GET").arg(format!("k{i}"))));
+                    for i in 0..50 {
+                        pipe.cmd("GET").arg(format!("k{i}"));
+                    }
                     let all: Vec<String> = pipe.query(&mut connection)?;
                     assert_eq!(all, (0..50).map(|i| format!("k{i}")).collect::<Vec<_>>());
                     let refused: redis::RedisResult<String> = redis::cmd("FLUSHALL").query(&mut connection);
