--- a/front-resp/src/way.rs
+++ b/front-resp/src/way.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// Commands on one connection whose replies are owed: each may have to wait for all before it.
-const DEPTH: usize = 16;
+const DEPTH: usize = 64;
 /// Another connection is opened, while there may be one, rather than wait behind so many.
 const CROWDED: usize = 4;
 /// Connections to one node. They cost it descriptors and memory, and this agent too.
