--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -418,67 +418,9 @@
 mod tests {
     use super::*;
     use crate::testing::*;
-    use crate::way::Pipes;
-    use magpieline::interface::Listed;
-    use magpieline_exchange::{Chosen, Entry, Ways};
     use magpieline_operator::Setting;
     use std::net::SocketAddr;
 
-    /// GET is a read, SET a payment, BOOK a booking that the second argument marks, WAITS a read that says how long.
-    fn table(exchange: &Exchange) -> Table {
-        let rows = [
-            ("get", "read", 1, 0, 0),
-            ("SET", "pay", 1, 0, 0),
-            ("BOOK", "book", 1, 2, 0),
-            ("WAITS", "read", 1, 0, 2),
-        ];
-        let mut values = magpieline_operator::Values::new();
-        for (i, (name, group, key, mark, at)) in rows.into_iter().enumerate() {
-            let mut put = |what: &str, setting| values.insert(format!("resp.command.{i}.{what}"), setting);
-            put("name", Setting::Text(name.into()));
-            put("group", Setting::Text(group.into()));
-            put("key", Setting::Number(f64::from(key)));
-            put("mark", Setting::Number(f64::from(mark)));
-            put("timeout_ms", Setting::Number(1500.0));
-            put("timeout_at", Setting::Number(f64::from(at)));
-        }
-        Table::read(&values, exchange).expect("a table")
-    }
-
-    /// A front over these nodes, and where clients reach it.
-    async fn front(nodes: &[SocketAddr], password: Option<&str>) -> (Rc<Exchange>, SocketAddr) {
-        let info = serde_json::json!({"classes": [
-            {"name": "read", "repeat": "retryable", "hard_limit_us": 2000000},
-            {"name": "pay", "repeat": "fragile", "hard_limit_us": 2000000},
-            {"name": "book", "repeat": "dedup", "dedup_scope": "all", "dedup_window_us": 1000000, "hard_limit_us": 2000000}]});
-        let second = Duration::from_secs(1);
-        let ways: Ways =
-            Box::new(move |address, _| Ok(Rc::new(Pipes::new(address, second, 9 * second, None, 1))));
-        let exchange = Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange");
-        let exchange = Rc::new(exchange);
-        let listed = Listed {
-            node: 0,
-            open: true,
-            build: 1,
-            zone: 0,
-            cell: 0,
-            rating: 1.0,
-            up_since: 0.0,
-            speaks: SPEAKS,
-        };
-        let entry =
-            |address: &SocketAddr| Entry { uid: address.to_string(), listed, address: *address, gone: false };
-        if !nodes.is_empty() {
-            exchange.listed(true, true, nodes.iter().map(entry).collect());
-        }
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let address = listener.local_addr().expect("an address");
-        let (table, crowd) = (table(&exchange), Rc::new(Crowd::new(1000)));
-        let front = Front::new(exchange.clone(), crowd, table, password.map(str::to_owned));
-        tokio::task::spawn_local(serve(Rc::new(front), listener));
-        (exchange, address)
-    }
-
     /// Sends text, and what comes back until the other side ends or nothing more comes for a while.
     async fn told(stream: &mut TcpStream, text: &[u8]) -> String {
         stream.write_all(text).await.expect("sent");
@@ -704,6 +646,53 @@
         });
     }
 
+    /// Batches go on while a node is told to drain: what it has is answered, nothing new comes to it, no hit is lost.
+    #[test]
+    fn a_drain_in_the_middle_of_a_batch_takes_nothing_new_there() {
+        run(async {
+            let (a, b) = (echo(Duration::from_millis(1)).await, echo(Duration::from_millis(1)).await);
+            let (exchange, at) = front(&[a.address, b.address], None).await;
+            let talk = |client_number: usize| async move {
+                let mut stream = client(at).await;
+                let (mut reader, mut got) = (Reader::new(Bounds::default()), 0);
+                for batch in 0..8 {
+                    let keys = (0..40).map(|i| format!("k{client_number}-{batch}-{i}"));
+                    let text: Vec<u8> = keys.flat_map(|k| encoded(&format!("GET {k}"))).collect();
+                    stream.write_all(&text).await.expect("sent");
+                    let owed = got + 40;
+                    while got < owed {
+                        match reader.value().expect("readable") {
+                            Some(Value::Bulk(word)) => {
+                                assert_eq!(word, format!("k{client_number}-{batch}-{}", got % 40));
+                                got += 1;
+                            }
+                            Some(other) => panic!("{other:?}"),
+                            None => {
+                                let mut piece = BytesMut::with_capacity(PIECE);
+                                assert!(stream.read_buf(&mut piece).await.expect("read") > 0);
+                                reader.feed(&piece);
+                            }
+                        }
+                    }
+                }
+            };
+            let drains = async {
+                tokio::time::sleep(Duration::from_millis(60)).await;
+                let seen = || a.seen.borrow().values().sum::<u32>();
+                assert!(seen() > 0, "it had none before");
+                exchange.listed(true, true, vec![entry(a.address, false), entry(b.address, true)]);
+                // What it has on its connections by then, a millisecond each.
+                tokio::time::sleep(Duration::from_millis(250)).await;
+                let (before, all) = (seen(), b.seen.borrow().len());
+                tokio::time::sleep(Duration::from_millis(250)).await;
+                assert_eq!(seen(), before, "something new came to it");
+                assert!(b.seen.borrow().len() > all, "no load any more: nothing was shown");
+            };
+            futures_util::future::join(futures_util::future::join_all((0..4).map(talk)), drains).await;
+            assert!(exchange.idle());
+        });
+    }
+
     #[test]
     fn rows_that_do_not_fit_the_platform_s_groups_are_refused() {
         run(async {
--- a/front-resp/src/lib.rs
+++ b/front-resp/src/lib.rs
@@ -1,6 +1,8 @@
 //! RESP on the exchange: [`serve`] meets clients, [`Pipes`] reach nodes over pooled, pipelined connections; what a
 //! command is to the decisions is said by a [`Table`].
 
+#[cfg(test)]
+mod faults;
 mod front;
 mod table;
 #[cfg(test)]
--- a/front-resp/src/testing.rs
+++ b/front-resp/src/testing.rs
@@ -1,9 +1,13 @@
 //! Stand-ins for nodes on loopback, and a runtime.
 
-use crate::way::Command;
+use crate::front::{serve, Front};
+use crate::table::Table;
+use crate::way::{Command, Pipes, SPEAKS};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
-use magpieline_exchange::Load;
+use magpieline::interface::Listed;
+use magpieline_exchange::{Chosen, Crowd, Entry, Exchange, Load, Ways};
+use magpieline_operator::Setting;
 use magpieline_resp::{Bounds, Reader, Value, Version};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -15,9 +19,14 @@
 use tokio::net::{TcpListener, TcpStream};
 
 pub fn run<F: Future>(test: F) -> F::Output {
+    run_within(30, test)
+}
+
+pub fn run_within<F: Future>(seconds: u64, test: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let timed =
-        async { tokio::time::timeout(Duration::from_secs(30), test).await.expect("a test ends in time") };
+    let timed = async {
+        tokio::time::timeout(Duration::from_secs(seconds), test).await.expect("a test ends in time")
+    };
     tokio::task::LocalSet::new().block_on(&runtime, timed)
 }
 
@@ -32,7 +41,7 @@
     Rc::new(Load { id: 1, head: Box::new(Command), body: encoded(command) })
 }
 
-async fn served<F: Future + 'static>(script: impl Fn(TcpStream) -> F + 'static) -> SocketAddr {
+pub async fn served<F: Future + 'static>(script: impl Fn(TcpStream) -> F + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     tokio::task::spawn_local(async move {
@@ -160,3 +169,53 @@
 pub async fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").await.and_then(|l| l.local_addr()).expect("an address")
 }
+
+/// GET is a read, SET a payment, BOOK a booking that the second argument marks, WAITS a read that says how long.
+pub fn table(exchange: &Exchange) -> Table {
+    let rows = [
+        ("get", "read", 1, 0, 0),
+        ("SET", "pay", 1, 0, 0),
+        ("BOOK", "book", 1, 2, 0),
+        ("WAITS", "read", 1, 0, 2),
+    ];
+    let mut values = magpieline_operator::Values::new();
+    for (i, (name, group, key, mark, at)) in rows.into_iter().enumerate() {
+        let mut put = |what: &str, setting| values.insert(format!("resp.command.{i}.{what}"), setting);
+        put("name", Setting::Text(name.into()));
+        put("group", Setting::Text(group.into()));
+        put("key", Setting::Number(f64::from(key)));
+        put("mark", Setting::Number(f64::from(mark)));
+        put("timeout_ms", Setting::Number(1500.0));
+        put("timeout_at", Setting::Number(f64::from(at)));
+    }
+    Table::read(&values, exchange).expect("a table")
+}
+
+/// A front over these nodes, and where clients reach it.
+pub async fn front(nodes: &[SocketAddr], password: Option<&str>) -> (Rc<Exchange>, SocketAddr) {
+    let info = serde_json::json!({"classes": [
+        {"name": "read", "repeat": "retryable", "hard_limit_us": 2000000},
+        {"name": "pay", "repeat": "fragile", "hard_limit_us": 2000000},
+        {"name": "book", "repeat": "dedup", "dedup_scope": "all", "dedup_window_us": 1000000, "hard_limit_us": 2000000}]});
+    let second = Duration::from_secs(1);
+    let ways: Ways =
+        Box::new(move |address, _| Ok(Rc::new(Pipes::new(address, second, 9 * second, None, 1))));
+    let exchange = Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange");
+    let exchange = Rc::new(exchange);
+    if !nodes.is_empty() {
+        exchange.listed(true, true, nodes.iter().map(|a| entry(*a, true)).collect());
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let (table, crowd) = (table(&exchange), Rc::new(Crowd::new(1000)));
+    let front = Front::new(exchange.clone(), crowd, table, password.map(str::to_owned));
+    tokio::task::spawn_local(serve(Rc::new(front), listener));
+    (exchange, address)
+}
+
+/// A line of the list.
+pub fn entry(address: SocketAddr, open: bool) -> Entry {
+    let listed =
+        Listed { node: 0, open, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: SPEAKS };
+    Entry { uid: address.to_string(), listed, address, gone: false }
+}
--- a/front-resp/src/way.rs
+++ b/front-resp/src/way.rs
@@ -28,6 +28,12 @@
 const GIVEN_UP: Duration = Duration::from_secs(2);
 /// Before a node that could not be connected is tried again: soon, doubling to 32 times that, spread out.
 const PAUSE: Duration = Duration::from_millis(50);
+/// A node that takes no byte for so long, while some wait to be written, is left: those commands never ran and may go
+/// elsewhere at once, and none reaches it late, after it was told to drain perhaps. Well below any drain's grace,
+/// well above a pause of the kernel's.
+const STUCK: Duration = Duration::from_millis(500);
+/// Bytes that wait to be written; more commands wait with those who sent them, and can be withdrawn.
+const OUT_MOST: usize = 16 << 10;
 /// A part of a reply read at once.
 const PIECE: usize = 16 << 10;
 /// Error words by which a node says that it has not begun a command, by the published meaning of each.
@@ -258,18 +264,19 @@
     let count = |owed: &VecDeque<Owed>, orders: &mpsc::UnboundedReceiver<Order>| {
         line.upgrade().iter().for_each(|l| l.owed.set(owed.len() + orders.len()));
     };
-    let mut ordering = true;
+    let (mut ordering, mut moved) = (true, Instant::now());
     let spoilt = loop {
         count(&owed, &orders);
         let given_up = line.upgrade().and_then(|l| l.given_up.get());
         let close_at = match given_up {
+            _ if !out.is_empty() => moved + STUCK,
             Some(since) => since + GIVEN_UP,
-            None if owed.is_empty() && out.is_empty() => Instant::now() + node.idle,
+            None if owed.is_empty() => Instant::now() + node.idle,
             None => Instant::now() + Duration::from_secs(3600), // forwards have limits of their own
         };
         let mut piece = BytesMut::with_capacity(PIECE);
         tokio::select! {
-            order = orders.recv(), if ordering && owed.len() < DEPTH => match order {
+            order = orders.recv(), if ordering && owed.len() < DEPTH && out.len() < OUT_MOST => match order {
                 None => {
                     ordering = false;
                     if owed.is_empty() {
@@ -279,6 +286,9 @@
                 Some(order) if order.withdrawn.get() => {}
                 Some(order) => {
                     order.begun.set(true);
+                    if out.is_empty() {
+                        moved = Instant::now();
+                    }
                     queued += order.bytes.len() as u64;
                     out.extend_from_slice(&order.bytes);
                     owed.push_back(Owed { whole_at: queued, reply: order.reply });
@@ -287,7 +297,7 @@
             sent = to.write(&out), if !out.is_empty() => match sent {
                 Ok(n) if n > 0 => {
                     out.advance(n);
-                    written += n as u64;
+                    (written, moved) = (written + n as u64, Instant::now());
                 }
                 _ => break None,
             },
@@ -489,6 +499,19 @@
         });
     }
 
+    /// Else its bytes would reach the node whenever that reads again, long after it was told to drain.
+    #[test]
+    fn a_node_that_takes_no_byte_is_left_before_any_grace_ends() {
+        run(async {
+            let way = pipes(deaf(Duration::from_secs(20)).await);
+            let long = format!("SET k {}", "v".repeat(32 << 20));
+            let begun = Instant::now();
+            let ends = all(&way, &["GET a", &long, "GET b"], Duration::from_secs(10)).await;
+            assert!(begun.elapsed() < 3 * STUCK, "{:?}", begun.elapsed());
+            assert!(matches!(ends[..], [End::CutAfter, End::CutBefore, End::CutBefore]), "{ends:?}");
+        });
+    }
+
     #[test]
     fn replies_that_cannot_be_believed_end_the_connection() {
         run(async {
