--- a/agent/src/hands.rs
+++ b/agent/src/hands.rs
@@ -86,6 +86,60 @@
     text
 }
 
+/// A time as people write it: 90s, 10m, 2h.
+pub fn seconds(text: &str) -> Result<f64, String> {
+    let wrong = || format!("found '{text}', expected a time such as 90s, 10m or 2h");
+    let unit = text.chars().last().ok_or_else(wrong)?;
+    let each = match unit {
+        's' => 1.0,
+        'm' => 60.0,
+        'h' => 3600.0,
+        _ => return Err(wrong()),
+    };
+    let number: f64 = text[..text.len() - unit.len_utf8()].parse().map_err(|_| wrong())?;
+    Some(number * each).filter(|s| s.is_finite() && *s > 0.0).ok_or_else(wrong)
+}
+
+/// How an agent's levels stand, for people.
+pub fn level(s: &Json) -> String {
+    let number = |name: &str| s[name].as_f64().unwrap_or(0.0);
+    let mut text = format!(
+        "level {}, for {:.0} s: {}\n",
+        s["level"].as_str().unwrap_or("?"),
+        number("for_s"),
+        s["because"].as_str().unwrap_or("?")
+    );
+    if let Some(left) = s["held_s"].as_f64() {
+        let _ = writeln!(text, "held by hand for another {left:.0} s");
+    }
+    if s["starting"].as_bool() == Some(true) {
+        let _ = writeln!(text, "just started: the mildest level's rules hold until enough is known");
+    }
+    let _ = writeln!(
+        text,
+        "{:.0} hits in flight, limit {:.0}; no room for {:.0}% of the offered work",
+        number("in_flight"),
+        number("limit"),
+        100.0 * number("shortage")
+    );
+    for share in s["shares"].as_array().into_iter().flatten() {
+        let (name, part) = (share[0].as_str().unwrap_or("?"), share[1].as_f64().unwrap_or(0.0));
+        let _ = writeln!(text, "  {name:<24} {:>4.0}% let in", 100.0 * part);
+    }
+    text
+}
+
+/// The last changes of level, oldest first.
+pub fn levels(all: &Json) -> String {
+    let mut text = format!("{:>14} {:<16} {:<16} because\n", "unix time", "from", "to");
+    for change in all.as_array().into_iter().flatten() {
+        let word = |name: &str| change[name].as_str().unwrap_or("?");
+        let at = change["at"].as_f64().unwrap_or(0.0);
+        let _ = writeln!(text, "{at:>14.1} {:<16} {:<16} {}", word("from"), word("to"), word("because"));
+    }
+    text
+}
+
 /// All versions that an agent remembers.
 pub fn history(all: &Json) -> String {
     let mut text =
@@ -117,3 +171,16 @@
     let come = new.iter().filter(|l| !old.contains(l)).map(|l| format!("+ {l}\n"));
     gone.chain(come).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_are_read_as_people_write_them() {
+        assert_eq!([seconds("90s"), seconds("10m"), seconds("1.5h")], [Ok(90.0), Ok(600.0), Ok(5400.0)]);
+        for odd in ["", "10", "m", "-5s", "infs", "10 minutes", "5\u{e9}"] {
+            assert!(seconds(odd).is_err(), "{odd}");
+        }
+    }
+}
--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -56,14 +56,23 @@
     Text {
         number: u64,
     },
+    /// How the levels stand.
+    Levels,
+    HoldLevel {
+        level: String,
+        seconds: f64,
+    },
+    ReleaseLevel,
 }
 
 /// Where changes are made.
 pub struct Hands {
     exchange: Rc<Exchange>,
-    keeper: Option<Keeper>,
+    keeper: Option<Keeper<Step>>,
     /// The operators' file, read anew at SIGHUP.
     file: Option<PathBuf>,
+    /// For what levels that come later draw.
+    seed: u64,
     /// Why changes don't outlive the program, if they don't.
     unkept: Option<String>,
     /// One change at a time.
@@ -81,12 +90,13 @@
 impl Hands {
     pub fn new(
         exchange: Rc<Exchange>,
-        keeper: Option<Keeper>,
+        keeper: Option<Keeper<Step>>,
         file: Option<PathBuf>,
         unkept: Option<String>,
+        seed: u64,
     ) -> Hands {
         let (keeping, unsure) = Default::default();
-        Hands { exchange, keeper, file, unkept, turn: Mutex::new(()), keeping, unsure }
+        Hands { exchange, keeper, file, seed, unkept, turn: Mutex::new(()), keeping, unsure }
     }
 
     async fn write(&self, step: &Step) -> Result<(), String> {
@@ -128,12 +138,16 @@
         });
         let chosen = start::chosen(&values);
         self.exchange.choose(start::terms(&chosen).unwrap_or_default(), looks, chosen.clients);
+        if let Err(e) = self.exchange.set_levels(&values, self.seed, None) {
+            log::warn!("{e}"); // it was good when it was staged
+        }
         Ok(())
     }
 
     /// Whether what a version says can be done here.
     fn can_be(&self, values: &Values) -> Result<(), String> {
         self.exchange.changes(|c| c.fits(values)).unwrap_or(Ok(()))?;
+        self.exchange.fits_here(values)?;
         can_be(values, &self.exchange.changes(Changes::values).unwrap_or_default())
     }
 
@@ -258,6 +272,7 @@
             json!({"running": running, "kept": v.kept(), "watch": watch, "pinned": pinned})
         });
         let mut told = told.unwrap_or_else(|| json!({}));
+        told["level"] = self.exchange.levels().map(|(stands, _)| json!(stands)).unwrap_or_default();
         told["journal"] = match &self.unkept {
             None => "kept on disk".into(),
             Some(why) => format!("in memory only: {why}").into(),
@@ -284,6 +299,16 @@
             Call::Undo { why } => self.undo(who, &why).await.map(|number| json!({"number": number})),
             Call::Status => Ok(self.status()),
             Call::History => Ok(self.history()),
+            Call::Levels => {
+                let (stands, changes) =
+                    self.exchange.levels().ok_or("levels: the operators' file names none")?;
+                Ok(json!({"stands": stands, "changes": changes}))
+            }
+            Call::HoldLevel { level, seconds } => {
+                self.exchange.hold_level(&level, seconds, who)?;
+                Ok(json!({"level": level, "seconds": seconds}))
+            }
+            Call::ReleaseLevel => self.exchange.release_level(who).map(|()| json!({})),
             Call::Text { number } => {
                 let text = self.exchange.changes(|c| {
                     c.versions.all().find(|(v, ..)| v.number == number).map(|(v, ..)| v.text.clone())
@@ -380,7 +405,7 @@
 /// Versions as a start finds them, and where steps go.
 pub struct Begun {
     pub versions: Versions,
-    pub keeper: Option<Keeper>,
+    pub keeper: Option<Keeper<Step>>,
     /// Why changes don't outlive the program, if they don't.
     pub unkept: Option<String>,
     /// Steps that the start itself made, to be written.
@@ -456,12 +481,10 @@
     let of = |v: &Values, what: &str| -> Vec<(String, Setting)> {
         v.iter().filter(|(n, _)| n.starts_with(what)).map(|(n, s)| (n.clone(), s.clone())).collect()
     };
-    for what in ["control", "resp"] {
-        let what = format!("{what}.");
-        if of(values, &what) != of(runs, &what) {
-            return Err(
-                format!("{what} expected as it runs, a change of it takes a restart").replace(". ", ": ")
-            );
+    for what in ["control.", "resp.", "levels.journal"] {
+        if of(values, what) != of(runs, what) {
+            let what = what.trim_end_matches('.');
+            return Err(format!("{what}: expected as it runs, a change of it takes a restart"));
         }
     }
     start::terms(&start::chosen(values)).map(drop)
@@ -519,7 +542,7 @@
 
     fn hands_on(exchange: &Rc<Exchange>) -> Rc<Hands> {
         exchange.hold(Versions::new(Schema::own()), 1).expect("nothing is chosen yet");
-        Rc::new(Hands::new(exchange.clone(), None, None, Some("a test".into())))
+        Rc::new(Hands::new(exchange.clone(), None, None, Some("a test".into()), 1))
     }
 
     fn hit(exchange: &Rc<Exchange>, id: &str) -> Ticket {
@@ -591,6 +614,49 @@
         });
     }
 
+    /// Levels come and go with a change of the file like all else, are held by hand and told; those that make no sense
+    /// here are refused when they are staged.
+    #[test]
+    fn levels_are_changed_held_and_told() {
+        run_within(20, async {
+            let forwards = Rc::new(RefCell::new(HashMap::new()));
+            let exchange = exchange_of(&nodes(&forwards).await);
+            let hands = hands_on(&exchange);
+            assert!(hands.answer(Call::Levels, "ada").await.is_err());
+            let levels = |group: &str| {
+                format!(
+                    "<magpieline><levels><level name='busy' enter='late({group}) > 20%' leave='late({group}) &lt; 5%'/>\
+                     </levels></magpieline>"
+                )
+            };
+            let told = hands.stage(&levels("odd"), "ada", "a test").await.expect_err("refused");
+            assert!(told.contains("late: found 'odd', expected one of read, pay, book"), "{told}");
+            apply(&hands, &levels("read")).await;
+            let hold = Call::HoldLevel { level: "busy".into(), seconds: 60.0 };
+            hands.answer(hold, "ada").await.expect("held");
+            let told = hands.answer(Call::Levels, "ada").await.expect("levels");
+            assert_eq!(
+                (&told["stands"]["level"], &told["changes"][0]["to"]),
+                (&json!("busy"), &json!("busy"))
+            );
+            let text = crate::hands::level(&told["stands"]);
+            assert!(
+                text.starts_with("level busy, for 0 s: held by ada for 60 s\nheld by hand for another"),
+                "{text}"
+            );
+            assert!(crate::hands::levels(&told["changes"])
+                .contains("full             busy             held by ada"));
+            assert_eq!(hands.status()["level"]["level"], "busy");
+            hands.answer(Call::ReleaseLevel, "ada").await.expect("released");
+            assert!(hands.answer(Call::ReleaseLevel, "ada").await.is_err());
+            // The change is undone: no level is left.
+            hands.undo("ada", "a test").await.expect("undone");
+            assert!(exchange.levels().is_none());
+            let mut ticket = hit(&exchange, "a1");
+            assert!(matches!(ticket.answer().await, Answer::Delivered { .. }));
+        });
+    }
+
     /// A deliberately bad change: forwards get a millisecond. It is undone by itself, and service is as before.
     #[test]
     fn a_bad_change_is_undone_by_itself_within_seconds() {
@@ -732,7 +798,7 @@
             let exchange = exchange_of(&nodes(&forwards).await);
             let Begun { versions, keeper, fresh, .. } = begin(&file(1, 1.8), Some(&path)).expect("begun");
             exchange.hold(versions, 1).expect("held");
-            let hands = Rc::new(Hands::new(exchange.clone(), keeper, None, None));
+            let hands = Rc::new(Hands::new(exchange.clone(), keeper, None, None, 1));
             write_start(&hands, &fresh).await;
             actix_rt::spawn(hands.clone().watch());
             let mut tickets: Vec<Ticket> = (0..20).map(|i| hit(&exchange, &format!("s{i}"))).collect();
--- a/agent/src/life/keeper.rs
+++ b/agent/src/life/keeper.rs
@@ -1,8 +1,8 @@
-//! The journal of changes on a real disk. A thread of its own writes and syncs, so that a slow disk holds up no
+//! A journal on a real disk: of changes of the operators' file, of levels. A thread of its own writes and syncs, so that a slow disk holds up no
 //! hit; a step that it does not take in time is refused.
 
 use magpieline_operator::journal::{Damage, Disk, Journal, Opened};
-use magpieline_operator::versions::Step;
+use serde::{de::DeserializeOwned, Serialize};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
@@ -71,23 +71,26 @@
 
 type Done = oneshot::Sender<Result<(), String>>;
 
-enum Job {
-    Add(Step, Done),
-    Compact(Step, Done),
-    Anew(Step, Done),
+enum Job<T> {
+    Add(T, Done),
+    Compact(T, Done),
+    Anew(T, Done),
 }
 
-/// Where steps go.
-pub struct Keeper {
-    jobs: SyncSender<Job>,
+/// A journal just opened: where steps go, those that it holds, and what of it is not believed.
+pub type Found<T> = (Keeper<T>, Vec<T>, Option<Damage>);
+
+/// Where steps go, records of one kind.
+pub struct Keeper<T> {
+    jobs: SyncSender<Job<T>>,
 }
 
-impl Keeper {
+impl<T: Serialize + DeserializeOwned + Clone + Send + 'static> Keeper<T> {
     /// Opens a journal: its steps, and what of it is not believed.
-    pub fn open(path: &Path) -> Result<(Keeper, Vec<Step>, Option<Damage>), String> {
+    pub fn open(path: &Path) -> Result<Found<T>, String> {
         let told = |e: String| format!("{}: {e}", path.display());
         let disk = OnDisk::open(path).map_err(|e| told(e.to_string()))?;
-        let Opened { mut journal, records, damage } = Journal::open::<Step>(disk).map_err(told)?;
+        let Opened { mut journal, records, damage } = Journal::open::<T>(disk).map_err(told)?;
         let (jobs, wanted) = sync_channel(WAITING);
         let write = move || {
             while let Ok(job) = wanted.recv() {
@@ -100,7 +103,7 @@
         Ok((Keeper { jobs }, records, damage))
     }
 
-    async fn ask(&self, job: impl FnOnce(Done) -> Job) -> Result<(), String> {
+    async fn ask(&self, job: impl FnOnce(Done) -> Job<T>) -> Result<(), String> {
         let (done, answer) = oneshot::channel();
         self.jobs
             .try_send(job(done))
@@ -113,23 +116,23 @@
     }
 
     /// Writes a step. Once this is over it outlives the program.
-    pub async fn add(&self, step: &Step) -> Result<(), String> {
+    pub async fn add(&self, step: &T) -> Result<(), String> {
         let step = step.clone();
         self.ask(|done| Job::Add(step, done)).await
     }
 
     /// Begins anew with a snapshot whatever its length: after a step whose fate is not known.
-    pub async fn anew(&self, snapshot: Step) -> Result<(), String> {
+    pub async fn anew(&self, snapshot: T) -> Result<(), String> {
         self.ask(|done| Job::Anew(snapshot, done)).await
     }
 
     /// Begins anew with a snapshot, if the journal has grown long.
-    pub async fn compact(&self, snapshot: Step) -> Result<(), String> {
+    pub async fn compact(&self, snapshot: T) -> Result<(), String> {
         self.ask(|done| Job::Compact(snapshot, done)).await
     }
 }
 
-fn carry_out(journal: &mut Journal<OnDisk>, job: Job) -> (Result<(), String>, Done) {
+fn carry_out<T: Serialize>(journal: &mut Journal<OnDisk>, job: Job<T>) -> (Result<(), String>, Done) {
     match job {
         Job::Add(step, done) => (journal.add(&step), done),
         Job::Compact(_, done) if journal.len() <= LONGEST => (Ok(()), done),
@@ -141,6 +144,7 @@
 mod tests {
     use super::*;
     use crate::testing::{folder, run};
+    use magpieline_operator::versions::Step;
 
     fn step(number: u64) -> Step {
         Step::Kept { number, at: 1.0, why: "a test".into() }
@@ -155,19 +159,19 @@
             keeper.add(&step(1)).await.expect("added");
             keeper.add(&step(2)).await.expect("added");
             keeper.compact(step(9)).await.expect("short enough as it is");
-            assert!(Keeper::open(&path).is_err_and(|e| e.contains("another process writes it")));
+            assert!(Keeper::<Step>::open(&path).is_err_and(|e| e.contains("another process writes it")));
         });
         std::thread::sleep(Duration::from_millis(50)); // until its thread has let the file go
         let bytes = std::fs::read(&path).expect("a file");
         std::fs::write(&path, &bytes[..bytes.len() - 3]).expect("torn");
-        let (_, steps, damage) = Keeper::open(&path).expect("a journal");
+        let (_, steps, damage) = Keeper::<Step>::open(&path).expect("a journal");
         assert_eq!(steps, [step(1)]);
         assert!(damage.is_some_and(|d| d.what == "a record is torn"));
     }
 
     #[test]
     fn a_journal_that_cannot_be_written_is_told_at_the_start() {
-        let told = Keeper::open(Path::new("/proc/nowhere/changes.journal")).err().unwrap_or_default();
+        let told = Keeper::<Step>::open(Path::new("/proc/nowhere/changes.journal")).err().unwrap_or_default();
         assert!(told.starts_with("/proc/nowhere/changes.journal: "), "{told}");
     }
 }
--- /dev/null
+++ b/agent/src/life/levels.rs
@@ -0,0 +1,309 @@
+//! Levels of reduced service in the agent: what it reads off itself, and the journal from which a restart goes on.
+
+use crate::life::keeper::Keeper;
+use magpieline_exchange::Exchange;
+use magpieline_levels::{Change, Reading};
+use magpieline_operator::{Setting, Values};
+use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+
+/// How often readings are taken: well within the time after which one is unknown.
+const READ: Duration = Duration::from_secs(1);
+/// How often it is written that a level still holds: a fifth of the time for which a restart believes it.
+const STANDS: Duration = Duration::from_secs(60);
+/// Records on their way to the disk; a disk that is slower loses some, and the log says so.
+const WAITING: usize = 64;
+/// Clock ticks a second in `/proc`, the same on all Linux machines since it is part of that interface.
+const TICKS: f64 = 100.0;
+
+/// A record of the journal.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kept {
+    Changed(Change),
+    /// The level of the last change still holds, Unix time.
+    Stands(f64),
+}
+
+fn now() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
+}
+
+/// The last change that is written, and how many seconds ago it was known to hold.
+fn last(records: &[Kept], now: f64) -> Option<(&Change, f64)> {
+    let mut last = None;
+    for record in records {
+        match (record, &mut last) {
+            (Kept::Changed(change), _) => last = Some((change, change.at)),
+            (Kept::Stands(at), Some((_, stood))) => *stood = at.max(*stood),
+            (Kept::Stands(_), None) => {}
+        }
+    }
+    last.map(|(change, stood)| (change, now - stood))
+}
+
+/// Takes the levels of the file, goes on where the journal ends, and keeps changes from then on. An error lists all that
+/// makes no sense.
+pub fn begin(exchange: &Rc<Exchange>, values: &Values, seed: u64) -> Result<(), String> {
+    let path = match values.get("levels.journal") {
+        Some(Setting::Text(path)) => Some(PathBuf::from(path)),
+        _ => None,
+    };
+    let (mut keeper, mut records) = (None, Vec::new());
+    if let Some(path) = path {
+        match Keeper::<Kept>::open(&path) {
+            Ok((opened, found, damage)) => {
+                if let Some(d) = damage {
+                    log::warn!("levels: {} bytes from {} on are not believed: {}", d.bytes, d.at, d.what);
+                }
+                (keeper, records) = (Some(opened), found);
+            }
+            Err(e) => log::warn!("levels: journal: {e}; a restart will begin with its own first seconds"),
+        }
+    }
+    exchange.set_levels(values, seed, last(&records, now()))?;
+    if let Some(keeper) = keeper {
+        let (sender, changes) = mpsc::channel(WAITING);
+        exchange.keep_levels(Some(Box::new(move |change| {
+            if sender.try_send(change.clone()).is_err() {
+                log::warn!("levels: a change was not kept, the disk is slow");
+            }
+        })));
+        actix_rt::spawn(keep(exchange.clone(), keeper, changes));
+    }
+    let own = exchange.clone();
+    actix_rt::spawn(async move { magpieline_exchange::kept("levels", || own.clone().tend_levels()).await });
+    Ok(())
+}
+
+/// Writes changes down, and from time to time that a level still holds.
+async fn keep(exchange: Rc<Exchange>, keeper: Keeper<Kept>, mut changes: mpsc::Receiver<Change>) {
+    loop {
+        let record = tokio::select! {
+            change = changes.recv() => match change {
+                Some(change) => Kept::Changed(Change { at: now(), ..change }),
+                None => return,
+            },
+            () = tokio::time::sleep(STANDS) => match exchange.levels() {
+                Some((stands, _)) if stands.level != "full" => Kept::Stands(now()),
+                _ => continue,
+            },
+        };
+        if let Err(e) = keeper.add(&record).await {
+            exchange.complain("levels", &e);
+        }
+        if let (Kept::Changed(_), Err(e)) = (&record, keeper.compact(record.clone()).await) {
+            exchange.complain("levels", &e);
+        }
+    }
+}
+
+/// What a part of the program's means is: all of a core, so many descriptors, so many bytes (0: not known).
+pub struct Means {
+    pub cores: f64,
+    pub descriptors: f64,
+    pub memory: f64,
+}
+
+/// Seconds of CPU that `/proc/self/stat` tells of.
+fn cpu(stat: &str) -> Option<f64> {
+    // The name may hold anything; what comes after its closing parenthesis does not.
+    let mut fields = stat.rsplit_once(')')?.1.split_whitespace();
+    let user: f64 = fields.nth(11)?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some((user + system) / TICKS)
+}
+
+/// Bytes in memory that `/proc/self/status` tells of.
+fn memory(status: &str) -> Option<f64> {
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kib: f64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(1024.0 * kib)
+}
+
+/// Reads the program off itself, where there are levels to read it for. What can't be read is left out, and its signal
+/// unknown.
+pub async fn read(exchange: Rc<Exchange>, means: Means) -> Infallible {
+    let mut before = None;
+    loop {
+        tokio::time::sleep(READ).await;
+        if exchange.levels().is_none() {
+            before = None;
+            continue;
+        }
+        let used = std::fs::read_to_string("/proc/self/stat").ok().and_then(|s| cpu(&s));
+        let at = std::time::Instant::now();
+        if let (Some(used), Some((then, earlier))) = (used, before) {
+            let passed = at.duration_since(then).as_secs_f64().max(1e-3);
+            let earlier: f64 = earlier;
+            exchange.reading(Reading::Cpu, (used - earlier) / passed / means.cores);
+        }
+        before = used.map(|used| (at, used));
+        if let Ok(open) = std::fs::read_dir("/proc/self/fd") {
+            exchange.reading(Reading::Descriptors, open.count() as f64 / means.descriptors);
+        }
+        let held = std::fs::read_to_string("/proc/self/status").ok().and_then(|s| memory(&s));
+        if let Some(held) = held.filter(|_| means.memory > 0.0) {
+            exchange.reading(Reading::Memory, held / means.memory);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::*;
+    use crate::wire::clients;
+    use crate::wire::nodes::ways;
+    use magpieline::interface::Listed;
+    use magpieline_exchange::{Chosen, Crowd, Entry};
+    use magpieline_operator::Schema;
+    use std::cell::Cell;
+    use std::time::Instant;
+    use tokio::net::{TcpListener, TcpStream};
+
+    #[test]
+    fn proc_is_read_and_odd_text_is_none() {
+        let stat = "7 (a b) c) S 1 7 7 0 -1 4194560 1 0 0 0 150 50 0 0 20 0 1 0 100 1 1";
+        assert_eq!(cpu(stat), Some(2.0));
+        assert_eq!(memory("Name:\ta\nVmRSS:\t    2048 kB\n"), Some(2048.0 * 1024.0));
+        assert!(cpu(&std::fs::read_to_string("/proc/self/stat").expect("readable")).is_some());
+        assert!(memory(&std::fs::read_to_string("/proc/self/status").expect("readable")).is_some());
+        assert_eq!((cpu("odd"), cpu("1 (a) S 1"), memory("")), (None, None, None));
+    }
+
+    #[test]
+    fn the_last_change_counts_with_the_last_word_that_it_held() {
+        let change = |to: &str, at| Change { at, from: "full".into(), to: to.into(), because: "cpu".into() };
+        let records = [
+            Kept::Stands(1.0),
+            Kept::Changed(change("busy", 100.0)),
+            Kept::Stands(160.0),
+            Kept::Stands(150.0),
+        ];
+        let (found, ago) = last(&records, 170.0).expect("one");
+        assert_eq!((found.to.as_str(), ago), ("busy", 10.0));
+        assert!(last(&records[..1], 170.0).is_none());
+    }
+
+    const LEVELS: &str = "<magpieline><levels spacing-s='1' spread-s='0.1' JOURNAL>
+        <level name='busy' enter='late(read) > 8% for 100ms' leave='late(read) &lt; 6% and shortage &lt; 20%' least-stay-s='1'>
+          <group name='read' share='0.7' least='0.3' most-waiting='4' longest-wait-s='0.05'/></level>
+        <level name='jam' enter='late(read) > 90% for 1s' leave='late(read) &lt; 10%' least-stay-s='1'>
+          <group name='read' share='0.4' least='0.2'/></level></levels></magpieline>";
+
+    fn values(journal: &str) -> Values {
+        Schema::own().check(&LEVELS.replace("JOURNAL", journal)).expect("good levels")
+    }
+
+    /// An agent over one node whose answers take as long as is said, and where clients reach it. Late is after 40 ms.
+    async fn agent(pause: Rc<Cell<u64>>) -> (Rc<Exchange>, std::net::SocketAddr) {
+        let node = server(move |mut stream| {
+            let pause = pause.clone();
+            async move {
+                while !message(&mut stream).await.is_empty() {
+                    tokio::time::sleep(Duration::from_millis(pause.get())).await;
+                    write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody").await;
+                }
+            }
+        });
+        let info = serde_json::json!({"discovery": "pushed", "classes": [{"name": "read", "repeat": "retryable",
+            "goal_time_us": 40000, "hard_limit_us": 2000000}]});
+        let ways = ways(around().times.clone(), None, 1);
+        let exchange = Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"));
+        let listed =
+            Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
+        exchange.listed(
+            true,
+            true,
+            vec![Entry { uid: "a".into(), listed, address: node.await, gone: false }],
+        );
+        let listener = Rc::new(TcpListener::bind("127.0.0.1:0").await.expect("a listener"));
+        let at = listener.local_addr().expect("an address");
+        actix_rt::spawn(clients::serve(exchange.clone(), listener, Rc::new(Crowd::new(200))));
+        (exchange, at)
+    }
+
+    /// A client that asks one after another until told to stop: how many answers of 200 and 503 it had.
+    async fn client(at: std::net::SocketAddr, number: usize, until: Instant) -> [usize; 2] {
+        let (mut answers, mut asked) = ([0; 2], 0);
+        while Instant::now() < until {
+            let mut stream = TcpStream::connect(at).await.expect("connected");
+            asked += 1;
+            let head = format!("GET /read HTTP/1.1\r\nhost: a\r\nx-txn: {number}-{asked}\r\n");
+            write(&mut stream, &format!("{head}x-remaining-ms: 1500\r\nconnection: close\r\n\r\n")).await;
+            let answer = message(&mut stream).await;
+            match answer.get(..12) {
+                Some("HTTP/1.1 200") => answers[0] += 1,
+                Some("HTTP/1.1 503") => answers[1] += 1,
+                _ => panic!("{answer:?}"),
+            }
+            let mut more = [0; 64];
+            let more = tokio::io::AsyncReadExt::read(&mut stream, &mut more).await;
+            assert_eq!(more.unwrap_or(0), 0, "more than one answer");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        answers
+    }
+
+    /// Load that hovers at an edge, over sockets: at most one change of level within the spacing, one answer for each hit,
+    /// and the level is entered.
+    #[test]
+    fn load_that_oscillates_changes_the_level_at_most_once_within_the_spacing() {
+        run_within(40, async {
+            let pause = Rc::new(Cell::new(2));
+            let (exchange, at) = agent(pause.clone()).await;
+            begin(&exchange, &values(""), 1).expect("levels");
+            let until = Instant::now() + Duration::from_secs(12);
+            let hovers = async {
+                let mut slow = false;
+                while Instant::now() < until {
+                    tokio::time::sleep(Duration::from_millis(350)).await;
+                    slow = !slow;
+                    pause.set(if slow { 70 } else { 2 });
+                }
+            };
+            let clients = futures_util::future::join_all((0..12).map(|n| client(at, n, until)));
+            let (answers, ()) = futures_util::future::join(clients, hovers).await;
+            let (stands, changes) = exchange.levels().expect("levels");
+            assert!(!changes.is_empty(), "{stands:?}");
+            for pair in changes.windows(2) {
+                assert!(pair[1].at - pair[0].at >= 1.0, "{pair:?}");
+            }
+            assert!(answers.iter().map(|a| a[0]).sum::<usize>() > 200, "{answers:?}");
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            assert!(exchange.idle());
+        });
+    }
+
+    /// A restart in the middle of a level goes on with it where there is a disk, and begins with its first seconds where
+    /// there is none.
+    #[test]
+    fn a_restart_goes_on_with_the_level_that_held() {
+        let path = folder("levels").join("levels.journal");
+        let file = values(&format!("journal='{}'", path.display()));
+        let start = |file: &Values| {
+            let exchange = exchange();
+            begin(&exchange, file, 1).expect("levels");
+            exchange
+        };
+        run(async {
+            let exchange = start(&file);
+            assert!(exchange.levels().expect("levels").0.starting);
+            exchange.hold_level("jam", 60.0, "ada").expect("held");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        });
+        std::thread::sleep(Duration::from_millis(50)); // until its thread has let the file go
+        run(async {
+            let (stands, changes) = start(&file).levels().expect("levels");
+            assert_eq!((stands.level.as_str(), stands.starting, changes.len()), ("jam", false, 1));
+            assert_eq!(stands.because, "as before the restart: held by ada for 60 s");
+            let stands = start(&values("")).levels().expect("levels").0;
+            assert_eq!((stands.level.as_str(), stands.starting), ("full", true));
+        });
+    }
+}
--- a/agent/src/life/mod.rs
+++ b/agent/src/life/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 mod keeper;
+pub mod levels;
 pub mod log_form;
 pub mod record;
 mod reload;
@@ -73,7 +74,11 @@
         let mut hands = None;
         if let Some(begun) = begun {
             exchange.hold(begun.versions, start.seed())?;
-            let held = Rc::new(control::Hands::new(exchange.clone(), begun.keeper, operators, begun.unkept));
+            levels::begin(&exchange, &start.values, start.seed())?;
+            actix_rt::spawn(levels::read(exchange.clone(), start.means()));
+            let seed = start.seed();
+            let held = control::Hands::new(exchange.clone(), begun.keeper, operators, begun.unkept, seed);
+            let held = Rc::new(held);
             if let Some((socket, _)) = places {
                 control::write_start(&held, &begun.fresh).await;
                 let listener = control::listen(&socket)?;
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -1,5 +1,6 @@
 //! What an agent is told at its start: the environment names the configuration, that holds the rest.
 
+use crate::life::levels::Means;
 use crate::life::record::Record;
 use crate::life::resp;
 use crate::wire::place::Around;
@@ -126,6 +127,16 @@
         self.seed
     }
 
+    /// What the process may use; a limit that is not stated is one core, and no bound on memory.
+    pub fn means(&self) -> Means {
+        let of = |name: &str| self.body.get("limits").and_then(|l| l.get(name)).and_then(Json::as_f64);
+        Means {
+            cores: of("cores").filter(|c| *c > 0.0).unwrap_or(1.0),
+            descriptors: (self.descriptors as f64).max(1.0),
+            memory: of("memory_mb").unwrap_or(0.0) * 1024.0 * 1024.0,
+        }
+    }
+
     /// The settings of the deployment.
     pub fn settings(&self) -> Result<&Json, String> {
         Message { name: "configuration", body: &self.body }.needed("settings", "an object of settings")
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -30,6 +30,7 @@
     Serve(Serve),
     Check(Check),
     Config(Config),
+    Level(Level),
     Verdict(Verdict),
     Version(Version),
 }
@@ -203,6 +204,71 @@
     name: String,
 }
 
+/// levels of reduced service in a running agent
+#[derive(FromArgs)]
+#[argh(subcommand, name = "level")]
+struct Level {
+    #[argh(subcommand)]
+    command: LevelCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum LevelCommand {
+    Status(LevelStatus),
+    History(LevelHistory),
+    Hold(LevelHold),
+    Release(LevelRelease),
+}
+
+/// say which level holds, why, and what it lets in. Example: magpieline level status
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct LevelStatus {
+    /// the agent's control socket; MAGPIELINE_SOCKET names it otherwise
+    #[argh(option)]
+    socket: Option<PathBuf>,
+    /// the answer as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// list the last changes of level and why they came. Example: magpieline level history
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+struct LevelHistory {
+    /// the agent's control socket; MAGPIELINE_SOCKET names it otherwise
+    #[argh(option)]
+    socket: Option<PathBuf>,
+    /// the answer as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// hold a level by hand; it ends by itself. Example: magpieline level hold busy --for 10m
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hold")]
+struct LevelHold {
+    /// its name; full is service without a level
+    #[argh(positional)]
+    level: String,
+    /// for how long, such as 90s, 10m or 2h
+    #[argh(option, long = "for", from_str_fn(hands::seconds))]
+    time: f64,
+    /// the agent's control socket; MAGPIELINE_SOCKET names it otherwise
+    #[argh(option)]
+    socket: Option<PathBuf>,
+}
+
+/// let conditions decide again. Example: magpieline level release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "release")]
+struct LevelRelease {
+    /// the agent's control socket; MAGPIELINE_SOCKET names it otherwise
+    #[argh(option)]
+    socket: Option<PathBuf>,
+}
+
 /// verdicts on releases
 #[derive(FromArgs)]
 #[argh(subcommand, name = "verdict")]
@@ -251,6 +317,7 @@
             Ok(())
         }
         Command::Config(Config { command }) => config(command),
+        Command::Level(Level { command }) => level(command),
         Command::Verdict(Verdict { command: VerdictCommand::Explain(v) }) => {
             let text = std::fs::read_to_string(&v.record);
             let text = text.map_err(|e| format!("{}: could not be read: {e}", v.record.display()))?;
@@ -323,6 +390,28 @@
     Ok(())
 }
 
+fn level(command: LevelCommand) -> Result<(), String> {
+    match command {
+        LevelCommand::Status(LevelStatus { socket, json }) => {
+            let answer = talk(socket)?.call(&Call::Levels)?;
+            tell(&answer["stands"], json, hands::level);
+        }
+        LevelCommand::History(LevelHistory { socket, json }) => {
+            let answer = talk(socket)?.call(&Call::Levels)?;
+            tell(&answer["changes"], json, hands::levels);
+        }
+        LevelCommand::Hold(LevelHold { level, time, socket }) => {
+            talk(socket)?.call(&Call::HoldLevel { level: level.clone(), seconds: time })?;
+            println!("level {level} is held for {time} s");
+        }
+        LevelCommand::Release(LevelRelease { socket }) => {
+            talk(socket)?.call(&Call::ReleaseLevel)?;
+            println!("conditions decide again");
+        }
+    }
+    Ok(())
+}
+
 /// Wrong use: neither done (0) nor refused (1).
 const WRONG_USE: u8 = 2;
 
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -103,7 +103,7 @@
         },
     };
     visit.wait();
-    if exchange.stopping() || crowd.over(exchange.clients_most.get()) {
+    if exchange.stopping() || crowd.over(exchange.clients_bound(crowd.most())) {
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
     Ok(response)
@@ -117,7 +117,7 @@
     };
     tokio::pin!(stopped);
     loop {
-        if !crowd.room(exchange.clients_most.get()) {
+        if !crowd.room(exchange.clients_bound(crowd.most())) {
             exchange.complain("accept", "as many connections as there is room for");
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
--- a/exchange/src/crowd.rs
+++ b/exchange/src/crowd.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// How many there may be at most.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     pub fn is_empty(&self) -> bool {
         self.visits.borrow().is_empty()
     }
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -12,6 +12,9 @@
 use magpieline::balance::Balancer;
 use magpieline::interface::*;
 use magpieline::names::{Door, Told};
+use magpieline_levels::{
+    Change, Door as LevelDoor, Ended, Fate, Installation, Ladder, Levels, Reading, Stands,
+};
 use magpieline_operator::versions::{Step, Versions};
 use magpieline_operator::watch;
 use magpieline_operator::Values;
@@ -64,6 +67,9 @@
     fn cast(&self, vote: Vote) -> LocalBoxFuture<'static, (Receipt, Option<News>)>;
 }
 
+/// Told of each change of level, to keep it.
+pub type Changed = Box<dyn Fn(&Change)>;
+
 /// Where looks at releases are kept.
 pub type Looks = Box<dyn Fn(&Looked)>;
 
@@ -106,8 +112,31 @@
     handle: HitHandle,
     load: Rc<Load>,
     answer: Option<oneshot::Sender<Answer>>,
-    /// The version of the operators' file that it goes by, with its path group and when it was taken.
-    pinned: Option<(Pinned, usize, f64)>,
+    group: usize,
+    taken: f64,
+    /// When it was first forwarded.
+    forwarded: Option<f64>,
+    /// The version of the operators' file that it goes by.
+    pinned: Option<Pinned>,
+}
+
+/// A hit that waits by a level's word: the decisions don't know it yet.
+struct Waiting {
+    arrival: Arrival,
+    taken: f64,
+    load: Load,
+    answer: oneshot::Sender<Answer>,
+    /// Where its ticket finds it once it has gone on.
+    place: Rc<Cell<Option<HitHandle>>>,
+}
+
+/// Where a ticket's hit is.
+enum Place {
+    Held(HitHandle),
+    /// It waits under this number, or has gone on.
+    Waits(u64, Rc<Cell<Option<HitHandle>>>),
+    /// It was turned away at the door.
+    Over,
 }
 
 /// Unix time, going on from the start by the monotonic clock: nodes' starts are on the same scale.
@@ -166,6 +195,9 @@
     zones: Door,
     /// Hits in hand, by the handle's place.
     held: Vec<Option<Held>>,
+    /// Levels of reduced service, where operators name some, and the hits that wait by their word.
+    levels: Option<Levels>,
+    waiting: BTreeMap<u64, Waiting>,
     /// Versions of the operators' file, where changes are enabled.
     changes: Option<Changes>,
     /// The ids of those.
@@ -191,6 +223,8 @@
     looks: RefCell<Option<Looks>>,
     /// Target latencies by path group, in seconds.
     targets: RefCell<Vec<f64>>,
+    /// Told of each change of level.
+    changed: RefCell<Option<Changed>>,
     /// Given while the list is to be asked for its changes.
     pub follow: Signal,
     /// How many connections clients may hold by the operators' word.
@@ -203,7 +237,7 @@
 /// A taken hit, on the clients' side. Dropping it without its answer means that the client has left.
 pub struct Ticket {
     exchange: Rc<Exchange>,
-    handle: HitHandle,
+    place: Place,
     answer: oneshot::Receiver<Answer>,
     answered: bool,
 }
@@ -218,14 +252,26 @@
 
     /// The client has ended its sending.
     pub fn leave(&self) {
-        self.exchange.left(self.handle);
+        if let Place::Waits(number, _) = &self.place {
+            self.exchange.waits_no_more(*number);
+        }
+        self.handle().into_iter().for_each(|handle| self.exchange.left(handle));
+    }
+
+    /// The hit, if the decisions know it.
+    fn handle(&self) -> Option<HitHandle> {
+        match &self.place {
+            Place::Held(handle) => Some(*handle),
+            Place::Waits(_, place) => place.get(),
+            Place::Over => None,
+        }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
         if !self.answered {
-            self.exchange.left(self.handle);
+            self.leave();
         }
     }
 }
@@ -251,9 +297,22 @@
         let targets = targets(&named);
         let clock = Clock::start();
         let balancer = Balancer::start(seed, clock.now(), zone, named)?;
-        let (nodes, keys, held, ids, complaints) = Default::default();
-        let (changes, listed, news) = (None, false, None);
-        let state = State { balancer, nodes, keys, zones, held, changes, ids, listed, news, complaints };
+        let (nodes, keys, held, ids, complaints, waiting) = Default::default();
+        let (changes, levels, listed, news) = (None, None, false, None);
+        let state = State {
+            balancer,
+            nodes,
+            keys,
+            zones,
+            held,
+            levels,
+            waiting,
+            changes,
+            ids,
+            listed,
+            news,
+            complaints,
+        };
         Ok(Exchange {
             state: state.into(),
             clock,
@@ -264,6 +323,7 @@
             settings: RefCell::new(info.clone()),
             looks: looks.into(),
             targets: targets.into(),
+            changed: None.into(),
             follow: Signal::new(wanted),
             clients_most: chosen.clients.unwrap_or(usize::MAX).into(),
             stopping: false.into(),
@@ -329,8 +389,8 @@
     /// The version of the operators' file that a hit goes by.
     pub fn version_of(&self, ticket: &Ticket) -> Option<u64> {
         let state = self.state.borrow();
-        let held = state.held.get(ticket.handle.place as usize)?.as_ref()?;
-        held.pinned.map(|(pin, ..)| pin.version)
+        let held = state.held.get(ticket.handle()?.place as usize)?.as_ref()?;
+        held.pinned.map(|pin| pin.version)
     }
 
     /// The way to a node of this name.
@@ -352,28 +412,98 @@
 
     /// Takes a hit, unless one in hand bears the same id.
     pub fn take(self: &Rc<Self>, arrival: Arrival, load: Load) -> Option<Ticket> {
-        if !self.state.borrow_mut().ids.insert(load.id) {
-            return None;
-        }
+        let now = self.clock.now();
+        let door = {
+            let state = &mut *self.state.borrow_mut();
+            if !state.ids.insert(load.id) {
+                return None;
+            }
+            let Arrival { group, account, remaining, .. } = arrival;
+            state.levels.as_mut().map_or(LevelDoor::Go, |l| l.take(now, group, account, remaining))
+        };
         let (sender, answer) = oneshot::channel();
+        let place = match door {
+            LevelDoor::Go => Place::Held(self.hand_on(arrival, now, load, sender)),
+            LevelDoor::Wait { number, at_most } => {
+                let place = Rc::new(Cell::new(None));
+                let waiting = Waiting { arrival, taken: now, load, answer: sender, place: place.clone() };
+                self.state.borrow_mut().waiting.insert(number, waiting);
+                let own = self.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(time(at_most)).await;
+                    own.waits_no_more(number);
+                });
+                Place::Waits(number, place)
+            }
+            LevelDoor::Turned { again_after } => {
+                self.state.borrow_mut().ids.remove(&load.id);
+                let _ = sender.send(Answer::Bounced { again_after }); // it is held just below
+                Place::Over
+            }
+        };
+        Some(Ticket { exchange: self.clone(), place, answer, answered: false })
+    }
+
+    /// Hands a hit that came at `taken` to the decisions, and carries out what they say.
+    fn hand_on(
+        self: &Rc<Self>,
+        arrival: Arrival,
+        taken: f64,
+        load: Load,
+        answer: oneshot::Sender<Answer>,
+    ) -> HitHandle {
         let (handle, next) = {
             let (state, now) = (&mut *self.state.borrow_mut(), self.clock.now());
-            let (mut arrival, mut pinned) = (arrival, None);
+            let (mut arrival, mut pinned, group) = (arrival, None, arrival.group);
+            arrival.remaining -= now - taken;
             if let Some(changes) = &mut state.changes {
-                let (pin, bounds) = changes.take(now, arrival.group);
+                let (pin, bounds) = changes.take(now, group);
                 (arrival.most, arrival.longest) = (bounds.most, bounds.longest);
-                pinned = Some((pin, arrival.group, now));
+                pinned = Some(pin);
+            }
+            if let Some(levels) = &state.levels {
+                let most = levels.forwards(now, group);
+                let both = arrival.most > 0 && most > 0;
+                arrival.most = if both { arrival.most.min(most) } else { arrival.most.max(most) };
+                if levels.holds_trial() {
+                    arrival.spares = state.balancer.can_be_spared();
+                }
             }
             let (handle, next) = state.balancer.take(now, arrival);
             let place = handle.place as usize;
             if place >= state.held.len() {
                 state.held.resize_with(place + 1, || None);
             }
-            state.held[place] = Some(Held { handle, load: Rc::new(load), answer: Some(sender), pinned });
+            let (load, answer) = (Rc::new(load), Some(answer));
+            state.held[place] = Some(Held { handle, load, answer, group, taken, forwarded: None, pinned });
             (handle, next)
         };
         self.carry_out(handle, next);
-        Some(Ticket { exchange: self.clone(), handle, answer, answered: false })
+        handle
+    }
+
+    /// Hands on hits that wait, while there is room.
+    fn let_in(self: &Rc<Self>) {
+        loop {
+            let waiting = {
+                let state = &mut *self.state.borrow_mut();
+                let number = state.levels.as_mut().and_then(Levels::released);
+                let Some(number) = number else { return };
+                state.waiting.remove(&number)
+            };
+            let Some(Waiting { arrival, taken, load, answer, place }) = waiting else { continue };
+            place.set(Some(self.hand_on(arrival, taken, load, answer)));
+        }
+    }
+
+    /// A hit that still waits has waited long enough, or its client has left: it is answered at once, it never ran.
+    fn waits_no_more(&self, number: u64) {
+        let state = &mut *self.state.borrow_mut();
+        let Some(waiting) = state.waiting.remove(&number) else { return };
+        state.levels.iter_mut().for_each(|l| l.gone(number));
+        state.ids.remove(&waiting.load.id);
+        let again_after = state.levels.as_mut().map_or(0.0, Levels::again_after);
+        let _ = waiting.answer.send(Answer::Bounced { again_after }); // the client may have left
     }
 
     /// The client has ended its sending or is gone: no further forward, but an answer under way is passed on.
@@ -416,14 +546,23 @@
         let held = state.held.get_mut(handle.place as usize).and_then(Option::as_mut);
         let Some(held) = held.filter(|h| h.handle == handle) else { return };
         let Some(sender) = held.answer.take() else { return };
-        let (pinned, now) = (held.pinned, self.clock.now());
-        if let (Some((pin, group, taken)), Some(changes)) = (pinned, &mut state.changes) {
-            let in_time = now - taken <= self.targets.borrow().get(group).copied().unwrap_or(f64::INFINITY);
-            let spoilt = !(matches!(answer, Answer::Delivered { .. }) && in_time);
-            // One whose client has left says nothing of service.
-            if !sender.is_closed() {
-                changes.outcome(now, pin, group, spoilt);
-            }
+        let (pinned, now, group) = (held.pinned, self.clock.now(), held.group);
+        let target = self.targets.borrow().get(group).copied().unwrap_or(f64::INFINITY);
+        let spent = now - held.taken;
+        // One whose client has left says nothing of service.
+        let fate = match answer {
+            _ if sender.is_closed() => None,
+            Answer::Delivered { .. } if spent <= target => Some(Fate::InTime),
+            Answer::Delivered { .. } => Some(Fate::Late),
+            Answer::Bounced { .. } => Some(Fate::Bounced),
+            Answer::Failed => Some(Fate::Failed),
+        };
+        if let (Some(pin), Some(changes), Some(fate)) = (pinned, &mut state.changes, fate) {
+            changes.outcome(now, pin, group, fate != Fate::InTime);
+        }
+        if let Some(levels) = &mut state.levels {
+            let waited = held.forwarded.map(|at| at - held.taken);
+            levels.ended(now, Ended { group, fate, spent, part: spent / target, waited });
         }
         let _ = sender.send(answer); // the client may have left
     }
@@ -438,7 +577,7 @@
         let place = state.held.get_mut(handle.place as usize);
         if let Some(held) = place.and_then(|p| p.take_if(|h| h.handle == handle)) {
             state.ids.remove(&held.load.id);
-            if let (Some((pin, ..)), Some(changes)) = (held.pinned, &mut state.changes) {
+            if let (Some(pin), Some(changes)) = (held.pinned, &mut state.changes) {
                 changes.ended(pin);
             }
         }
@@ -446,9 +585,13 @@
 
     fn forward(self: &Rc<Self>, handle: HitHandle, node: usize, limit: f64) {
         let (way, load) = {
-            let state = self.state.borrow();
-            let held = state.held.get(handle.place as usize).and_then(Option::as_ref);
-            (state.nodes.reach(node).cloned(), held.map(|h| h.load.clone()))
+            let (state, now) = (&mut *self.state.borrow_mut(), self.clock.now());
+            let held = state.held.get_mut(handle.place as usize).and_then(Option::as_mut);
+            let load = held.map(|h| {
+                h.forwarded.get_or_insert(now);
+                h.load.clone()
+            });
+            (state.nodes.reach(node).cloned(), load)
         };
         let own = self.clone();
         tokio::task::spawn_local(async move {
@@ -478,6 +621,7 @@
         let end = Return { ending, spent: spent.as_secs_f64(), over };
         let next = self.ask(|b, now| handle.returned(b, now, end));
         self.carry_out(handle, next);
+        self.let_in();
     }
 
     // The servers' side.
@@ -600,6 +744,123 @@
         }
     }
 
+    // Levels.
+
+    /// The levels of these values; an error lists all that makes no sense here.
+    fn ladder(&self, values: &Values) -> Result<Option<Ladder>, String> {
+        let one_way = self.state.borrow().balancer.one_way();
+        Ladder::read(values, &self.group_names(), one_way).map_err(|all| {
+            let lines: Vec<String> = all.into_iter().map(|e| format!("levels: {e}")).collect();
+            lines.join("\n")
+        })
+    }
+
+    /// Takes the levels of these values, all of them, and none where there are none; an error lists all that makes no
+    /// sense here, and nothing has changed. `last`: the last change that a journal holds, and how long ago it held.
+    pub fn set_levels(&self, values: &Values, seed: u64, last: Option<(&Change, f64)>) -> Result<(), String> {
+        let (ladder, now) = (self.ladder(values)?, self.clock.now());
+        let here = Installation {
+            benefits: self.state.borrow().balancer.benefits(),
+            groups: self.group_names(),
+            accounts: self.accounts.len(),
+            longest_back: self.state.borrow().balancer.longest_back(),
+        };
+        let state = &mut *self.state.borrow_mut();
+        let change = match (ladder, &mut state.levels) {
+            (None, levels) => {
+                *levels = None;
+                None
+            }
+            (Some(ladder), Some(levels)) => levels.settle(now, ladder),
+            (Some(ladder), levels) => {
+                *levels = Some(Levels::start(ladder, here, now, seed, last));
+                None
+            }
+        };
+        // Who waits by the word of levels that are no more is answered.
+        if state.levels.is_none() {
+            for (_, waiting) in std::mem::take(&mut state.waiting) {
+                state.ids.remove(&waiting.load.id);
+                let _ = waiting.answer.send(Answer::Bounced { again_after: 0.0 });
+                // the client may have left
+            }
+        }
+        self.level_changed(state, change);
+        Ok(())
+    }
+
+    /// Told of each change of level from now on.
+    pub fn keep_levels(&self, changed: Option<Changed>) {
+        self.changed.replace(changed);
+    }
+
+    fn level_changed(&self, state: &mut State, change: Option<Change>) {
+        let Some(change) = change else { return };
+        let Change { from, to, because, .. } = &change;
+        log::warn!(level = to.as_str(), from = from.as_str(); "level: {from} -> {to}: {because}");
+        state.balancer.other_hits(self.clock.now());
+        if let Some(changed) = &*self.changed.borrow() {
+            changed(&change);
+        }
+    }
+
+    /// Looks at the levels, for as long as the program runs.
+    pub async fn tend_levels(self: Rc<Self>) -> Infallible {
+        loop {
+            tokio::time::sleep(time(magpieline_levels::LOOK)).await;
+            {
+                let state = &mut *self.state.borrow_mut();
+                let change = state.levels.as_mut().and_then(|l| l.look(self.clock.now()));
+                self.level_changed(state, change);
+            }
+            self.let_in();
+        }
+    }
+
+    /// A reading of the program itself, as a part of what it may use.
+    pub fn reading(&self, what: Reading, value: f64) {
+        let now = self.clock.now();
+        self.state.borrow_mut().levels.iter_mut().for_each(|l| l.read(now, what, value));
+    }
+
+    /// How the levels stand, and the changes that are remembered; nothing where there are none.
+    pub fn levels(&self) -> Option<(Stands, Vec<Change>)> {
+        let state = self.state.borrow();
+        let levels = state.levels.as_ref()?;
+        Some((levels.stands(self.clock.now()), levels.changes().cloned().collect()))
+    }
+
+    /// Holds a level by hand for so many seconds.
+    pub fn hold_level(&self, name: &str, seconds: f64, who: &str) -> Result<(), String> {
+        let state = &mut *self.state.borrow_mut();
+        let levels = state.levels.as_mut().ok_or("levels: the operators' file names none")?;
+        let change = levels.hold(self.clock.now(), name, seconds, who)?;
+        self.level_changed(state, change);
+        Ok(())
+    }
+
+    /// Conditions decide again from now on.
+    pub fn release_level(&self, who: &str) -> Result<(), String> {
+        let state = &mut *self.state.borrow_mut();
+        let levels = state.levels.as_mut().ok_or("levels: the operators' file names none")?;
+        if levels.release(who) {
+            Ok(())
+        } else {
+            Err("level: none is held".into())
+        }
+    }
+
+    /// How many connections clients may hold now.
+    pub fn clients_bound(&self, most: usize) -> usize {
+        let part = self.state.borrow().levels.as_ref().map_or(1.0, Levels::connections);
+        let bound = self.clients_most.get().min(most);
+        if part < 1.0 {
+            (bound as f64 * part).ceil().max(1.0) as usize
+        } else {
+            bound
+        }
+    }
+
     // Changes.
 
     /// From now on hits go by these versions; an error names what the running one can't be held to here.
@@ -610,9 +871,10 @@
         Ok(())
     }
 
-    /// Whether values name only path groups that there are.
+    /// Whether values name only what there is here, and make sense here.
     pub fn fits_here(&self, values: &Values) -> Result<(), String> {
-        changes::bounds(values, &self.group_names()).map(drop)
+        changes::bounds(values, &self.group_names())?;
+        self.ladder(values).map(drop)
     }
 
     fn group_names(&self) -> Vec<String> {
@@ -665,7 +927,8 @@
 
     /// Whether nothing is held.
     pub fn idle(&self) -> bool {
-        self.state.borrow().held.iter().all(Option::is_none)
+        let state = self.state.borrow();
+        state.held.iter().all(Option::is_none) && state.waiting.is_empty()
     }
 }
 
@@ -734,12 +997,186 @@
             let load = || Load { id: 7, head: Box::new(()), body: Bytes::new() };
             let mut ticket = exchange.take(arrival, load()).expect("a hit");
             assert!(exchange.take(arrival, load()).is_none(), "its id is in hand");
-            exchange.answer(ticket.handle, Answer::Bounced { again_after: 0.5 });
-            exchange.answer(ticket.handle, Answer::Failed);
+            let handle = ticket.handle().expect("the decisions know it");
+            exchange.answer(handle, Answer::Bounced { again_after: 0.5 });
+            exchange.answer(handle, Answer::Failed);
             assert!(matches!(ticket.answer().await, Answer::Bounced { again_after: 0.5 }));
             tokio::time::sleep(Duration::from_millis(300)).await;
             assert!(exchange.idle());
             assert!(exchange.take(arrival, load()).is_some(), "its id is free again");
         });
     }
+
+    /// A way on which each hit is answered after a while, and counted.
+    struct Answers(Rc<Cell<u32>>, Duration);
+
+    impl Way for Answers {
+        fn forward(&self, _: Rc<Load>, _: Duration) -> LocalBoxFuture<'static, End> {
+            let (seen, after) = (self.0.clone(), self.1);
+            seen.set(seen.get() + 1);
+            Box::pin(async move {
+                tokio::time::sleep(after).await;
+                End::Answered { kind: None, body: Bytes::new() }
+            })
+        }
+    }
+
+    const LEVELS: &str =
+        "<magpieline><levels spacing-s='1' spread-s='0'><level name='busy' enter='late(pay) > 50%'
+        leave='late(pay) &lt; 1% and shortage &lt; 2%' least-stay-s='60' trial='held'>
+        <group name='read' share='0' WAIT/></level></levels></magpieline>";
+
+    /// An exchange over two nodes, the second of a build on trial, with a level that lets no reads in; how many hits
+    /// each has seen.
+    fn levelled(wait: &str) -> (Rc<Exchange>, [Rc<Cell<u32>>; 2]) {
+        let info = serde_json::json!({
+            "classes": [{"name": "read", "repeat": "retryable", "hard_limit_us": 2000000, "goal_time_us": 500000},
+                {"name": "pay", "repeat": "fragile", "hard_limit_us": 2000000, "goal_time_us": 500000, "credit": 5.0}],
+            "limits": {"retry_after": true, "max_retry_after_us": 9000000}, "family_info": {"spare_tries": 9}});
+        let seen: [Rc<Cell<u32>>; 2] = Default::default();
+        let both = seen.clone();
+        let ways: Ways = Box::new(move |address, _| {
+            let way = Answers(both[usize::from(address.port() - 1)].clone(), Duration::from_millis(20));
+            Ok(Rc::new(way))
+        });
+        let exchange = Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"));
+        let entry = |port: u16, build| {
+            let listed = Listed {
+                node: 0,
+                open: true,
+                build,
+                zone: 0,
+                cell: 0,
+                rating: 1.0,
+                up_since: 0.0,
+                speaks: 0,
+            };
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            Entry { uid: port.to_string(), listed, address, gone: false }
+        };
+        exchange.listed(true, true, vec![entry(1, 1), entry(2, 2)]);
+        exchange.heard(News { build: 2, stage: 1, phase: Phase::Trial, since: 0.0, cap: 0.9 });
+        let values = magpieline_operator::Schema::own().check(&LEVELS.replace("WAIT", wait)).expect("good");
+        exchange.set_levels(&values, 1, None).expect("it makes sense");
+        (exchange, seen)
+    }
+
+    fn read(id: u64) -> Load {
+        Load { id, head: Box::new(()), body: Bytes::new() }
+    }
+
+    fn arrival(group: usize) -> Arrival {
+        Arrival { group, remaining: 1.5, ..Arrival::default() }
+    }
+
+    /// So that the level's rules are in force.
+    fn held(exchange: &Exchange) {
+        exchange.hold_level("busy", 60.0, "ada").expect("held");
+        exchange.state.borrow_mut().levels.as_mut().expect("levels").look(exchange.clock.now());
+    }
+
+    /// Hits that a level lets in none of are answered at once, the decisions see nothing of them, and their ids are
+    /// free again; other path groups go on.
+    #[test]
+    fn what_a_level_turns_away_is_answered_at_once_and_never_runs() {
+        run(async {
+            let (exchange, seen) = levelled("");
+            held(&exchange);
+            for _ in 0..3 {
+                let mut ticket = exchange.take(arrival(0), read(7)).expect("its id is free");
+                let answer = tokio::time::timeout(Duration::from_millis(5), ticket.answer()).await;
+                match answer.expect("at once") {
+                    Answer::Bounced { again_after } => assert!(again_after > 0.0 && again_after <= 9.0),
+                    _ => panic!("let in"),
+                }
+            }
+            assert_eq!(seen.each_ref().map(|s| s.get()), [0, 0]);
+            assert!(exchange.idle());
+            let mut ticket = exchange.take(arrival(1), read(8)).expect("taken");
+            assert!(matches!(ticket.answer().await, Answer::Delivered { .. }));
+            exchange.release_level("ada").expect("released");
+            assert!(exchange.release_level("ada").is_err());
+            assert!(exchange.hold_level("odd", 60.0, "ada").is_err());
+        });
+    }
+
+    /// While a level holds trial traffic the build on trial gets nothing new, whatever its cap.
+    #[test]
+    fn a_level_that_holds_the_trial_sends_nothing_there() {
+        run(async {
+            let (exchange, seen) = levelled("");
+            let go = |from: u64| {
+                let exchange = exchange.clone();
+                async move {
+                    for id in from..from + 60 {
+                        exchange.state.borrow_mut().balancer.review(exchange.clock.now());
+                        let mut ticket = exchange.take(arrival(1), read(id)).expect("taken");
+                        ticket.answer().await;
+                    }
+                }
+            };
+            go(100).await;
+            let before = seen[1].get();
+            assert!(before > 0, "the trial has its share");
+            held(&exchange);
+            go(200).await;
+            assert_eq!(seen[1].get(), before);
+            exchange.release_level("ada").expect("released");
+            exchange.hold_level("full", 60.0, "ada").expect("held");
+            go(300).await;
+            assert!(seen[1].get() > before, "and has it again");
+        });
+    }
+
+    /// A hit that waits is let in once there is room, is answered when its time is up, and is forgotten when its client
+    /// leaves; one answer each, no id left in hand.
+    #[test]
+    fn what_waits_goes_on_or_is_answered_and_nothing_is_left() {
+        run(async {
+            let (exchange, seen) = levelled("most-waiting='2' longest-wait-s='0.2'");
+            held(&exchange);
+            // No room: the limit is in flight.
+            let many = exchange.state.borrow().levels.as_ref().expect("levels").stands(0.0).limit as usize;
+            (0..many).for_each(|_| exchange.state.borrow_mut().levels.as_mut().expect("levels").occupy());
+            let mut waits = exchange.take(arrival(0), read(1)).expect("taken");
+            let leaves = exchange.take(arrival(0), read(2)).expect("taken");
+            let mut third = exchange.take(arrival(0), read(3)).expect("taken");
+            assert!(matches!(third.answer().await, Answer::Bounced { .. }), "no more than two wait");
+            assert!(exchange.take(arrival(0), read(1)).is_none(), "its id is in hand");
+            drop(leaves);
+            assert_eq!(exchange.state.borrow().waiting.len(), 1);
+            let begun = Instant::now();
+            assert!(matches!(waits.answer().await, Answer::Bounced { .. }));
+            assert!((150..400).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+            assert!(exchange.idle() && exchange.state.borrow().ids.is_empty());
+            assert_eq!(seen[0].get(), 0);
+            // Room again: one that waits goes on at the next look.
+            let mut waits = exchange.take(arrival(0), read(4)).expect("taken");
+            exchange.state.borrow_mut().levels.as_mut().expect("levels").vacate(many);
+            exchange.let_in();
+            assert!(matches!(waits.answer().await, Answer::Delivered { .. }));
+            assert_eq!(seen[0].get(), 1);
+            // Levels that are no more leave nobody waiting.
+            (0..many).for_each(|_| exchange.state.borrow_mut().levels.as_mut().expect("levels").occupy());
+            let mut waits = exchange.take(arrival(0), read(5)).expect("taken");
+            exchange.set_levels(&Values::new(), 1, None).expect("none");
+            assert!(matches!(waits.answer().await, Answer::Bounced { .. }));
+            assert!(exchange.idle() && exchange.levels().is_none());
+        });
+    }
+
+    /// Levels that make no sense here change nothing.
+    #[test]
+    fn levels_that_make_no_sense_here_are_refused_whole() {
+        let (exchange, _) = levelled("");
+        let odd = LEVELS.replace("WAIT", "").replace("late(pay) > 50%", "late(odd) > 50%");
+        let values = magpieline_operator::Schema::own().check(&odd).expect("good by the schema");
+        let told = exchange.set_levels(&values, 1, None).expect_err("refused");
+        assert!(
+            told.contains("levels: level 'busy': enter: late: found 'odd', expected one of read, pay"),
+            "{told}"
+        );
+        assert!(exchange.fits_here(&values).is_err());
+        assert_eq!(exchange.levels().expect("as before").0.level, "full");
+    }
 }
--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -87,7 +87,7 @@
     };
     tokio::pin!(stopped);
     loop {
-        if !front.crowd.room(exchange.clients_most.get()) {
+        if !front.crowd.room(exchange.clients_bound(front.crowd.most())) {
             exchange.complain("accept", "as many connections as there is room for");
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
--- /dev/null
+++ b/levels/src/admission.rs
@@ -0,0 +1,472 @@
+//! What a level lets in: a budget of the offered work that follows how service fares, spent on the benefit for each
+//! unit of work, fair by account within a path group.
+
+use crate::ladder::{Level, Rule};
+use crate::signals::{Fate, Signals};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// The budget moves once in this time, in seconds, and only by so many outcomes, or what there is after this long.
+const STEP: f64 = 1.0;
+const OUTCOMES: f64 = 20.0;
+const STEP_LONGEST: f64 = 5.0;
+/// Spoilt benefit (late answers, errors) beyond the first share shrinks the budget, below the second lets it grow.
+/// Chosen on the fleet model (`magpieline-trials levels`): 1% and 3% gave the same within a hundredth.
+const SPOILT: (f64, f64) = (0.02, 0.005);
+/// By how much: in proportion to what is spoilt, at most by a third at once; and up by steps. Half as fast up swings
+/// less but leaves a tenth of the nodes' power unused for a minute after each step of the load.
+const SHRINK: f64 = 1.5;
+const SHRINK_MOST: f64 = 0.3;
+const GROW: f64 = 0.03;
+/// The least budget: some of everything, or nothing would ever be known again.
+const LEAST: f64 = 0.05;
+/// What a start without memory lets in at first, and how fast that grows while nothing is spoilt.
+const FIRST: f64 = 0.5;
+const FIRST_GROW: f64 = 0.15;
+/// Offered hits a second are known by the last so many seconds.
+const SPAN: f64 = 3.0;
+/// A hit's work is known by the last so many hits of its path group.
+const COSTS: f64 = 100.0;
+/// Waiting hits go on while so much of the limit is in flight.
+const ROOM: f64 = 0.9;
+/// Who is turned away comes back after this part of the time that the level stays, or of the least, drawn evenly.
+const BACK: (f64, f64) = (0.5, 1.5);
+const BACK_LEAST: f64 = 2.0;
+
+/// What becomes of a hit at the door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Door {
+    Go,
+    /// It waits for room, this long at most. Its number is for [`Admission::gone`].
+    Wait {
+        number: u64,
+        at_most: f64,
+    },
+    /// Turned away, to come back after this time in seconds.
+    Turned {
+        again_after: f64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    /// Hits offered since the last step, and a second, smoothed.
+    come: f64,
+    rate: f64,
+    /// The part of them that is let in, and what has added up towards the next one.
+    pass: f64,
+    credit: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Group {
+    benefit: f64,
+    cost: f64,
+    accounts: Vec<Account>,
+    waiting: usize,
+}
+
+impl Group {
+    fn rate(&self) -> f64 {
+        self.accounts.iter().map(|a| a.rate).sum()
+    }
+
+    /// Lets in this share of what is offered, each account up to the same number of hits.
+    fn divide(&mut self, share: f64, order: &mut Vec<f64>) {
+        if share >= 1.0 {
+            self.accounts.iter_mut().for_each(|a| a.pass = 1.0);
+            return;
+        }
+        // The level up to which all are served: the smallest are served whole, the rest alike.
+        let mut room = share * self.rate();
+        order.clear();
+        order.extend(self.accounts.iter().map(|a| a.rate).filter(|r| *r > 0.0));
+        order.sort_unstable_by(f64::total_cmp);
+        let mut level = 0.0;
+        for (i, rate) in order.iter().enumerate() {
+            let each = room / (order.len() - i) as f64;
+            level = each;
+            if *rate > each {
+                break;
+            }
+            level = f64::INFINITY;
+            room -= rate;
+        }
+        // One that was not seen lately is let in as the smallest are.
+        self.accounts.iter_mut().for_each(|a| a.pass = if a.rate > level { level / a.rate } else { 1.0 });
+        if share <= 0.0 {
+            self.accounts.iter_mut().for_each(|a| a.pass = 0.0);
+        }
+    }
+}
+
+/// A hit that waits.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    number: u64,
+    group: usize,
+}
+
+pub struct Admission {
+    groups: Vec<Group>,
+    chance: ChaCha8Rng,
+    /// The part of the offered work that is let in; 1 without a level.
+    budget: f64,
+    /// Whether the budget narrows anything now.
+    narrows: bool,
+    stepped_at: f64,
+    /// Outcomes since the last step: all, their benefit, and the benefit that was spoilt.
+    outcomes: f64,
+    worth: f64,
+    spoilt: f64,
+    waiting: VecDeque<Waiting>,
+    next: u64,
+    order: Vec<f64>,
+}
+
+impl Admission {
+    /// `benefits` by path group; so many accounts, those that have none included.
+    pub fn new(benefits: &[f64], accounts: usize, now: f64, seed: u64) -> Admission {
+        let account = Account { come: 0.0, rate: 0.0, pass: 1.0, credit: 0.0 };
+        let group = |benefit: &f64| Group {
+            benefit: benefit.max(1e-9),
+            cost: 0.0,
+            accounts: vec![account.clone(); accounts.max(1)],
+            waiting: 0,
+        };
+        Admission {
+            groups: benefits.iter().map(group).collect(),
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            budget: 1.0,
+            narrows: false,
+            stepped_at: now,
+            outcomes: 0.0,
+            worth: 0.0,
+            spoilt: 0.0,
+            waiting: VecDeque::new(),
+            next: 0,
+            order: Vec::new(),
+        }
+    }
+
+    /// A hit is offered. `remaining`: how long its client waits, in seconds; `stays`: how long the level stays at least.
+    pub fn arrive(
+        &mut self,
+        group: usize,
+        account: usize,
+        remaining: f64,
+        rule: Option<&Rule>,
+        stays: f64,
+    ) -> Door {
+        let Some(g) = self.groups.get_mut(group) else { return Door::Go };
+        let last = g.accounts.len() - 1;
+        let a = &mut g.accounts[account.min(last)];
+        a.come += 1.0;
+        if !self.narrows || a.pass >= 1.0 {
+            return Door::Go;
+        }
+        a.credit = (a.credit + a.pass).min(2.0);
+        if a.credit >= 1.0 {
+            a.credit -= 1.0;
+            return Door::Go;
+        }
+        let rule = rule.unwrap_or(&Rule::FULL);
+        let at_most = rule.longest_wait.min(0.5 * remaining);
+        if g.waiting < rule.waiting && at_most > 0.0 {
+            g.waiting += 1;
+            self.next += 1;
+            self.waiting.push_back(Waiting { number: self.next, group });
+            return Door::Wait { number: self.next, at_most };
+        }
+        Door::Turned { again_after: self.again_after(stays) }
+    }
+
+    /// When who is turned away may come back, spread.
+    pub fn again_after(&mut self, stays: f64) -> f64 {
+        stays.max(BACK_LEAST) * self.chance.gen_range(BACK.0..BACK.1)
+    }
+
+    /// The next waiting hit that may go on, if there is room: of the path group with the most benefit for its work first.
+    pub fn released(&mut self, signals: &Signals) -> Option<u64> {
+        if self.waiting.is_empty() || signals.in_flight() > ROOM * signals.limit.value() {
+            return None;
+        }
+        let density = |w: &Waiting| self.groups[w.group].benefit / self.groups[w.group].cost.max(1e-6);
+        let best = (0..self.waiting.len()).max_by(|i, j| {
+            density(&self.waiting[*i]).total_cmp(&density(&self.waiting[*j])).then(j.cmp(i))
+        })?;
+        let waiting = self.waiting.remove(best)?;
+        self.groups[waiting.group].waiting -= 1;
+        Some(waiting.number)
+    }
+
+    /// A waiting hit does not wait any more, whatever the reason.
+    pub fn gone(&mut self, number: u64) {
+        if let Some(i) = self.waiting.iter().position(|w| w.number == number) {
+            if let Some(waiting) = self.waiting.remove(i) {
+                self.groups[waiting.group].waiting -= 1;
+            }
+        }
+    }
+
+    /// A hit that was let in is over, after so many seconds.
+    pub fn ended(&mut self, group: usize, fate: Fate, spent: f64) {
+        let Some(g) = self.groups.get_mut(group) else { return };
+        if matches!(fate, Fate::InTime | Fate::Late) && spent.is_finite() && spent >= 0.0 {
+            let known = if g.cost > 0.0 { COSTS } else { 1.0 };
+            g.cost += (spent - g.cost) / known;
+        }
+        // A bounce of the decisions' is no service either, but says nothing of who was served.
+        if fate == Fate::Bounced {
+            return;
+        }
+        self.outcomes += 1.0;
+        self.worth += g.benefit;
+        self.spoilt += if fate == Fate::InTime { 0.0 } else { g.benefit };
+    }
+
+    /// Moves the budget and divides it. `level`: the one whose rules hold; `first`: after a start without memory.
+    pub fn step(&mut self, now: f64, level: Option<&Level>, first: bool, signals: &mut Signals) {
+        let narrows = level.is_some();
+        if narrows && !self.narrows {
+            self.budget = if first { FIRST } else { 1.0 };
+            (self.outcomes, self.worth, self.spoilt) = (0.0, 0.0, 0.0);
+        }
+        let begins = narrows != self.narrows;
+        self.narrows = narrows;
+        let passed = now - self.stepped_at;
+        let room: usize = level.map_or(0, |l| l.rules.iter().map(|r| r.waiting).sum());
+        signals.waiting = if room > 0 { self.waiting.len() as f64 / room as f64 } else { 0.0 };
+        if !begins && (0.0..STEP).contains(&passed) {
+            return;
+        }
+        if passed > 0.0 {
+            let weight = 1.0 - (-passed / SPAN).exp();
+            for a in self.groups.iter_mut().flat_map(|g| &mut g.accounts) {
+                a.rate += weight * (a.come / passed - a.rate);
+                a.rate = if a.rate < 1e-6 { 0.0 } else { a.rate };
+                a.come = 0.0;
+            }
+        }
+        self.stepped_at = now;
+        let Some(level) = level else {
+            (self.budget, signals.shortage) = (1.0, 0.0);
+            (self.outcomes, self.worth, self.spoilt) = (0.0, 0.0, 0.0);
+            return;
+        };
+        if self.outcomes >= OUTCOMES || (passed >= STEP_LONGEST && self.outcomes > 0.0) {
+            let spoilt = self.spoilt / self.worth;
+            let grow = if first { FIRST_GROW } else { GROW };
+            if spoilt > SPOILT.0 {
+                self.budget *= 1.0 - (SHRINK * spoilt).min(SHRINK_MOST);
+            } else if spoilt < SPOILT.1 {
+                self.budget += grow;
+            }
+            self.budget = self.budget.clamp(LEAST, 1.0);
+            (self.outcomes, self.worth, self.spoilt) = (0.0, 0.0, 0.0);
+        }
+        signals.shortage = 1.0 - self.budget;
+        self.divide(level);
+    }
+
+    /// Spends the budget: the least of each path group first, then by benefit for each unit of work.
+    fn divide(&mut self, level: &Level) {
+        let rule = |g: usize| level.rules.get(g).unwrap_or(&Rule::FULL);
+        // A path group of which nothing is known yet costs what the others do.
+        let known = self.groups.iter().filter(|g| g.cost > 0.0);
+        let usual = known.clone().map(|g| g.cost).sum::<f64>() / (known.count() as f64).max(1.0);
+        let cost = |g: &Group| if g.cost > 0.0 { g.cost } else { usual.max(1e-6) };
+        let work: Vec<f64> = self.groups.iter().map(|g| g.rate() * cost(g)).collect();
+        let mut left = self.budget * work.iter().sum::<f64>();
+        let mut shares: Vec<f64> = (0..work.len()).map(|g| rule(g).least).collect();
+        left -= shares.iter().zip(&work).map(|(s, w)| s * w).sum::<f64>();
+        let mut by_density: Vec<usize> = (0..work.len()).collect();
+        let density = |g: &usize| self.groups[*g].benefit / cost(&self.groups[*g]);
+        by_density.sort_by(|a, b| density(b).total_cmp(&density(a)));
+        for g in by_density {
+            let more = (rule(g).most - shares[g]).max(0.0);
+            let part = if work[g] > 0.0 { (left.max(0.0) / work[g]).min(more) } else { more };
+            shares[g] += part;
+            left -= part * work[g];
+        }
+        let mut order = std::mem::take(&mut self.order);
+        self.groups.iter_mut().zip(&shares).for_each(|(g, share)| g.divide(*share, &mut order));
+        self.order = order;
+    }
+
+    /// The part of the offered work that finds room.
+    pub fn budget(&self) -> f64 {
+        self.budget
+    }
+
+    /// How many hits of each path group are let in now, of what is offered.
+    pub fn shares(&self) -> Vec<f64> {
+        let share = |g: &Group| {
+            let (all, passed) =
+                g.accounts.iter().fold((0.0, 0.0), |(all, p), a| (all + a.rate, p + a.rate * a.pass));
+            if all > 0.0 && self.narrows {
+                passed / all
+            } else {
+                1.0
+            }
+        };
+        self.groups.iter().map(share).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::keeper::tests::ladder;
+
+    /// Path groups of equal work: pay brings five times what read does.
+    fn admission() -> Admission {
+        Admission::new(&[5.0, 1.0], 4, 0.0, 7)
+    }
+
+    fn level(least: f64) -> Level {
+        let mut level = ladder().levels.remove(0);
+        level.rules = vec![Rule { least, ..Rule::FULL }; 2];
+        level
+    }
+
+    /// Offers hits of these (group, account) a second, a share of which is late, for so many seconds: how many of
+    /// each were let in, in the last second.
+    fn offer(
+        a: &mut Admission,
+        s: &mut Signals,
+        now: &mut f64,
+        seconds: usize,
+        each: &[(usize, usize, usize)],
+        level: Option<&Level>,
+        late: impl Fn(usize) -> bool,
+    ) -> Vec<usize> {
+        let mut let_in = vec![0; each.len()];
+        for _ in 0..seconds {
+            let mut went = 0;
+            for (n, (group, account, hits)) in each.iter().enumerate() {
+                let_in[n] = 0;
+                for _ in 0..*hits {
+                    let rule = level.map(|l| &l.rules[*group]);
+                    if a.arrive(*group, *account, 1.0, rule, 30.0) == Door::Go {
+                        let_in[n] += 1;
+                        went += 1;
+                        a.ended(*group, if late(went) { Fate::Late } else { Fate::InTime }, 0.1);
+                    }
+                }
+            }
+            *now += 1.0;
+            a.step(*now, level, false, s);
+        }
+        let_in
+    }
+
+    #[test]
+    fn without_a_level_all_go() {
+        let (mut a, mut s, mut now) = (admission(), Signals::new(2), 0.0);
+        assert_eq!(
+            offer(&mut a, &mut s, &mut now, 20, &[(0, 0, 100), (1, 0, 100)], None, |_| true),
+            [100, 100]
+        );
+        assert_eq!((a.budget(), s.shortage), (1.0, 0.0));
+    }
+
+    /// Nodes that serve 120 of 200 hits a second in time: what brings most is served whole, the rest has what is left.
+    #[test]
+    fn a_shortage_is_borne_by_what_brings_least_for_its_work() {
+        let (mut a, mut s, mut now, level) = (admission(), Signals::new(2), 0.0, level(0.1));
+        let each = [(0, 0, 100), (1, 0, 100)];
+        offer(&mut a, &mut s, &mut now, 60, &each, Some(&level), |n| n > 120);
+        let mut sums = [0, 0];
+        for _ in 0..20 {
+            let let_in = offer(&mut a, &mut s, &mut now, 1, &each, Some(&level), |n| n > 120);
+            sums = [sums[0] + let_in[0], sums[1] + let_in[1]];
+        }
+        assert_eq!(sums[0], 2000, "{sums:?}");
+        assert!((300..=600).contains(&sums[1]), "{sums:?}");
+        assert!((0.25..0.5).contains(&s.shortage), "{}", s.shortage);
+        // Once nodes take all of it again, all of it is let in.
+        let let_in = offer(&mut a, &mut s, &mut now, 30, &each, Some(&level), |_| false);
+        assert_eq!((let_in, s.shortage), (vec![100, 100], 0.0));
+    }
+
+    #[test]
+    fn the_least_of_a_path_group_is_let_in_however_short_room_is() {
+        let (mut a, mut s, mut now, level) = (admission(), Signals::new(2), 0.0, level(0.2));
+        let let_in = offer(&mut a, &mut s, &mut now, 80, &[(0, 0, 100), (1, 0, 100)], Some(&level), |_| true);
+        assert!(let_in.iter().all(|n| (19..=21).contains(n)), "{let_in:?}");
+    }
+
+    /// One account's burst is its own matter: the others are served as before.
+    #[test]
+    fn an_account_that_bursts_bears_its_burst() {
+        let (mut a, mut s, mut now, level) = (admission(), Signals::new(2), 0.0, level(0.0));
+        let each = [(1, 0, 20), (1, 1, 20), (1, 2, 200)];
+        let mut sums = [0; 3];
+        offer(&mut a, &mut s, &mut now, 40, &each, Some(&level), |n| n > 110);
+        for _ in 0..20 {
+            let let_in = offer(&mut a, &mut s, &mut now, 1, &each, Some(&level), |n| n > 110);
+            (0..3).for_each(|i| sums[i] += let_in[i]);
+        }
+        assert_eq!(sums[..2], [400, 400]);
+        assert!((800..2000).contains(&sums[2]), "{sums:?}");
+    }
+
+    /// Times to come back are spread, so that the return is no second wave.
+    #[test]
+    fn who_is_turned_away_comes_back_spread() {
+        let (mut a, mut s, mut now, level) = (admission(), Signals::new(2), 0.0, level(0.0));
+        offer(&mut a, &mut s, &mut now, 60, &[(1, 0, 100)], Some(&level), |_| true);
+        let mut seconds = [0; 46];
+        for _ in 0..3000 {
+            if let Door::Turned { again_after } = a.arrive(1, 0, 1.0, None, 30.0) {
+                seconds[again_after as usize] += 1;
+            }
+        }
+        assert!(seconds[15..45].iter().all(|n| (40..200).contains(n)), "{seconds:?}");
+        assert!(seconds[..15].iter().all(|n| *n == 0));
+    }
+
+    #[test]
+    fn waiting_is_bounded_and_goes_by_benefit_once_there_is_room() {
+        let (mut a, mut s, mut now, mut level) = (admission(), Signals::new(2), 0.0, level(0.0));
+        level.rules = vec![Rule { waiting: 3, longest_wait: 0.4, ..Rule::FULL }; 2];
+        offer(&mut a, &mut s, &mut now, 60, &[(0, 0, 100), (1, 0, 100)], Some(&level), |_| true);
+        while a.waiting.pop_front().is_some() {}
+        a.groups.iter_mut().for_each(|g| g.waiting = 0);
+        let mut doors = Vec::new();
+        for i in 0..400 {
+            match a.arrive(usize::from(i < 200), 0, 0.5, Some(&level.rules[0]), 30.0) {
+                Door::Wait { number, at_most } => {
+                    assert_eq!(at_most, 0.25, "never beyond half of what its client waits");
+                    doors.push((number, i < 200));
+                }
+                door => assert!(door == Door::Go || matches!(door, Door::Turned { .. })),
+            }
+        }
+        assert_eq!(doors.len(), 6);
+        a.step(now, Some(&level), false, &mut s);
+        assert_eq!(s.waiting, 1.0);
+        (0..30).for_each(|_| s.began());
+        assert_eq!(a.released(&s), None, "no room");
+        (0..30).for_each(|_| s.ended(now, 0, Fate::InTime, 0.1, None));
+        a.gone(doors[3].0);
+        let out: Vec<u64> = std::iter::from_fn(|| a.released(&s)).collect();
+        // Pay's two that are left, oldest first, then read's three.
+        assert_eq!(out, [doors[4].0, doors[5].0, doors[0].0, doors[1].0, doors[2].0]);
+        assert!(a.groups.iter().all(|g| g.waiting == 0));
+    }
+
+    #[test]
+    fn a_start_without_memory_lets_in_half_and_soon_all() {
+        let (mut a, mut s, level) = (admission(), Signals::new(2), level(0.0));
+        a.step(0.1, Some(&level), true, &mut s);
+        assert_eq!(a.budget(), 0.5);
+        for second in 1..=4 {
+            (0..50).for_each(|_| a.ended(0, Fate::InTime, 0.1));
+            a.step(f64::from(second) + 0.2, Some(&level), true, &mut s);
+        }
+        assert_eq!(a.budget(), 1.0);
+    }
+}
--- /dev/null
+++ b/levels/src/signals.rs
@@ -0,0 +1,224 @@
+//! What an agent sees of itself, each figure with its age. A figure that nothing has renewed for a while is unknown, and
+//! what is unknown is never taken for good.
+
+use crate::limit::Limit;
+use crate::words::Signal;
+
+/// Shares of a path group's hits are known by the last two seconds or some twenty hits, whichever is longer, but by
+/// no more than this, in seconds.
+const SPAN: (f64, f64) = (2.0, 20.0);
+const HITS: f64 = 20.0;
+/// Fewer hits than this say nothing.
+const FEW: f64 = 5.0;
+/// A share is unknown once no hit has ended for so long, a reading once none has come.
+const OLD: f64 = 5.0;
+
+/// How a hit ended, as far as service goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    InTime,
+    Late,
+    Failed,
+    Bounced,
+}
+
+/// What an agent reads off itself from time to time, in parts of what it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    Cpu,
+    Descriptors,
+    Memory,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Group {
+    /// Hits that have ended, fading: all, and by fate.
+    all: f64,
+    by: [f64; 3],
+    last: f64,
+    /// Hits a second.
+    rate: f64,
+}
+
+impl Group {
+    fn fade(&mut self, now: f64) {
+        let spent = (now - self.last).max(0.0);
+        let span = (HITS / self.rate.max(1e-3)).clamp(SPAN.0, SPAN.1);
+        let kept = (-spent / span).exp();
+        self.all *= kept;
+        self.by.iter_mut().for_each(|n| *n *= kept);
+        self.rate *= (-spent / SPAN.1).exp();
+        self.last = now;
+    }
+}
+
+/// All figures of an agent.
+#[derive(Clone, Debug)]
+pub struct Signals {
+    groups: Vec<Group>,
+    pub limit: Limit,
+    in_flight: f64,
+    /// Mean time before the first forward, and when it was last renewed.
+    queueing: Option<(f64, f64)>,
+    readings: [Option<(f64, f64)>; 3],
+    /// Set by the admission: hits that wait, in parts of the room; the budget's shortage.
+    pub(crate) waiting: f64,
+    pub(crate) shortage: f64,
+}
+
+impl Signals {
+    pub fn new(groups: usize) -> Signals {
+        Signals {
+            groups: vec![Group::default(); groups],
+            limit: Limit::default(),
+            in_flight: 0.0,
+            queueing: None,
+            readings: [None; 3],
+            waiting: 0.0,
+            shortage: 0.0,
+        }
+    }
+
+    /// A hit is handed on.
+    pub fn began(&mut self) {
+        self.in_flight += 1.0;
+    }
+
+    /// It is over: how, how long it took in parts of its target latency, and how long it waited before it was first
+    /// forwarded, in seconds, if it was.
+    pub fn ended(&mut self, now: f64, group: usize, fate: Fate, part: f64, waited: Option<f64>) {
+        let in_flight = self.in_flight;
+        self.in_flight = (self.in_flight - 1.0).max(0.0);
+        if let Some(waited) = waited {
+            let mean = self.queueing.map_or(waited, |(mean, _)| mean + 0.1 * (waited - mean));
+            self.queueing = Some((mean, now));
+        }
+        if matches!(fate, Fate::InTime | Fate::Late) {
+            self.limit.sample(now, part, in_flight);
+        }
+        let Some(g) = self.groups.get_mut(group) else { return };
+        g.fade(now);
+        g.all += 1.0;
+        g.rate += 1.0 / SPAN.1;
+        if fate != Fate::InTime {
+            g.by[fate as usize - 1] += 1.0;
+        }
+    }
+
+    /// One is over whose client has left: nothing is known of it.
+    pub fn left(&mut self) {
+        self.in_flight = (self.in_flight - 1.0).max(0.0);
+    }
+
+    /// A reading has come.
+    pub fn read(&mut self, now: f64, what: Reading, value: f64) {
+        if value.is_finite() {
+            self.readings[what as usize] = Some((value.clamp(0.0, 1.0), now));
+        }
+    }
+
+    /// Nothing that was seen before speaks of now: the clock has jumped, or the agent has stood still.
+    pub fn forget(&mut self) {
+        self.groups.iter_mut().for_each(|g| *g = Group::default());
+        (self.queueing, self.readings) = (None, [None; 3]);
+    }
+
+    fn share(&self, now: f64, group: usize, by: usize) -> Option<f64> {
+        let g = self.groups.get(group)?;
+        // Hits fade together, so only the count's age matters.
+        let age = now - g.last;
+        let span = (HITS / g.rate.max(1e-3)).clamp(SPAN.0, SPAN.1);
+        (g.all * (-age.max(0.0) / span).exp() >= FEW && age <= OLD).then(|| g.by[by] / g.all)
+    }
+
+    /// The figure now, unless it is unknown.
+    pub fn value(&self, now: f64, signal: Signal) -> Option<f64> {
+        let fresh =
+            |known: Option<(f64, f64)>| known.filter(|(_, at)| now - at <= OLD).map(|(value, _)| value);
+        match signal {
+            Signal::Late(g) => self.share(now, g, Fate::Late as usize - 1),
+            Signal::Failed(g) => self.share(now, g, Fate::Failed as usize - 1),
+            Signal::Bounced(g) => self.share(now, g, Fate::Bounced as usize - 1),
+            Signal::InFlight => Some(self.in_flight / self.limit.value()),
+            Signal::Waiting => Some(self.waiting),
+            Signal::Queueing => fresh(self.queueing),
+            Signal::Shortage => Some(self.shortage),
+            Signal::Cpu => fresh(self.readings[Reading::Cpu as usize]),
+            Signal::Descriptors => fresh(self.readings[Reading::Descriptors as usize]),
+            Signal::Memory => fresh(self.readings[Reading::Memory as usize]),
+        }
+    }
+
+    /// Hits of a path group that end a second.
+    pub fn rate(&self, group: usize) -> f64 {
+        self.groups.get(group).map_or(0.0, |g| g.rate)
+    }
+
+    /// Hits in flight.
+    pub fn in_flight(&self) -> f64 {
+        self.in_flight
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn busy(signals: &mut Signals, from: f64, hits: usize, a_second: f64, late: usize) -> f64 {
+        for i in 0..hits {
+            signals.began();
+            let fate = if late > 0 && i % late == 0 { Fate::Late } else { Fate::InTime };
+            signals.ended(from + i as f64 / a_second, 0, fate, 0.3, Some(0.01));
+        }
+        from + hits as f64 / a_second
+    }
+
+    #[test]
+    fn shares_are_of_what_ended_lately() {
+        let mut signals = Signals::new(2);
+        let now = busy(&mut signals, 100.0, 500, 100.0, 4);
+        let late = signals.value(now, Signal::Late(0)).expect("known");
+        assert!((late - 0.25).abs() < 0.03, "{late}");
+        let now = busy(&mut signals, now, 1500, 100.0, 0);
+        assert!(signals.value(now, Signal::Late(0)).expect("known") < 0.01);
+        assert_eq!(signals.value(now, Signal::Late(1)), None, "no hit of it");
+        assert_eq!(signals.value(now, Signal::Late(9)), None);
+    }
+
+    #[test]
+    fn what_stands_still_is_unknown_not_good() {
+        let mut signals = Signals::new(1);
+        let now = busy(&mut signals, 100.0, 500, 100.0, 0);
+        signals.read(now, Reading::Cpu, 0.4);
+        signals.read(now, Reading::Memory, f64::NAN);
+        assert_eq!(signals.value(now, Signal::Late(0)), Some(0.0));
+        assert_eq!(signals.value(now, Signal::Cpu), Some(0.4));
+        assert_eq!(signals.value(now, Signal::Memory), None);
+        for signal in [Signal::Late(0), Signal::Cpu, Signal::Queueing, Signal::Descriptors] {
+            assert_eq!(signals.value(now + OLD + 0.1, signal), None, "{signal:?}");
+        }
+        signals.forget();
+        assert_eq!(signals.value(now, Signal::Late(0)), None);
+    }
+
+    /// An agent with two hits a second knows its shares by a longer span, one with hardly any does not.
+    #[test]
+    fn few_hits_take_longer_and_hardly_any_say_nothing() {
+        let mut signals = Signals::new(1);
+        let now = busy(&mut signals, 100.0, 60, 2.0, 3);
+        let late = signals.value(now, Signal::Late(0)).expect("known");
+        assert!((late - 0.33).abs() < 0.1, "{late}");
+        let mut signals = Signals::new(1);
+        let now = busy(&mut signals, 100.0, 60, 0.1, 3);
+        assert_eq!(signals.value(now, Signal::Late(0)), None);
+    }
+
+    #[test]
+    fn in_flight_is_a_part_of_the_limit() {
+        let mut signals = Signals::new(1);
+        (0..10).for_each(|_| signals.began());
+        assert_eq!(signals.value(0.0, Signal::InFlight), Some(10.0 / signals.limit.value()));
+        signals.ended(0.0, 0, Fate::Bounced, 0.0, None);
+        assert_eq!(signals.in_flight(), 9.0);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -42,6 +42,8 @@
     pub longest: f64,
     /// The protocol that it came in.
     pub speaks: u8,
+    /// Nodes of this build or a newer one get nothing of it; none where all may.
+    pub spares: Option<u32>,
 }
 
 /// What is to be done with a hit now.
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,9 +224,12 @@
         let most = if most > 0 { f64::from(most) } else { f64::INFINITY };
         (most, if longest > 0.0 { longest } else { f64::INFINITY })
     }
-    /// Whether a node speaks this hit's protocol and, if it may have run and is not repeatable, drops its repeats.
+    /// Whether a node speaks this hit's protocol, is not spared it and, if it may have run and is not repeatable, drops its
+    /// repeats.
     pub fn may_go(&self, repeat: Repeat, scope: Scope, line: &Listed) -> bool {
-        self.arrival.speaks == line.speaks && (repeat == Repeat::Repeatable || self.within(scope, line))
+        let Arrival { speaks, spares, .. } = self.arrival;
+        let meant = speaks == line.speaks && spares.is_none_or(|build| line.build < build);
+        meant && (repeat == Repeat::Repeatable || self.within(scope, line))
     }
     fn within(&self, scope: Scope, line: &Listed) -> bool {
         match (self.risk, scope) {
@@ -892,6 +895,37 @@
         self.nodes.iter().filter_map(|n| n.listed).filter(|l| l.open)
     }
 
+    /// What a hit of each path group brings.
+    pub fn benefits(&self) -> Vec<f64> {
+        self.groups.iter().map(|g| g.benefit).collect()
+    }
+
+    /// Whether a key that went to the trial build stays there.
+    pub fn one_way(&self) -> bool {
+        flag(&self.named, "family_info.one_way")
+    }
+
+    /// The longest time to come back that clients may be told, in seconds; 0 where they are told none.
+    pub fn longest_back(&self) -> f64 {
+        let told = flag(&self.named, "limits.retry_after");
+        if told {
+            number(&self.named, "limits.max_retry_after_s", 0.0)
+        } else {
+            0.0
+        }
+    }
+
+    /// The build on trial, if a node of an earlier one is open: hits can be kept from it.
+    pub fn can_be_spared(&self) -> Option<u32> {
+        let trial = self.trial()?.build;
+        self.open().any(|l| l.build < trial && !self.void.contains(&l.build)).then_some(trial)
+    }
+
+    /// From now on other hits come than before: what is compared block by block begins a block here.
+    pub fn other_hits(&mut self, now: f64) {
+        self.case.iter_mut().for_each(|c| c.cut(now));
+    }
+
     /// Fades what calm seconds have shown.
     pub(crate) fn fade_calm(&mut self, keep: f64) {
         self.groups.iter_mut().map(|g| &mut g.calm).chain(&mut self.steps).for_each(|c| c.fade(keep));
--- a/verdict/src/case.rs
+++ b/verdict/src/case.rs
@@ -395,6 +395,14 @@
         answered[place].add(tally);
     }
 
+    /// What comes from here on is not to be compared with what came before: the block ends here.
+    pub fn cut(&mut self, now: f64) {
+        self.advance(now);
+        if self.block_ends.is_finite() {
+            self.close();
+        }
+    }
+
     /// Whether the trial's traffic should rest just now, to see if a slowdown of all nodes goes with it. To be
     /// called at each review; `slowed`: whether all are, or have just been, slower than before the trial.
     pub fn rest(&mut self, now: f64, slowed: bool) -> bool {
