--- a/levels/src/signals.rs
+++ b/levels/src/signals.rs
@@ -12,6 +12,8 @@
 const FEW: f64 = 5.0;
 /// A share is unknown once no hit has ended for so long, a reading once none has come.
 const OLD: f64 = 5.0;
+/// Where hits are rare it is so many times their usual distance, within the longest span: two in a hundred are farther.
+const DISTANCES: f64 = 4.0;
 
 /// How a hit ended, as far as service goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -132,7 +134,8 @@
         // Hits fade together, so only the count's age matters.
         let age = now - g.last;
         let span = (HITS / g.rate.max(1e-3)).clamp(SPAN.0, SPAN.1);
-        (g.all * (-age.max(0.0) / span).exp() >= FEW && age <= OLD).then(|| g.by[by] / g.all)
+        let old = (DISTANCES / g.rate.max(1e-3)).clamp(OLD, SPAN.1);
+        (g.all * (-age.max(0.0) / span).exp() >= FEW && age <= old).then(|| g.by[by] / g.all)
     }
 
     /// The figure now, unless it is unknown.
