--- a/front-extproc/src/lib.rs
+++ b/front-extproc/src/lib.rs
@@ -4,7 +4,7 @@
 
 mod call;
 mod front;
-mod messages;
+pub mod messages;
 mod stream;
 mod table;
 #[cfg(test)]
