--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -104,7 +104,7 @@
         if self.unsure.get() {
             // As things stand, whatever of earlier steps has come through.
             if let Some(snapshot) = self.exchange.changes(|c| c.versions.snapshot()) {
-                keeper.anew(snapshot).await?;
+                keeper.anew(vec![snapshot]).await?;
             }
             self.unsure.set(false);
         }
@@ -120,7 +120,7 @@
         if let (Some(keeper), Some(snapshot)) =
             (&self.keeper, self.exchange.changes(|c| c.versions.snapshot()))
         {
-            if let Err(e) = keeper.compact(snapshot).await {
+            if let Err(e) = keeper.compact(vec![snapshot]).await {
                 log::warn!("{e}"); // what was written stands; it is only long
             }
         }
--- a/agent/src/life/extproc.rs
+++ b/agent/src/life/extproc.rs
@@ -10,9 +10,10 @@
 use magpieline_ledger::Record;
 use magpieline_operator::{Setting, Values};
 use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 /// A record of the journal.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -21,8 +22,6 @@
     /// All that came from here on (Unix time) is known; a new journal begins so.
     From(f64),
     One(Record),
-    /// What was known when the journal began anew.
-    All(f64, Vec<Record>),
 }
 
 /// All records, and from when on all is known; nothing of a journal that does not begin as one.
@@ -32,19 +31,50 @@
         match record {
             Kept::From(at) => from = from.or(Some(at)),
             Kept::One(record) => all.push(record),
-            Kept::All(at, records) => (all, from) = (records, Some(at)),
         }
     }
     (all, from.unwrap_or(now))
 }
 
+/// So many records are written before it is looked whether the journal has grown too long.
+const LOOK: u32 = 4096;
+
 /// The journal as a shelf.
-struct Journal(Rc<Keeper<Kept>>);
+struct Journal {
+    keeper: Rc<Keeper<Kept>>,
+    from: f64,
+    written: Cell<u32>,
+    /// What it begins anew with, once it is long.
+    front: RefCell<Weak<Front>>,
+}
 
-impl Shelf for Journal {
+impl Journal {
+    /// All that is remembered, as a journal begins with it.
+    fn snapshot(&self) -> Option<Vec<Kept>> {
+        let records = self.front.borrow().upgrade()?.snapshot();
+        Some([Kept::From(self.from)].into_iter().chain(records.into_iter().map(Kept::One)).collect())
+    }
+}
+
+/// The journal as the front has it.
+struct OnDisk(Rc<Journal>);
+
+impl Shelf for OnDisk {
     fn write(&self, record: Record) -> LocalBoxFuture<'static, Result<(), String>> {
-        let keeper = self.0.clone();
-        Box::pin(async move { keeper.add(&Kept::One(record)).await })
+        let own = self.0.clone();
+        Box::pin(async move {
+            own.keeper.add(&Kept::One(record)).await?;
+            own.written.set(own.written.get().wrapping_add(1));
+            if own.written.get().is_multiple_of(LOOK) {
+                // It is asked for in this same moment: whatever is written later comes after it.
+                if let Some(snapshot) = own.snapshot() {
+                    if let Err(e) = own.keeper.compact(snapshot).await {
+                        log::warn!("{e}"); // what was written stands; it is only long
+                    }
+                }
+            }
+            Ok(())
+        })
     }
 }
 
@@ -77,20 +107,22 @@
         .parse()
         .map_err(|_| format!("extproc/@listen: found '{listen}', expected an address and a port"))?;
     let table = Table::read(values, exchange)?;
-    let (mut shelf, mut records, mut from, mut kept) = (None, Vec::new(), unix(), None);
+    let (mut kept, mut records, mut from) = (None, Vec::new(), unix());
     if let Some(path) = text("journal").map(PathBuf::from) {
         // Without it payments would be taken that nobody remembers: that is refused, not gone on without.
         let (keeper, found, since) = journal(&path).map_err(|e| format!("extproc/@journal: {e}"))?;
-        (records, from, kept) = (found, since, Some(keeper.clone()));
-        shelf = Some(Rc::new(Journal(keeper)) as Rc<dyn Shelf>);
+        (records, from) = (found, since);
+        kept = Some(Rc::new(Journal { keeper, from, written: Cell::default(), front: RefCell::default() }));
     }
     let own = exchange.clone();
+    let shelf = kept.clone().map(|journal| Rc::new(OnDisk(journal)) as Rc<dyn Shelf>);
     let front = Rc::new(Front::new(own, table, headers::TURNED_AWAY, shelf, &records, from));
-    if let Some(keeper) = kept {
+    if let Some(journal) = kept {
+        *journal.front.borrow_mut() = Rc::downgrade(&front);
         // Begun anew with what is still remembered, so that it does not grow with each restart; asked for before
         // anything else is written, or that would be lost with what was there.
-        let (snapshot, exchange) = (Kept::All(from, front.snapshot()), exchange.clone());
-        let mut anew = Box::pin(async move { keeper.anew(snapshot).await });
+        let (snapshot, exchange) = (journal.snapshot().unwrap_or_default(), exchange.clone());
+        let mut anew = Box::pin(async move { journal.keeper.anew(snapshot).await });
         let told = move |done: Result<(), String>| {
             if let Err(e) = done {
                 exchange.complain("ledger", &e);
--- a/agent/src/life/keeper.rs
+++ b/agent/src/life/keeper.rs
@@ -12,8 +12,9 @@
 
 /// How long a step may take to reach the disk: some hundred times what a sync takes.
 const SLOW: Duration = Duration::from_secs(5);
-/// Steps on their way to the thread: one at a time is made, one may be late.
-const WAITING: usize = 4;
+/// Steps on their way to the thread: what comes while one sync takes is written with the next, as many as a burst of
+/// payments brings in the slowest of syncs.
+const WAITING: usize = 1024;
 /// A journal longer than this begins anew with a snapshot.
 const LONGEST: u64 = 8 << 20;
 
@@ -73,8 +74,8 @@
 
 enum Job<T> {
     Add(T, Done),
-    Compact(T, Done),
-    Anew(T, Done),
+    Compact(Vec<T>, Done),
+    Anew(Vec<T>, Done),
 }
 
 /// A journal just opened: where steps go, those that it holds, and what of it is not believed.
@@ -94,8 +95,22 @@
         let (jobs, wanted) = sync_channel(WAITING);
         let write = move || {
             while let Ok(job) = wanted.recv() {
-                let (result, done) = carry_out(&mut journal, job);
-                let _ = done.send(result); // whoever asked may have given up
+                // What waits by now goes with it, in its order, up to one that is no plain step.
+                let (mut steps, mut dones, mut next) = (Vec::new(), Vec::new(), Some(job));
+                while let Some(Job::Add(step, done)) = next {
+                    steps.push(step);
+                    dones.push(done);
+                    next = wanted.try_recv().ok();
+                }
+                if !steps.is_empty() {
+                    let result = journal.add_all(&steps);
+                    dones.into_iter().for_each(|done| drop(done.send(result.clone())));
+                    // they may have given up
+                }
+                if let Some(job) = next {
+                    let (result, done) = carry_out(&mut journal, job);
+                    let _ = done.send(result); // the same
+                }
             }
         };
         let thread = std::thread::Builder::new().name("journal".into()).spawn(write);
@@ -122,12 +137,12 @@
     }
 
     /// Begins anew with a snapshot whatever its length: after a step whose fate is not known.
-    pub async fn anew(&self, snapshot: T) -> Result<(), String> {
+    pub async fn anew(&self, snapshot: Vec<T>) -> Result<(), String> {
         self.ask(|done| Job::Anew(snapshot, done)).await
     }
 
     /// Begins anew with a snapshot, if the journal has grown long.
-    pub async fn compact(&self, snapshot: T) -> Result<(), String> {
+    pub async fn compact(&self, snapshot: Vec<T>) -> Result<(), String> {
         self.ask(|done| Job::Compact(snapshot, done)).await
     }
 }
@@ -136,7 +151,7 @@
     match job {
         Job::Add(step, done) => (journal.add(&step), done),
         Job::Compact(_, done) if journal.len() <= LONGEST => (Ok(()), done),
-        Job::Anew(step, done) | Job::Compact(step, done) => (journal.compact(&[step]), done),
+        Job::Anew(all, done) | Job::Compact(all, done) => (journal.compact(&all), done),
     }
 }
 
@@ -158,7 +173,7 @@
             assert_eq!((steps.len(), damage), (0, None));
             keeper.add(&step(1)).await.expect("added");
             keeper.add(&step(2)).await.expect("added");
-            keeper.compact(step(9)).await.expect("short enough as it is");
+            keeper.compact(vec![step(9)]).await.expect("short enough as it is");
             assert!(Keeper::<Step>::open(&path).is_err_and(|e| e.contains("another process writes it")));
         });
         std::thread::sleep(Duration::from_millis(50)); // until its thread has let the file go
@@ -169,6 +184,22 @@
         assert!(damage.is_some_and(|d| d.what == "a record is torn"));
     }
 
+    /// What comes while a sync takes is written with one more: a burst does not wait for a sync each.
+    #[test]
+    fn steps_that_come_together_are_synced_together() {
+        let path = folder("keeper-burst").join("changes.journal");
+        run(async {
+            let (keeper, ..) = Keeper::open(&path).expect("a journal");
+            let steps: Vec<Step> = (0..500).map(step).collect();
+            let added = futures_util::future::join_all(steps.iter().map(|s| keeper.add(s))).await;
+            assert!(added.into_iter().all(|a| a.is_ok()));
+        });
+        std::thread::sleep(Duration::from_millis(50)); // until its thread has let the file go
+        let (_, steps, damage) = Keeper::<Step>::open(&path).expect("a journal");
+        assert_eq!((steps.len(), damage), (500, None));
+        assert!(steps.iter().zip(0..).all(|(s, i)| *s == step(i)), "in their order");
+    }
+
     #[test]
     fn a_journal_that_cannot_be_written_is_told_at_the_start() {
         let told = Keeper::<Step>::open(Path::new("/proc/nowhere/changes.journal")).err().unwrap_or_default();
--- a/agent/src/life/levels.rs
+++ b/agent/src/life/levels.rs
@@ -96,7 +96,7 @@
         if let Err(e) = keeper.add(&record).await {
             exchange.complain("levels", &e);
         }
-        if let (Kept::Changed(_), Err(e)) = (&record, keeper.compact(record.clone()).await) {
+        if let (Kept::Changed(_), Err(e)) = (&record, keeper.compact(vec![record.clone()]).await) {
             exchange.complain("levels", &e);
         }
     }
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -210,7 +210,8 @@
         }
         let Some(entry) = self.entries.get_mut(&ask.id) else {
             // Another ledger may know of it, or this one has forgotten.
-            if ask.again || ask.began.is_some_and(|began| began < self.knows_from) {
+            let known_from = self.knows_from.max(now - self.bounds.remember);
+            if ask.again || ask.began.is_some_and(|began| began < known_from) {
                 return Err(Refusal::Unknown);
             }
             if self.entries.len() >= self.bounds.most && !self.make_room() {
@@ -338,6 +339,8 @@
         assert_eq!(l.ask(1100.0, &again), Err(Refusal::Unknown), "forgotten, perhaps");
         let older = Ask { began: Some(999.0), ..ask(2, TAGGED) };
         assert_eq!(l.ask(1001.0, &older), Err(Refusal::Unknown));
+        let forgotten = Ask { began: Some(1001.0), ..ask(8, Kind::Mutating) };
+        assert_eq!(l.ask(1062.0, &forgotten), Err(Refusal::Unknown), "forgotten, perhaps");
         let newer = Ask { began: Some(1000.5), ..ask(2, Kind::Mutating) };
         assert_eq!(l.ask(1001.0, &newer), Ok(None));
         assert_eq!(l.ask(1001.0, &ask(3, Kind::Repeatable)), Ok(None));
--- a/operator/src/journal.rs
+++ b/operator/src/journal.rs
@@ -136,7 +136,15 @@
 
     /// Adds a record and syncs it. After an error it is not there, now or after a restart.
     pub fn add<T: Serialize>(&mut self, record: &T) -> Result<(), String> {
-        let bytes = frame(record)?;
+        self.add_all(std::slice::from_ref(record))
+    }
+
+    /// Adds records with one sync. After an error none of them is there, now or after a restart.
+    pub fn add_all<T: Serialize>(&mut self, records: &[T]) -> Result<(), String> {
+        let mut bytes = Vec::new();
+        for record in records {
+            bytes.extend(frame(record)?);
+        }
         if self.spoilt {
             self.disk.cut(self.good).map_err(|e| format!("journal: {e}"))?;
             self.spoilt = false;
