--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,5 +1,6 @@
 //! Plays grids of simulated releases and counts how often votes are wrong, how long they take, what is lost.
 
+mod cores;
 mod interval;
 mod judge;
 mod load;
@@ -34,6 +35,7 @@
     Levels(Levels),
     LevelsTable(LevelsTable),
     LevelsChart(LevelsChart),
+    Cores(Cores),
 }
 
 /// play a grid and write one line a cell as CSV. Example: run --runs 200 --kinds good,errors --out grid.csv
@@ -135,6 +137,15 @@
     out: PathBuf,
 }
 
+/// measure prototypes for several cores, in real time. Example: cores --seconds 1
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cores")]
+struct Cores {
+    /// seconds for each figure (default 1)
+    #[argh(option, default = "1.0")]
+    seconds: f64,
+}
+
 /// Numbers of a list with commas, within bounds.
 fn numbers(what: &str, list: &str, least: f64, most: f64) -> Result<Vec<f64>, String> {
     let one = |word: &str| {
@@ -223,6 +234,13 @@
     let result = match &line.command {
         Command::Run(r) => run(r),
         Command::Table(t) => table::read(&t.file).map(|rows| print!("{}", table::text(&rows))),
+        Command::Cores(c) if !(0.01..=60.0).contains(&c.seconds) => {
+            Err("seconds: expected 0.01 to 60".into())
+        }
+        Command::Cores(c) => {
+            print!("{}", cores::table(c.seconds));
+            Ok(())
+        }
         Command::Levels(l) => levels(l),
         Command::LevelsTable(t) => {
             load_table::read(&t.file).map(|rows| print!("{}", load_table::text(&rows)))
