--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -1198,4 +1198,60 @@
         assert!(exchange.fits_here(&values).is_err());
         assert_eq!(exchange.levels().expect("as before").0.level, "full");
     }
+
+    /// A level that comes while a node drains: what is let in goes elsewhere, the draining one gets nothing new.
+    #[test]
+    fn a_level_that_comes_during_a_drain_changes_nothing_for_the_drained() {
+        run(async {
+            let (exchange, seen) = levelled("");
+            let entry = |port: u16, open| {
+                let listed = Listed {
+                    node: 0,
+                    open,
+                    build: 1,
+                    zone: 0,
+                    cell: 0,
+                    rating: 1.0,
+                    up_since: 0.0,
+                    speaks: 0,
+                };
+                let address = SocketAddr::from(([127, 0, 0, 1], port));
+                Entry { uid: port.to_string(), listed, address, gone: false }
+            };
+            exchange.listed(true, true, vec![entry(1, false), entry(2, true)]);
+            let before = seen[0].get();
+            held(&exchange);
+            for id in 0..40 {
+                let mut ticket = exchange.take(arrival(1), read(id)).expect("taken");
+                assert!(matches!(ticket.answer().await, Answer::Delivered { .. }));
+            }
+            assert_eq!((seen[0].get(), seen[1].get()), (before, 40));
+        });
+    }
+
+    /// A level that comes while a change is watched is not held against the change: what it turns away is no outcome.
+    #[test]
+    fn a_level_is_not_held_against_a_change_that_is_watched() {
+        run(async {
+            let (exchange, _) = levelled("");
+            exchange.hold(Versions::new(magpieline_operator::Schema::own()), 1).expect("nothing chosen");
+            for id in 0..100 {
+                exchange.take(arrival(1), read(id)).expect("taken").answer().await;
+            }
+            let text = "<magpieline><hits><group name='pay' most-forwards='2'/></hits></magpieline>";
+            let staged =
+                exchange.changes(|c| c.versions.stage(text, "ada", "", 0.0).expect("good").expect("new"));
+            exchange.adopt(&staged.expect("enabled")).expect("staged");
+            let applied = exchange.changes(|c| c.versions.apply(1, "ada", 0.0).expect("allowed"));
+            exchange.adopt(&applied.expect("enabled")).expect("applied");
+            held(&exchange);
+            for id in 0..2000 {
+                let mut ticket = exchange.take(arrival(0), read(id)).expect("taken");
+                assert!(matches!(ticket.answer().await, Answer::Bounced { .. }));
+                assert_eq!(exchange.look_at_change(), watch::Next::GoOn);
+            }
+            let doubts = exchange.changes(|c| c.watch.as_ref().is_some_and(|w| w.doubts()));
+            assert_eq!(doubts, Some(false));
+        });
+    }
 }
--- a/resp/tests/properties.rs
+++ b/resp/tests/properties.rs
@@ -69,8 +69,13 @@
     all
 }
 
+/// How many of each: 400, or more by hand, as in `MAGPIELINE_CASES=1000000 cargo test --release -p magpieline-resp`.
+fn cases() -> u32 {
+    std::env::var("MAGPIELINE_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(400)
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: cases(), failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     #[test]
     fn what_is_written_is_read_again_at_any_split(all in vec(message(), 1..5), cuts in vec(any::<usize>(), 0..20)) {
