Values of the operators' file are asked for in one way, by the package that reads it

Now operator's number, text and flag; a front's address by one function, since both fronts had their own. No message, default or bound has changed.

--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -7,7 +7,7 @@
 use magpieline_exchange::Exchange;
 use magpieline_operator::versions::{hash, Refusal, Standing, Step, Version, Versions};
 use magpieline_operator::watch::Next;
-use magpieline_operator::{Schema, Setting, Values};
+use magpieline_operator::{text, Schema, Setting, Values};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value as Json};
 use std::cell::Cell;
@@ -395,10 +395,7 @@
 
 /// What the control element says: the socket and the journal.
 pub fn places(values: &Values) -> Option<(PathBuf, Option<PathBuf>)> {
-    let path = |name: &str| match values.get(name) {
-        Some(Setting::Text(text)) => Some(PathBuf::from(text)),
-        _ => None,
-    };
+    let path = |name: &str| text(values, name).map(PathBuf::from);
     Some((path("control.socket")?, path("control.journal")))
 }
 
--- a/agent/src/life/extproc.rs
+++ b/agent/src/life/extproc.rs
@@ -2,17 +2,18 @@
 //! were told is kept.
 
 use crate::life::keeper::Keeper;
+use crate::life::start::listens;
 use crate::wire::headers;
 use futures_util::future::LocalBoxFuture;
 use futures_util::FutureExt;
 use magpieline_exchange::Exchange;
 use magpieline_front_extproc::{unix, Front, Shelf, Table};
 use magpieline_ledger::Record;
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{text, Values};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::{Rc, Weak};
 
 /// A record of the journal.
@@ -98,19 +99,12 @@
 
 /// Where callers are listened for, and their front; nothing without the element.
 pub fn front(values: &Values, exchange: &Rc<Exchange>) -> Result<Option<(SocketAddr, Rc<Front>)>, String> {
-    let text = |name: &str| match values.get(&format!("extproc.{name}")) {
-        Some(Setting::Text(text)) => Some(text.as_str()),
-        _ => None,
-    };
-    let Some(listen) = text("listen") else { return Ok(None) };
-    let at = listen
-        .parse()
-        .map_err(|_| format!("extproc/@listen: found '{listen}', expected an address and a port"))?;
+    let Some(at) = listens(values, "extproc")? else { return Ok(None) };
     let table = Table::read(values, exchange)?;
     let (mut kept, mut records, mut from) = (None, Vec::new(), unix());
-    if let Some(path) = text("journal").map(PathBuf::from) {
+    if let Some(path) = text(values, "extproc.journal") {
         // Without it payments would be taken that nobody remembers: that is refused, not gone on without.
-        let (keeper, found, since) = journal(&path).map_err(|e| format!("extproc/@journal: {e}"))?;
+        let (keeper, found, since) = journal(path.as_ref()).map_err(|e| format!("extproc/@journal: {e}"))?;
         (records, from) = (found, since);
         kept = Some(Rc::new(Journal { keeper, from, written: Cell::default(), front: RefCell::default() }));
     }
--- a/agent/src/life/levels.rs
+++ b/agent/src/life/levels.rs
@@ -3,10 +3,9 @@
 use crate::life::keeper::Keeper;
 use magpieline_exchange::Exchange;
 use magpieline_levels::{Change, Reading};
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{text, Values};
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
@@ -49,13 +48,9 @@
 /// Takes the levels of the file, goes on where the journal ends, and keeps changes from then on. An error lists all that
 /// makes no sense.
 pub fn begin(exchange: &Rc<Exchange>, values: &Values, seed: u64) -> Result<(), String> {
-    let path = match values.get("levels.journal") {
-        Some(Setting::Text(path)) => Some(PathBuf::from(path)),
-        _ => None,
-    };
     let (mut keeper, mut records) = (None, Vec::new());
-    if let Some(path) = path {
-        match Keeper::<Kept>::open(&path) {
+    if let Some(path) = text(values, "levels.journal") {
+        match Keeper::<Kept>::open(path.as_ref()) {
             Ok((opened, found, damage)) => {
                 if let Some(d) = damage {
                     log::warn!("levels: {} bytes from {} on are not believed: {}", d.bytes, d.at, d.what);
--- a/agent/src/life/log_form.rs
+++ b/agent/src/life/log_form.rs
@@ -2,7 +2,7 @@
 //! key-values.
 
 use log::kv::{Key, Value, VisitSource};
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{text, Values};
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -47,12 +47,8 @@
 
 /// Takes what a version of the operators' file says; nothing said is as at the start.
 pub fn choose(values: &Values) {
-    let word = |name: &str| match values.get(name) {
-        Some(Setting::Text(text)) => Some(text.as_str()),
-        _ => None,
-    };
-    JSON.store(word("log.form") == Some("json"), Ordering::Relaxed);
-    let level = word("log.level").and_then(|l| l.parse().ok());
+    JSON.store(text(values, "log.form") == Some("json"), Ordering::Relaxed);
+    let level = text(values, "log.level").and_then(|l| l.parse().ok());
     log::set_max_level(level.unwrap_or(log::LevelFilter::Trace));
 }
 
--- a/agent/src/life/resp.rs
+++ b/agent/src/life/resp.rs
@@ -1,21 +1,15 @@
 //! What the operators' file says of RESP: whether clients are listened for, which commands are hits, who logs in how.
 
+use crate::life::start::listens;
 use magpieline_exchange::{Crowd, Exchange};
 use magpieline_front_resp::{Front, Login, Table};
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{number, text, Values};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-fn text<'a>(values: &'a Values, name: &str) -> Option<&'a str> {
-    match values.get(&format!("resp.{name}")) {
-        Some(Setting::Text(text)) => Some(text),
-        _ => None,
-    }
-}
-
 /// The first line of a file that holds a password.
 fn password(values: &Values, name: &str) -> Result<Option<String>, String> {
-    let Some(path) = text(values, name) else { return Ok(None) };
+    let Some(path) = text(values, &format!("resp.{name}")) else { return Ok(None) };
     let told = |what: String| format!("resp/@{}: {path}: {what}", name.replace('_', "-"));
     let all = std::fs::read_to_string(path).map_err(|e| told(format!("could not be read: {e}")))?;
     let line = all.lines().next().unwrap_or_default().trim();
@@ -27,7 +21,7 @@
 
 /// How this agent logs in at RESP nodes, if they ask for it.
 pub fn login(values: &Values) -> Result<Option<Login>, String> {
-    let user = text(values, "node_user").unwrap_or("default").to_owned();
+    let user = text(values, "resp.node_user").unwrap_or("default").to_owned();
     Ok(password(values, "node_password_file")?.map(|password| Login { user, password }))
 }
 
@@ -37,15 +31,9 @@
     exchange: &Rc<Exchange>,
     crowd: &Rc<Crowd>,
 ) -> Result<Option<(SocketAddr, Rc<Front>)>, String> {
-    let Some(listen) = text(values, "listen") else { return Ok(None) };
-    let at = listen
-        .parse()
-        .map_err(|_| format!("resp/@listen: found '{listen}', expected an address and a port"))?;
+    let Some(at) = listens(values, "resp")? else { return Ok(None) };
     let table = Table::read(values, exchange)?;
-    let weight = match values.get("resp.weight") {
-        Some(Setting::Number(weight)) => *weight,
-        _ => 1.0,
-    };
+    let weight = number(values, "resp.weight").unwrap_or(1.0);
     let password = password(values, "password_file")?;
     let front = Front::new(exchange.clone(), crowd.clone(), weight, table, password);
     Ok(Some((at, Rc::new(front))))
--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -8,7 +8,7 @@
 use magpieline::interface::Value;
 use magpieline::names::{self, Message};
 use magpieline_exchange::{Chosen, Exchange, Looks};
-use magpieline_operator::{Schema, Setting, Values};
+use magpieline_operator::{number, text, Schema, Setting, Values};
 use magpieline_verdict::Terms;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
@@ -45,10 +45,8 @@
 
 /// Hands values to those whom they concern.
 pub fn chosen(values: &Values) -> Chosen {
-    let mut chosen = Chosen::default();
-    if let Some(Setting::Number(most)) = values.get("transport.client_connections") {
-        chosen.clients = Some(*most as usize); // the schema has bounded it
-    }
+    let clients = number(values, "transport.client_connections").map(|most| most as usize); // bounded by the schema
+    let mut chosen = Chosen { clients, ..Chosen::default() };
     for (name, setting) in values.iter().filter(|(name, _)| name.starts_with("verdict.")) {
         match setting {
             Setting::Text(_) if name == "verdict.record" => {}
@@ -62,10 +60,14 @@
 
 /// Opens the record of looks that is named, if one is.
 pub fn looks(values: &Values) -> Result<Option<Looks>, String> {
-    match values.get("verdict.record") {
-        Some(Setting::Text(path)) => Record::looks(&path.into()).map(Some),
-        _ => Ok(None),
-    }
+    text(values, "verdict.record").map(|path| Record::looks(&path.into())).transpose()
+}
+
+/// Where clients of an element's front are listened for; nothing without the element.
+pub fn listens(values: &Values, element: &str) -> Result<Option<SocketAddr>, String> {
+    let Some(listen) = text(values, &format!("{element}.listen")) else { return Ok(None) };
+    let wrong = |_| format!("{element}/@listen: found '{listen}', expected an address and a port");
+    listen.parse().map(Some).map_err(wrong)
 }
 
 fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
--- a/exchange/src/changes.rs
+++ b/exchange/src/changes.rs
@@ -3,7 +3,7 @@
 
 use magpieline_operator::versions::{Refusal, Step, Versions};
 use magpieline_operator::watch::{Care, Next, Usual, Watch};
-use magpieline_operator::{Schema, Setting, Values};
+use magpieline_operator::{number, text, Schema, Values};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -35,18 +35,11 @@
     chance: ChaCha8Rng,
 }
 
-fn number(values: &Values, name: &str) -> Option<f64> {
-    match values.get(name) {
-        Some(Setting::Number(n)) => Some(*n),
-        _ => None,
-    }
-}
-
 /// The bounds of all path groups; an error names a group that the platform does not have, or one that stands twice.
 pub fn bounds(values: &Values, groups: &[String]) -> Result<Vec<Bounds>, String> {
     let mut all = vec![None; groups.len()];
     for i in 0.. {
-        let Some(Setting::Text(name)) = values.get(&format!("hits.group.{i}.name")) else { break };
+        let Some(name) = text(values, &format!("hits.group.{i}.name")) else { break };
         let Some(group) = groups.iter().position(|g| g == name) else {
             return Err(format!("hits/group: found '{name}', expected one of {}", groups.join(", ")));
         };
--- a/front-extproc/src/table.rs
+++ b/front-extproc/src/table.rs
@@ -4,7 +4,7 @@
 use crate::messages::HeaderMap;
 use magpieline_exchange::{hash, Exchange};
 use magpieline_ledger::{Bounds, Kind};
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{number, text, Values};
 
 /// The longest id, key or account; those in use are a few dozen bytes.
 const WORD_MOST: usize = 256;
@@ -63,14 +63,8 @@
 impl Table {
     /// The rows of the operators' file; an error names what the platform does not have or what must not be.
     pub fn read(values: &Values, exchange: &Exchange) -> Result<Table, String> {
-        let text = |name: &str| match values.get(&format!("extproc.{name}")) {
-            Some(Setting::Text(text)) => text.as_str(),
-            _ => "",
-        };
-        let number = |name: &str| match values.get(&format!("extproc.{name}")) {
-            Some(Setting::Number(n)) => *n,
-            _ => 0.0,
-        };
+        let text = |name: &str| text(values, &format!("extproc.{name}")).unwrap_or_default();
+        let number = |name: &str| number(values, &format!("extproc.{name}")).unwrap_or(0.0);
         let mut rows: Vec<Row> = Vec::new();
         for i in 0.. {
             let of = |what: &str| format!("route.{i}.{what}");
--- a/front-resp/src/table.rs
+++ b/front-resp/src/table.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use magpieline_exchange::Exchange;
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{number, text, Values};
 use std::collections::HashMap;
 
 /// One command. Arguments are counted from 1, the command's own name being 0; 0 stands for none.
@@ -33,14 +33,9 @@
     pub fn read(values: &Values, exchange: &Exchange) -> Result<Table, String> {
         let mut rows = HashMap::new();
         for i in 0.. {
-            let text = |what: &str| match values.get(&format!("resp.command.{i}.{what}")) {
-                Some(Setting::Text(text)) => Some(text.as_str()),
-                _ => None,
-            };
-            let number = |what: &str| match values.get(&format!("resp.command.{i}.{what}")) {
-                Some(Setting::Number(n)) => *n,
-                _ => 0.0,
-            };
+            let of = |what: &str| format!("resp.command.{i}.{what}");
+            let (text, number) =
+                (|what| text(values, &of(what)), |what| number(values, &of(what)).unwrap_or(0.0));
             let (Some(name), Some(group)) = (text("name"), text("group")) else { break };
             let wrong = |what: String| Err(format!("resp/command '{name}': {what}"));
             let Some(place) = exchange.group(group) else {
--- a/levels/src/ladder.rs
+++ b/levels/src/ladder.rs
@@ -1,7 +1,7 @@
 //! The levels that operators name, mildest first, and whether they make sense together.
 
 use crate::words::{self, Condition, Signal, Test};
-use magpieline_operator::{Setting, Values};
+use magpieline_operator::{flag, number, text, Values};
 use std::collections::BTreeMap;
 
 /// Alternatives that a condition may come to once its parentheses are multiplied out.
@@ -53,24 +53,6 @@
     pub connections: Vec<f64>,
 }
 
-fn number(values: &Values, name: &str) -> Option<f64> {
-    match values.get(name) {
-        Some(Setting::Number(n)) => Some(*n),
-        _ => None,
-    }
-}
-
-fn text<'a>(values: &'a Values, name: &str) -> Option<&'a str> {
-    match values.get(name) {
-        Some(Setting::Text(text)) => Some(text),
-        _ => None,
-    }
-}
-
-fn flag(values: &Values, name: &str) -> bool {
-    matches!(values.get(name), Some(Setting::Flag(true)))
-}
-
 impl Ladder {
     /// The levels of the operators' file; none without the element. An error lists all that makes no sense.
     /// `one_way`: keys that went to the trial build may not go back to the earlier one.
@@ -299,6 +281,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use magpieline_operator::Setting;
 
     pub fn groups() -> Vec<String> {
         ["pay", "hold", "read"].map(str::to_owned).to_vec()
--- a/operator/src/check.rs
+++ b/operator/src/check.rs
@@ -17,6 +17,27 @@
 /// has its number (`levels.level.0.name`).
 pub type Values = BTreeMap<String, Setting>;
 
+/// The value of this name, if it is a number.
+pub fn number(values: &Values, name: &str) -> Option<f64> {
+    match values.get(name) {
+        Some(Setting::Number(n)) => Some(*n),
+        _ => None,
+    }
+}
+
+/// The value of this name, if it is a text.
+pub fn text<'a>(values: &'a Values, name: &str) -> Option<&'a str> {
+    match values.get(name) {
+        Some(Setting::Text(text)) => Some(text),
+        _ => None,
+    }
+}
+
+/// Whether a mark of this name is set.
+pub fn flag(values: &Values, name: &str) -> bool {
+    matches!(values.get(name), Some(Setting::Flag(true)))
+}
+
 /// What is wrong, and where.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Complaint {
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod watch;
 pub mod xml;
 
-pub use check::{Complaint, Setting, Values};
+pub use check::{flag, number, text, Complaint, Setting, Values};
 pub use schema::Schema;
 
 #[cfg(test)]
