--- a/agent/src/life/control.rs
+++ b/agent/src/life/control.rs
@@ -3,8 +3,7 @@
 
 use crate::life::keeper::Keeper;
 use crate::life::{log_form, start};
-use magpieline_exchange::Changes;
-use magpieline_exchange::Exchange;
+use magpieline_exchange::{unix, Changes, Exchange};
 use magpieline_operator::versions::{hash, Refusal, Standing, Step, Version, Versions};
 use magpieline_operator::watch::Next;
 use magpieline_operator::{text, Schema, Setting, Values};
@@ -17,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{Mutex, Semaphore};
@@ -83,10 +82,6 @@
     unsure: Cell<bool>,
 }
 
-fn now() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
-}
-
 impl Hands {
     pub fn new(
         exchange: Rc<Exchange>,
@@ -146,7 +141,6 @@
 
     /// Whether what a version says can be done here.
     fn can_be(&self, values: &Values) -> Result<(), String> {
-        self.exchange.changes(|c| c.fits(values)).unwrap_or(Ok(()))?;
         self.exchange.fits_here(values)?;
         can_be(values, &self.exchange.changes(Changes::values).unwrap_or_default())
     }
@@ -159,7 +153,7 @@
     /// Stages a file: its number, and whether it is new.
     pub async fn stage(&self, text: &str, who: &str, why: &str) -> Result<(u64, bool), String> {
         let _turn = self.turn.lock().await;
-        match self.allowed(|v| v.stage(text, who, why, now()))? {
+        match self.allowed(|v| v.stage(text, who, why, unix()))? {
             Err(number) => Ok((number, false)),
             Ok(step) => {
                 let Step::Staged { version: Version { number, .. } } = &step else {
@@ -177,7 +171,7 @@
 
     pub async fn apply(&self, number: u64, who: &str) -> Result<(), String> {
         let _turn = self.turn.lock().await;
-        let step = self.allowed(|v| v.apply(number, who, now()))?;
+        let step = self.allowed(|v| v.apply(number, who, unix()))?;
         // All that may fail is tried before any hit can see it.
         let values =
             self.exchange.changes(|c| c.versions.values(number).cloned()).flatten().unwrap_or_default();
@@ -190,7 +184,7 @@
 
     pub async fn keep(&self, who: &str, why: &str) -> Result<u64, String> {
         let _turn = self.turn.lock().await;
-        let step = self.allowed(|v| v.keep(why, now()))?;
+        let step = self.allowed(|v| v.keep(why, unix()))?;
         let Step::Kept { number, .. } = step else { return Err("nothing to keep".into()) };
         self.keeping.set(true);
         let kept = self.carry_out(step).await;
@@ -204,7 +198,7 @@
     pub async fn undo(&self, who: &str, why: &str) -> Result<u64, String> {
         let turn = if self.keeping.get() { Some(self.turn.lock().await) } else { None };
         let (step, number) = {
-            let step = self.allowed(|v| v.undo(who, why, now()))?;
+            let step = self.allowed(|v| v.undo(who, why, unix()))?;
             let Step::Undone { number, .. } = step else { return Err("nothing to undo".into()) };
             self.adopt(&step)?;
             (step, number)
@@ -416,7 +410,7 @@
         match Keeper::open(path) {
             Ok((opened, found, damage)) => {
                 if let Some(d) = damage {
-                    log::warn!("journal: {} bytes from {} on are not believed: {}", d.bytes, d.at, d.what);
+                    log::warn!("journal: {d}");
                 }
                 (keeper, steps, unkept) = (Some(opened), found, None);
             }
@@ -435,7 +429,7 @@
     if versions.kept() == 0 {
         // Nothing was ever kept: the file is the first version, kept since the start stands on it.
         let staged =
-            versions.stage(text, "start", "the file at the start", now()).map_err(|r| r.to_string())?;
+            versions.stage(text, "start", "the file at the start", unix()).map_err(|r| r.to_string())?;
         let mut take = |step: Step, versions: &mut Versions| {
             let done = versions.done(&step).map_err(|r| r.to_string());
             fresh.push(step);
@@ -448,9 +442,9 @@
             }
             Err(number) => number,
         };
-        let step = versions.apply(number, "start", now()).map_err(|r| r.to_string())?;
+        let step = versions.apply(number, "start", unix()).map_err(|r| r.to_string())?;
         take(step, &mut versions)?;
-        let step = versions.keep("the start stands on it", now()).map_err(|r| r.to_string())?;
+        let step = versions.keep("the start stands on it", unix()).map_err(|r| r.to_string())?;
         take(step, &mut versions)?;
     } else if !versions.all().any(|(v, ..)| v.number == versions.kept() && v.hash == hash) {
         log::warn!("config: the file differs from version {}, which was kept and runs", versions.kept());
@@ -872,7 +866,7 @@
                             let answer = ticket.answer().await;
                             answered.set(answered.get() + 1);
                             if !matches!(answer, Answer::Delivered { .. }) && spoilt.get() == 0.0 {
-                                spoilt.set(now());
+                                spoilt.set(unix());
                             }
                         });
                     }
@@ -887,13 +881,13 @@
                 let file = if bad { text(1 + i % 9, 0.001) } else { text(1 + i % 9, 1.9) };
                 let (number, _) = hands.stage(&file, "ada", "a test").await.expect("staged");
                 spoilt.set(0.0);
-                let began = now();
+                let began = unix();
                 if hands.apply(number, "ada").await.is_err() {
                     continue; // the same text as the one that runs
                 }
                 slow.set(shared);
                 while exchange.changes(|c| c.watch.is_some()) == Some(true) {
-                    if now() > began + 2.0 {
+                    if unix() > began + 2.0 {
                         slow.set(false);
                     }
                     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -902,8 +896,8 @@
                 let kept = exchange.changes(|c| c.versions.kept()) == Some(number);
                 match (bad, kept) {
                     (true, false) => {
-                        undone.push(now() - began);
-                        from_hit.push(now() - spoilt.get());
+                        undone.push(unix() - began);
+                        from_hit.push(unix() - spoilt.get());
                     }
                     (true, true) => missed += 1,
                     (false, kept) => {
--- a/agent/src/life/extproc.rs
+++ b/agent/src/life/extproc.rs
@@ -6,8 +6,8 @@
 use crate::wire::headers;
 use futures_util::future::LocalBoxFuture;
 use futures_util::FutureExt;
-use magpieline_exchange::Exchange;
-use magpieline_front_extproc::{unix, Front, Shelf, Table};
+use magpieline_exchange::{unix, Exchange};
+use magpieline_front_extproc::{Front, Shelf, Table};
 use magpieline_ledger::Record;
 use magpieline_operator::{text, Values};
 use serde::{Deserialize, Serialize};
@@ -88,9 +88,9 @@
     let now = unix();
     let (records, mut from) = known(records, now);
     if let Some(d) = damage {
-        log::warn!("extproc: {} bytes from {} on are not believed: {}", d.bytes, d.at, d.what);
+        log::warn!("extproc: {d}");
         // A torn record was never told to anybody: a caller hears only after it was synced.
-        if d.what != "a record is torn" {
+        if !d.is_torn() {
             from = now;
         }
     }
--- a/agent/src/life/keeper.rs
+++ b/agent/src/life/keeper.rs
@@ -1,5 +1,5 @@
-//! A journal on a real disk: of changes of the operators' file, of levels. A thread of its own writes and syncs, so that a slow disk holds up no
-//! hit; a step that it does not take in time is refused.
+//! A journal on a real disk: of changes of the operators' file, of levels, of what callers were told. A thread of
+//! its own writes and syncs, so that a slow disk holds up no hit; a step that it does not take in time is refused.
 
 use magpieline_operator::journal::{Damage, Disk, Journal, Opened};
 use serde::{de::DeserializeOwned, Serialize};
@@ -94,22 +94,26 @@
         let Opened { mut journal, records, damage } = Journal::open::<T>(disk).map_err(told)?;
         let (jobs, wanted) = sync_channel(WAITING);
         let write = move || {
-            while let Ok(job) = wanted.recv() {
-                // What waits by now goes with it, in its order, up to one that is no plain step.
-                let (mut steps, mut dones, mut next) = (Vec::new(), Vec::new(), Some(job));
-                while let Some(Job::Add(step, done)) = next {
-                    steps.push(step);
-                    dones.push(done);
-                    next = wanted.try_recv().ok();
-                }
-                if !steps.is_empty() {
-                    let result = journal.add_all(&steps);
-                    dones.into_iter().for_each(|done| drop(done.send(result.clone())));
-                    // they may have given up
-                }
-                if let Some(job) = next {
-                    let (result, done) = carry_out(&mut journal, job);
-                    let _ = done.send(result); // the same
+            let mut next = None;
+            while let Some(job) = next.take().or_else(|| wanted.recv().ok()) {
+                // Whoever asked may have given up.
+                match job {
+                    Job::Add(step, done) => {
+                        // What waits by now goes with it, in its order, up to one that is no plain step.
+                        let (mut steps, mut dones) = (vec![step], vec![done]);
+                        while let Ok(job) = wanted.try_recv() {
+                            let Job::Add(step, done) = job else {
+                                next = Some(job);
+                                break;
+                            };
+                            steps.push(step);
+                            dones.push(done);
+                        }
+                        let result = journal.add_all(&steps);
+                        dones.into_iter().for_each(|done| drop(done.send(result.clone())));
+                    }
+                    Job::Compact(_, done) if journal.len() <= LONGEST => drop(done.send(Ok(()))),
+                    Job::Anew(all, done) | Job::Compact(all, done) => drop(done.send(journal.compact(&all))),
                 }
             }
         };
@@ -147,14 +151,6 @@
     }
 }
 
-fn carry_out<T: Serialize>(journal: &mut Journal<OnDisk>, job: Job<T>) -> (Result<(), String>, Done) {
-    match job {
-        Job::Add(step, done) => (journal.add(&step), done),
-        Job::Compact(_, done) if journal.len() <= LONGEST => (Ok(()), done),
-        Job::Anew(all, done) | Job::Compact(all, done) => (journal.compact(&all), done),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/agent/src/life/levels.rs
+++ b/agent/src/life/levels.rs
@@ -1,13 +1,13 @@
 //! Levels of reduced service in the agent: what it reads off itself, and the journal from which a restart goes on.
 
 use crate::life::keeper::Keeper;
-use magpieline_exchange::Exchange;
+use magpieline_exchange::{unix, Exchange};
 use magpieline_levels::{Change, Reading};
 use magpieline_operator::{text, Values};
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// How often readings are taken: well within the time after which one is unknown.
@@ -28,10 +28,6 @@
     Stands(f64),
 }
 
-fn now() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
-}
-
 /// The last change that is written, and how many seconds ago it was known to hold.
 fn last(records: &[Kept], now: f64) -> Option<(&Change, f64)> {
     let mut last = None;
@@ -53,14 +49,14 @@
         match Keeper::<Kept>::open(path.as_ref()) {
             Ok((opened, found, damage)) => {
                 if let Some(d) = damage {
-                    log::warn!("levels: {} bytes from {} on are not believed: {}", d.bytes, d.at, d.what);
+                    log::warn!("levels: {d}");
                 }
                 (keeper, records) = (Some(opened), found);
             }
             Err(e) => log::warn!("levels: journal: {e}; a restart will begin with its own first seconds"),
         }
     }
-    exchange.set_levels(values, seed, last(&records, now()))?;
+    exchange.set_levels(values, seed, last(&records, unix()))?;
     if let Some(keeper) = keeper {
         let (sender, changes) = mpsc::channel(WAITING);
         exchange.keep_levels(Some(Box::new(move |change| {
@@ -80,11 +76,11 @@
     loop {
         let record = tokio::select! {
             change = changes.recv() => match change {
-                Some(change) => Kept::Changed(Change { at: now(), ..change }),
+                Some(change) => Kept::Changed(Change { at: unix(), ..change }),
                 None => return,
             },
             () = tokio::time::sleep(STANDS) => match exchange.levels() {
-                Some((stands, _)) if stands.level != "full" => Kept::Stands(now()),
+                Some((stands, _)) if stands.level != "full" => Kept::Stands(unix()),
                 _ => continue,
             },
         };
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::changes::{self, Changes, Pinned};
 use crate::end::End;
 use crate::guard::guarded;
-use crate::keys::Keys;
+use crate::keys::{hash, Keys};
 use crate::nodes::Nodes;
 use crate::signal::Signal;
 use bytes::Bytes;
@@ -139,6 +139,11 @@
     Over,
 }
 
+/// Unix time, in seconds.
+pub fn unix() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
+}
+
 /// Unix time, going on from the start by the monotonic clock: nodes' starts are on the same scale.
 struct Clock {
     origin: f64,
@@ -147,8 +152,7 @@
 
 impl Clock {
     fn start() -> Clock {
-        let origin = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
-        Clock { origin, begun: Instant::now() }
+        Clock { origin: unix(), begun: Instant::now() }
     }
 
     fn now(&self) -> f64 {
@@ -232,6 +236,8 @@
     looks: RefCell<Option<Looks>>,
     /// Target latencies by path group, in seconds.
     targets: RefCell<Vec<f64>>,
+    /// How many hits came without an id.
+    unnamed: Cell<u64>,
     /// Told of each change of level.
     changed: RefCell<Option<Changed>>,
     /// Given while the list is to be asked for its changes.
@@ -332,6 +338,7 @@
             settings: RefCell::new(info.clone()),
             looks: looks.into(),
             targets: targets.into(),
+            unnamed: Cell::default(),
             changed: None.into(),
             follow: Signal::new(wanted),
             clients_most: chosen.clients.unwrap_or(usize::MAX).into(),
@@ -367,8 +374,19 @@
         Ok(true)
     }
 
+    /// Unix time, going on from the start by the monotonic clock.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     // Ids at the door.
 
+    /// An id for a hit that came without one: no two are the same.
+    pub fn unnamed(&self) -> u64 {
+        let number = self.unnamed.replace(self.unnamed.get().wrapping_add(1));
+        hash(&number.to_le_bytes())
+    }
+
     pub fn group(&self, name: &str) -> Option<usize> {
         self.groups.known(name)
     }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -14,7 +14,7 @@
 pub use changes::{bounds, Changes};
 pub use crowd::{Crowd, Visit};
 pub use end::End;
-pub use exchange::{Answer, Chosen, Desk, Entry, Exchange, Load, Looked, Looks, Ticket, Way, Ways};
+pub use exchange::{unix, Answer, Chosen, Desk, Entry, Exchange, Load, Looked, Looks, Ticket, Way, Ways};
 pub use guard::{guarded, kept};
 pub use keys::hash;
 pub use signal::Signal;
--- a/front-extproc/src/front.rs
+++ b/front-extproc/src/front.rs
@@ -18,7 +18,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tonic::server::{Grpc, StreamingService};
@@ -56,16 +56,9 @@
     pub turned_away: String,
     ledger: RefCell<Ledger>,
     shelf: Option<Rc<dyn Shelf>>,
-    origin: (f64, Instant),
-    next: Cell<u64>,
     connections: Cell<usize>,
 }
 
-/// Unix time, in seconds.
-pub fn unix() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
-}
-
 impl Front {
     /// `records`: what a shelf holds, all of it since `knows_from` (Unix time).
     pub fn new(
@@ -76,32 +69,20 @@
         records: &[Record],
         knows_from: f64,
     ) -> Front {
-        let now = unix();
+        let now = exchange.now();
         let ledger = Ledger::recover(now, table.bounds, records, knows_from.min(now)).into();
-        let origin = (now, Instant::now());
-        let next = Cell::new(magpieline_exchange::hash(b"extproc"));
         let (turned_away, connections) = (turned_away.to_owned(), Cell::default());
-        Front { exchange, table, turned_away, ledger, shelf, origin, next, connections }
-    }
-
-    /// Unix time, going on from the start by the monotonic clock.
-    pub fn now(&self) -> f64 {
-        self.origin.0 + self.origin.1.elapsed().as_secs_f64()
-    }
-
-    /// The id of a hit to the exchange: each stream's is its own, repeats are told apart by the ledger.
-    pub fn number(&self) -> u64 {
-        self.next.replace(self.next.get().wrapping_add(0x9e37_79b9_7f4a_7c15))
+        Front { exchange, table, turned_away, ledger, shelf, connections }
     }
 
     pub fn ask(&self, ask: &Ask) -> Result<Option<Risk>, Refusal> {
-        self.ledger.borrow_mut().ask(self.now(), ask)
+        self.ledger.borrow_mut().ask(self.exchange.now(), ask)
     }
 
     /// One in hand is about to be told to its caller; an error says why it can't be written down.
     pub async fn sent(&self, id: u64, address: SocketAddr) -> Result<(), String> {
         let (zone, cell) = self.exchange.place_of(address).unwrap_or_default();
-        let record = self.ledger.borrow_mut().sent(self.now(), id, zone, cell);
+        let record = self.ledger.borrow_mut().sent(self.exchange.now(), id, zone, cell);
         match (&self.shelf, record) {
             (Some(shelf), Some(record)) => shelf.write(record).await,
             _ => Ok(()),
@@ -110,7 +91,7 @@
 
     /// One in hand is over.
     pub fn over(&self, id: u64, sent: bool, ran: Ran) {
-        let record = self.ledger.borrow_mut().ended(self.now(), id, sent, ran);
+        let record = self.ledger.borrow_mut().ended(self.exchange.now(), id, sent, ran);
         // That it never ran may be lost: then it counts as if it had.
         if let (Some(shelf), Some(record)) = (&self.shelf, record) {
             let written = shelf.write(record);
@@ -122,11 +103,6 @@
         }
     }
 
-    /// How many ids are remembered.
-    pub fn remembered(&self) -> usize {
-        self.ledger.borrow().len()
-    }
-
     /// What a new journal has to begin with.
     pub fn snapshot(&self) -> Vec<Record> {
         self.ledger.borrow().snapshot()
--- a/front-extproc/src/lib.rs
+++ b/front-extproc/src/lib.rs
@@ -11,5 +11,5 @@
 mod tests;
 
 pub use call::{call, Call};
-pub use front::{serve, unix, Front, Shelf};
+pub use front::{serve, Front, Shelf};
 pub use table::{Row, Table};
--- a/front-extproc/src/stream.rs
+++ b/front-extproc/src/stream.rs
@@ -194,7 +194,8 @@
         risk: risk.map(|r| (r.at, r.zone, r.cell)),
         ..Arrival::default()
     };
-    let load = Load { id: front.number(), head: Box::new(call), body: Bytes::new() };
+    // Each stream's is its own: repeats are told apart by the ledger.
+    let load = Load { id: front.exchange.unnamed(), head: Box::new(call), body: Bytes::new() };
     let Some(mut ticket) = front.exchange.take(arrival, load) else {
         return immediate(503, 1.0, "a hit in hand bears this id");
     };
@@ -209,7 +210,7 @@
         Err(Told { address, limit }) => {
             case.ticket = Some(ticket);
             // It may have waited until nodes know its repeats no more.
-            if risk.is_some_and(|r| !row.kind.is_known(front.now(), r)) {
+            if risk.is_some_and(|r| !row.kind.is_known(front.exchange.now(), r)) {
                 return immediate(409, 0.0, "one of this id may have run");
             }
             // Written before it is told, where there is a disk; what can't be written is not risked.
--- a/front-extproc/src/tests.rs
+++ b/front-extproc/src/tests.rs
@@ -132,7 +132,7 @@
 }
 
 async fn plain(nodes: &[SocketAddr]) -> Processor {
-    processor(nodes, "", None, &[], crate::unix()).await
+    processor(nodes, "", None, &[], magpieline_exchange::unix()).await
 }
 
 /// Waits until nothing is in hand: streams that were dropped are heard of as the machine gets round to it.
@@ -402,7 +402,9 @@
 fn ten_thousand_streams_on_one_connection() {
     run(240, async {
         let runs = Runs::default();
-        let p = processor(&[node(&runs).await], "most-streams='10000'", None, &[], crate::unix()).await;
+        let p =
+            processor(&[node(&runs).await], "most-streams='10000'", None, &[], magpieline_exchange::unix())
+                .await;
         let proxy = proxy(p.at).await;
         let mut held = Vec::new();
         for i in 0..10_000 {
@@ -529,7 +531,8 @@
         let nodes = [node(&runs).await, node(&runs).await, node(&runs).await];
         let (mut done, mut began) = (0, Instant::now());
         let (heard, times) = (Rc::new(RefCell::new([0u64; 4])), Rc::new(RefCell::new(Vec::new())));
-        let (records, mut from, mut round) = (Rc::new(RefCell::new(Vec::new())), crate::unix(), 0u64);
+        let (records, mut from, mut round) =
+            (Rc::new(RefCell::new(Vec::new())), magpieline_exchange::unix(), 0u64);
         let next = Rc::new(Cell::new(0u64));
         while done < many {
             round += 1;
@@ -537,7 +540,7 @@
             if with_disk && round > 2 {
                 // Its predecessor had none: nothing older is known.
                 records.borrow_mut().clear();
-                from = crate::unix();
+                from = magpieline_exchange::unix();
             }
             let shelf: Option<Rc<dyn Shelf>> = Some(Rc::new(Kept(records.clone())));
             let known = records.borrow().clone();
--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::FuturesOrdered;
 use futures_util::{FutureExt, StreamExt};
 use magpieline::interface::Arrival;
-use magpieline_exchange::{guarded, hash, Answer, Crowd, Exchange, Load, Signal, Visit};
+use magpieline_exchange::{guarded, Answer, Crowd, Exchange, Load, Signal, Visit};
 use magpieline_resp::{Bounds, Reader, Value, Version};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -66,7 +66,7 @@
     table: Table,
     /// What clients have to say before anything else, if so.
     password: Option<String>,
-    /// Numbers for connections, and for commands.
+    /// Numbers for connections.
     next: Cell<u64>,
 }
 
@@ -310,8 +310,7 @@
         let mut body = BytesMut::new();
         Value::Array(words.iter().cloned().map(Value::Bulk).collect()).write(Version::Two, &mut body);
         // No id comes with a command: each is a hit of its own.
-        let id = hash(format!("resp {} {}", self.number, front.number()).as_bytes());
-        let load = Load { id, head: Box::new(Command), body: body.freeze() };
+        let load = Load { id: front.exchange.unnamed(), head: Box::new(Command), body: body.freeze() };
         let Some(mut ticket) = front.exchange.take(arrival, load) else {
             return error("ERR a hit in hand bears this id");
         };
--- a/operator/src/journal.rs
+++ b/operator/src/journal.rs
@@ -37,6 +37,22 @@
     pub what: &'static str,
 }
 
+/// What a crash leaves at the end of a journal: nobody was told of such a record.
+const TORN: &str = "a record is torn";
+
+impl Damage {
+    /// Whether it is no more than what a crash leaves.
+    pub fn is_torn(&self) -> bool {
+        self.what == TORN
+    }
+}
+
+impl std::fmt::Display for Damage {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{} bytes from {} on are not believed: {}", self.bytes, self.at, self.what)
+    }
+}
+
 fn checksum(length: [u8; 4], body: &[u8]) -> [u8; 4] {
     let mut sum = crc32fast::Hasher::new();
     sum.update(&length);
@@ -76,7 +92,7 @@
     let mut at = HEAD.len();
     while at < bytes.len() {
         let Some(head) = bytes.get(at..at + FRAME) else {
-            return (records, at, damage(at, "a record is torn"));
+            return (records, at, damage(at, TORN));
         };
         let length = [head[0], head[1], head[2], head[3]];
         let size = u32::from_le_bytes(length) as usize;
@@ -84,7 +100,7 @@
             return (records, at, damage(at, "a record's length can't be"));
         }
         let Some(body) = bytes.get(at + FRAME..at + FRAME + size) else {
-            return (records, at, damage(at, "a record is torn"));
+            return (records, at, damage(at, TORN));
         };
         if checksum(length, body) != head[4..FRAME] {
             return (records, at, damage(at, "a record's checksum does not fit"));
@@ -123,8 +139,8 @@
         let (records, good, damage) = read::<T>(&bytes);
         let mut journal = Journal { disk, good: good as u64, spoilt: false };
         if bytes.is_empty() || damage.is_some() {
-            // A torn end is what a crash leaves; anything else somebody should see.
-            if damage.as_ref().is_some_and(|d| d.what != "a record is torn") {
+            // Anything but a torn end somebody should see.
+            if damage.as_ref().is_some_and(|d| !d.is_torn()) {
                 journal.disk.put_aside().map_err(told)?;
             }
             let anew = whole(&records)?;
