Fronts accept by one loop; a hit's path reads the clock no more often than before levels

HTTP/1.1 and RESP had the same accept loop with the same pauses, which now stands once beside the crowd it asks. A hit read the clock once more to be taken and once for each forward, though only levels want that: taken by one reading, and noted only where there are levels.

--- a/agent/src/life/levels.rs
+++ b/agent/src/life/levels.rs
@@ -150,8 +150,7 @@
     use crate::testing::*;
     use crate::wire::clients;
     use crate::wire::nodes::ways;
-    use magpieline::interface::Listed;
-    use magpieline_exchange::{Chosen, Crowd, Entry};
+    use magpieline_exchange::{Chosen, Crowd};
     use magpieline_operator::Schema;
     use std::cell::Cell;
     use std::time::Instant;
@@ -207,13 +206,7 @@
             "goal_time_us": 40000, "hard_limit_us": 2000000}]});
         let ways = ways(around().times.clone(), None, 1);
         let exchange = Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"));
-        let listed =
-            Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
-        exchange.listed(
-            true,
-            true,
-            vec![Entry { uid: "a".into(), listed, address: node.await, gone: false }],
-        );
+        exchange.listed(true, true, vec![entry(node.await, 0)]);
         let listener = Rc::new(TcpListener::bind("127.0.0.1:0").await.expect("a listener"));
         let at = listener.local_addr().expect("an address");
         actix_rt::spawn(clients::serve(exchange.clone(), listener, Rc::new(Crowd::new(200))));
--- a/agent/src/life/resp.rs
+++ b/agent/src/life/resp.rs
@@ -44,8 +44,6 @@
     use super::*;
     use crate::testing::*;
     use crate::wire::clients;
-    use magpieline::interface::Listed;
-    use magpieline_exchange::Entry;
     use magpieline_operator::Schema;
     use tokio::io::AsyncReadExt;
     use tokio::net::{TcpListener, TcpStream};
@@ -74,19 +72,6 @@
             })
             .await;
             let exchange = exchange();
-            let entry = |address: SocketAddr, speaks| {
-                let listed = Listed {
-                    node: 0,
-                    open: true,
-                    build: 1,
-                    zone: 0,
-                    cell: 0,
-                    rating: 1.0,
-                    up_since: 0.0,
-                    speaks,
-                };
-                Entry { uid: address.to_string(), listed, address, gone: false }
-            };
             exchange.listed(true, true, vec![entry(http, 0), entry(resp, magpieline_front_resp::SPEAKS)]);
             let crowd = Rc::new(Crowd::new(256));
             let values = Schema::own().check(FILE).expect("a good file");
--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -51,14 +51,17 @@
 /// An exchange that knows these nodes.
 pub fn exchange_of(nodes: &[SocketAddr]) -> Rc<Exchange> {
     let exchange = exchange();
-    let listed =
-        Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
-    let line =
-        |address: &SocketAddr| Entry { uid: address.to_string(), listed, address: *address, gone: false };
-    exchange.listed(true, true, nodes.iter().map(line).collect());
+    exchange.listed(true, true, nodes.iter().map(|address| entry(*address, 0)).collect());
     exchange
 }
 
+/// The line of an open node that speaks this protocol.
+pub fn entry(address: SocketAddr, speaks: u8) -> Entry {
+    let listed =
+        Listed { node: 0, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks };
+    Entry { uid: address.to_string(), listed, address, gone: false }
+}
+
 /// Listens on loopback and plays the script on each connection.
 pub async fn server<F: Future + 'static>(script: impl Fn(TcpStream) -> F + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
--- a/agent/src/wire/clients.rs
+++ b/agent/src/wire/clients.rs
@@ -8,7 +8,7 @@
 use actix_http::header::{HeaderMap, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
-use magpieline_exchange::{guarded, hash, Answer, Crowd, Exchange, Load, Signal, Visit};
+use magpieline_exchange::{accept, guarded, hash, Answer, Crowd, Exchange, Load, Signal, Visit};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,13 +17,8 @@
 /// How long a client that has been answered early may go on sending what nobody reads: the answer would be
 /// lost if its connection were closed under it.
 const LINGER: Duration = Duration::from_secs(1);
-/// Before accepting again when that failed or there is no room: some connections end in that time.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 /// On stopping, how long a connection that came late is kept open for its first hit.
 const FRESH: Duration = Duration::from_millis(300);
-/// On stopping, how long after idle connections begin to close new ones are still taken. What comes later
-/// could not be answered before the end that others set.
-const LAST: Duration = Duration::from_millis(200);
 
 async fn hit(
     exchange: &Rc<Exchange>,
@@ -103,7 +98,7 @@
         },
     };
     visit.wait();
-    if exchange.stopping() || crowd.over(exchange.clients_bound(crowd.most())) {
+    if exchange.stopping() || crowd.over(exchange.clients_bound(&crowd)) {
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
     Ok(response)
@@ -111,33 +106,11 @@
 
 /// Accepts connections until the program stops; what the kernel has accepted by then is taken first.
 pub async fn serve(exchange: Rc<Exchange>, listener: Rc<TcpListener>, crowd: Rc<Crowd>) {
-    let stopped = async {
-        exchange.closing.wait().await;
-        tokio::time::sleep(LAST).await;
+    let next = || async { Ok(listener.accept().await?.0) };
+    let attend = |stream| {
+        actix_rt::spawn(attend(exchange.clone(), crowd.clone(), Line::new(stream)));
     };
-    tokio::pin!(stopped);
-    loop {
-        if !crowd.room(0, exchange.clients_bound(crowd.most())) {
-            exchange.complain("accept", "as many connections as there is room for");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        }
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = &mut stopped => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                actix_rt::spawn(attend(exchange.clone(), crowd.clone(), Line::new(stream)));
-            }
-            Err(e) => {
-                exchange.complain("accept", &e.to_string());
-                exchange.drop_idle();
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept(&exchange, &crowd, 0, next, attend).await;
 }
 
 /// Serves one connection to its end.
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -2,6 +2,7 @@
 //! decisions, the clock and the timers, and carries out what the decisions say.
 
 use crate::changes::{self, Changes, Pinned};
+use crate::crowd::Crowd;
 use crate::end::End;
 use crate::guard::guarded;
 use crate::keys::{hash, Keys};
@@ -461,7 +462,7 @@
         };
         let (sender, answer) = oneshot::channel();
         let place = match door {
-            LevelDoor::Go => Place::Held(self.hand_on(arrival, now, load, sender)),
+            LevelDoor::Go => Place::Held(self.hand_on(arrival, now, now, load, sender)),
             LevelDoor::Wait { number, at_most } => {
                 let place = Rc::new(Cell::new(None));
                 let waiting = Waiting { arrival, taken: now, load, answer: sender, place: place.clone() };
@@ -487,11 +488,12 @@
         self: &Rc<Self>,
         arrival: Arrival,
         taken: f64,
+        now: f64,
         load: Load,
         answer: oneshot::Sender<Answer>,
     ) -> HitHandle {
         let (handle, next) = {
-            let (state, now) = (&mut *self.state.borrow_mut(), self.clock.now());
+            let state = &mut *self.state.borrow_mut();
             let (mut arrival, mut pinned, group) = (arrival, None, arrival.group);
             arrival.remaining -= now - taken;
             if let Some(changes) = &mut state.changes {
@@ -529,7 +531,7 @@
                 state.waiting.remove(&number)
             };
             let Some(Waiting { arrival, taken, load, answer, place }) = waiting else { continue };
-            place.set(Some(self.hand_on(arrival, taken, load, answer)));
+            place.set(Some(self.hand_on(arrival, taken, self.clock.now(), load, answer)));
         }
     }
 
@@ -622,10 +624,13 @@
 
     fn forward(self: &Rc<Self>, handle: HitHandle, node: usize, limit: f64) {
         let (way, load) = {
-            let (state, now) = (&mut *self.state.borrow_mut(), self.clock.now());
+            let state = &mut *self.state.borrow_mut();
             let held = state.held.get_mut(handle.place as usize).and_then(Option::as_mut);
             let load = held.map(|h| {
-                h.forwarded.get_or_insert(now);
+                // Only levels ask for it.
+                if state.levels.is_some() && h.forwarded.is_none() {
+                    h.forwarded = Some(self.clock.now());
+                }
                 h.load.clone()
             });
             (state.nodes.reach(node).cloned(), load)
@@ -888,9 +893,9 @@
     }
 
     /// How many connections clients may hold now.
-    pub fn clients_bound(&self, most: usize) -> usize {
+    pub fn clients_bound(&self, crowd: &Crowd) -> usize {
         let part = self.state.borrow().levels.as_ref().map_or(1.0, Levels::connections);
-        let bound = self.clients_most.get().min(most);
+        let bound = self.clients_most.get().min(crowd.most());
         if part < 1.0 {
             (bound as f64 * part).ceil().max(1.0) as usize
         } else {
@@ -996,6 +1001,13 @@
         tokio::task::LocalSet::new().block_on(&runtime, test)
     }
 
+    /// The line of a node by its port.
+    fn entry(port: u16, build: u32, open: bool) -> Entry {
+        let listed = Listed { node: 0, open, build, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        Entry { uid: port.to_string(), listed, address, gone: false }
+    }
+
     #[test]
     fn any_number_is_a_time() {
         assert_eq!(
@@ -1018,18 +1030,7 @@
     fn a_hit_gets_one_answer() {
         run(async {
             let exchange = exchange();
-            let listed = Listed {
-                node: 0,
-                open: true,
-                build: 1,
-                zone: 0,
-                cell: 0,
-                rating: 1.0,
-                up_since: 0.0,
-                speaks: 0,
-            };
-            let address = "127.0.0.1:1".parse().expect("an address");
-            exchange.listed(true, true, vec![Entry { uid: "a".into(), listed, address, gone: false }]);
+            exchange.listed(true, true, vec![entry(1, 1, true)]);
             let arrival = Arrival { remaining: 0.2, ..Arrival::default() };
             let load = || Load { id: 7, head: Box::new(()), body: Bytes::new() };
             let mut ticket = exchange.take(arrival, load()).expect("a hit");
@@ -1077,21 +1078,7 @@
             Ok(Rc::new(way))
         });
         let exchange = Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"));
-        let entry = |port: u16, build| {
-            let listed = Listed {
-                node: 0,
-                open: true,
-                build,
-                zone: 0,
-                cell: 0,
-                rating: 1.0,
-                up_since: 0.0,
-                speaks: 0,
-            };
-            let address = SocketAddr::from(([127, 0, 0, 1], port));
-            Entry { uid: port.to_string(), listed, address, gone: false }
-        };
-        exchange.listed(true, true, vec![entry(1, 1), entry(2, 2)]);
+        exchange.listed(true, true, vec![entry(1, 1, true), entry(2, 2, true)]);
         exchange.heard(News { build: 2, stage: 1, phase: Phase::Trial, since: 0.0, cap: 0.9 });
         let values = magpieline_operator::Schema::own().check(&LEVELS.replace("WAIT", wait)).expect("good");
         exchange.set_levels(&values, 1, None).expect("it makes sense");
@@ -1222,21 +1209,7 @@
     fn a_level_that_comes_during_a_drain_changes_nothing_for_the_drained() {
         run(async {
             let (exchange, seen) = levelled("");
-            let entry = |port: u16, open| {
-                let listed = Listed {
-                    node: 0,
-                    open,
-                    build: 1,
-                    zone: 0,
-                    cell: 0,
-                    rating: 1.0,
-                    up_since: 0.0,
-                    speaks: 0,
-                };
-                let address = SocketAddr::from(([127, 0, 0, 1], port));
-                Entry { uid: port.to_string(), listed, address, gone: false }
-            };
-            exchange.listed(true, true, vec![entry(1, false), entry(2, true)]);
+            exchange.listed(true, true, vec![entry(1, 1, false), entry(2, 1, true)]);
             let before = seen[0].get();
             held(&exchange);
             for id in 0..40 {
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -2,6 +2,7 @@
 //! no protocol and opens no socket. A front hands a hit in as a [`Load`] and waits for its one [`Answer`]; a node
 //! is reached by a [`Way`], whose forwards end in one of the ways that [`End`] names; votes are cast by a [`Desk`].
 
+mod accept;
 mod changes;
 mod crowd;
 mod end;
@@ -11,7 +12,8 @@
 mod nodes;
 mod signal;
 
-pub use changes::{bounds, Changes};
+pub use accept::accept;
+pub use changes::Changes;
 pub use crowd::{Crowd, Visit};
 pub use end::End;
 pub use exchange::{unix, Answer, Chosen, Desk, Entry, Exchange, Load, Looked, Looks, Ticket, Way, Ways};
--- a/front-resp/src/front.rs
+++ b/front-resp/src/front.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::FuturesOrdered;
 use futures_util::{FutureExt, StreamExt};
 use magpieline::interface::Arrival;
-use magpieline_exchange::{guarded, Answer, Crowd, Exchange, Load, Signal, Visit};
+use magpieline_exchange::{accept, guarded, Answer, Crowd, Exchange, Load, Signal, Visit};
 use magpieline_resp::{Bounds, Reader, Value, Version};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -28,10 +28,6 @@
 const PIECES: Duration = Duration::from_secs(5);
 /// A part of what a client sends, read at once.
 const PIECE: usize = 16 << 10;
-/// Before accepting again when that failed or there is no room: some connections end in that time.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
-/// On stopping, how long after idle connections begin to close new ones are still taken.
-const LAST: Duration = Duration::from_millis(200);
 /// What a command may be: strings in an array, of the size of a hit's body at most, and a little more in all.
 const COMMAND: Bounds =
     Bounds { depth: 1, values: 1024, string: 64 << 10, line: 64 << 10, message: 128 << 10 };
@@ -90,32 +86,9 @@
 
 /// Accepts connections until the program stops; what the kernel has accepted by then is taken first.
 pub async fn serve(front: Rc<Front>, listener: TcpListener) {
-    let exchange = front.exchange.clone();
-    let stopped = async {
-        exchange.closing.wait().await;
-        tokio::time::sleep(LAST).await;
-    };
-    tokio::pin!(stopped);
-    loop {
-        if !front.crowd.room(front.place, exchange.clients_bound(front.crowd.most())) {
-            exchange.complain("accept", "as many connections as there is room for");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        }
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = &mut stopped => return,
-        };
-        match accepted {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(attend(front.clone(), stream))),
-            Err(e) => {
-                exchange.complain("accept", &e.to_string());
-                exchange.drop_idle();
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let next = || async { Ok(listener.accept().await?.0) };
+    let attend = |stream| drop(tokio::task::spawn_local(attend(front.clone(), stream)));
+    accept(&front.exchange, &front.crowd, front.place, next, attend).await;
 }
 
 /// Serves one connection to its end.
