--- a/agent/src/life/levels.rs
+++ b/agent/src/life/levels.rs
@@ -79,8 +79,8 @@
                 Some(change) => Kept::Changed(Change { at: unix(), ..change }),
                 None => return,
             },
-            () = tokio::time::sleep(STANDS) => match exchange.levels() {
-                Some((stands, _)) if stands.level != "full" => Kept::Stands(unix()),
+            () = tokio::time::sleep(STANDS) => match exchange.level() {
+                Some(level) if level != "full" => Kept::Stands(unix()),
                 _ => continue,
             },
         };
@@ -122,7 +122,7 @@
     let mut before = None;
     loop {
         tokio::time::sleep(READ).await;
-        if exchange.levels().is_none() {
+        if exchange.level().is_none() {
             before = None;
             continue;
         }
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -872,6 +872,11 @@
         Some((levels.stands(self.clock.now()), levels.changes().cloned().collect()))
     }
 
+    /// The level that holds; nothing where there are none.
+    pub fn level(&self) -> Option<String> {
+        self.state.borrow().levels.as_ref().map(|l| l.name().to_owned())
+    }
+
     /// Holds a level by hand for so many seconds.
     pub fn hold_level(&self, name: &str, seconds: f64, who: &str) -> Result<(), String> {
         let state = &mut *self.state.borrow_mut();
@@ -1159,9 +1164,15 @@
         run(async {
             let (exchange, seen) = levelled("most-waiting='2' longest-wait-s='0.2'");
             held(&exchange);
-            // No room: the limit is in flight.
+            // No room: the limit is in flight, of another path group.
             let many = exchange.state.borrow().levels.as_ref().expect("levels").stands(0.0).limit as usize;
-            (0..many).for_each(|_| exchange.state.borrow_mut().levels.as_mut().expect("levels").occupy());
+            let each = |what: &dyn Fn(&mut Levels)| {
+                let mut state = exchange.state.borrow_mut();
+                (0..many).for_each(|_| what(state.levels.as_mut().expect("levels")));
+            };
+            let occupy = |l: &mut Levels| assert_eq!(l.take(exchange.now(), 1, 0, 1.0), LevelDoor::Go);
+            let ended = Ended { group: 1, fate: None, spent: 0.0, part: 0.0, waited: None };
+            each(&occupy);
             let mut waits = exchange.take(arrival(0), read(1)).expect("taken");
             let leaves = exchange.take(arrival(0), read(2)).expect("taken");
             let mut third = exchange.take(arrival(0), read(3)).expect("taken");
@@ -1176,12 +1187,12 @@
             assert_eq!(seen[0].get(), 0);
             // Room again: one that waits goes on at the next look.
             let mut waits = exchange.take(arrival(0), read(4)).expect("taken");
-            exchange.state.borrow_mut().levels.as_mut().expect("levels").vacate(many);
+            each(&|l| l.ended(exchange.now(), ended));
             exchange.let_in();
             assert!(matches!(waits.answer().await, Answer::Delivered { .. }));
             assert_eq!(seen[0].get(), 1);
             // Levels that are no more leave nobody waiting.
-            (0..many).for_each(|_| exchange.state.borrow_mut().levels.as_mut().expect("levels").occupy());
+            each(&occupy);
             let mut waits = exchange.take(arrival(0), read(5)).expect("taken");
             exchange.set_levels(&Values::new(), 1, None).expect("none");
             assert!(matches!(waits.answer().await, Answer::Bounced { .. }));
--- a/levels/src/keeper.rs
+++ b/levels/src/keeper.rs
@@ -344,18 +344,16 @@
         self.ladder.at(self.level)
     }
 
-    pub fn place(&self) -> usize {
-        self.level
+    /// The level whose rules hold: a start without memory goes by the mildest until it has seen a few hits.
+    pub fn rules(&self, now: f64) -> Option<&Level> {
+        let first = self.is_first(now).then(|| self.ladder.levels.first()).flatten();
+        self.level().or(first)
     }
 
     pub fn name(&self) -> &str {
         self.ladder.name(self.level)
     }
 
-    pub fn ladder(&self) -> &Ladder {
-        &self.ladder
-    }
-
     /// For how long it holds, why, and until when by hand, if so.
     pub fn stands(&self, now: f64) -> (f64, &str, Option<f64>) {
         let until = self.held.as_ref().map(|h| (h.until - now).max(0.0));
@@ -394,7 +392,8 @@
     fn level(name: &str, enter: &str, leave: &str, at_once: bool) -> Level {
         let (enter, leave) = (read(enter, &groups()).expect("good"), read(leave, &groups()).expect("good"));
         let rules = vec![crate::ladder::Rule::FULL; 2];
-        Level { name: name.into(), enter, leave, least_stay: 30.0, at_once, holds_trial: false, rules }
+        let (least_stay, holds_trial, connections) = (30.0, false, 1.0);
+        Level { name: name.into(), enter, leave, least_stay, at_once, holds_trial, connections, rules }
     }
 
     /// Two levels by the processor's load, and one for a jam; one change in 30 s.
@@ -404,7 +403,7 @@
             level("full-house", "cpu > 85% for 2s", "cpu < 60% for 5s", false),
             level("jam", "cpu > 95%", "cpu < 65%", true),
         ];
-        Ladder { connections: vec![1.0; levels.len()], levels, spacing: 30.0, spread: 5.0 }
+        Ladder { levels, spacing: 30.0, spread: 5.0 }
     }
 
     fn keeper(seed: u64) -> Keeper {
@@ -568,12 +567,10 @@
         assert_eq!(k.name(), "full-house");
         let mut other = ladder();
         other.levels.remove(0);
-        other.connections.pop();
         assert_eq!(k.settle(now, other), None);
-        assert_eq!((k.name(), k.place()), ("full-house", 1));
+        assert_eq!((k.name(), k.level), ("full-house", 1));
         let mut other = ladder();
         other.levels.truncate(1);
-        other.connections.truncate(1);
         let change = k.settle(now, other).expect("a change");
         assert_eq!((change.from.as_str(), change.to.as_str()), ("full-house", "full"));
         assert_eq!(change.because, "'full-house' is no longer among the levels");
--- a/levels/src/ladder.rs
+++ b/levels/src/ladder.rs
@@ -35,8 +35,10 @@
     pub least_stay: f64,
     /// Entered without the wait that spreads agents, and past milder levels.
     pub at_once: bool,
-    /// The trial build gets nothing beyond a trickle meanwhile.
+    /// The trial build gets nothing new meanwhile.
     pub holds_trial: bool,
+    /// How many connections clients may hold, as a part of what they may else.
+    pub connections: f64,
     /// By path group.
     pub rules: Vec<Rule>,
 }
@@ -49,8 +51,6 @@
     pub spacing: f64,
     /// Agents that see the same change within this time of one another, in seconds.
     pub spread: f64,
-    /// How many connections clients may hold in a level, as a part of what they may else, by level.
-    pub connections: Vec<f64>,
 }
 
 impl Ladder {
@@ -62,7 +62,6 @@
             levels: Vec::new(),
             spacing,
             spread: number(values, "levels.spread_s").unwrap_or_default(),
-            connections: Vec::new(),
         };
         let mut wrong = Vec::new();
         for i in 0.. {
@@ -72,7 +71,6 @@
                 Ok(level) => ladder.levels.push(level),
                 Err(all) => wrong.extend(all.into_iter().map(|e| format!("level '{name}': {e}"))),
             }
-            ladder.connections.push(number(values, &format!("{at}.connections")).unwrap_or(1.0));
         }
         if wrong.is_empty() {
             wrong = ladder.senseless(groups, one_way);
@@ -214,6 +212,7 @@
             least_stay: number(values, &format!("{at}.least_stay_s")).unwrap_or_default(),
             at_once: flag(values, &format!("{at}.at_once")),
             holds_trial: text(values, &format!("{at}.trial")) == Some("held"),
+            connections: number(values, &format!("{at}.connections")).unwrap_or(1.0),
             rules,
         }),
         _ => Err(wrong),
--- a/levels/src/lib.rs
+++ b/levels/src/lib.rs
@@ -19,7 +19,6 @@
 
 use admission::Admission;
 use keeper::Keeper;
-use ladder::{Level, Rule};
 use serde::Serialize;
 use signals::Signals;
 
@@ -99,21 +98,11 @@
         self.keeper.settle(now, ladder)
     }
 
-    /// The level whose rules hold: a start without memory goes by the mildest until it has seen a few hits.
-    fn rules(&self, now: f64) -> Option<&Level> {
-        let first = self.keeper.is_first(now).then(|| self.keeper.ladder().levels.first()).flatten();
-        self.keeper.level().or(first)
-    }
-
-    fn rule(&self, now: f64, group: usize) -> Option<&Rule> {
-        self.rules(now).and_then(|l| l.rules.get(group))
-    }
-
     /// A hit is at the door. One that goes on is counted as in flight from here.
     pub fn take(&mut self, now: f64, group: usize, account: usize, remaining: f64) -> Door {
-        let rule = self.rule(now, group).cloned();
+        let rule = self.keeper.rules(now).and_then(|l| l.rules.get(group));
         let stays = self.keeper.stays(now);
-        match self.admission.arrive(group, account, remaining, rule.as_ref(), stays) {
+        match self.admission.arrive(group, account, remaining, rule, stays) {
             Door::Go => {
                 self.signals.began();
                 Door::Go
@@ -161,9 +150,7 @@
     /// Looks at all figures; to be called each [`LOOK`]. A change holds from then on.
     pub fn look(&mut self, now: f64) -> Option<Change> {
         let change = self.keeper.look(now, &mut self.signals);
-        let first = self.keeper.is_first(now);
-        let mild = first.then(|| self.keeper.ladder().levels.first()).flatten();
-        let level = self.keeper.level().or(mild);
+        let (level, first) = (self.keeper.rules(now), self.keeper.is_first(now));
         self.admission.step(now, level, first, &mut self.signals);
         change
     }
@@ -176,21 +163,9 @@
         self.keeper.release(who)
     }
 
-    /// Counts a hit as in flight that is not; for tests of who waits for room.
-    #[doc(hidden)]
-    pub fn occupy(&mut self) {
-        self.signals.began();
-    }
-
-    /// Takes so many of those back.
-    #[doc(hidden)]
-    pub fn vacate(&mut self, many: usize) {
-        (0..many).for_each(|_| self.signals.left());
-    }
-
     /// How often a hit of this path group is forwarded at most; 0 states nothing.
     pub fn forwards(&self, now: f64, group: usize) -> u32 {
-        self.rule(now, group).map_or(0, |r| r.forwards)
+        self.keeper.rules(now).and_then(|l| l.rules.get(group)).map_or(0, |r| r.forwards)
     }
 
     /// Whether the trial build gets nothing new meanwhile.
@@ -200,8 +175,7 @@
 
     /// The part of their connections that clients may hold.
     pub fn connections(&self) -> f64 {
-        let place = self.keeper.place();
-        place.checked_sub(1).and_then(|i| self.keeper.ladder().connections.get(i)).copied().unwrap_or(1.0)
+        self.keeper.level().map_or(1.0, |l| l.connections)
     }
 
     pub fn name(&self) -> &str {
--- a/levels/src/signals.rs
+++ b/levels/src/signals.rs
@@ -43,10 +43,15 @@
 }
 
 impl Group {
+    /// What is left by now of what was known when its last hit ended.
+    fn kept(&self, now: f64) -> f64 {
+        let span = (HITS / self.rate.max(1e-3)).clamp(SPAN.0, SPAN.1);
+        (-(now - self.last).max(0.0) / span).exp()
+    }
+
     fn fade(&mut self, now: f64) {
         let spent = (now - self.last).max(0.0);
-        let span = (HITS / self.rate.max(1e-3)).clamp(SPAN.0, SPAN.1);
-        let kept = (-spent / span).exp();
+        let kept = self.kept(now);
         self.all *= kept;
         self.by.iter_mut().for_each(|n| *n *= kept);
         self.rate *= (-spent / SPAN.1).exp();
@@ -132,10 +137,8 @@
     fn share(&self, now: f64, group: Option<usize>, by: usize) -> Option<f64> {
         let g = self.groups.get(group.unwrap_or(self.groups.len() - 1))?;
         // Hits fade together, so only the count's age matters.
-        let age = now - g.last;
-        let span = (HITS / g.rate.max(1e-3)).clamp(SPAN.0, SPAN.1);
         let old = (DISTANCES / g.rate.max(1e-3)).clamp(OLD, SPAN.1);
-        (g.all * (-age.max(0.0) / span).exp() >= FEW && age <= old).then(|| g.by[by] / g.all)
+        (g.all * g.kept(now) >= FEW && now - g.last <= old).then(|| g.by[by] / g.all)
     }
 
     /// The figure now, unless it is unknown.
@@ -156,11 +159,6 @@
         }
     }
 
-    /// Hits of a path group that end a second.
-    pub fn rate(&self, group: usize) -> f64 {
-        self.groups.get(group).map_or(0.0, |g| g.rate)
-    }
-
     /// Hits in flight.
     pub fn in_flight(&self) -> f64 {
         self.in_flight
