The rig's two plays share the list, the agent's start, the groups' parts and their CSV

The overload play had its own copies of what the release play does: the node list, an agent just started, shares of path groups (three times), medians, CSV in and out; settings took a whole plan for two of its figures. A RESP connection's failed opening is told to all who wait by a plain copy.

--- a/exchange/src/end.rs
+++ b/exchange/src/end.rs
@@ -4,7 +4,7 @@
 use magpieline::interface::Ending;
 
 /// How a forward's connection ended.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum End {
     /// An answer that counts, whole.
     Answered { kind: Option<Bytes>, body: Bytes },
--- a/front-resp/src/way.rs
+++ b/front-resp/src/way.rs
@@ -253,7 +253,7 @@
         Err(end) => {
             orders.close();
             while let Ok(order) = orders.try_recv() {
-                let _ = order.reply.send(again(&end)); // whoever waited may have left
+                let _ = order.reply.send(end.clone()); // whoever waited may have left
             }
             return;
         }
@@ -335,15 +335,6 @@
     }
 }
 
-/// The same end once more; those that carry nothing.
-fn again(end: &End) -> End {
-    match end {
-        End::NeverUp => End::NeverUp,
-        End::NoRoom => End::NoRoom,
-        _ => End::Refused,
-    }
-}
-
 /// Gives replies that have come to those they are owed to, in order; how many. Pushes answer nothing.
 fn replies(reader: &mut Reader, owed: &mut VecDeque<Owed>) -> Result<usize, Unreadable> {
     let mut many = 0;
--- a/trials/src/cores.rs
+++ b/trials/src/cores.rs
@@ -7,6 +7,8 @@
 use crate::world::{Fleet, GROUPS, TIMEOUT};
 use magpieline::balance::Balancer;
 use magpieline::interface::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -17,16 +19,8 @@
 const REVIEW: u64 = 1000;
 
 fn balancer(seed: u64) -> Balancer {
-    let plan =
-        release::Plan { kind: "good", trouble: "calm", judge: Judge::Earlier, agents: 1, rate: 0.0, seed: 0 };
-    let mut balancer = Balancer::start(seed, 0.0, None, release::settings(&plan, false))
-        .expect("the rig's settings are whole");
-    let line =
-        |node| Listed { node, open: true, build: 1, zone: 0, cell: 0, rating: 1.0, up_since: 0.0, speaks: 0 };
-    let list: Vec<Listed> = (0..Fleet::SIZE).map(line).collect();
-    balancer.listed(0.0, true, true, &list);
-    balancer.heard(0.0, News { build: 1, stage: 3, phase: Phase::Released, since: 100.0, cap: 1.0 });
-    balancer
+    let fleet = Fleet::new(&mut ChaCha8Rng::seed_from_u64(seed));
+    fleet.agent(seed, 0.0, release::settings(1, Judge::Earlier, false), None)
 }
 
 /// Decisions, with the hits that they have in hand.
--- a/trials/src/load.rs
+++ b/trials/src/load.rs
@@ -1,6 +1,7 @@
 //! Load beyond what nodes can take, played against levels, the module's own bounces, and nothing: a calm half minute,
 //! a minute at so many times what nodes can take, and a calm minute and a half.
 
+use crate::judge::Judge;
 use crate::release;
 use crate::world::*;
 use magpieline::balance::Balancer;
@@ -157,24 +158,13 @@
 
 /// Hits a second that all nodes can take, by their mean work.
 pub fn capacity() -> f64 {
-    let mut last = 0.0;
-    let parts = MIX.iter().map(|m| {
-        let part = m - last;
-        last = *m;
-        part
-    });
-    let work: f64 = parts.zip(WORK).map(|(part, work)| part * work).sum();
+    let work: f64 = parts().iter().zip(WORK).map(|(part, work)| part * work).sum();
     (Fleet::SIZE * CORES) as f64 / work
 }
 
 /// The part of each path group that is let in when so much of what nodes can take is spent by benefit for work.
 fn shares(plan: &Plan, of: f64) -> [f64; GROUPS] {
-    let mut last = 0.0;
-    let offered = MIX.map(|m| {
-        let part = m - last;
-        last = m;
-        part
-    });
+    let offered = parts();
     let mean: f64 = (0..GROUPS).map(|g| offered[g] * WORK[g]).sum();
     let mut left = of / plan.load / plan.slows * mean;
     let mut by_density: Vec<usize> = (0..GROUPS).collect();
@@ -209,23 +199,12 @@
 }
 
 impl Play<'_> {
-    fn agent(&mut self, i: usize) -> Agent {
-        let plan = release::Plan {
-            kind: "good",
-            trouble: "calm",
-            judge: crate::judge::Judge::Earlier,
-            agents: self.plan.agents,
-            rate: 0.0,
-            seed: 0,
-        };
+    fn agent(&self, i: usize) -> Agent {
         let seed = self.plan.seed.wrapping_mul(1000).wrapping_add(i as u64 + 1);
-        let mut named = release::settings(&plan, false);
+        let mut named = release::settings(self.plan.agents, Judge::Earlier, false);
         named.insert("limits.retry_after".into(), Value::Flag(true));
         named.insert("limits.max_retry_after_s".into(), Value::Number(30.0));
-        let mut balancer =
-            Balancer::start(seed, self.now, None, named).expect("the rig's settings are whole");
-        balancer.listed(self.now, true, true, &self.list());
-        balancer.heard(self.now, News { build: 1, stage: 3, phase: Phase::Released, since: 100.0, cap: 1.0 });
+        let balancer = self.fleet.agent(seed, self.now, named, None);
         let levels = (self.plan.control == Control::Levels).then(|| {
             let groups: Vec<String> = (0..GROUPS).map(|g| format!("group-{g}")).collect();
             let values = Schema::own().check(LEVELS).expect("the rig's levels are whole");
@@ -238,20 +217,6 @@
         Agent { balancer, levels, flying, waiting, changes, entered: None, left: None }
     }
 
-    fn list(&self) -> Vec<Listed> {
-        let line = |(node, n): (usize, &Node)| Listed {
-            node,
-            open: true,
-            build: n.build,
-            zone: 0,
-            cell: 0,
-            rating: 1.0,
-            up_since: n.up_since,
-            speaks: 0,
-        };
-        self.fleet.nodes.iter().enumerate().map(line).collect()
-    }
-
     fn at(&mut self, when: f64, event: Event) {
         self.count += 1;
         self.events.push(Reverse(((when.max(0.0) * 1e6) as Time, self.count, event)));
--- a/trials/src/load_table.rs
+++ b/trials/src/load_table.rs
@@ -1,7 +1,8 @@
 //! The grid of loads: means over seeds, as CSV, table and chart.
 
 use crate::load::{capacity, play, Control, Course, Plan};
-use crate::world::{BENEFIT, GROUPS, MIX};
+use crate::table::median;
+use crate::world::{parts, BENEFIT};
 use plotters::prelude::*;
 use rayon::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -40,20 +41,9 @@
     pub closest: f64,
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
-}
-
 /// Benefit a second that is asked for at this load.
 fn asked(load: f64) -> f64 {
-    let mut last = 0.0;
-    let each = (0..GROUPS).map(|g| {
-        let part = MIX[g] - last;
-        last = MIX[g];
-        part * BENEFIT[g]
-    });
-    load * capacity() * each.sum::<f64>()
+    load * capacity() * parts().iter().zip(BENEFIT).map(|(part, benefit)| part * benefit).sum::<f64>()
 }
 
 /// Plays one cell for all controls.
@@ -99,23 +89,6 @@
     CONTROLS.iter().map(row).collect()
 }
 
-pub fn write(rows: &[Row], out: Option<&Path>) -> Result<(), String> {
-    let sink: Box<dyn std::io::Write> = match out {
-        Some(path) => Box::new(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
-        None => Box::new(std::io::stdout()),
-    };
-    let mut csv = csv::Writer::from_writer(sink);
-    for row in rows {
-        csv.serialize(row).map_err(|e| e.to_string())?;
-    }
-    csv.flush().map_err(|e| e.to_string())
-}
-
-pub fn read(path: &Path) -> Result<Vec<Row>, String> {
-    let mut csv = csv::Reader::from_path(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    csv.deserialize().collect::<Result<_, _>>().map_err(|e| format!("{}: {e}", path.display()))
-}
-
 /// A table for people.
 pub fn text(rows: &[Row]) -> String {
     let mut text = format!(
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -181,7 +181,7 @@
         }
     }
     bar.finish_and_clear();
-    load_table::write(&rows, l.out.as_deref())
+    table::write(&rows, l.out.as_deref())
 }
 
 /// Words of a list with commas, each of which has to be known; all of them where there is none.
@@ -242,12 +242,8 @@
             Ok(())
         }
         Command::Levels(l) => levels(l),
-        Command::LevelsTable(t) => {
-            load_table::read(&t.file).map(|rows| print!("{}", load_table::text(&rows)))
-        }
-        Command::LevelsChart(c) => {
-            load_table::read(&c.file).and_then(|rows| load_table::chart(&rows, &c.out))
-        }
+        Command::LevelsTable(t) => table::read(&t.file).map(|rows| print!("{}", load_table::text(&rows))),
+        Command::LevelsChart(c) => table::read(&c.file).and_then(|rows| load_table::chart(&rows, &c.out)),
         Command::Chart(c) => table::read(&c.file).and_then(|rows| table::chart(&rows, &c.out)),
     };
     match result {
--- a/trials/src/release.rs
+++ b/trials/src/release.rs
@@ -112,7 +112,7 @@
 }
 
 /// The settings that the module is handed.
-pub fn settings(plan: &Plan, one_way: bool) -> Named {
+pub fn settings(agents: usize, judge: Judge, one_way: bool) -> Named {
     let mut named = Named::new();
     let mut number = |name: String, value: f64| {
         named.insert(name, Value::Number(value));
@@ -124,11 +124,11 @@
         number(format!("classes.{g}.dedup_window_s"), 0.75);
     }
     // A third of the agents moves a release on, a tenth sends it back; one at least.
-    let part = |of: f64| (plan.agents as f64 * of).ceil().max(1.0);
+    let part = |of: f64| (agents as f64 * of).ceil().max(1.0);
     for (name, value) in [
         ("limits.max_attempts", 3.0),
         ("limits.conn_idle_s", 10.0),
-        ("peers_total", plan.agents as f64),
+        ("peers_total", agents as f64),
         ("obligations.cold_s", COLD),
         ("obligations.cold_share", COLD_SHARE),
         ("family_info.spare_tries", 2.0),
@@ -146,7 +146,7 @@
         named.insert(format!("classes.{g}.dedup_scope"), Value::Text("all".into()));
     }
     named.insert("family_info.one_way".into(), Value::Flag(one_way));
-    plan.judge.terms(&mut named);
+    judge.terms(&mut named);
     named
 }
 
@@ -191,15 +191,10 @@
 
 impl Play<'_> {
     /// An agent that has just started, told the list and the news.
-    fn agent(&mut self, i: usize) -> Balancer {
-        let named = settings(self.plan, self.trouble.one_way());
+    fn agent(&self, i: usize) -> Balancer {
+        let named = settings(self.plan.agents, self.plan.judge, self.trouble.one_way());
         let seed = self.plan.seed.wrapping_mul(1000).wrapping_add(i as u64 + 1);
-        let mut balancer =
-            Balancer::start(seed, self.now, None, named).expect("the rig's settings are whole");
-        balancer.listed(self.now, true, true, &self.list());
-        let released = News { build: 1, stage: 3, phase: Phase::Released, since: 100.0, cap: 1.0 };
-        balancer.heard(self.now, self.news().unwrap_or(released));
-        balancer
+        self.fleet.agent(seed, self.now, named, self.news())
     }
 
     fn at(&mut self, when: f64, event: Event) {
@@ -207,20 +202,6 @@
         self.events.push(Reverse(((when.max(0.0) * 1e6) as Time, self.count, event)));
     }
 
-    fn list(&self) -> Vec<Listed> {
-        let line = |(node, n): (usize, &Node)| Listed {
-            node,
-            open: n.open && n.up_since <= self.now,
-            build: n.build,
-            zone: 0,
-            cell: 0,
-            rating: 1.0,
-            up_since: n.up_since,
-            speaks: 0,
-        };
-        self.fleet.nodes.iter().enumerate().map(line).collect()
-    }
-
     fn news(&self) -> Option<News> {
         let (cap, phase) = (STAGES[self.stage].0, self.phase?);
         let cap = if phase == Phase::GoingBack { 0.0 } else { cap };
@@ -259,7 +240,7 @@
                     }
                 }
                 Event::News(i) => {
-                    let (now, list, news) = (self.now, self.list(), self.news());
+                    let (now, list, news) = (self.now, self.fleet.list(self.now), self.news());
                     self.agents[i].balancer.listed(now, true, true, &list);
                     if let Some(news) = news {
                         self.agents[i].balancer.heard(now, news);
--- a/trials/src/table.rs
+++ b/trials/src/table.rs
@@ -3,7 +3,7 @@
 use crate::interval::exact;
 use crate::release::Course;
 use plotters::prelude::*;
-use serde::{Deserialize, Serialize};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt::Write;
 use std::path::Path;
 
@@ -31,7 +31,8 @@
     pub lost: f64,
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
+/// The median; not a number where there is none.
+pub fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
 }
@@ -73,7 +74,8 @@
     }
 }
 
-pub fn write(rows: &[Row], out: Option<&Path>) -> Result<(), String> {
+/// Writes rows as CSV, to standard output where no file is named.
+pub fn write<T: Serialize>(rows: &[T], out: Option<&Path>) -> Result<(), String> {
     let sink: Box<dyn std::io::Write> = match out {
         Some(path) => Box::new(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
         None => Box::new(std::io::stdout()),
@@ -85,7 +87,7 @@
     csv.flush().map_err(|e| e.to_string())
 }
 
-pub fn read(path: &Path) -> Result<Vec<Row>, String> {
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>, String> {
     let mut csv = csv::Reader::from_path(path).map_err(|e| format!("{}: {e}", path.display()))?;
     csv.deserialize().collect::<Result<_, _>>().map_err(|e| format!("{}: {e}", path.display()))
 }
--- a/trials/src/world.rs
+++ b/trials/src/world.rs
@@ -1,6 +1,8 @@
 //! What a simulated release is made of: the build's truth, the day's trouble, and nodes that queue and serve.
 //! Figures are drawn by seed from ranges that stand here; they are this rig's own choice of a small service.
 
+use magpieline::balance::Balancer;
+use magpieline::interface::{Listed, Named, News, Phase};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -15,6 +17,13 @@
 /// Shares of the hits, summed up.
 pub const MIX: [f64; GROUPS] = [0.32, 0.62, 0.86, 1.0];
 pub const KEYS: usize = 4000;
+
+/// The share of each path group.
+pub fn parts() -> [f64; GROUPS] {
+    let mut last = 0.0;
+    MIX.map(|m| m - std::mem::replace(&mut last, m))
+}
+
 /// A node's start: how long until it is up, how long cold, at what part of its power it begins.
 pub const START: f64 = 1.2;
 pub const COLD: f64 = 4.0;
@@ -197,6 +206,28 @@
         (0..Fleet::SIZE).for_each(|_| fleet.start(1, 0.0, chance));
         fleet
     }
+    /// The node list, as agents are told it.
+    pub fn list(&self, now: f64) -> Vec<Listed> {
+        let line = |(node, n): (usize, &Node)| Listed {
+            node,
+            open: n.open && n.up_since <= now,
+            build: n.build,
+            zone: 0,
+            cell: 0,
+            rating: 1.0,
+            up_since: n.up_since,
+            speaks: 0,
+        };
+        self.nodes.iter().enumerate().map(line).collect()
+    }
+    /// An agent's decisions, just started and told the list; without news the earlier build is long released.
+    pub fn agent(&self, seed: u64, now: f64, named: Named, news: Option<News>) -> Balancer {
+        let mut balancer = Balancer::start(seed, now, None, named).expect("the rig's settings are whole");
+        balancer.listed(now, true, true, &self.list(now));
+        let released = News { build: 1, stage: 3, phase: Phase::Released, since: 100.0, cap: 1.0 };
+        balancer.heard(now, news.unwrap_or(released));
+        balancer
+    }
     pub fn start(&mut self, build: u32, up_since: f64, chance: &mut ChaCha8Rng) {
         let speed = chance.gen_range(0.9..1.1);
         self.nodes.push(Node { build, up_since, speed, open: true, busy: 0, queue: VecDeque::new() });
