Decisions: the time to come back, who may be spared and who was heard each said once

finish had the rule for the longest time to come back that levels ask for too, can_be_spared a copy of what standing says of earlier builds, and two counts of erring nodes the same filter.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -159,7 +159,7 @@
         self.remember(news);
     }
 
-    fn standing(&self, build: u32) -> Standing {
+    pub(crate) fn standing(&self, build: u32) -> Standing {
         let Some(news) = self.news else {
             let lowest = self.open().map(|l| l.build).min();
             return if lowest == Some(build) { Standing::Open } else { Standing::Barred };
@@ -226,9 +226,7 @@
         let harmless = hit.risk.is_none() || self.groups[hit.arrival.group].repeat == Repeat::Repeatable;
         self.slab.end(place);
         // Come back when what is in hand now has been worked off.
-        let told = f64::from(u8::from(flag(&self.named, "limits.retry_after")));
-        let again_after =
-            self.pressure().clamp(0.05, 1.0).min(told * self.set("limits.max_retry_after_s", 0.0));
+        let again_after = self.pressure().clamp(0.05, 1.0).min(self.longest_back());
         [Next::GiveUp, Next::Bounce { again_after }][usize::from(harmless)]
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -168,6 +168,13 @@
     pub times: Count,
 }
 
+impl Node {
+    /// Whether this agent or another has heard of it since then, or knows faults of it.
+    pub fn heard_since(&self, then: f64) -> bool {
+        self.met_at.max(self.told_at) > then || self.faults > 0.0
+    }
+}
+
 /// A key, as far as one way asks.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Key {
@@ -589,7 +596,7 @@
         let own = build(&self.nodes[node]);
         let (mut met, mut erring) = (0.0, 0.0);
         for (_, n) in self.nodes.iter().enumerate().filter(|(i, n)| *i != node && build(n) == own) {
-            met += f64::from(u8::from(n.met_at.max(n.told_at) > self.stage_began || n.faults > 0.0));
+            met += f64::from(u8::from(n.heard_since(self.stage_began)));
             erring += f64::from(u8::from(n.faults > faults));
         }
         if met > 0.0 {
@@ -744,7 +751,7 @@
     /// heard in this stage.
     pub(crate) fn erring_more(&self, build: u32) -> f64 {
         let mut shares = [Count::default(); 2];
-        let met = self.nodes.iter().filter(|n| n.met_at.max(n.told_at) > self.stage_began || n.faults > 0.0);
+        let met = self.nodes.iter().filter(|n| n.heard_since(self.stage_began));
         for (n, line) in met.filter_map(|n| Some((n, n.listed?))) {
             shares[usize::from(line.build == build)].add(f64::from(u8::from(n.faults > 0.02)));
         }
@@ -918,9 +925,8 @@
 
     /// The longest time to come back that clients may be told, in seconds; 0 where they are told none.
     pub fn longest_back(&self) -> f64 {
-        let told = flag(&self.named, "limits.retry_after");
-        if told {
-            number(&self.named, "limits.max_retry_after_s", 0.0)
+        if flag(&self.named, "limits.retry_after") {
+            self.set("limits.max_retry_after_s", 0.0)
         } else {
             0.0
         }
@@ -929,7 +935,7 @@
     /// The build on trial, if a node of an earlier one is open: hits can be kept from it.
     pub fn can_be_spared(&self) -> Option<u32> {
         let trial = self.trial()?.build;
-        self.open().any(|l| l.build < trial && !self.void.contains(&l.build)).then_some(trial)
+        self.open().any(|l| self.standing(l.build) == Standing::Open).then_some(trial)
     }
 
     /// From now on other hits come than before: what is compared block by block begins a block here.
