Callers' front: a library's stream and one way to write headers in place of copies

A stream over a channel was written by hand three times where tokio-stream, which tonic brings already, has one; test and example each built headers and their fields as the front does. Two lines of a test that did nothing are gone.

--- a/front-extproc/examples/asks.rs
+++ b/front-extproc/examples/asks.rs
@@ -4,30 +4,12 @@
 use magpieline_front_extproc::messages::*;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::{Channel, Endpoint};
 use tonic_prost::ProstCodec;
 
-struct Asks(mpsc::Receiver<ProcessingRequest>);
-
-impl futures_util::Stream for Asks {
-    type Item = ProcessingRequest;
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context,
-    ) -> std::task::Poll<Option<ProcessingRequest>> {
-        self.0.poll_recv(context)
-    }
-}
-
 fn shown(shown: fn(HttpHeaders) -> Shown, pairs: &[(&str, &str)]) -> ProcessingRequest {
-    let one = |(key, value): &(&str, &str)| HeaderValue {
-        key: (*key).into(),
-        value: String::new(),
-        raw_value: value.as_bytes().to_vec(),
-    };
-    let headers = Some(HeaderMap { headers: pairs.iter().map(one).collect() });
-    let request = Some(shown(HttpHeaders { headers, end_of_stream: true }));
-    ProcessingRequest { request, observability_mode: false }
+    ProcessingRequest { request: Some(shown(HttpHeaders::alone(pairs))), observability_mode: false }
 }
 
 /// One ask: whether it was told where to go, and how long that took.
@@ -47,7 +29,8 @@
         ("x-request-id", id.as_str()),
     ];
     let _ = say.send(shown(Shown::RequestHeaders, &pairs)).await; // the channel is ours
-    let mut told = grpc.streaming(tonic::Request::new(Asks(said)), path, codec).await?.into_inner();
+    let mut told =
+        grpc.streaming(tonic::Request::new(ReceiverStream::new(said)), path, codec).await?.into_inner();
     let answer = told.message().await?.and_then(|m| m.response);
     let spent = begun.elapsed().as_secs_f64();
     let goes = matches!(answer, Some(Reply::RequestHeaders(_)));
--- a/front-extproc/src/front.rs
+++ b/front-extproc/src/front.rs
@@ -4,7 +4,6 @@
 use crate::stream;
 use crate::table::Table;
 use futures_util::future::LocalBoxFuture;
-use futures_util::Stream;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -15,12 +14,11 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::server::{Grpc, StreamingService};
 use tonic::{Status, Streaming};
 use tonic_prost::ProstCodec;
@@ -120,15 +118,7 @@
 }
 
 /// What is said to a caller, as a stream.
-pub struct Answers(mpsc::Receiver<Result<ProcessingResponse, Status>>);
-
-impl Stream for Answers {
-    type Item = Result<ProcessingResponse, Status>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<Option<Self::Item>> {
-        self.0.poll_recv(context)
-    }
-}
+type Answers = ReceiverStream<Result<ProcessingResponse, Status>>;
 
 /// A stream, and where its answers go.
 type Begun = (Streaming<ProcessingRequest>, mpsc::Sender<Result<ProcessingResponse, Status>>);
@@ -139,15 +129,15 @@
 impl StreamingService<ProcessingRequest> for Process {
     type Response = ProcessingResponse;
     type ResponseStream = Answers;
-    type Future = Pin<Box<std::future::Ready<Result<tonic::Response<Answers>, Status>>>>;
+    type Future = std::future::Ready<Result<tonic::Response<Answers>, Status>>;
 
     fn call(&mut self, request: tonic::Request<Streaming<ProcessingRequest>>) -> Self::Future {
         let (say, said) = mpsc::channel(ANSWERS);
         let begun = self.0.send((request.into_inner(), say));
-        Box::pin(std::future::ready(match begun {
-            Ok(()) => Ok(tonic::Response::new(Answers(said))),
+        std::future::ready(match begun {
+            Ok(()) => Ok(tonic::Response::new(Answers::new(said))),
             Err(_) => Err(Status::unavailable("stopping")),
-        }))
+        })
     }
 }
 
--- a/front-extproc/src/messages.rs
+++ b/front-extproc/src/messages.rs
@@ -160,6 +160,21 @@
     ImmediateResponse(ImmediateResponse),
 }
 
+impl HeaderValue {
+    /// A header as newer callers write it.
+    pub fn of(key: &str, value: impl Into<Vec<u8>>) -> HeaderValue {
+        HeaderValue { key: key.to_owned(), value: String::new(), raw_value: value.into() }
+    }
+}
+
+impl HttpHeaders {
+    /// Headers with nothing behind them.
+    pub fn alone(pairs: &[(&str, &str)]) -> HttpHeaders {
+        let headers = pairs.iter().map(|(key, value)| HeaderValue::of(key, *value)).collect();
+        HttpHeaders { headers: Some(HeaderMap { headers }), end_of_stream: true }
+    }
+}
+
 impl HeaderMap {
     /// A header's value, as text.
     pub fn get(&self, name: &str) -> Option<&str> {
@@ -174,9 +189,8 @@
 impl HeaderMutation {
     /// Sets a header, whatever stood there.
     pub fn set(&mut self, key: &str, value: String) {
-        let header = HeaderValue { key: key.to_owned(), value: String::new(), raw_value: value.into_bytes() };
         let append_action = AppendAction::OverwriteIfExistsOrAdd as i32;
-        self.set_headers.push(HeaderValueOption { header: Some(header), append_action });
+        self.set_headers.push(HeaderValueOption { header: Some(HeaderValue::of(key, value)), append_action });
     }
 }
 
--- a/front-extproc/src/tests.rs
+++ b/front-extproc/src/tests.rs
@@ -20,6 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::{Channel, Endpoint};
 use tonic::Streaming;
 use tonic_prost::ProstCodec;
@@ -153,37 +154,16 @@
     told: Streaming<ProcessingResponse>,
 }
 
-struct Asks(mpsc::Receiver<ProcessingRequest>);
-
-impl futures_util::Stream for Asks {
-    type Item = ProcessingRequest;
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context,
-    ) -> std::task::Poll<Option<ProcessingRequest>> {
-        self.0.poll_recv(context)
-    }
-}
-
 async fn open(proxy: &Channel) -> Result<Asking, tonic::Status> {
     let (say, said) = mpsc::channel(16);
     let mut grpc = tonic::client::Grpc::new(proxy.clone());
     grpc.ready().await.map_err(|e| tonic::Status::unavailable(e.to_string()))?;
     let path = http::uri::PathAndQuery::from_static("/envoy.service.ext_proc.v3.ExternalProcessor/Process");
     let codec: ProstCodec<ProcessingRequest, ProcessingResponse> = ProstCodec::default();
-    let answer = grpc.streaming(tonic::Request::new(Asks(said)), path, codec).await?;
+    let answer = grpc.streaming(tonic::Request::new(ReceiverStream::new(said)), path, codec).await?;
     Ok(Asking { say, told: answer.into_inner() })
 }
 
-fn headers(pairs: &[(&str, &str)]) -> HttpHeaders {
-    let one = |(key, value): &(&str, &str)| HeaderValue {
-        key: (*key).into(),
-        value: String::new(),
-        raw_value: value.as_bytes().to_vec(),
-    };
-    HttpHeaders { headers: Some(HeaderMap { headers: pairs.iter().map(one).collect() }), end_of_stream: true }
-}
-
 fn request(request: Shown) -> ProcessingRequest {
     ProcessingRequest { request: Some(request), observability_mode: false }
 }
@@ -200,7 +180,7 @@
 
 impl Asking {
     async fn ask(&mut self, pairs: &[(&str, &str)]) -> Heard {
-        let _ = self.say.send(request(Shown::RequestHeaders(headers(pairs)))).await; // it may be gone
+        let _ = self.say.send(request(Shown::RequestHeaders(HttpHeaders::alone(pairs)))).await; // it may be gone
         self.hear().await
     }
 
@@ -231,7 +211,7 @@
         if status.ends_with("turned") {
             pairs.push(("x-turned-away", "1"));
         }
-        let _ = self.say.send(request(Shown::ResponseHeaders(headers(&pairs)))).await;
+        let _ = self.say.send(request(Shown::ResponseHeaders(HttpHeaders::alone(&pairs)))).await;
         let answer = self.told.message().await;
         assert!(matches!(
             answer.map(|a| a.and_then(|a| a.response)),
@@ -380,7 +360,7 @@
         let mut asking = open(&proxy).await.expect("a stream");
         let watching = ProcessingRequest {
             observability_mode: true,
-            ..request(Shown::RequestHeaders(headers(&[(":path", "/read")])))
+            ..request(Shown::RequestHeaders(HttpHeaders::alone(&[(":path", "/read")])))
         };
         asking.say.send(watching).await.expect("sent");
         assert!(tokio::time::timeout(Duration::from_millis(50), asking.told.message()).await.is_err());
@@ -388,7 +368,7 @@
         // Streams that are opened and dropped at once.
         for i in 0..200 {
             let asking = open(&proxy).await.expect("a stream");
-            let first = headers(&[(":path", "/pay"), ("x-request-id", &format!("d{i}"))]);
+            let first = HttpHeaders::alone(&[(":path", "/pay"), ("x-request-id", &format!("d{i}"))]);
             let _ = asking.say.send(request(Shown::RequestHeaders(first))).await;
             drop(asking);
         }
@@ -529,7 +509,7 @@
     run(3600, async {
         let runs = Runs::default();
         let nodes = [node(&runs).await, node(&runs).await, node(&runs).await];
-        let (mut done, mut began) = (0, Instant::now());
+        let (mut done, began) = (0, Instant::now());
         let (heard, times) = (Rc::new(RefCell::new([0u64; 4])), Rc::new(RefCell::new(Vec::new())));
         let (records, mut from, mut round) =
             (Rc::new(RefCell::new(Vec::new())), magpieline_exchange::unix(), 0u64);
@@ -570,8 +550,10 @@
                                 ("x-envoy-attempt-count", count.as_str()),
                             ];
                             if chance.gen_range(0..50) == 0 {
-                                let _ =
-                                    asking.say.send(request(Shown::RequestHeaders(headers(&pairs)))).await;
+                                let _ = asking
+                                    .say
+                                    .send(request(Shown::RequestHeaders(HttpHeaders::alone(&pairs))))
+                                    .await;
                                 continue; // it leaves before the answer
                             }
                             let said = asking.ask(&pairs).await;
@@ -608,8 +590,6 @@
             "{done} hits, {} calls in {:.1} s: go {}, bounced {}, refused {}, else {}; {} payments ran; answer p50 {:.2} ms, p99 {:.2} ms",
             times.len(), began.elapsed().as_secs_f64(), heard.borrow()[0], heard.borrow()[1], heard.borrow()[2], heard.borrow()[3], paid.len(), at(0.5), at(0.99)
         );
-        began = Instant::now();
-        let _ = began;
         assert!(paid.len() as u64 > done / 4, "{}", paid.len());
         assert!(paid.iter().all(|n| *n == 1), "a payment ran twice");
         assert!(heard.borrow()[2] > 0, "none was refused: nothing was shown");
