An error's text and a setting's time are read in one place each

A RESP reply's error was looked for twice over, with and without attributes; the agent had a copy of the exchange's reading of a time in the settings.

--- a/agent/src/wire/place.rs
+++ b/agent/src/wire/place.rs
@@ -1,7 +1,7 @@
 //! Where partners are reached and how long that may take: a new configuration may change it at any time.
 
 use crate::wire::nodes::Times;
-use magpieline::interface::{Named, Value};
+use magpieline::interface::Named;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,10 +39,7 @@
 fn read(settings: &serde_json::Value) -> (Times, Duration) {
     let mut named = Named::new();
     magpieline::names::settings(settings, "", &mut named);
-    let seconds = |name: &str, otherwise: f64| match named.get(name) {
-        Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
-        _ => Duration::from_secs_f64(otherwise),
-    };
+    let seconds = |name, otherwise| magpieline_exchange::seconds(&named, name, otherwise);
     // Where the settings say nothing: what TCP users commonly allow.
     let connect = seconds("limits.connect_timeout_s", 1.0);
     let idle = seconds("limits.conn_idle_s", 10.0).mul_f64(IDLE_PART);
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -166,7 +166,8 @@
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
 }
 
-fn seconds(named: &Named, name: &str, otherwise: f64) -> Duration {
+/// A setting that is a time; `otherwise`, in seconds, where it is absent or no time.
+pub fn seconds(named: &Named, name: &str, otherwise: f64) -> Duration {
     match named.get(name) {
         Some(Value::Number(n)) if *n > 0.0 && *n < 1e6 => Duration::from_secs_f64(*n),
         _ => Duration::from_secs_f64(otherwise),
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -16,7 +16,9 @@
 pub use changes::Changes;
 pub use crowd::{Crowd, Visit};
 pub use end::End;
-pub use exchange::{unix, Answer, Chosen, Desk, Entry, Exchange, Load, Looked, Looks, Ticket, Way, Ways};
+pub use exchange::{
+    seconds, unix, Answer, Chosen, Desk, Entry, Exchange, Load, Looked, Looks, Ticket, Way, Ways,
+};
 pub use guard::{guarded, kept};
 pub use keys::hash;
 pub use signal::Signal;
--- a/front-resp/src/way.rs
+++ b/front-resp/src/way.rs
@@ -355,15 +355,7 @@
 
 /// What a reply means. An error that says the command was not begun proves it; others are failures.
 fn end(value: Value) -> End {
-    let text = match &value {
-        Value::Error(text) | Value::BulkError(text) => Some(text.clone()),
-        Value::With(_, inner) => match &**inner {
-            Value::Error(text) | Value::BulkError(text) => Some(text.clone()),
-            _ => None,
-        },
-        _ => None,
-    };
-    match text {
+    match value.error() {
         Some(text) => {
             let word = text.split(|b| *b == b' ').next().unwrap_or_default();
             if UNSEEN.contains(&word) {
--- a/resp/src/value.rs
+++ b/resp/src/value.rs
@@ -36,15 +36,20 @@
 }
 
 impl Value {
-    /// Whether this is an error's answer.
-    pub fn is_error(&self) -> bool {
+    /// The text of an error's answer, if this is one.
+    pub fn error(&self) -> Option<&Bytes> {
         match self {
-            Value::Error(_) | Value::BulkError(_) => true,
-            Value::With(_, value) => value.is_error(),
-            _ => false,
+            Value::Error(text) | Value::BulkError(text) => Some(text),
+            Value::With(_, value) => value.error(),
+            _ => None,
         }
     }
 
+    /// Whether this is an error's answer.
+    pub fn is_error(&self) -> bool {
+        self.error().is_some()
+    }
+
     /// Writes this value's bytes. To RESP2 what it does not know is written as the nearest that it does: maps and
     /// sets as arrays, numbers as text, attributes not at all.
     pub fn write(&self, version: Version, out: &mut BytesMut) {
