Lists: pushed ones asked for within the drain grace, shared ones gone on with

Ruled out: restarted agents (they ask at once), nodes' addresses. At fault: Balancer::list_failed (0.25 s doubled to 4 s, whatever the list) and list.rs call() (2.5 s for an answer that the own machine gives at once).

Change: a pushed list that failed is asked for after 0.1 of the drain grace, its first call given up after 0.5 s. A shared one is gone on with from the revision held (the known list's at the start), and asked for again after 0.02 s for each agent of the fleet, doubled to 8 s.

--- a/agent/src/life/start.rs
+++ b/agent/src/life/start.rs
@@ -156,7 +156,8 @@
         let exchange = Exchange::new(self.seed, info, &chosen(&self.values), looks(&self.values)?, ways)
             .map_err(|e| format!("settings: {e}"))?;
         if let Some(known) = self.body.get("known").filter(|k| !k.is_null()) {
-            list::take(&exchange, known, false).map_err(|e| format!("known: {e}"))?;
+            let rev = list::take(&exchange, known, false).map_err(|e| format!("known: {e}"))?;
+            around.list_held.set(Some(rev));
         }
         let news = self.body.get("deployer").and_then(|d| d.get("news")).and_then(Json::as_object);
         if let Some(news) = news.filter(|n| !n.is_empty()) {
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -7,6 +7,7 @@
 use magpieline::names::Message;
 use magpieline_exchange::{Entry, Exchange};
 use serde_json::Value as Json;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -62,7 +63,8 @@
     Ok(Entry { uid: entry.text("uid")?.to_owned(), listed, address, gone: state == "gone" })
 }
 
-async fn call(client: &Client, at: &str, query: &str) -> Result<Json, String> {
+/// Asks once; `patience` is how long an answer may take.
+async fn call(client: &Client, at: &str, query: &str, patience: Duration) -> Result<Json, String> {
     let uri = format!("http://{at}/discovery/hosts{query}");
     let asked = async {
         let mut answer = client.get(uri).send().await.map_err(|e| e.to_string())?;
@@ -72,37 +74,45 @@
         let body = whole(&mut answer, LIST_MOST).await.map_err(|e| format!("{e:?}"))?;
         serde_json::from_slice(&body).map_err(|e| format!("expected JSON: {e}"))
     };
-    tokio::time::timeout(WAIT + SLACK, asked).await.unwrap_or_else(|_| Err("no answer".into()))
+    tokio::time::timeout(patience, asked).await.unwrap_or_else(|_| Err("no answer".into()))
 }
 
-/// Asks for the whole list and watches it until that fails.
-async fn watch(exchange: &Exchange, at: &str) -> String {
-    let (client, mut rev) = (line::client(SLACK, IDLE, Some(LIST_MOST)), None);
+/// Asks for what is new and watches that until it fails. Where lists are pushed the own machine holds the whole of it
+/// and answers at once: one that does not is silent. Else discovery answers all agents, the later the more ask, and
+/// what they ask for has its price: `held`, the revision that this agent has, is gone on from.
+async fn watch(exchange: &Exchange, at: &str, held: &Cell<Option<u64>>) -> String {
+    let client = line::client(SLACK, IDLE, Some(LIST_MOST));
+    let (mut rev, mut patience) = if exchange.pushed() { (None, SLACK) } else { (held.get(), WAIT + SLACK) };
     loop {
         let query = rev.map_or(String::new(), |r: u64| format!("?after={r}&wait_ms={}", WAIT.as_millis()));
-        match call(&client, at, &query).await.and_then(|list| take(exchange, &list, true)) {
-            Ok(new) => rev = Some(new),
+        match call(&client, at, &query, patience).await.and_then(|list| take(exchange, &list, true)) {
+            Ok(new) => (rev, patience) = (Some(new), WAIT + SLACK),
             Err(e) => return e,
         }
+        held.set(rev);
     }
 }
 
 /// Follows the list for as long as the program runs, at once wherever a new configuration puts it. When to
 /// ask again after a failure is not decided here.
 pub async fn follow(exchange: Rc<Exchange>, around: Rc<Around>) -> Infallible {
-    let place = &around.discovery;
+    let (place, held) = (&around.discovery, &around.list_held);
     exchange.follow.wait().await;
     loop {
         let (turn, at) = (place.turn(), place.address());
         let failed = tokio::select! {
-            failed = watch(&exchange, &at) => failed,
-            () = place.left(turn) => continue,
+            failed = watch(&exchange, &at, held) => Some(failed),
+            () = place.left(turn) => None,
+        };
+        let Some(failed) = failed else {
+            held.set(None); // another place may count otherwise
+            continue;
         };
         exchange.complain("list", &failed);
         exchange.list_failed();
         tokio::select! {
             () = exchange.follow.wait() => {}
-            () = place.left(turn) => {}
+            () = place.left(turn) => held.set(None),
         }
     }
 }
@@ -251,4 +261,43 @@
             assert_eq!(asked.borrow()[..2], ["GET /discovery/hosts HTTP/1.1"; 2]);
         });
     }
+
+    fn on_request() -> Rc<Exchange> {
+        let info = serde_json::from_str(&SETTINGS.replace("pushed", "on_request")).expect("settings");
+        let ways = crate::wire::nodes::ways(around().times.clone(), None, 1);
+        Rc::new(Exchange::new(1, &info, &Default::default(), None, ways).expect("an exchange"))
+    }
+
+    /// A hundred agents that start, or start anew, would ask a shared discovery for a hundred whole lists at once.
+    #[test]
+    fn a_shared_list_is_gone_on_with_from_the_revision_held() {
+        run(async {
+            let (at, asked) = discovery(&["odd", EIGHT]).await;
+            let (exchange, around) = (on_request(), around());
+            around.list_held.set(Some(7));
+            around.discovery.set(&at);
+            actix_rt::spawn(exchange.clone().review(Rc::new(crate::wire::platform::Clerk(around.clone()))));
+            actix_rt::spawn(follow(exchange.clone(), around));
+            while asked.borrow().len() < 3 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            let watch = |rev| format!("GET /discovery/hosts?after={rev}&wait_ms=2000 HTTP/1.1");
+            assert_eq!(*asked.borrow(), [watch(7), watch(7), watch(8)]);
+        });
+    }
+
+    /// Where lists are pushed a discovery that is down is silent: an agent that waits for it as for a change hears too
+    /// late that it is back, and sends to nodes that drain by then.
+    #[test]
+    fn a_pushed_list_that_is_silent_is_asked_for_again_soon() {
+        run(async {
+            let (at, asked) = discovery(&[]).await;
+            let (exchange, around) = (exchange(), around());
+            around.discovery.set(&at);
+            actix_rt::spawn(exchange.clone().review(Rc::new(crate::wire::platform::Clerk(around.clone()))));
+            actix_rt::spawn(follow(exchange, around));
+            tokio::time::sleep(Duration::from_millis(2400)).await;
+            assert!(asked.borrow().len() >= 2, "{:?}", asked.borrow());
+        });
+    }
 }
--- a/agent/src/wire/place.rs
+++ b/agent/src/wire/place.rs
@@ -16,6 +16,8 @@
     /// Where the list and the platform are asked.
     pub discovery: Place,
     pub platform: Place,
+    /// The revision of the list that this agent has, where it is known to go on from.
+    pub list_held: Cell<Option<u64>>,
     pub times: Rc<Cell<Times>>,
     /// How long a vote's answer is waited for.
     pub vote: Cell<Duration>,
@@ -25,7 +27,13 @@
     pub fn new(discovery: String, platform: String, settings: &serde_json::Value) -> Around {
         let (times, vote) = read(settings);
         let (discovery, platform) = (Place::new(discovery), Place::new(platform));
-        Around { discovery, platform, times: Rc::new(times.into()), vote: vote.into() }
+        Around {
+            discovery,
+            platform,
+            list_held: None.into(),
+            times: Rc::new(times.into()),
+            vote: vote.into(),
+        }
     }
 
     /// Takes the figures of new settings.
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -236,6 +236,8 @@
     settings: RefCell<serde_json::Value>,
     /// Where looks at a release are kept, if anywhere.
     looks: RefCell<Option<Looks>>,
+    /// Whether the list's changes are pushed, to the own machine; else they come on request only.
+    pushed: bool,
     /// Target latencies by path group, in seconds.
     targets: RefCell<Vec<f64>>,
     /// How many hits came without an id.
@@ -305,7 +307,7 @@
         let Told { mut named, groups, accounts, zones, zone } = Told::read(info)?;
         named.extend(chosen.named.clone());
         alone(&mut named);
-        let wanted = !matches!(named.get("discovery"), Some(Value::Text(t)) if t == "on_request");
+        let pushed = !matches!(named.get("discovery"), Some(Value::Text(t)) if t == "on_request");
         let repeat = |name: &str| match named.get(name) {
             Some(Value::Text(word)) => Some(word.clone()),
             _ => None,
@@ -339,10 +341,11 @@
             ways,
             settings: RefCell::new(info.clone()),
             looks: looks.into(),
+            pushed,
             targets: targets.into(),
             unnamed: Cell::default(),
             changed: None.into(),
-            follow: Signal::new(wanted),
+            follow: Signal::new(pushed),
             clients_most: chosen.clients.unwrap_or(usize::MAX).into(),
             stopping: false.into(),
             closing: Signal::default(),
@@ -439,6 +442,11 @@
         state.nodes.known(uid).and_then(|place| state.nodes.reach(place)).cloned()
     }
 
+    /// Whether the own machine has the list as soon as there is one; else discovery is asked.
+    pub fn pushed(&self) -> bool {
+        self.pushed
+    }
+
     pub fn nodes_known(&self) -> usize {
         self.state.borrow_mut().nodes.reaches().flatten().count()
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,8 +36,7 @@
         (self.log(2) / (2.0 * 0.5f64.powi(self.round))).ceil()
     }
     pub(crate) fn radius(&self, variance: f64, pulls: f64) -> f64 {
-        const RHO: f64 = 0.5; // the paper's, Theorem 1
-        (RHO * (variance + 2.0) * self.log(1) / (4.0 * pulls)).sqrt()
+        (0.5 * (variance + 2.0) * self.log(1) / (4.0 * pulls)).sqrt() // rho is the paper's, Theorem 1
     }
     pub(crate) fn index(&self, arm: usize) -> f64 {
         let (z, mean, variance) = self.moments(arm);
@@ -128,10 +127,16 @@
         self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
     }
 
-    /// A call to the list failed or its pushes ended: asks again at growing, spread-out intervals.
+    /// A call to the list failed or its pushes ended. Pushed ones lie at the own machine and count as told there:
+    /// asked for soon, against the grace for drains. Else all agents ask one discovery, which may take eight
+    /// seconds for a call of each: at growing intervals, from the first on the longer the more there are.
     pub fn list_failed(&mut self, now: f64) {
         self.at(now);
-        self.following.ask_at = self.later(0.25, self.following.failures); // to 4 s, within a time to be told
+        let first = (0.02 * self.set("peers_total", 1.0)).clamp(0.25, 2.0);
+        let shared = text(&self.named, "discovery") == "on_request";
+        let growing = (first * 2f64.powi(self.following.failures.min(5))).min(8.0);
+        let pause = if shared { growing } else { 0.1 * self.set("obligations.drain_grace_s", 2.0) };
+        self.following.ask_at = self.later(pause, 0);
         (self.following.on, self.following.failures) = (false, self.following.failures + 1);
     }
 
@@ -145,9 +150,8 @@
             (self.pool.totals, self.pool.changed) = Default::default();
             self.cast.again_at = self.now;
         }
-        // A pause lasts as long as the slowest group's answers may take.
-        let pause = self.groups.iter().map(|g| g.target).fold(0.0, f64::max).clamp(0.5, 2.0);
-        self.open_case(old, news, pause);
+        let slowest = self.groups.iter().map(|g| g.target).fold(0.0, f64::max);
+        self.open_case(old, news, slowest.clamp(0.5, 2.0)); // as long as a pause's answers may take
         if old.is_none_or(|o| o.build != news.build) {
             self.evidence = Evidence::new(self.groups.len());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
@@ -294,9 +298,8 @@
     fn ramp(&mut self, node: usize, total: f64) -> bool {
         let Some(line) = self.nodes[node].listed else { return false };
         let warmth = self.warmth(&line);
-        // Half as much again, since random draws leave some of it unused.
         let sent = self.lately.done.max(0.25 * self.lately.taken) / SPAN;
-        let part = 0.6 * self.set("obligations.fall_multiple", 2.5);
+        let part = 0.6 * self.set("obligations.fall_multiple", 2.5); // random draws leave some of it unused
         let rate = part * warmth * sent * line.rating.max(0.1) / total;
         let n = &mut self.nodes[node];
         n.ramp = (n.ramp + rate * (self.now - n.ramp_at)).min(1.0 + 0.2 * rate); // saves a fifth of a second
@@ -752,8 +755,7 @@
     fn slower(&self, build: u32) -> f64 {
         // A good build may be a fifth slower, and where keys are remembered its new nodes know none yet.
         let margin = if flag(&self.named, "family_info.warm_keys") { 0.6 } else { 0.3 };
-        // Kin are nodes of like size: ratings within a tenth or so.
-        let ([earlier, trial], noise, beyond) = self.sides(build, 0.2, margin);
+        let ([earlier, trial], noise, beyond) = self.sides(build, 0.2, margin); // kin: a tenth or so apart
         if earlier.z < 3.0 || trial.z < 3.0 || beyond < 0.7 * trial.z {
             return 0.0; // a build is slow on all its nodes, with some room for chance
         }
