Votes: the platform's tallies of all agents acquit a build or speak against it

Ruled out: slow nodes ('slower' 0.00), payoffs (alike). At fault: learn() and weigh() judge by own answers only; platform.rs dropped SAMPLE ('tallies say less than an agent's own answers', which holds for two agents, not a hundred).

Change: where the sample over all agents is more than one agent's share of the hits, the tallies (a) take from an agent's own errors the part that the earlier builds' share, (b) speak against a build by the log likelihood ratio of two shares against one, as evidence of one agent (6). An 'on' in doubt is left to lapse where renewals of all exceed what the platform takes. told() went to state.rs unchanged, it decides nothing.

--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -4,7 +4,7 @@
 use crate::wire::{line, whole, BODY_MOST};
 use futures_util::future::LocalBoxFuture;
 use futures_util::StreamExt;
-use magpieline::interface::{News, Phase, Receipt, Verdict, Vote};
+use magpieline::interface::{News, Phase, Receipt, Tally, Verdict, Vote};
 use magpieline_exchange::{Desk, Exchange};
 use quick_xml::events::Event;
 use std::collections::BTreeMap;
@@ -48,6 +48,14 @@
     Ok(News { build, stage, phase, since, cap: number(fields, "ceiling")? })
 }
 
+/// A count of one build's forwards: the path group's name, and the figures.
+fn tally(fields: &Fields) -> Result<(&str, Tally), String> {
+    let whole = |name| Ok::<_, String>(number(fields, name)? as u32);
+    let (build, forwards, failed) = (whole("image")?, whole("n")?, whole("bad")?);
+    let group = fields.get("type").map_or("", String::as_str);
+    Ok((group, Tally { build, group: 0, forwards, failed }))
+}
+
 /// The leaves of an XML answer, by their names; of equal names the first counts.
 fn leaves(xml: &str) -> Result<Fields, String> {
     let mut reader = quick_xml::Reader::from_str(xml);
@@ -190,8 +198,10 @@
     match kind {
         "ROLLOUT" => exchange.heard(news(&fields)?),
         "DISPUTE" => exchange.complained(fields.get("host").map_or("", String::as_str)),
-        // Tallies say less than an agent's own answers.
-        "SAMPLE" => {}
+        "SAMPLE" => {
+            let (group, tally) = tally(&fields)?;
+            exchange.tallied(group, tally);
+        }
         _ => return Err(format!("{kind:.40}: expected an event of the platform")),
     }
     Ok(())
@@ -246,6 +256,17 @@
         format!("<?xml version=\"1.0\"?>\n<Response><groups><item>{item}</item></groups></Response>")
     }
 
+    #[test]
+    fn tallies_are_read_and_spoilt_ones_end_their_stream() {
+        let read = |data: &str| {
+            super::tally(&form(data)).map(|(g, t)| (g.to_owned(), t.build, t.forwards, t.failed))
+        };
+        let good = "image=42&type=lookup&n=57&bad=2&latency_ms=18.5&lag_ms=900";
+        assert_eq!(read(good), Ok(("lookup".into(), 42, 57, 2)));
+        assert_eq!(told(&exchange(), "SAMPLE", good), Ok(())); // of a path group that is not known here
+        assert!(read("image=42&type=lookup&n=57").is_err() && read("image=42&type=a&n=-1&bad=0").is_err());
+    }
+
     #[test]
     fn receipts_follow_the_platform_s_table() {
         let (receipt, news) = super::receipt(200, &answer(ITEM));
--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -242,8 +242,14 @@
                     None => self.unread += 1,
                 }
             }
-            // Streams and checks are not asked for; tallies say less than an agent's own answers.
-            "Headers" | "Sampled" | "Digest" => {}
+            "Digest" => {
+                let (group, build) = (self.group(message)?, message.whole("image")? as u32);
+                let forwards = message.number_or("many", 0.0)? as u32;
+                let failed = message.number_or("not_ok", 0.0)? as u32;
+                self.balancer.tallied(now, Tally { build, group, forwards, failed });
+            }
+            // Streams and checks are not asked for.
+            "Headers" | "Sampled" => {}
             other => return Err(format!("{other}: expected a message of the wire")),
         }
         Ok(())
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -716,6 +716,13 @@
         state.balancer.heard(self.clock.now(), news);
     }
 
+    /// The platform's count of a build's forwards in a path group; one that is not known here says nothing.
+    pub fn tallied(&self, group: &str, tally: Tally) {
+        if let Some(group) = self.group(group) {
+            self.state.borrow_mut().balancer.tallied(self.clock.now(), Tally { group, ..tally });
+        }
+    }
+
     /// A client has found an answer of this node wrong.
     pub fn complained(&self, uid: &str) {
         let state = &mut *self.state.borrow_mut();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -80,8 +80,8 @@
 /// or when busy, and wrong answers. May hurt where something fails only for nodes that happen to be new.
 impl Evidence {
     /// The strongest of all, 1 being enough to send the build back.
-    pub(crate) fn weight(&self, enough: f64) -> f64 {
-        let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(*b));
+    pub(crate) fn weight(&self, enough: f64, own: f64) -> f64 {
+        let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(own * *b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
         (scores / enough).max(self.slower).max(self.stays).max(if self.abated >= 2 { 1.0 } else { 0.0 })
     }
@@ -153,7 +153,7 @@
         let slowest = self.groups.iter().map(|g| g.target).fold(0.0, f64::max);
         self.open_case(old, news, slowest.clamp(0.5, 2.0)); // as long as a pause's answers may take
         if old.is_none_or(|o| o.build != news.build) {
-            self.evidence = Evidence::new(self.groups.len());
+            (self.evidence, self.tallies) = (Evidence::new(self.groups.len()), Tallies::default());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
             (self.doubt, self.informed) = (Doubt::default(), old.is_some());
             // After a restart it may be used up; all agents' free forwards at once would crowd cold nodes.
@@ -177,6 +177,18 @@
         }
     }
 
+    /// The platform's sampled counts of all agents' forwards. Where the sample holds more than this agent meets they
+    /// tell what many agents with two errors each can't: whether the earlier builds err as well. Covers sick nodes and
+    /// lost zones, which all agents meet at once. May hurt when a bad build is tried only while others err.
+    pub fn tallied(&mut self, now: f64, tally: Tally) {
+        self.at(now);
+        let fuller = self.set("family_info.sample", 0.0) * self.set("peers_total", 1.0) > 1.0;
+        let Some(news) = self.news.filter(|_| fuller && self.pool.judges.is_empty()) else { return };
+        if tally.build <= news.build && !self.void.contains(&tally.build) {
+            self.tallies.add(usize::from(tally.build == news.build), &tally);
+        }
+    }
+
     /// A client has found an answer wrong that `node` gave.
     pub fn complained(&mut self, now: f64, node: usize) {
         self.at(now);
@@ -655,25 +667,6 @@
         all
     }
 
-    /// Another agent tells of its outcomes, or a judge of all.
-    pub fn told(&mut self, now: f64, from: usize, tidings: &Tidings) {
-        self.at(now);
-        if from as f64 >= self.set("peers_total", 1.0) || from == self.pool.own {
-            return;
-        }
-        if self.pool.judges() {
-            let of = (tidings.start, tidings.build, tidings.stage);
-            let groups = self.groups.len();
-            for (node, group, totals) in tidings.totals.iter().filter(|t| t.1 < groups) {
-                let place = node * groups + group;
-                let new = self.pool.news(from, of, place, *totals);
-                self.pool(*node, *group, &new, tidings);
-            }
-        } else if let Some(doubt) = tidings.doubt.filter(|_| self.pool.judges.contains(&from)) {
-            (self.pool.heard_at, self.pool.doubt) = (self.now, doubt);
-        }
-    }
-
     /// Ages what was counted, compares, votes. To be called when the last review asked for it.
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
@@ -693,6 +686,7 @@
         // The seconds before the trial are the last ten or so; what speaks against a build fades as fast.
         self.fade_calm(if self.watched(WATCH) { 1.0 } else { keep.powf(0.1) });
         self.evidence.fade(keep.powf(0.1));
+        self.tallies.fade(keep.powf(0.33), keep.powf(0.1)); // three of their periods, and as evidence
         self.share = self.trial_share();
         self.idle = (1.01 * self.idle).min(self.set("limits.conn_idle_s", 10.0)); // twice in seven seconds
         self.compare();
@@ -782,7 +776,9 @@
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
         let Some(news) = self.news.filter(|_| !self.follows()) else { return Verdict::Clear };
-        let (weight, trial) = (self.evidence.weight(self.enough()), news.phase == Phase::Trial);
+        let own = self.evidence.weight(self.enough(), self.tallies.more());
+        let (told, trial) = (self.tallies.against() / ENOUGH, news.phase == Phase::Trial); // all alike: as one
+        let weight = own.max(told);
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
         let plain = weight >= 1.0 || !self.blind() && (sunk || self.duel.dropped == Some(TRIAL));
@@ -822,8 +818,12 @@
     fn ballot(&mut self) -> Option<Vote> {
         let news = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))?;
         let vote = Vote { verdict: self.wish(), build: news.build, stage: news.stage };
+        // Where all agents' renewals alone exceed what the platform takes, a vote taken back keeps others out: it lapses.
+        let life = 0.75 * self.set("family_info.vote_stands_s", 5.0);
+        let lapses = self.set("peers_total", 1.0) > life * self.set("family_info.api_rate", f64::MAX);
         let settled = match self.cast.vote.filter(|_| self.now < self.cast.good_until) {
             None => vote.verdict == Verdict::Clear,
+            Some(old) if vote.verdict == Verdict::Clear && lapses && old.verdict == Verdict::On => true,
             Some(old) if vote.verdict == Verdict::Back => old == Vote { stage: old.stage, ..vote },
             // A vote for a past stage counts for nothing: there is nothing to take back.
             Some(old) if vote.verdict == Verdict::Clear && old.stage != vote.stage => true,
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -54,7 +54,7 @@
 fn against(b: &mut Balancer, node: usize, errs: bool) -> f64 {
     let handle = flying(b, 0, node);
     handle.returned(b, 100.1, end(if errs { Ending::Errored } else { Ending::Delivered }));
-    b.evidence.weight(ENOUGH)
+    b.evidence.weight(ENOUGH, 1.0)
 }
 
 fn count(z: f64, mean: f64) -> Count {
@@ -558,7 +558,7 @@
     let weigh = |b: &mut Balancer| {
         b.evidence = Evidence::new(b.groups.len());
         flying(b, 0, 4).returned(b, 100.1, end(Ending::Errored));
-        b.evidence.weight(ENOUGH)
+        b.evidence.weight(ENOUGH, 1.0)
     };
     let alone = weigh(&mut b);
     (b.nodes[4].faults, b.nodes[5].faults, b.nodes[6].faults) = (0.7, 0.2, 0.2);
@@ -583,7 +583,7 @@
         let handle = flying(&mut b, 0, node);
         handle.returned(&mut b, 100.1, end(Ending::Spoilt));
     }
-    assert_eq!((b.evidence.weight(ENOUGH), b.usual_faults, b.duel.outcomes), (0.0, usual, 0.0));
+    assert_eq!((b.evidence.weight(ENOUGH, 1.0), b.usual_faults, b.duel.outcomes), (0.0, usual, 0.0));
     assert!(b.nodes[5].faults > 0.5, "but its node is taken less");
 }
 
@@ -708,6 +708,61 @@
     assert!(list_waits("pushed", 300.0).iter().all(|wait| *wait <= 0.3));
 }
 
+/// What a fleet's agent that has seen errors enough of the trial wishes once these counts (forwards, failed) of the
+/// earlier build's and the trial's forwards were told.
+fn wish_told(agents: f64, counts: [(u32, u32); 2]) -> Verdict {
+    let fleet =
+        [("peers_total", agents), ("family_info.sample", 0.1), ("family_info.noes_needed", agents * 0.15)];
+    let mut b = balancer(1, Phase::Trial, 0.5, &fleet);
+    b.evidence.faults[0] = 1.1 * ENOUGH;
+    for (i, (forwards, failed)) in counts.into_iter().enumerate() {
+        b.tallied(100.1, Tally { build: 1 + i as u32, group: 0, forwards, failed });
+    }
+    b.wish()
+}
+
+/// Sick nodes of both builds: with two errors each forty of a hundred agents sent a good build back, fifteen were enough.
+#[test]
+fn errors_that_the_earlier_build_s_nodes_share_send_no_build_back() {
+    assert_eq!(wish_told(100.0, [(0, 0), (0, 0)]), Verdict::Back);
+    assert_eq!(wish_told(100.0, [(100, 0), (100, 12)]), Verdict::Back);
+    assert_ne!(wish_told(100.0, [(100, 12), (100, 12)]), Verdict::Back);
+    // A small fleet's agents meet more than the sample holds.
+    assert_eq!(wish_told(2.0, [(100, 12), (100, 12)]), Verdict::Back);
+}
+
+/// A build that fails one hit in forty shows an agent that meets five a second nothing; all together see it.
+#[test]
+fn tallies_of_all_agents_speak_against_a_build_that_fails_more() {
+    let told = |earlier, trial| {
+        let mut b = balancer(1, Phase::Trial, 0.5, &[("peers_total", 100.0), ("family_info.sample", 0.1)]);
+        for (build, (forwards, failed)) in [(1, earlier), (2, trial)] {
+            b.tallied(100.1, Tally { build, group: 0, forwards, failed });
+        }
+        b.wish()
+    };
+    assert_eq!(told((500, 1), (350, 13)), Verdict::Back);
+    assert_ne!(told((500, 8), (350, 13)), Verdict::Back);
+    assert_ne!(told((500, 13), (350, 1)), Verdict::Back);
+    assert_ne!(told((0, 0), (30, 5)), Verdict::Back); // nothing to compare with
+}
+
+/// Where votes exceed what the platform takes, one taken back in doubt kept out ten that would have released the build.
+#[test]
+fn a_vote_on_lapses_where_the_platform_takes_few() {
+    let cast = |agents: f64, verdict| {
+        let rate =
+            [("peers_total", agents), ("family_info.api_rate", 16.0), ("family_info.vote_stands_s", 6.0)];
+        let mut b = balancer(1, Phase::Trial, 0.5, &rate);
+        b.cast.vote = Some(Vote { verdict, build: 2, stage: 1 });
+        b.cast.good_until = 105.0;
+        b.ballot().map(|v| v.verdict)
+    };
+    assert_eq!(cast(100.0, Verdict::On), None);
+    assert_eq!(cast(100.0, Verdict::Back), Some(Verdict::Clear));
+    assert_eq!(cast(3.0, Verdict::On), Some(Verdict::Clear));
+}
+
 #[test]
 fn no_order_of_calls_panics() {
     let mut chance = ChaCha8Rng::seed_from_u64(3);
@@ -832,7 +887,7 @@
         handle.returned(&mut b, 100.0, end(Ending::Errored));
         handle.returned(&mut b, 100.0, end(Ending::Errored));
         handle.left(&mut b, 100.0);
-        assert!(b.evidence.weight(6.0) < 0.5);
+        assert!(b.evidence.weight(6.0, 1.0) < 0.5);
     }
     assert!(b.echo > 0.5);
 }
@@ -1031,7 +1086,7 @@
     b.told(100.0, 1, &Tidings { totals, ..tidings() });
     b.told(100.0, 9, &tidings());
     b.told(100.0, 3, &tidings());
-    assert_eq!((b.duel.outcomes, b.evidence.weight(ENOUGH)), (0.0, 0.0));
+    assert_eq!((b.duel.outcomes, b.evidence.weight(ENOUGH, 1.0)), (0.0, 0.0));
     b.told(100.0, 1, &Tidings { totals: vec![(4, 0, wild)], ..tidings() });
     assert!(b.nodes[4].slow.is_finite() && b.lately.present.mean().is_finite());
 }
@@ -1075,7 +1130,7 @@
         (4..8).for_each(|i| b.nodes[i].met_at = 100.5);
         b.long_faults = count(100.0, 0.0);
         b.told(101.0, 1, &tidings());
-        b.evidence.weight(ENOUGH)
+        b.evidence.weight(ENOUGH, 1.0)
     };
     assert!(weight(0) > 0.3);
     assert!(weight(2) < 0.1);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -127,6 +127,16 @@
     pub cap: f64,
 }
 
+/// The platform's count of one build's forwards in one path group over a past period, sampled over all agents.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub build: u32,
+    pub group: usize,
+    /// Forwards in the sample, and those of them that did not end with an answer.
+    pub forwards: u32,
+    pub failed: u32,
+}
+
 /// How a vote was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Receipt {
--- a/src/state.rs
+++ b/src/state.rs
@@ -505,6 +505,47 @@
     }
 }
 
+/// The platform's sampled counts of all agents' forwards, of the earlier builds and of the newest: forwards, and how
+/// many of them failed.
+#[derive(Default)]
+pub struct Tallies {
+    /// Of a few periods.
+    pub lately: [Count; 2],
+    /// Of as long as evidence lasts.
+    pub long: [Count; 2],
+}
+
+impl Tallies {
+    /// Adds the count of a period.
+    pub(crate) fn add(&mut self, arm: usize, tally: &Tally) {
+        let (z, sum) = (f64::from(tally.forwards), f64::from(tally.failed.min(tally.forwards)));
+        for arms in [&mut self.lately, &mut self.long] {
+            arms[arm] = arms[arm].with(&Count { z, sum, squares: sum });
+        }
+    }
+    pub(crate) fn fade(&mut self, lately: f64, long: f64) {
+        self.lately.iter_mut().for_each(|a| a.fade(lately));
+        self.long.iter_mut().for_each(|a| a.fade(long));
+    }
+    /// The part of the newest build's failures that the earlier ones' don't explain; all of them where nothing is
+    /// told. One failure among ten forwards is counted in besides, as few forwards may hold none by chance.
+    pub(crate) fn more(&self) -> f64 {
+        let own = (self.lately[TRIAL].sum + 1.0) / (self.lately[TRIAL].z + 10.0);
+        (1.0 - self.lately[EARLIER].mean() / own).max(0.0)
+    }
+    /// The log likelihood ratio of two shares of failures against one, where the newest build's is the larger; 0 else.
+    pub(crate) fn against(&self) -> f64 {
+        let [earlier, trial] = self.long;
+        if earlier.mean() >= trial.mean() {
+            return 0.0;
+        }
+        let all = earlier.with(&trial).mean();
+        let term = |k: f64, p: f64| if k > 0.0 { k * (p / all).ln() } else { 0.0 };
+        let rest = |k: f64, p: f64| if k > 0.0 { k * ((1.0 - p) / (1.0 - all)).ln() } else { 0.0 };
+        [earlier, trial].iter().map(|c| term(c.sum, c.mean()) + rest(c.z - c.sum, c.mean())).sum()
+    }
+}
+
 impl Duel {
     /// Pulls, mean and variance of an arm; the earlier one's in the trial's mix of path groups.
     pub(crate) fn moments(&self, arm: usize) -> (f64, f64, f64) {
@@ -551,6 +592,7 @@
     pub(crate) flying: u32,
     pub(crate) lately: Lately,
     pub(crate) retries: f64,
+    pub(crate) tallies: Tallies,
     /// Share of forwards that found no connection or a dead one, and the same of those to nodes that had
     /// answered lately; how long an idle connection is taken to last.
     pub(crate) lost: [f64; 2],
@@ -644,6 +686,25 @@
         case.outcome(now, &Outcome { side, group, node, key, age, end, time });
     }
 
+    /// Another agent tells of its outcomes, or a judge of all.
+    pub fn told(&mut self, now: f64, from: usize, tidings: &Tidings) {
+        self.at(now);
+        if from as f64 >= self.set("peers_total", 1.0) || from == self.pool.own {
+            return;
+        }
+        if self.pool.judges() {
+            let of = (tidings.start, tidings.build, tidings.stage);
+            let groups = self.groups.len();
+            for (node, group, totals) in tidings.totals.iter().filter(|t| t.1 < groups) {
+                let place = node * groups + group;
+                let new = self.pool.news(from, of, place, *totals);
+                self.pool(*node, *group, &new, tidings);
+            }
+        } else if let Some(doubt) = tidings.doubt.filter(|_| self.pool.judges.contains(&from)) {
+            (self.pool.heard_at, self.pool.doubt) = (self.now, doubt);
+        }
+    }
+
     /// Weighs what is new in another agent's totals as if the outcomes were this agent's.
     pub(crate) fn pool(&mut self, node: usize, group: usize, new: &Totals, of: &Tidings) {
         let Some(line) = self.nodes.get(node).and_then(|n| n.listed).filter(|_| group < self.groups.len())
