Tallies compare builds period by period; a last stage they show is released once warm

At fault: Tallies::against() over sums of different moments; Balancer::wish(), which waits two seconds beyond the nodes' warm-up for one agent's outcomes.

Change: failures are compared inside each period of the tallies and only the differences are summed; where they hold fifty forwards of the trial within three seconds, the last stage waits for warm nodes and no longer.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -185,7 +185,7 @@
         let fuller = self.set("family_info.sample", 0.0) * self.set("peers_total", 1.0) > 1.0;
         let Some(news) = self.news.filter(|_| fuller && self.pool.judges.is_empty()) else { return };
         if tally.build <= news.build && !self.void.contains(&tally.build) {
-            self.tallies.add(usize::from(tally.build == news.build), &tally);
+            self.tallies.add(now, usize::from(tally.build == news.build), &tally);
         }
     }
 
@@ -777,8 +777,8 @@
     fn wish(&self) -> Verdict {
         let Some(news) = self.news.filter(|_| !self.follows()) else { return Verdict::Clear };
         let own = self.evidence.weight(self.enough(), self.tallies.more());
-        let (told, trial) = (self.tallies.against() / ENOUGH, news.phase == Phase::Trial); // all alike: as one
-        let weight = own.max(told);
+        let weight = own.max(self.tallies.against() / ENOUGH); // told all alike: as one agent's
+        let trial = news.phase == Phase::Trial;
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
         let plain = weight >= 1.0 || !self.blind() && (sunk || self.duel.dropped == Some(TRIAL));
@@ -802,10 +802,10 @@
         let least = (news.cap * (self.lately.taken + self.pool.answers) / SPAN * (soak + 1.0))
             .clamp(1.0, (10.0 / votes).max(1.0));
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
-        // A vote given for a stage stands, whatever machines are listed after it.
-        let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
-        // Before the release the machines have to be warm to show what they do; pooled, older ones are met.
-        let full = self.set("obligations.cold_s", 0.0) + 2.0 * SPAN;
+        let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage }; // stands, whatever comes
+                                                                                         // Before the release the machines have to be warm to show what they do; pooled or told, two seconds less do.
+        let shown = if self.tallies.lately[TRIAL].z >= 50.0 { 0.0 } else { 2.0 * SPAN };
+        let full = self.set("obligations.cold_s", 0.0) + shown;
         let warm = if news.cap < 1.0 || self.blind() { 0.0 } else { full };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
--- a/src/state.rs
+++ b/src/state.rs
@@ -511,21 +511,36 @@
 pub struct Tallies {
     /// Of a few periods.
     pub lately: [Count; 2],
-    /// Of as long as evidence lasts.
-    pub long: [Count; 2],
+    /// Of the period that is being told, and since when.
+    period: [Count; 2],
+    told_at: f64,
+    /// Failures of past periods, as they were and as they would be if all builds failed alike in each.
+    pub failed: [f64; 2],
+    pub alike: [f64; 2],
 }
 
 impl Tallies {
-    /// Adds the count of a period.
-    pub(crate) fn add(&mut self, arm: usize, tally: &Tally) {
+    /// Adds a count. Those of one period come together.
+    pub(crate) fn add(&mut self, now: f64, arm: usize, tally: &Tally) {
+        if now > self.told_at + 0.3 {
+            let [earlier, trial] = std::mem::take(&mut self.period);
+            let (z, failed) = (earlier.z + trial.z, earlier.sum + trial.sum);
+            if earlier.z > 0.0 && trial.z > 0.0 {
+                for (i, count) in [earlier, trial].into_iter().enumerate() {
+                    self.failed[i] += count.sum;
+                    self.alike[i] += failed * count.z / z;
+                }
+            }
+            self.told_at = now;
+        }
         let (z, sum) = (f64::from(tally.forwards), f64::from(tally.failed.min(tally.forwards)));
-        for arms in [&mut self.lately, &mut self.long] {
+        for arms in [&mut self.lately, &mut self.period] {
             arms[arm] = arms[arm].with(&Count { z, sum, squares: sum });
         }
     }
     pub(crate) fn fade(&mut self, lately: f64, long: f64) {
         self.lately.iter_mut().for_each(|a| a.fade(lately));
-        self.long.iter_mut().for_each(|a| a.fade(long));
+        self.failed.iter_mut().chain(&mut self.alike).for_each(|f| *f *= long);
     }
     /// The part of the newest build's failures that the earlier ones' don't explain; all of them where nothing is
     /// told. One failure among ten forwards is counted in besides, as few forwards may hold none by chance.
@@ -533,16 +548,21 @@
         let own = (self.lately[TRIAL].sum + 1.0) / (self.lately[TRIAL].z + 10.0);
         (1.0 - self.lately[EARLIER].mean() / own).max(0.0)
     }
-    /// The log likelihood ratio of two shares of failures against one, where the newest build's is the larger; 0 else.
+    /// The log likelihood ratio of failures as they fell on the builds against as if all failed alike in each period
+    /// (the same moments: what meets both at once is no difference); 0 where the newest build had no more than that.
     pub(crate) fn against(&self) -> f64 {
-        let [earlier, trial] = self.long;
-        if earlier.mean() >= trial.mean() {
-            return 0.0;
+        let term = |i: usize| {
+            if self.failed[i] > 0.0 {
+                self.failed[i] * (self.failed[i] / self.alike[i]).ln()
+            } else {
+                0.0
+            }
+        };
+        if self.failed[TRIAL] > self.alike[TRIAL] {
+            term(EARLIER) + term(TRIAL)
+        } else {
+            0.0
         }
-        let all = earlier.with(&trial).mean();
-        let term = |k: f64, p: f64| if k > 0.0 { k * (p / all).ln() } else { 0.0 };
-        let rest = |k: f64, p: f64| if k > 0.0 { k * ((1.0 - p) / (1.0 - all)).ln() } else { 0.0 };
-        [earlier, trial].iter().map(|c| term(c.sum, c.mean()) + rest(c.z - c.sum, c.mean())).sum()
     }
 }
 
