Tallies hold votes for all; back votes come from agents that met an error of the trial

Ruled out: periods (trial and earlier in the same second). At fault: wish(), where the tallies weighed as much as an error answered.

Change: the tallies' weight makes all agents wait; it sends back only together with an own error of the trial that still stands (score above 0.5).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -127,9 +127,8 @@
         self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
     }
 
-    /// A call to the list failed or its pushes ended. Pushed ones lie at the own machine and count as told there:
-    /// asked for soon, against the grace for drains. Else all agents ask one discovery, which may take eight
-    /// seconds for a call of each: at growing intervals, from the first on the longer the more there are.
+    /// A call to the list failed or its pushes ended. Pushed ones lie at the own machine, as told: asked for soon,
+    /// against the grace for drains. Else all ask one discovery, at intervals that grow with failures and agents.
     pub fn list_failed(&mut self, now: f64) {
         self.at(now);
         let first = (0.02 * self.set("peers_total", 1.0)).clamp(0.25, 2.0);
@@ -177,9 +176,8 @@
         }
     }
 
-    /// The platform's sampled counts of all agents' forwards. Where the sample holds more than this agent meets they
-    /// tell what many agents with two errors each can't: whether the earlier builds err as well. Covers sick nodes and
-    /// lost zones, which all agents meet at once. May hurt when a bad build is tried only while others err.
+    /// The platform's sampled counts, where they hold more than this agent meets: they tell what many agents with two
+    /// errors each can't. Covers sick nodes and lost zones. May hurt when a bad build is tried only while others err.
     pub fn tallied(&mut self, now: f64, tally: Tally) {
         self.at(now);
         let fuller = self.set("family_info.sample", 0.0) * self.set("peers_total", 1.0) > 1.0;
@@ -710,8 +708,7 @@
         let beyond = self.enough() / ENOUGH * present.error().sqrt();
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
         let slowed = if self.follows() { self.pool.doubt } else { slowed };
-        let before = self.doubt.slow_for;
-        self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
+        self.doubt.slow_for = [self.doubt.slow_for.saturating_sub(3), self.doubt.slow_for + 1][usize::from(slowed)];
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         let trial = self.trial().is_some();
         if !self.watched(WATCH) || (trial && self.share.0 < 0.1) {
@@ -777,11 +774,14 @@
     fn wish(&self) -> Verdict {
         let Some(news) = self.news.filter(|_| !self.follows()) else { return Verdict::Clear };
         let own = self.evidence.weight(self.enough(), self.tallies.more());
-        let weight = own.max(self.tallies.against() / ENOUGH); // told all alike: as one agent's
+        // Refused connections of cold nodes count in what all are told: all wait, who has met an error votes back.
+        let weight = own.max(self.tallies.against() / ENOUGH);
+        let met = self.evidence.faults.last().is_some_and(|all| *all > 0.5);
         let trial = news.phase == Phase::Trial;
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
-        let plain = weight >= 1.0 || !self.blind() && (sunk || self.duel.dropped == Some(TRIAL));
+        let convinced = own >= 1.0 || met && weight >= 1.0;
+        let plain = convinced || !self.blind() && (sunk || self.duel.dropped == Some(TRIAL));
         let guilty = self.look.map_or(plain, |l| l.opinion == Opinion::Back);
         let weight = self.look.map_or(weight, |l| l.back);
         // Where rates are stated only evidence against a bad build releases one, or the stated fallback.
