--- a/src/balance.rs
+++ b/src/balance.rs
@@ -595,8 +595,7 @@
         // twenty is bad where others hardly fail.
         let usual = (1.5 * self.usual_faults.max(self.long_faults.mean())).clamp(0.005, 0.2);
         let bad = (4.0 * usual).max(0.05);
-        // Sick nodes are met in both builds: errors speak in so far as more of the trial's nodes err. A judge
-        // hears of enough nodes to tell.
+        // Sick nodes are met in both builds: to a judge errors speak in so far as more of the trial's err.
         let more = if fault > 0.0 && self.pool.judges() { self.erring_more(news.build) } else { 1.0 };
         let (faults, passes) = if arm == TRIAL { (more * said * own_fault, 1.0 - fault) } else { (0.0, 0.0) };
         for score in [group, self.groups.len()] {
@@ -708,7 +707,8 @@
         let beyond = self.enough() / ENOUGH * present.error().sqrt();
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
         let slowed = if self.follows() { self.pool.doubt } else { slowed };
-        self.doubt.slow_for = [self.doubt.slow_for.saturating_sub(3), self.doubt.slow_for + 1][usize::from(slowed)];
+        let before = self.doubt.slow_for;
+        self.doubt.slow_for = [before.saturating_sub(3), before + 1][usize::from(slowed)];
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         let trial = self.trial().is_some();
         if !self.watched(WATCH) || (trial && self.share.0 < 0.1) {
