A last stage waits at a quarter of the tallies' evidence, not at half of it

At fault: wish(), which waits at half of what convinces in every stage, though only the last one's mistake costs the old machines.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -785,8 +785,8 @@
         let guilty = self.look.map_or(plain, |l| l.opinion == Opinion::Back);
         let weight = self.look.map_or(weight, |l| l.back);
         // Where rates are stated only evidence against a bad build releases one, or the stated fallback.
-        let waits = news.cap >= 1.0 && self.look.is_some_and(|l| l.opinion != Opinion::On);
-        let waits = waits && !self.case.as_ref().is_some_and(Case::falls_back);
+        let unsure = self.look.map_or(self.tallies.against() > 0.25 * ENOUGH, |l| l.opinion != Opinion::On);
+        let waits = news.cap >= 1.0 && unsure && !self.case.as_ref().is_some_and(Case::falls_back);
         let doubtful = trial && (weight >= 0.5 || self.now < self.doubt.until || waits);
         if guilty {
             return Verdict::Back;
