--- a/src/balance.rs
+++ b/src/balance.rs
@@ -803,9 +803,8 @@
             .clamp(1.0, (10.0 / votes).max(1.0));
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
         let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage }; // stands, whatever comes
-                                                                                         // Before the release the machines have to be warm to show what they do; pooled or told, two seconds less do.
-        let shown = if self.tallies.lately[TRIAL].z >= 50.0 { 0.0 } else { 2.0 * SPAN };
-        let full = self.set("obligations.cold_s", 0.0) + shown;
+                                                                                         // Before the release the machines have to be warm to show what they do; pooled, older ones are met.
+        let full = self.set("obligations.cold_s", 0.0) + 2.0 * SPAN;
         let warm = if news.cap < 1.0 || self.blind() { 0.0 } else { full };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
         // An agent that started under the trial has no seconds before it: the others vote first.
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -763,20 +763,6 @@
     assert_ne!(wish_after(true, &[&calm[..], &trouble[..]].concat()), Verdict::Back);
 }
 
-/// Two seconds more than a last stage's nodes take to warm up cost a good build its release before the next was due.
-#[test]
-fn a_last_stage_that_is_told_of_is_voted_on_once_it_is_warm() {
-    let at = |told: u32, since: f64| {
-        let fleet = [("peers_total", 100.0), ("family_info.sample", 0.1), ("obligations.cold_s", 2.0)];
-        let mut b = balancer(2, Phase::Trial, 1.0, &fleet);
-        (b.stage_began, b.duel.outcomes) = (100.0 - since, 20.0);
-        b.tallied(100.0, Tally { build: 2, group: 0, forwards: told, failed: 0 });
-        b.wish()
-    };
-    assert_eq!((at(90, 2.1), at(90, 1.9)), (Verdict::On, Verdict::Clear));
-    assert_eq!((at(9, 2.1), at(9, 4.1)), (Verdict::Clear, Verdict::On));
-}
-
 /// Where votes exceed what the platform takes, one taken back in doubt kept out ten that would have released the build.
 #[test]
 fn a_vote_on_lapses_where_the_platform_takes_few() {
