Lists and tallies: one back-off, one reading of pushed; no value chosen in the state

Need: read once more. list_failed() doubled its wait beside later(); whether lists are pushed was read in three places; a tally's path group was kept and used by nobody; wish() reckoned the tallies twice; state.rs held 0.3 s and ten forwards as values of its own.

Change: later() takes its longest wait; Balancer::pushed() serves all; the two values are arguments from the policy; unknown path groups are passed over or refused as before. No decision changes.

--- a/agent/src/testing.rs
+++ b/agent/src/testing.rs
@@ -43,7 +43,12 @@
 }
 
 pub fn exchange() -> Rc<Exchange> {
-    let info = serde_json::from_str(SETTINGS).expect("settings");
+    exchange_told(SETTINGS)
+}
+
+/// An exchange told these settings.
+pub fn exchange_told(settings: &str) -> Rc<Exchange> {
+    let info = serde_json::from_str(settings).expect("settings");
     let ways = nodes::ways(around().times.clone(), None, 1);
     Rc::new(Exchange::new(1, &info, &Chosen::default(), None, ways).expect("an exchange"))
 }
--- a/agent/src/wire/list.rs
+++ b/agent/src/wire/list.rs
@@ -101,12 +101,11 @@
     loop {
         let (turn, at) = (place.turn(), place.address());
         let failed = tokio::select! {
-            failed = watch(&exchange, &at, held) => Some(failed),
-            () = place.left(turn) => None,
-        };
-        let Some(failed) = failed else {
-            held.set(None); // another place may count otherwise
-            continue;
+            failed = watch(&exchange, &at, held) => failed,
+            () = place.left(turn) => {
+                held.set(None); // another place may count otherwise
+                continue;
+            }
         };
         exchange.complain("list", &failed);
         exchange.list_failed();
@@ -262,18 +261,12 @@
         });
     }
 
-    fn on_request() -> Rc<Exchange> {
-        let info = serde_json::from_str(&SETTINGS.replace("pushed", "on_request")).expect("settings");
-        let ways = crate::wire::nodes::ways(around().times.clone(), None, 1);
-        Rc::new(Exchange::new(1, &info, &Default::default(), None, ways).expect("an exchange"))
-    }
-
     /// A hundred agents that start, or start anew, would ask a shared discovery for a hundred whole lists at once.
     #[test]
     fn a_shared_list_is_gone_on_with_from_the_revision_held() {
         run(async {
             let (at, asked) = discovery(&["odd", EIGHT]).await;
-            let (exchange, around) = (on_request(), around());
+            let (exchange, around) = (exchange_told(&SETTINGS.replace("pushed", "on_request")), around());
             around.list_held.set(Some(7));
             around.discovery.set(&at);
             actix_rt::spawn(exchange.clone().review(Rc::new(crate::wire::platform::Clerk(around.clone()))));
--- a/agent/src/wire/platform.rs
+++ b/agent/src/wire/platform.rs
@@ -53,7 +53,7 @@
     let whole = |name| Ok::<_, String>(number(fields, name)? as u32);
     let (build, forwards, failed) = (whole("image")?, whole("n")?, whole("bad")?);
     let group = fields.get("type").map_or("", String::as_str);
-    Ok((group, Tally { build, group: 0, forwards, failed }))
+    Ok((group, Tally { build, forwards, failed }))
 }
 
 /// The leaves of an XML answer, by their names; of equal names the first counts.
--- a/benchlink/src/instance.rs
+++ b/benchlink/src/instance.rs
@@ -243,10 +243,11 @@
                 }
             }
             "Digest" => {
-                let (group, build) = (self.group(message)?, message.whole("image")? as u32);
+                self.group(message)?;
+                let build = message.whole("image")? as u32;
                 let forwards = message.number_or("many", 0.0)? as u32;
                 let failed = message.number_or("not_ok", 0.0)? as u32;
-                self.balancer.tallied(now, Tally { build, group, forwards, failed });
+                self.balancer.tallied(now, Tally { build, forwards, failed });
             }
             // Streams and checks are not asked for.
             "Headers" | "Sampled" => {}
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -236,8 +236,6 @@
     settings: RefCell<serde_json::Value>,
     /// Where looks at a release are kept, if anywhere.
     looks: RefCell<Option<Looks>>,
-    /// Whether the list's changes are pushed, to the own machine; else they come on request only.
-    pushed: bool,
     /// Target latencies by path group, in seconds.
     targets: RefCell<Vec<f64>>,
     /// How many hits came without an id.
@@ -307,7 +305,6 @@
         let Told { mut named, groups, accounts, zones, zone } = Told::read(info)?;
         named.extend(chosen.named.clone());
         alone(&mut named);
-        let pushed = !matches!(named.get("discovery"), Some(Value::Text(t)) if t == "on_request");
         let repeat = |name: &str| match named.get(name) {
             Some(Value::Text(word)) => Some(word.clone()),
             _ => None,
@@ -316,6 +313,7 @@
         let targets = targets(&named);
         let clock = Clock::start();
         let balancer = Balancer::start(seed, clock.now(), zone, named)?;
+        let follow = Signal::new(balancer.pushed());
         let (nodes, keys, held, ids, complaints, waiting) = Default::default();
         let (changes, levels, listed, news) = (None, None, false, None);
         let state = State {
@@ -341,11 +339,10 @@
             ways,
             settings: RefCell::new(info.clone()),
             looks: looks.into(),
-            pushed,
             targets: targets.into(),
             unnamed: Cell::default(),
             changed: None.into(),
-            follow: Signal::new(pushed),
+            follow,
             clients_most: chosen.clients.unwrap_or(usize::MAX).into(),
             stopping: false.into(),
             closing: Signal::default(),
@@ -444,7 +441,7 @@
 
     /// Whether the own machine has the list as soon as there is one; else discovery is asked.
     pub fn pushed(&self) -> bool {
-        self.pushed
+        self.state.borrow().balancer.pushed()
     }
 
     pub fn nodes_known(&self) -> usize {
@@ -718,8 +715,8 @@
 
     /// The platform's count of a build's forwards in a path group; one that is not known here says nothing.
     pub fn tallied(&self, group: &str, tally: Tally) {
-        if let Some(group) = self.group(group) {
-            self.state.borrow_mut().balancer.tallied(self.clock.now(), Tally { group, ..tally });
+        if self.group(group).is_some() {
+            self.state.borrow_mut().balancer.tallied(self.clock.now(), tally);
         }
     }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -79,7 +79,7 @@
 /// What speaks against a build beyond its payoffs. Covers builds that fail outright, in one path group, late
 /// or when busy, and wrong answers. May hurt where something fails only for nodes that happen to be new.
 impl Evidence {
-    /// The strongest of all, 1 being enough to send the build back.
+    /// The strongest of all, 1 being enough to send the build back; of its errors the part `own` is its own.
     pub(crate) fn weight(&self, enough: f64, own: f64) -> f64 {
         let scores = self.faults.iter().fold(self.complaints, |a, b| a.max(own * *b));
         // A slowdown may go by chance in one pause, hardly in two in a row.
@@ -118,24 +118,23 @@
         b.terms = crate::names::stated(&b.named)?;
         (b.evidence, b.idle) = (Evidence::new(b.groups.len()), b.set("limits.conn_idle_s", 10.0));
         b.pool.start = (now * 10.0) as u64 as u32;
-        b.following.on = text(&b.named, "discovery") != "on_request";
+        b.following.on = b.pushed();
         Ok(b)
     }
 
-    /// When to try again: a time doubled with each failure, four times at most, spread over agents.
-    fn later(&mut self, first: f64, failures: i32) -> f64 {
-        self.now + first * 2f64.powi(failures.min(4)) * self.chance.0.gen_range(0.5..1.5)
+    /// When to try again: a time doubled with each failure, up to the longest, spread over agents.
+    fn later(&mut self, first: f64, failures: i32, longest: f64) -> f64 {
+        self.now + (first * 2f64.powi(failures.min(9))).min(longest) * self.chance.0.gen_range(0.5..1.5)
     }
 
     /// A call to the list failed or its pushes ended. Pushed ones lie at the own machine, as told: asked for soon,
     /// against the grace for drains. Else all ask one discovery, at intervals that grow with failures and agents.
     pub fn list_failed(&mut self, now: f64) {
         self.at(now);
-        let first = (0.02 * self.set("peers_total", 1.0)).clamp(0.25, 2.0);
-        let shared = text(&self.named, "discovery") == "on_request";
-        let growing = (first * 2f64.powi(self.following.failures.min(5))).min(8.0);
-        let pause = if shared { growing } else { 0.1 * self.set("obligations.drain_grace_s", 2.0) };
-        self.following.ask_at = self.later(pause, 0);
+        let soon = 0.1 * self.set("obligations.drain_grace_s", 2.0);
+        let shared = (0.02 * self.set("peers_total", 1.0)).clamp(0.25, 2.0);
+        let (first, longest) = if self.pushed() { (soon, soon) } else { (shared, 8.0) };
+        self.following.ask_at = self.later(first, self.following.failures, longest);
         (self.following.on, self.following.failures) = (false, self.following.failures + 1);
     }
 
@@ -149,8 +148,9 @@
             (self.pool.totals, self.pool.changed) = Default::default();
             self.cast.again_at = self.now;
         }
-        let slowest = self.groups.iter().map(|g| g.target).fold(0.0, f64::max);
-        self.open_case(old, news, slowest.clamp(0.5, 2.0)); // as long as a pause's answers may take
+        // A pause lasts as long as the slowest group's answers may take.
+        let pause = self.groups.iter().map(|g| g.target).fold(0.0, f64::max).clamp(0.5, 2.0);
+        self.open_case(old, news, pause);
         if old.is_none_or(|o| o.build != news.build) {
             (self.evidence, self.tallies) = (Evidence::new(self.groups.len()), Tallies::default());
             self.nodes.iter_mut().for_each(|n| n.times = Count::default());
@@ -183,7 +183,7 @@
         let fuller = self.set("family_info.sample", 0.0) * self.set("peers_total", 1.0) > 1.0;
         let Some(news) = self.news.filter(|_| fuller && self.pool.judges.is_empty()) else { return };
         if tally.build <= news.build && !self.void.contains(&tally.build) {
-            self.tallies.add(now, usize::from(tally.build == news.build), &tally);
+            self.tallies.add(now, 0.3, usize::from(tally.build == news.build), &tally);
         }
     }
 
@@ -265,7 +265,7 @@
         let busy = known && expected > (part * group.pace).min(2.0 * (hit.due - self.now));
         if known && self.ailing(hit) {
             let probe = self.now >= self.probe_at;
-            self.probe_at = if probe { self.later(3.0, 0) } else { self.probe_at };
+            self.probe_at = if probe { self.later(3.0, 0, 3.0) } else { self.probe_at };
             return !probe;
         }
         // A bounce teaches nothing: the expectation falls, or a bad moment would last for ever.
@@ -708,7 +708,7 @@
         let slowed = present.z >= 5.0 && present.mean() > 0.25 + beyond;
         let slowed = if self.follows() { self.pool.doubt } else { slowed };
         let before = self.doubt.slow_for;
-        self.doubt.slow_for = [before.saturating_sub(3), before + 1][usize::from(slowed)];
+        self.doubt.slow_for = if slowed { before + 1 } else { before.saturating_sub(3) };
         let phase = (self.now - self.stage_began).rem_euclid(2.0 * PAUSE);
         let trial = self.trial().is_some();
         if !self.watched(WATCH) || (trial && self.share.0 < 0.1) {
@@ -773,19 +773,19 @@
     /// What this agent's vote should be.
     fn wish(&self) -> Verdict {
         let Some(news) = self.news.filter(|_| !self.follows()) else { return Verdict::Clear };
-        let own = self.evidence.weight(self.enough(), self.tallies.more());
+        let own = self.evidence.weight(self.enough(), self.tallies.more(10.0));
         // Refused connections of cold nodes count in what all are told: all wait, who has met an error votes back.
-        let weight = own.max(self.tallies.against() / ENOUGH);
         let met = self.evidence.faults.last().is_some_and(|all| *all > 0.5);
-        let trial = news.phase == Phase::Trial;
+        let told = self.tallies.against() / ENOUGH;
+        let (weight, trial) = (own.max(told), news.phase == Phase::Trial);
         // Late answers alone may be one crowded machine's fault: its fellows have to be slow as well.
         let sunk = self.duel.sunk() && self.evidence.slower > 0.5;
-        let convinced = own >= 1.0 || met && weight >= 1.0;
+        let convinced = own >= 1.0 || met && told >= 1.0;
         let plain = convinced || !self.blind() && (sunk || self.duel.dropped == Some(TRIAL));
         let guilty = self.look.map_or(plain, |l| l.opinion == Opinion::Back);
         let weight = self.look.map_or(weight, |l| l.back);
         // Where rates are stated only evidence against a bad build releases one, or the stated fallback.
-        let unsure = self.look.map_or(self.tallies.against() > 0.25 * ENOUGH, |l| l.opinion != Opinion::On);
+        let unsure = self.look.map_or(told > 0.25, |l| l.opinion != Opinion::On);
         let waits = news.cap >= 1.0 && unsure && !self.case.as_ref().is_some_and(Case::falls_back);
         let doubtful = trial && (weight >= 0.5 || self.now < self.doubt.until || waits);
         if guilty {
@@ -802,8 +802,9 @@
         let least = (news.cap * (self.lately.taken + self.pool.answers) / SPAN * (soak + 1.0))
             .clamp(1.0, (10.0 / votes).max(1.0));
         let ripe = self.duel.outcomes >= least && !self.duel.shuns_trial();
-        let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage }; // stands, whatever comes
-                                                                                         // Before the release the machines have to be warm to show what they do; pooled, older ones are met.
+        // A vote given for a stage stands, whatever machines are listed after it.
+        let given = Vote { verdict: Verdict::On, build: news.build, stage: news.stage };
+        // Before the release the machines have to be warm to show what they do; pooled, older ones are met.
         let full = self.set("obligations.cold_s", 0.0) + 2.0 * SPAN;
         let warm = if news.cap < 1.0 || self.blind() { 0.0 } else { full };
         let due = self.now >= start + soak.max(warm) || self.cast.vote == Some(given);
@@ -845,7 +846,7 @@
             (self.cast.again_at, self.cast.misses) = (self.now, 0);
         } else {
             self.cast.misses += 1;
-            self.cast.again_at = self.later(0.1, self.cast.misses); // to 1.6 s: a stage waits little for it
+            self.cast.again_at = self.later(0.1, self.cast.misses, 1.6); // a stage waits little for it
         }
     }
 }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -716,7 +716,7 @@
     let mut b = balancer(1, Phase::Trial, 0.5, &fleet);
     b.evidence.faults[0] = 1.1 * ENOUGH;
     for (i, (forwards, failed)) in counts.into_iter().enumerate() {
-        b.tallied(100.1, Tally { build: 1 + i as u32, group: 0, forwards, failed });
+        b.tallied(100.1, Tally { build: 1 + i as u32, forwards, failed });
     }
     b.wish()
 }
@@ -738,7 +738,7 @@
     b.evidence.faults[3] = if met { 1.0 } else { 0.0 };
     for (second, counts) in periods.iter().chain(&[[(1, 0); 2]]).enumerate() {
         for (i, (forwards, failed)) in counts.iter().enumerate() {
-            let tally = Tally { build: 1 + i as u32, group: 0, forwards: *forwards, failed: *failed };
+            let tally = Tally { build: 1 + i as u32, forwards: *forwards, failed: *failed };
             b.tallied(100.0 + second as f64, tally);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -131,7 +131,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
     pub build: u32,
-    pub group: usize,
     /// Forwards in the sample, and those of them that did not end with an answer.
     pub forwards: u32,
     pub failed: u32,
--- a/src/state.rs
+++ b/src/state.rs
@@ -510,19 +510,19 @@
 #[derive(Default)]
 pub struct Tallies {
     /// Of a few periods.
-    pub lately: [Count; 2],
+    lately: [Count; 2],
     /// Of the period that is being told, and since when.
     period: [Count; 2],
     told_at: f64,
     /// Failures of past periods, as they were and as they would be if all builds failed alike in each.
-    pub failed: [f64; 2],
-    pub alike: [f64; 2],
+    failed: [f64; 2],
+    alike: [f64; 2],
 }
 
 impl Tallies {
-    /// Adds a count. Those of one period come together.
-    pub(crate) fn add(&mut self, now: f64, arm: usize, tally: &Tally) {
-        if now > self.told_at + 0.3 {
+    /// Adds a count. Those of one period come within so many seconds.
+    pub(crate) fn add(&mut self, now: f64, within: f64, arm: usize, tally: &Tally) {
+        if now > self.told_at + within {
             let [earlier, trial] = std::mem::take(&mut self.period);
             let (z, failed) = (earlier.z + trial.z, earlier.sum + trial.sum);
             if earlier.z > 0.0 && trial.z > 0.0 {
@@ -543,9 +543,9 @@
         self.failed.iter_mut().chain(&mut self.alike).for_each(|f| *f *= long);
     }
     /// The part of the newest build's failures that the earlier ones' don't explain; all of them where nothing is
-    /// told. One failure among ten forwards is counted in besides, as few forwards may hold none by chance.
-    pub(crate) fn more(&self) -> f64 {
-        let own = (self.lately[TRIAL].sum + 1.0) / (self.lately[TRIAL].z + 10.0);
+    /// told. One failure among so many forwards is counted in besides, as few forwards may hold none by chance.
+    pub(crate) fn more(&self, among: f64) -> f64 {
+        let own = (self.lately[TRIAL].sum + 1.0) / (self.lately[TRIAL].z + among);
         (1.0 - self.lately[EARLIER].mean() / own).max(0.0)
     }
     /// The log likelihood ratio of failures as they fell on the builds against as if all failed alike in each period
@@ -999,6 +999,11 @@
         self.nodes.get(node)?.listed.map(|l| (l.zone, l.cell))
     }
 
+    /// Whether the list's changes are pushed, to the own machine; else they come on request only.
+    pub fn pushed(&self) -> bool {
+        text(&self.named, "discovery") != "on_request"
+    }
+
     /// Whether a key that went to the trial build stays there.
     pub fn one_way(&self) -> bool {
         flag(&self.named, "family_info.one_way")
