--- /dev/null
+++ b/keeping/granary/src/lib.rs
@@ -0,0 +1,1 @@
+//! What a sorting machine keeps on disk.
--- /dev/null
+++ b/keeping/rootstock/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agreement among the sorting machines: a replicated log.
--- /dev/null
+++ b/keeping/trellis/src/lib.rs
@@ -0,0 +1,1 @@
+//! How counters and sorting machines keep together: membership, spreading of editions and lists.
--- /dev/null
+++ b/rigs/nursery/src/lib.rs
@@ -0,0 +1,1 @@
+//! A simulated network, disk and clock, seeded, on which any number of the cores run.
