--- a/deciding/windrow/src/lib.rs
+++ b/deciding/windrow/src/lib.rs
@@ -1,1 +1,10 @@
-//! Which appliance a request goes to, whether it is let in, and the budget for further forwards.
+//! Which appliance a request goes to, whether it is let in at all, and the budget for further forwards.
+//!
+//! No I/O and no clock. [`field::Field`] knows the appliances of all services, as listed and as met;
+//! [`budget::Budget`] holds this agent's part of a sum that all agents together must keep.
+
+pub mod budget;
+pub mod field;
+
+/// A time span or an instant on a steady clock, in microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/programs/orchard/src/clock.rs
@@ -0,0 +1,26 @@
+//! The steady clock of this process.
+
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+/// A time span or an instant on the steady clock, in microseconds.
+pub type Micros = u64;
+
+static ORIGIN: OnceLock<Instant> = OnceLock::new();
+
+/// Instants begin here, so that a difference to one "long ago" never falls below zero.
+const BEGINNING: Micros = 1_000_000_000;
+
+/// Now, in microseconds since some moment before this process began.
+pub fn now() -> Micros {
+    BEGINNING + ORIGIN.get_or_init(Instant::now).elapsed().as_micros() as Micros
+}
+
+/// Waits until then.
+pub async fn until(then: Micros) {
+    tokio::time::sleep(span(then.saturating_sub(now()))).await;
+}
+
+pub fn span(micros: Micros) -> Duration {
+    Duration::from_micros(micros)
+}
--- /dev/null
+++ b/programs/orchard/src/counter/forward.rs
@@ -0,0 +1,210 @@
+//! One forward: a request to one appliance, and how it ended.
+
+use super::front::{self, Reply};
+use super::pool::Line;
+use super::Counter;
+use crate::clock::{now, span, Micros};
+use crate::net::{self, Wire};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH};
+use hyper::{Method, Request, Response, Uri};
+use magpieline_furrow::journey::{promises, Ending};
+use magpieline_windrow::field::{Load, Sign};
+use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::timeout;
+
+/// A whole answer, ready to be passed on.
+pub type Answer = Reply;
+
+/// An appliance takes a connection within a few milliseconds; one that is dark or whose queue is full says nothing.
+const UP_WITHIN: Micros = 250_000;
+/// Longest answer that is held whole.
+const LONGEST: usize = 16 << 20;
+
+const TRY_ID: HeaderName = HeaderName::from_static("try-id");
+const TIME_LEFT: HeaderName = HeaderName::from_static("time-left-ms");
+const ADDRESSEE: HeaderName = HeaderName::from_static("addressee");
+const POSTMARK: HeaderName = HeaderName::from_static("postmark");
+const NOT_DELIVERED: HeaderName = HeaderName::from_static("not-delivered");
+const LOAD: HeaderName = HeaderName::from_static("load");
+
+/// A request as it is passed on, held until it is over.
+pub struct Parcel {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// When its time is over.
+    pub due: Micros,
+}
+
+/// Takes off what concerns one connection only.
+pub fn passed_on(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    ] {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Sends a request to an appliance; the ending comes by `tell`. It goes on even when nobody waits for it any more:
+/// an appliance at work is not broken off.
+pub fn start(
+    counter: Arc<Counter>,
+    appliance: usize,
+    parcel: Arc<Parcel>,
+    tell: UnboundedSender<(usize, Ending, Option<Answer>)>,
+) {
+    let number = counter.state().field.sent(now(), appliance);
+    tokio::spawn(async move {
+        let mut load = None;
+        let left = parcel.due.saturating_sub(now());
+        let (ending, answer) = match timeout(span(left), one(&counter, appliance, &parcel, &mut load)).await {
+            Ok(done) => done,
+            Err(_) => (Ending::Silent, None),
+        };
+        let sign = match ending {
+            Ending::Answered { status } if status < 500 => Sign::Served,
+            Ending::Answered { .. } => Sign::Failed,
+            Ending::TurnedAway => Sign::TurnedAway,
+            Ending::NeverSent => Sign::NoConnection,
+            Ending::Broken => Sign::Broken,
+            Ending::Spoilt => Sign::Spoilt,
+            Ending::Silent => Sign::Silent,
+        };
+        counter.state().field.ended(now(), appliance, number, sign, load);
+        let _ = tell.send((appliance, ending, answer));
+    });
+}
+
+/// What a request looks like at this appliance.
+fn dressed(parcel: &Parcel, id: &str) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(parcel.body.clone()));
+    *request.method_mut() = parcel.method.clone();
+    *request.uri_mut() = parcel.uri.clone();
+    *request.headers_mut() = parcel.headers.clone();
+    let headers = request.headers_mut();
+    headers.insert(ADDRESSEE, HeaderValue::from_str(id).ok()?);
+    let left = parcel.due.saturating_sub(now()) / 1000;
+    headers.insert(TIME_LEFT, HeaderValue::from(left));
+    if parcel.body.is_empty() && parcel.headers.get(CONTENT_LENGTH).is_none() {
+        headers.remove(CONTENT_LENGTH);
+    }
+    Some(request)
+}
+
+async fn one(
+    counter: &Arc<Counter>,
+    appliance: usize,
+    parcel: &Parcel,
+    load: &mut Option<Load>,
+) -> (Ending, Option<Answer>) {
+    loop {
+        let kept = counter.pool().take(appliance);
+        let fresh = kept.is_none();
+        let mut line = match kept {
+            Some(line) => line,
+            None => match connect(counter, appliance).await {
+                Some(line) => line,
+                None => return (Ending::NeverSent, None),
+            },
+        };
+        // The list may have changed while the connection came up.
+        let id = counter.state().field.get(appliance).filter(|a| !a.closing).map(|a| a.id.clone());
+        let Some(request) = id.and_then(|id| dressed(parcel, &id)) else { return (Ending::NeverSent, None) };
+        match line.try_send_request(request).await {
+            Ok(response) => return read(counter, appliance, parcel, line, response, load).await,
+            // Handed back: no byte of it was written. A kept connection that had ended is no sign of anything.
+            Err(e) if e.message().is_some() && !fresh => continue,
+            Err(e) if e.message().is_some() => return (Ending::NeverSent, None),
+            Err(e) if e.error().is_parse() => return (Ending::Spoilt, None),
+            Err(_) => return (Ending::Broken, None),
+        }
+    }
+}
+
+async fn connect(counter: &Counter, appliance: usize) -> Option<Line> {
+    let address = counter.state().field.get(appliance).map(|a| a.address)?;
+    let stream = net::connect(address, UP_WITHIN).await.ok()?;
+    let (line, rest) = hyper::client::conn::http1::handshake(Wire(stream)).await.ok()?;
+    tokio::spawn(rest);
+    Some(line)
+}
+
+/// Reads an answer whole and says what it proves. The connection is kept only after a sound one.
+async fn read(
+    counter: &Counter,
+    appliance: usize,
+    parcel: &Parcel,
+    mut line: Line,
+    response: Response<Incoming>,
+    load: &mut Option<Load>,
+) -> (Ending, Option<Answer>) {
+    let (head, body) = response.into_parts();
+    let status = head.status.as_u16();
+    if head.headers.get(TRY_ID) != parcel.headers.get(TRY_ID) {
+        return (Ending::Spoilt, None); // another request's answer, come late
+    }
+    // Without a told length the end of a body can't be told from a break.
+    let measured = body.size_hint().exact().is_some() || head.headers.contains_key("transfer-encoding");
+    let Ok(body) = Limited::new(body, LONGEST).collect().await else { return (Ending::Broken, None) };
+    *load = head.headers.get(LOAD).and_then(|v| v.to_str().ok()).and_then(read_load);
+    let kept = kept_for(&head.headers);
+    let promised = head.headers.contains_key(NOT_DELIVERED) || status == 421;
+    let spoilt = !measured
+        || head.headers.contains_key(CONTENT_ENCODING)
+        || (head.status.is_success() && !head.headers.contains_key(POSTMARK));
+    if spoilt {
+        return (Ending::Spoilt, None);
+    }
+    if line.ready().await.is_ok() {
+        let open = counter.state().field.get(appliance).is_some_and(|a| !a.closing);
+        if open {
+            counter.pool().put(appliance, line, kept);
+        }
+    }
+    if promised {
+        return (Ending::TurnedAway, None);
+    }
+    if promises(status) {
+        return (Ending::Answered { status }, None);
+    }
+    let headers = passed_on(head.headers);
+    (Ending::Answered { status }, Some(front::answered(head.status, headers, body.to_bytes())))
+}
+
+/// `Load`: requests running, waiting, and slots, joined by commas.
+fn read_load(text: &str) -> Option<Load> {
+    let mut parts = text.split(',').map(|p| p.trim().parse::<u32>());
+    let mut next = || parts.next()?.ok();
+    Some(Load { running: next()?, waiting: next()?, berths: next()? })
+}
+
+/// The time that `Keep-Alive` gives, in whole seconds.
+fn kept_for(headers: &HeaderMap) -> Option<Micros> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let parts = text.split([',', ';']).map(str::trim);
+    let seconds = parts.filter_map(|p| p.strip_prefix("timeout=").unwrap_or(p).parse::<u64>().ok()).next()?;
+    Some(seconds.saturating_mul(1_000_000))
+}
--- /dev/null
+++ b/programs/orchard/src/counter/front.rs
@@ -0,0 +1,209 @@
+//! Clients' side: connections, requests as they come, and the one answer of each.
+
+use super::forward::{self, Answer, Parcel};
+use super::{Counter, State};
+use crate::clock::{now, span, Micros};
+use crate::net::{self, Wire};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use magpieline_almanac::routes::{Route, Sort};
+use magpieline_furrow::journey::{come_back, Ending, Journey, Next};
+use magpieline_windrow::field::{Ask, Nobody};
+use rand::Rng;
+use std::convert::Infallible;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// A client that leaves is told so by an answer; one that sends nothing keeps the process no longer than this.
+const LAST_IDLE: Micros = 500_000;
+/// Without a told time a client is taken to wait as long as its route allows.
+const UNTOLD: Micros = Micros::MAX;
+/// A refused client is told to come back after this, at most a third of the time that it has left: by then about
+/// one request's time has passed.
+const COME_BACK: Micros = 150_000;
+
+pub type Reply = Response<Full<Bytes>>;
+
+/// Takes connections until the process leaves, then until all have ended.
+pub async fn run(counter: Arc<Counter>, door: TcpListener) {
+    let mut open = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            taken = door.accept() => match taken {
+                Ok((stream, _)) => {
+                    open.spawn(connection(counter.clone(), stream));
+                }
+                // No descriptor: those in use come back.
+                Err(_) => tokio::time::sleep(span(20_000)).await,
+            },
+            Some(_) = open.join_next(), if !open.is_empty() => {}
+            () = counter.left.notified() => break,
+        }
+    }
+    // What the system has taken already is served; then nobody comes any more.
+    while let Ok(Ok((stream, _))) = timeout(span(LAST_IDLE), door.accept()).await {
+        open.spawn(connection(counter.clone(), stream));
+    }
+    drop(door);
+    while open.join_next().await.is_some() {}
+}
+
+async fn connection(counter: Arc<Counter>, stream: TcpStream) {
+    if net::prepare(&stream).is_err() {
+        return;
+    }
+    let _ = net::watch_idle(&stream, std::time::Duration::from_secs(10));
+    let asked = counter.clone();
+    let service = service_fn(move |request| {
+        let counter = asked.clone();
+        async move { Ok::<_, Infallible>(serve(counter, request).await) }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    let limit = counter.state().edition.as_ref().map_or(16 << 10, |e| e.allowances.header_bytes);
+    builder.pipeline_flush(true).max_buf_size(limit.max(8 << 10) + (4 << 10));
+    let mut serving = std::pin::pin!(builder.serve_connection(Wire(stream), service));
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        () = counter.left.notified() => {}
+    }
+    // A request on its way gets its answer, which closes the connection; without one it ends soon.
+    let _ = timeout(span(LAST_IDLE), serving.as_mut()).await;
+    serving.as_mut().graceful_shutdown();
+    let _ = serving.await;
+}
+
+/// One request, from its head to its answer.
+async fn serve(counter: Arc<Counter>, request: Request<Incoming>) -> Reply {
+    counter.in_hand.fetch_add(1, Ordering::Relaxed);
+    let mut reply = answer(&counter, request).await;
+    counter.in_hand.fetch_sub(1, Ordering::Relaxed);
+    if counter.leaving() {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+/// An answer of the gateway's own.
+fn own(status: StatusCode, text: String) -> Reply {
+    let mut reply = Response::new(Full::from(text));
+    *reply.status_mut() = status;
+    reply
+}
+
+fn closing(mut reply: Reply) -> Reply {
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
+fn refused(left: Micros) -> Reply {
+    let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, "It was not run; come back.\n".into());
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", come_back(COME_BACK, left))) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
+async fn answer(counter: &Arc<Counter>, request: Request<Incoming>) -> Reply {
+    let taken = now();
+    let (head, body) = request.into_parts();
+    let Some(edition) = counter.state().edition.clone() else {
+        return closing(refused(COME_BACK * 3));
+    };
+    let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).or(head.uri.host()).unwrap_or("");
+    let Some(route) = edition.table().find(host, head.uri.path()).cloned() else {
+        return own(StatusCode::NOT_FOUND, format!("No route for {host}{}.\n", head.uri.path()));
+    };
+    let most = edition.allowances.body_bytes;
+    let told =
+        head.headers.get(CONTENT_LENGTH).and_then(|l| l.to_str().ok()).and_then(|l| l.parse::<u64>().ok());
+    if told.is_some_and(|length| length > most) {
+        return closing(own(StatusCode::PAYLOAD_TOO_LARGE, format!("At most {most} bytes.\n")));
+    }
+    let body = match Limited::new(body, most as usize).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            return closing(own(StatusCode::PAYLOAD_TOO_LARGE, format!("At most {most} bytes.\n")))
+        }
+        Err(_) => return closing(own(StatusCode::BAD_REQUEST, "The body did not come whole.\n".into())),
+    };
+    let waits =
+        head.headers.get("time-left-ms").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<f64>().ok());
+    let waits = waits.filter(|w| w.is_finite() && *w >= 0.0).map_or(UNTOLD, |ms| (ms * 1e3) as Micros);
+    let due = taken.saturating_add(waits.min(route.give_up));
+    let parcel =
+        Parcel { method: head.method, uri: head.uri, headers: forward::passed_on(head.headers), body, due };
+    carry(counter, &route, Arc::new(parcel)).await
+}
+
+/// Sends a request on, again where that is allowed, and turns the ending into its answer.
+async fn carry(counter: &Arc<Counter>, route: &Arc<Route>, parcel: Arc<Parcel>) -> Reply {
+    let repeatable = route.sort == Sort::Safe;
+    let mut journey = Journey::new(repeatable, route.tries, parcel.due);
+    let service = route.part(rand::thread_rng().gen_range(0.0..1.0)).service.clone();
+    counter.state().budget.taken(&service);
+    let (tell, mut endings) = mpsc::unbounded_channel::<(usize, Ending, Option<Answer>)>();
+    let mut tried: Vec<usize> = Vec::new();
+    let mut arrived = 0;
+    loop {
+        // One more forward, if there is anybody.
+        let choice = {
+            let mut state = counter.state();
+            let State { field, standings, budget, .. } = &mut *state;
+            let standing = standings.get(&*service);
+            let versions = |version: &str| State::carries(standing, version);
+            let ask = Ask { service: &service, versions: &versions, not: &tried, repeatable };
+            let choice = field.choose(now(), ask);
+            if choice.is_ok() && arrived > 0 {
+                budget.spend(&service);
+            }
+            choice
+        };
+        let chosen = match choice {
+            Ok(choice) => choice.appliance,
+            Err(Nobody::Listed | Nobody::Full) => {
+                return own_end(journey.give_up(now()), parcel.due);
+            }
+        };
+        tried.push(chosen);
+        journey.sent();
+        forward::start(counter.clone(), chosen, parcel.clone(), tell.clone());
+        loop {
+            let Some((_, ending, answer)) = endings.recv().await else { break };
+            arrived += usize::from(ending != Ending::NeverSent);
+            let another = arrived == 0 || counter.state().budget.saved(&service) >= 1.0;
+            match journey.ended(now(), ending, another) {
+                Next::Pass => match answer {
+                    Some(answer) => return answer,
+                    None => return own_end(Next::Fail, parcel.due),
+                },
+                Next::Again => break,
+                Next::Wait => continue,
+                end => return own_end(end, parcel.due),
+            }
+        }
+    }
+}
+
+/// The answer of a request that no appliance has answered.
+fn own_end(next: Next, due: Micros) -> Reply {
+    match next {
+        Next::Refuse => refused(due.saturating_sub(now())),
+        Next::TooLate => own(StatusCode::GATEWAY_TIMEOUT, "No answer in time; it may have run.\n".into()),
+        _ => own(StatusCode::BAD_GATEWAY, "It failed on the way; it may have run.\n".into()),
+    }
+}
+
+/// Headers of an answer that are passed on.
+pub fn answered(status: StatusCode, headers: HeaderMap, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
--- /dev/null
+++ b/programs/orchard/src/counter/mod.rs
@@ -0,0 +1,243 @@
+//! The counter: carries clients' requests to appliances.
+
+mod forward;
+mod front;
+mod list;
+mod pool;
+mod ready;
+mod session;
+
+use crate::clock::{now, Micros};
+use crate::net;
+use magpieline_almanac::edition::Edition;
+use magpieline_almanac::machine::Machine;
+use magpieline_trellis::records::{Kept, Phase, Standing};
+use magpieline_trellis::words::{Evidence, Listing, State as ListState};
+use magpieline_windrow::budget::Budget;
+use magpieline_windrow::field::{Field, Listed};
+use pool::Pool;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::Notify;
+
+/// What all parts of a counter share. Locks are held for a few microseconds, never across a wait.
+pub struct Counter {
+    pub machine: Machine,
+    /// Differs between starts.
+    pub life: u64,
+    state: Mutex<State>,
+    pool: Mutex<Pool>,
+    /// SIGTERM has come: nothing new, each answer closes its connection.
+    leaving: AtomicBool,
+    /// Told when `leaving` is set.
+    pub left: Notify,
+    /// Requests in hand.
+    in_hand: AtomicUsize,
+    /// Wakes the session: there is something to tell.
+    pub tell: Notify,
+}
+
+/// What a counter knows.
+pub struct State {
+    pub edition: Option<Arc<Edition>>,
+    kept: Option<Kept>,
+    pub standings: HashMap<String, Standing>,
+    pub field: Field,
+    pub budget: Budget,
+    /// When a list was last heard of, whole or confirmed.
+    pub listed_at: Option<Micros>,
+    /// Whether the leader confirmed what is in force, once in this life.
+    pub confirmed: bool,
+    /// Whether the leader is held now.
+    pub held: bool,
+    /// How many counters there are, as last told; 0: not known.
+    pub counters: u32,
+}
+
+impl Counter {
+    fn new(machine: Machine, life: u64) -> Counter {
+        let terms = &machine.terms;
+        let state = State {
+            edition: None,
+            kept: None,
+            standings: HashMap::new(),
+            field: Field::new(&machine.zone, life),
+            budget: Budget::new(terms.retry_ratio, terms.retry_slack),
+            listed_at: None,
+            confirmed: false,
+            held: false,
+            counters: 0,
+        };
+        Counter {
+            life,
+            state: Mutex::new(state),
+            pool: Mutex::new(Pool::default()),
+            leaving: AtomicBool::new(false),
+            left: Notify::new(),
+            in_hand: AtomicUsize::new(0),
+            tell: Notify::new(),
+            machine,
+        }
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Whether new clients may come.
+    pub fn ready(&self) -> bool {
+        let state = self.state();
+        !self.leaving() && state.confirmed && state.edition.is_some() && state.listed_at.is_some()
+    }
+
+    /// Takes a configuration into force if it is newer than what is.
+    pub fn take_edition(&self, kept: &Kept) {
+        let held = self.state().kept.as_ref().map_or(0, |k| k.number);
+        if kept.number <= held {
+            return;
+        }
+        match Edition::read(&kept.text) {
+            Ok(edition) => {
+                let mut state = self.state();
+                if state.kept.as_ref().is_none_or(|k| k.number < kept.number) {
+                    state.edition = Some(Arc::new(edition));
+                    state.kept = Some(kept.clone());
+                    tracing::info!(target: "edition", "Edition {} is in force.", kept.number);
+                }
+            }
+            // It was checked before it was agreed on; a counter of another build may know less.
+            Err(wrong) => {
+                tracing::error!(target: "edition", "Edition {} can't be read: {}.", kept.number, wrong[0]);
+            }
+        }
+    }
+
+    pub fn edition_number(&self) -> u64 {
+        self.state().kept.as_ref().map_or(0, |k| k.number)
+    }
+
+    /// Takes in what has changed on the list, or all of it.
+    pub fn take_listing(&self, listing: &Listing) {
+        let now = now();
+        let mut closed = Vec::new();
+        let mut state = self.state();
+        state.listed_at = Some(now);
+        if listing.whole {
+            let named: std::collections::HashSet<&Arc<str>> =
+                listing.entries.iter().map(|(id, _)| id).collect();
+            let gone: Vec<Arc<str>> = state.field.ids().filter(|id| !named.contains(id)).cloned().collect();
+            closed.extend(gone.iter().filter_map(|id| state.field.drop(id)));
+        }
+        for (id, entry) in &listing.entries {
+            let Some(entry) = entry else {
+                closed.extend(state.field.drop(id));
+                continue;
+            };
+            let closing = entry.state == ListState::Closing;
+            let cold_until = if entry.cold > 0 { now + entry.cold } else { 0 };
+            state.field.list(
+                now,
+                Listed {
+                    id: id.clone(),
+                    service: entry.service.clone(),
+                    address: entry.address,
+                    zone: entry.zone.clone(),
+                    version: entry.version.clone(),
+                    berths: entry.berths,
+                    closing,
+                    cold_until,
+                },
+            );
+            if closing {
+                closed.extend(state.field.find(id));
+            }
+        }
+        drop(state);
+        let mut pool = self.pool();
+        closed.into_iter().for_each(|appliance| pool.drop_all(appliance));
+    }
+
+    /// So many counters hold parts of the sums that all keep together.
+    pub fn heard_counters(&self, counters: u32) {
+        let mut state = self.state();
+        if state.counters != counters {
+            state.counters = counters;
+            state.budget.share(self.machine.terms.retry_slack, counters);
+        }
+    }
+
+    /// What this counter has to tell of rollouts.
+    pub fn evidence(&self) -> Vec<Evidence> {
+        let state = self.state();
+        let rolling =
+            state.standings.iter().filter_map(|(service, s)| Some((service, s, s.rollout.as_ref()?)));
+        rolling
+            .filter(|(_, _, r)| matches!(r.phase, Phase::Trial | Phase::Moving))
+            .map(|(service, standing, rollout)| Evidence {
+                service: service.as_str().into(),
+                order: rollout.order,
+                phase: Some(rollout.phase),
+                under_way: state.field.under_way(service, |v| !State::carries(Some(standing), v)) as u32,
+                ..Evidence::default()
+            })
+            .collect()
+    }
+
+    pub fn take_standings(&self, standings: Vec<(String, Standing)>) {
+        let mut state = self.state();
+        for (service, standing) in standings {
+            if let Some(rollout) = &standing.rollout {
+                tracing::info!(target: "rollout", "{service} to {}: {:?}.", rollout.to, rollout.phase);
+            }
+            state.standings.insert(service, standing);
+        }
+        drop(state);
+        self.tell.notify_one();
+    }
+}
+
+impl State {
+    /// Whether a version of a service may get ordinary requests.
+    pub fn carries(standing: Option<&Standing>, version: &str) -> bool {
+        let Some(standing) = standing else { return true };
+        let decided =
+            |r: &&magpieline_trellis::records::Rollout| matches!(r.phase, Phase::Moving | Phase::Delivered);
+        match (standing.rollout.as_ref().filter(decided), &standing.version) {
+            (Some(rollout), _) => rollout.to == version,
+            (None, Some(stands)) => stands == version,
+            (None, None) => !standing.barred.iter().any(|b| b == version),
+        }
+    }
+}
+
+/// Serves until SIGTERM.
+pub async fn run(machine: Machine, life: u64) -> std::io::Result<()> {
+    let (Some(front), Some(ready)) =
+        (machine.posts.get("front").copied(), machine.posts.get("ready").copied())
+    else {
+        return Err(std::io::Error::other("network.posts: expected front and ready"));
+    };
+    let counter = Arc::new(Counter::new(machine, life));
+    let door = net::listen(front)?;
+    let asked = net::listen(ready)?;
+    tokio::spawn(ready::run(counter.clone(), asked));
+    tokio::spawn(session::run(counter.clone()));
+    tokio::spawn(list::run(counter.clone()));
+    let serving = tokio::spawn(front::run(counter.clone(), door));
+    crate::signals::terminated().await;
+    tracing::info!(target: "counter", "Leaving: {} requests in hand.", counter.in_hand.load(Ordering::Relaxed));
+    counter.leaving.store(true, Ordering::Relaxed);
+    counter.left.notify_waiters();
+    let _ = serving.await;
+    tracing::info!(target: "counter", "Left.");
+    Ok(())
+}
--- /dev/null
+++ b/programs/orchard/src/counter/session.rs
@@ -0,0 +1,112 @@
+//! The link to the leading sorting machine.
+
+use super::Counter;
+use crate::clock::{self, now};
+use crate::net::{self, Frames};
+use magpieline_trellis::tendril::{hello, Action, Event, Tendril};
+use magpieline_trellis::words::{Down, Opening, Up};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::JoinHandle;
+
+/// A connection takes no longer than the tendril waits for it.
+const UP_WITHIN: clock::Micros = 390_000;
+
+struct Link {
+    read: Frames<OwnedReadHalf>,
+    write: OwnedWriteHalf,
+}
+
+pub async fn run(counter: Arc<Counter>) {
+    let inner = counter.machine.inner_ports.0;
+    let seeds = counter.machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
+    let mut tendril = Tendril::new(now(), seeds, counter.life as usize);
+    let mut link: Option<Link> = None;
+    let mut dialled: Option<JoinHandle<std::io::Result<Link>>> = None;
+    let mut actions = tendril.step(now(), Event::Tick);
+    loop {
+        for action in std::mem::take(&mut actions) {
+            let said = match action {
+                Action::Dial(to) => {
+                    link = None;
+                    dialled = Some(tokio::spawn(dial(to)));
+                    continue;
+                }
+                Action::HangUp => {
+                    (link, dialled) = (None, None);
+                    continue;
+                }
+                Action::Hello => hello(
+                    &counter.machine.node,
+                    &counter.machine.zone,
+                    counter.life,
+                    counter.edition_number(),
+                ),
+                Action::Report => {
+                    Up::Report { edition: counter.edition_number(), evidence: counter.evidence() }
+                }
+            };
+            let Some(open) = &mut link else { continue };
+            if net::say(&mut open.write, &said).await.is_err() {
+                link = None;
+                actions.extend(tendril.step(now(), Event::Closed));
+            }
+        }
+        counter.state().held = tendril.holds(now());
+        counter.heard_counters(tendril.counters());
+        if !actions.is_empty() {
+            continue;
+        }
+        actions = tokio::select! {
+            up = async { dialled.as_mut().expect("guarded").await }, if dialled.is_some() => {
+                dialled = None;
+                match up {
+                    Ok(Ok(open)) => {
+                        link = Some(open);
+                        tendril.step(now(), Event::Opened)
+                    }
+                    _ => tendril.step(now(), Event::Closed),
+                }
+            }
+            heard = async { link.as_mut().expect("guarded").read.next::<Down>().await }, if link.is_some() => {
+                match heard {
+                    Ok(Some(down)) => {
+                        take(&counter, &down);
+                        tendril.step(now(), Event::Heard(&down))
+                    }
+                    _ => {
+                        link = None;
+                        tendril.step(now(), Event::Closed)
+                    }
+                }
+            }
+            () = counter.tell.notified() => {
+                tendril.hurry(now());
+                tendril.step(now(), Event::Tick)
+            }
+            () = clock::until(tendril.next()) => tendril.step(now(), Event::Tick),
+        };
+    }
+}
+
+async fn dial(to: SocketAddrV4) -> std::io::Result<Link> {
+    let stream = net::connect(to, UP_WITHIN).await?;
+    let (read, mut write) = stream.into_split();
+    net::say(&mut write, &Opening::Counter).await?;
+    Ok(Link { read: Frames::new(read), write })
+}
+
+/// What a sorting machine says is taken into force before the tendril goes on: its word is the order of things.
+fn take(counter: &Counter, down: &Down) {
+    match down {
+        Down::Welcome { term, .. } => {
+            tracing::info!(target: "session", "Held by the leader of term {term}.");
+            counter.state().confirmed = true;
+        }
+        Down::Edition(kept) => counter.take_edition(kept),
+        Down::Services(standings) => counter.take_standings(standings.clone()),
+        Down::Listing(listing) => counter.take_listing(listing),
+        Down::Beat { .. } | Down::Elsewhere { .. } => {}
+    }
+}
--- /dev/null
+++ b/programs/orchard/src/sorting/control.rs
@@ -0,0 +1,238 @@
+//! The operators' calls.
+
+use super::council::Refusal;
+use super::Sorting;
+use crate::clock::{now, span, Micros};
+use crate::net::{self, Wire};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use magpieline_almanac::edition::Edition;
+use magpieline_almanac::place::Complaint;
+use magpieline_almanac::times;
+use magpieline_trellis::records::{Command, Kept, Phase};
+use std::convert::Infallible;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// Longest configuration that is taken.
+const LONGEST: usize = 32 << 20;
+/// Callers go to another machine after a second of silence; until then a leader may be found.
+const PATIENCE: Micros = 800_000;
+
+type Reply = Response<Full<Bytes>>;
+
+pub async fn run(sorting: Arc<Sorting>, door: TcpListener) {
+    loop {
+        let Ok((stream, _)) = door.accept().await else {
+            tokio::time::sleep(span(20_000)).await;
+            continue;
+        };
+        if net::prepare(&stream).is_err() {
+            continue;
+        }
+        let sorting = sorting.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let sorting = sorting.clone();
+                async move { Ok::<_, Infallible>(answer(&sorting, request).await) }
+            });
+            let _ = hyper::server::conn::http1::Builder::new().serve_connection(Wire(stream), service).await;
+        });
+    }
+}
+
+fn reply(status: StatusCode, text: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(text.into()));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// A refusal, with all that is wrong.
+fn fault(status: StatusCode, wrong: &[Complaint]) -> Reply {
+    let list: Vec<jzon::JsonValue> = wrong
+        .iter()
+        .map(|c| {
+            jzon::object! { place: c.place.as_str(), found: c.found.as_str(), expected: c.expected.as_str() }
+        })
+        .collect();
+    reply(status, jzon::object! { fault: list }.dump())
+}
+
+fn plain(status: StatusCode, place: &str, found: &str, expected: &str) -> Reply {
+    fault(status, &[Complaint::new(place, found, expected)])
+}
+
+/// One value of the query.
+fn asked<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|(_, value)| value)
+}
+
+async fn answer(sorting: &Sorting, request: Request<Incoming>) -> Reply {
+    let (head, body) = request.into_parts();
+    if head.uri.path() != "/v1/rpc" {
+        return plain(StatusCode::NOT_FOUND, "path", head.uri.path(), "/v1/rpc");
+    }
+    if head.method != Method::POST {
+        return plain(StatusCode::METHOD_NOT_ALLOWED, "method", head.method.as_str(), "POST");
+    }
+    let query = head.uri.query().unwrap_or("").to_owned();
+    let Ok(body) = Limited::new(body, LONGEST).collect().await else {
+        return plain(StatusCode::PAYLOAD_TOO_LARGE, "body", "more, or not all", "at most 32 MB, whole");
+    };
+    let body = body.to_bytes();
+    let again = format!("/v1/rpc?{query}");
+    match asked(&query, "call") {
+        Some("config.replace") => replace(sorting, &body, &again).await,
+        Some("config.read") => read(sorting, &again).await,
+        Some("editions.begin") => begin(sorting, &body, &again).await,
+        Some("editions.read") => state(sorting, asked(&query, "of").unwrap_or(""), &again).await,
+        found => {
+            let expected = "config.replace, config.read, editions.begin or editions.read";
+            plain(StatusCode::BAD_REQUEST, "call", found.unwrap_or("nothing"), expected)
+        }
+    }
+}
+
+/// Sends a caller to the leader, or asks it to come back.
+async fn elsewhere(sorting: &Sorting, path: &str, until: Micros) -> Option<Reply> {
+    loop {
+        if sorting.council.leads() {
+            return None;
+        }
+        let leader = sorting.council.leader().filter(|l| *l != sorting.inner());
+        if let Some(control) = leader.and_then(|l| sorting.control_of(l)) {
+            let mut moved = reply(StatusCode::TEMPORARY_REDIRECT, "{}");
+            let location = HeaderValue::from_str(&format!("http://{control}{path}")).ok()?;
+            moved.headers_mut().insert(LOCATION, location);
+            return Some(moved);
+        }
+        if now() >= until {
+            return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "none", "one; ask again"));
+        }
+        tokio::time::sleep(span(20_000)).await;
+    }
+}
+
+/// Proposes a command; the answer unless it was agreed on.
+async fn agree(sorting: &Sorting, command: &Command, path: &str) -> Option<Reply> {
+    let until = now() + PATIENCE;
+    loop {
+        if let Some(reply) = elsewhere(sorting, path, until).await {
+            return Some(reply);
+        }
+        let left = span(until.saturating_sub(now()));
+        match timeout(left, sorting.council.propose(sorting, command)).await {
+            Ok(Ok(())) => return None,
+            // Who leads now is asked again; until then it is not in force by this call.
+            Ok(Err(Refusal::NotLeading)) if now() < until => continue,
+            Ok(Err(_)) | Err(_) => {
+                return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "none in time", "ask again"))
+            }
+        }
+    }
+}
+
+async fn replace(sorting: &Sorting, body: &Bytes, path: &str) -> Reply {
+    let Ok(text) = std::str::from_utf8(body) else {
+        return plain(StatusCode::BAD_REQUEST, "document", "bytes that are no text", "JSON, whole");
+    };
+    let edition = match Edition::read(text) {
+        Ok(edition) => edition,
+        Err(wrong) => {
+            tracing::warn!(target: "control", "A configuration was refused: {}.", wrong[0]);
+            return fault(StatusCode::BAD_REQUEST, &wrong);
+        }
+    };
+    let held = sorting.state().records.edition.as_ref().map_or(0, |k| k.number);
+    // What is agreed on already is never lost: an older version changes nothing, whoever leads.
+    if held < edition.number {
+        let kept = Kept { number: edition.number, text: text.into() };
+        if let Some(reply) = agree(sorting, &Command::Replace(kept), path).await {
+            return reply;
+        }
+        tracing::info!(target: "control", "Edition {} was acknowledged.", edition.number);
+    }
+    reply(StatusCode::OK, jzon::object! { edition: edition.number }.dump())
+}
+
+async fn read(sorting: &Sorting, path: &str) -> Reply {
+    if let Some(reply) = confirmed(sorting, path).await {
+        return reply;
+    }
+    match sorting.state().records.edition.clone() {
+        Some(kept) => reply(StatusCode::OK, Bytes::from(kept.text.to_string())),
+        None => plain(StatusCode::NOT_FOUND, "edition", "none yet", "one that was sent"),
+    }
+}
+
+/// Makes sure that what is read here is the newest; the answer where it can't be.
+async fn confirmed(sorting: &Sorting, path: &str) -> Option<Reply> {
+    let until = now() + PATIENCE;
+    loop {
+        if let Some(reply) = elsewhere(sorting, path, until).await {
+            return Some(reply);
+        }
+        if let Ok(Ok(())) = timeout(span(until.saturating_sub(now())), sorting.council.barrier()).await {
+            return None;
+        }
+        if now() >= until {
+            return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "none in time", "ask again"));
+        }
+        tokio::time::sleep(span(5_000)).await;
+    }
+}
+
+async fn begin(sorting: &Sorting, body: &Bytes, path: &str) -> Reply {
+    let order = std::str::from_utf8(body).ok().and_then(|text| jzon::parse(text).ok());
+    let Some(order) = order.filter(|o| o.is_object()) else {
+        return plain(StatusCode::BAD_REQUEST, "document", "no JSON", "an object");
+    };
+    let (service, to) = (order["service"].as_str(), order["to_edition"].as_str());
+    let Some(service) = service.filter(|s| !s.is_empty()) else {
+        return plain(StatusCode::BAD_REQUEST, "service", "nothing", "a text");
+    };
+    let Some(to) = to.filter(|t| !t.is_empty()) else {
+        return plain(StatusCode::BAD_REQUEST, "to_edition", "nothing", "a text");
+    };
+    let Some(within) = order["within"].as_str().and_then(times::read).filter(|w| *w > 0) else {
+        let found = order["within"].dump();
+        return plain(StatusCode::BAD_REQUEST, "within", &found, "a time above 0 such as 12s");
+    };
+    let command = Command::Begin { service: service.to_owned(), to: to.to_owned(), within };
+    if let Some(reply) = agree(sorting, &command, path).await {
+        return reply;
+    }
+    let standing = sorting.state().records.services.get(service).cloned().unwrap_or_default();
+    match standing.rollout {
+        Some(rollout) if rollout.to != to && matches!(rollout.phase, Phase::Trial | Phase::Moving) => {
+            let found = format!("a rollout to {} under way", rollout.to);
+            plain(StatusCode::CONFLICT, "service", &found, "none, or the same again")
+        }
+        _ => {
+            tracing::info!(target: "control", "Rollout of {service} to {to} was ordered.");
+            reply(StatusCode::OK, "{}")
+        }
+    }
+}
+
+async fn state(sorting: &Sorting, service: &str, path: &str) -> Reply {
+    if let Some(reply) = confirmed(sorting, path).await {
+        return reply;
+    }
+    let standing = sorting.state().records.services.get(service).cloned().unwrap_or_default();
+    let Some(rollout) = standing.rollout else {
+        return plain(StatusCode::NOT_FOUND, "of", service, "a service with a rollout");
+    };
+    let state = match rollout.phase {
+        Phase::Trial | Phase::Moving => "in_transit",
+        Phase::Delivered => "delivered",
+        Phase::Returned => "returned",
+    };
+    reply(StatusCode::OK, jzon::object! { state: state, to_edition: rollout.to }.dump())
+}
--- /dev/null
+++ b/programs/orchard/src/sorting/counters.rs
@@ -0,0 +1,113 @@
+//! Links from other agents: counters that hold on to the leader, and other sorting machines.
+
+use super::{Sorting, MOST_WAITING};
+use crate::clock::{now, span, Micros};
+use crate::net::{self, Frames};
+use bytes::Bytes;
+use magpieline_trellis::words::{self, Down, Opening, Up};
+use std::sync::Arc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Who opens a link says at once what it is for.
+const SAID_WITHIN: Micros = 1_000_000;
+/// Counters let go of a leader after a second without a word.
+const BEAT: Micros = 300_000;
+
+pub async fn run(sorting: Arc<Sorting>, inner: TcpListener) {
+    tokio::spawn(beat(sorting.clone()));
+    loop {
+        let Ok((stream, _)) = inner.accept().await else {
+            tokio::time::sleep(span(20_000)).await;
+            continue;
+        };
+        if net::prepare(&stream).is_ok() {
+            tokio::spawn(link(sorting.clone(), stream));
+        }
+    }
+}
+
+async fn beat(sorting: Arc<Sorting>) {
+    loop {
+        tokio::time::sleep(span(BEAT)).await;
+        let leads = sorting.council.leads();
+        let mut state = sorting.state();
+        if leads {
+            let counters = state.roster.count(now());
+            state.tell_all(&Down::Beat { counters });
+        } else if !state.links.is_empty() {
+            // Links end; whoever leads now hears from the counters anew.
+            state.links.clear();
+            state.roster.clear();
+            state.list = None;
+        }
+    }
+}
+
+async fn link(sorting: Arc<Sorting>, stream: TcpStream) {
+    let (read, write) = stream.into_split();
+    let mut read = Frames::new(read);
+    match timeout(span(SAID_WITHIN), read.next::<Opening>()).await {
+        Ok(Ok(Some(Opening::Counter))) => counter(sorting, read, write).await,
+        Ok(Ok(Some(Opening::Sorting(_) | Opening::View))) | Ok(Ok(None) | Err(_)) | Err(_) => {}
+    }
+}
+
+async fn counter(sorting: Arc<Sorting>, mut read: Frames<OwnedReadHalf>, mut write: OwnedWriteHalf) {
+    let hello = timeout(span(SAID_WITHIN), read.next::<Up>()).await;
+    let Ok(Ok(Some(Up::Hello { node, zone, life, edition }))) = hello else { return };
+    // What a counter is told must not be older than what any other has been told.
+    if sorting.council.barrier().await.is_err() {
+        let elsewhere = {
+            let state = sorting.state();
+            Down::Elsewhere {
+                leader: sorting.council.leader().filter(|l| *l != sorting.inner()),
+                core: sorting.council.members(),
+                edition: state.records.edition.clone(),
+                services: state.records.services.clone().into_iter().collect(),
+            }
+        };
+        let _ = net::say(&mut write, &elsewhere).await;
+        return;
+    }
+    let (to, mut waiting) = mpsc::channel::<Bytes>(MOST_WAITING);
+    let link = {
+        let mut state = sorting.state();
+        state.next_link += 1;
+        let link = state.next_link;
+        state.roster.hello(now(), link, &node, &zone, life, edition);
+        let counters = state.roster.count(now());
+        let mut all = state.all();
+        all.push(Down::Welcome { term: sorting.council.term(), core: sorting.council.members(), counters });
+        for down in &all {
+            let _ = to.try_send(Bytes::from(words::frame(down)));
+        }
+        state.links.insert(link, to);
+        link
+    };
+    tracing::debug!(target: "session", "Counter {node} is held.");
+    let writing = async {
+        while let Some(frame) = waiting.recv().await {
+            if write.write_all(&frame).await.is_err() {
+                break;
+            }
+        }
+    };
+    let reading = async {
+        while let Ok(Some(up)) = read.next::<Up>().await {
+            if let Up::Report { edition, evidence } = up {
+                sorting.state().roster.report(now(), link, edition, evidence);
+            }
+        }
+    };
+    tokio::select! {
+        () = writing => {}
+        () = reading => {}
+    }
+    let mut state = sorting.state();
+    state.links.remove(&link);
+    state.roster.closed(link);
+}
--- /dev/null
+++ b/programs/orchard/src/sorting/mod.rs
@@ -0,0 +1,135 @@
+//! The sorting machine: keeps what is agreed on, and while it leads tells the counters.
+
+mod control;
+mod council;
+mod counters;
+mod lister;
+
+use crate::carrier::Reading;
+use crate::clock::now;
+use crate::net;
+use bytes::Bytes;
+use council::Council;
+use magpieline_almanac::machine::Machine;
+use magpieline_trellis::records::{Effect, Records};
+use magpieline_trellis::roster::Roster;
+use magpieline_trellis::words::{self, Down, Listing};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::mpsc;
+
+/// Frames that may wait for one counter; one that takes no more is let go, and comes again.
+const MOST_WAITING: usize = 512;
+
+/// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
+pub struct Sorting {
+    pub machine: Machine,
+    state: Mutex<State>,
+    pub council: Council,
+}
+
+/// What a sorting machine knows.
+#[derive(Default)]
+pub struct State {
+    pub records: Records,
+    pub roster: Roster,
+    /// Counters' links, while this machine leads.
+    links: HashMap<u64, mpsc::Sender<Bytes>>,
+    next_link: u64,
+    /// The list as last read under this leadership.
+    pub list: Option<Reading>,
+}
+
+impl Sorting {
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// The address of agents among themselves.
+    pub fn inner(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
+    }
+
+    /// Where operators call the machine that has this inner address: ports are alike on all machines.
+    pub fn control_of(&self, inner: SocketAddrV4) -> Option<SocketAddrV4> {
+        let own = self.machine.posts.get("control")?;
+        Some(SocketAddrV4::new(*inner.ip(), own.port()))
+    }
+
+    /// A command has been agreed on.
+    pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
+        let mut state = self.state();
+        let effect = state.records.apply(index, command);
+        let down = match effect {
+            Effect::Edition => state.records.edition.clone().map(Down::Edition),
+            Effect::Service => {
+                use magpieline_trellis::records::Command;
+                let (Command::Begin { service, .. }
+                | Command::Advance { service, .. }
+                | Command::Stands { service, .. }) = command
+                else {
+                    return;
+                };
+                let standing = state.records.services.get(service).cloned();
+                standing.map(|s| Down::Services(vec![(service.clone(), s)]))
+            }
+            Effect::None => None,
+        };
+        if let Some(down) = down {
+            state.tell_all(&down);
+        }
+    }
+}
+
+impl State {
+    /// Tells all counters. One that takes no more is let go.
+    pub fn tell_all(&mut self, down: &Down) {
+        if self.links.is_empty() {
+            return;
+        }
+        let frame = Bytes::from(words::frame(down));
+        let roster = &mut self.roster;
+        self.links.retain(|link, to| {
+            let kept = to.try_send(frame.clone()).is_ok();
+            if !kept {
+                roster.closed(*link);
+            }
+            kept
+        });
+    }
+
+    /// All that a counter has to know, in the order in which it is to take it in.
+    fn all(&self) -> Vec<Down> {
+        let mut all = Vec::new();
+        all.extend(self.records.edition.clone().map(Down::Edition));
+        all.push(Down::Services(self.records.services.clone().into_iter().collect()));
+        if let Some(reading) = &self.list {
+            let age = now().saturating_sub(reading.at);
+            let entries = reading.list.iter().map(|(id, entry)| {
+                let cold = entry.cold.saturating_sub(age);
+                (id.clone(), Some(words::Entry { cold, ..entry.clone() }))
+            });
+            all.push(Down::Listing(Listing { whole: true, entries: entries.collect() }));
+        }
+        all
+    }
+}
+
+/// Serves until SIGTERM.
+pub async fn run(machine: Machine, life: u64) -> std::io::Result<()> {
+    let Some(control) = machine.posts.get("control").copied() else {
+        return Err(std::io::Error::other("network.posts: expected control"));
+    };
+    let inner = SocketAddrV4::new(machine.ip, machine.inner_ports.0);
+    let door = net::listen(control)?;
+    let inner = net::listen(inner)?;
+    let council = Council::new(&machine, life);
+    let sorting = Arc::new(Sorting { machine, state: Mutex::new(State::default()), council });
+    tokio::spawn(counters::run(sorting.clone(), inner));
+    tokio::spawn(control::run(sorting.clone(), door));
+    tokio::spawn(lister::run(sorting.clone()));
+    crate::signals::terminated().await;
+    tracing::info!(target: "sorting", "Leaving.");
+    Ok(())
+}
