Requests are framed before hyper sees them, and pipelined lookups start early

Change: furrow gets framing, machines without I/O that read HTTP/1.1 byte by byte: heads, bodies, a client's connection (doorway) and one to an appliance (echo, not wired yet). The counter's doorway reads the stream whether hyper wants to or not, shows it one sound request at a time, answers 400, 408 and 431 itself once all before is answered, ends idle connections, and has whole requests without a body started early behind safe ones, sixteen at most. A request's time counts from when its head had come. Connections are read for half a second after the last answer, so that unread bytes don't reset it away.

--- a/carrying/furrow/src/lib.rs
+++ b/carrying/furrow/src/lib.rs
@@ -1,8 +1,9 @@
 //! What happens to one request, from its last byte read to its one answer.
 //!
-//! No I/O and no clock. [`journey`] is the one place where the ending of a forward becomes an answer, and the one
-//! that says whether a request may be sent again.
+//! No I/O and no clock. [`framing`] says where messages begin and end, and whose they are. [`journey`] is the one place
+//! where the ending of a forward becomes an answer, and the one that says whether a request may be sent again.
 
+pub mod framing;
 pub mod journey;
 
 /// A time span or an instant on a steady clock, in microseconds.
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -1,16 +1,21 @@
 //! Clients' side: connections, requests as they come, and the one answer of each.
 
+use super::doorway::{Side, Started, Visit, LAST_IDLE};
 use super::forward::{self, Answer, Parcel};
 use super::{Counter, State};
 use crate::clock::{now, span, Micros};
-use crate::net::{self, Wire};
+use crate::net;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
+use magpieline_almanac::edition::Edition;
 use magpieline_almanac::routes::{Route, Sort};
+use magpieline_furrow::framing::doorway::{Bounds, Early};
+use magpieline_furrow::framing::head;
 use magpieline_furrow::journey::{come_back, Ending, Journey, Next};
 use magpieline_windrow::field::{Ask, Nobody};
 use rand::Rng;
@@ -21,8 +26,9 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// A client that leaves is told so by an answer; one that sends nothing keeps the process no longer than this.
-const LAST_IDLE: Micros = 500_000;
+/// hyper reads no longer heads than this; the doorway refuses those beyond the configuration's bound, which may change
+/// while a connection lives.
+const LONGEST_HEAD: usize = 1 << 20;
 /// Without a told time a client is taken to wait as long as its route allows.
 const UNTOLD: Micros = Micros::MAX;
 /// A refused client is told to come back after this, at most a third of the time that it has left: by then about
@@ -60,36 +66,94 @@
         return;
     }
     let _ = net::watch_idle(&stream, std::time::Duration::from_secs(10));
-    let asked = counter.clone();
+    let visit = Visit::new(stream, bounds(&counter));
+    let (asked, by) = (counter.clone(), visit.clone());
     let service = service_fn(move |request| {
-        let counter = asked.clone();
-        async move { Ok::<_, Infallible>(serve(counter, request).await) }
+        let (counter, visit) = (asked.clone(), by.clone());
+        async move { Ok::<_, Infallible>(serve(&counter, &visit, request).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    let limit = counter.state().edition.as_ref().map_or(16 << 10, |e| e.allowances.header_bytes);
-    builder.pipeline_flush(true).max_buf_size(limit.max(8 << 10) + (4 << 10));
-    let mut serving = std::pin::pin!(builder.serve_connection(Wire(stream), service));
-    tokio::select! {
-        _ = serving.as_mut() => return,
-        () = counter.left.notified() => {}
+    builder.pipeline_flush(true).max_buf_size(LONGEST_HEAD);
+    let serving = builder.serve_connection(Side(visit.clone()), service);
+    let left = async {
+        let told = counter.left.notified();
+        if !counter.leaving() {
+            told.await;
+        }
+    };
+    visit.run(serving, || bounds(&counter), left, |ahead| early(&counter, ahead)).await;
+}
+
+fn bounds(counter: &Counter) -> Bounds {
+    let allowed = counter.state().edition.as_ref().map(|e| e.allowances).unwrap_or_default();
+    Bounds { head_bytes: allowed.header_bytes, head: allowed.header, idle: allowed.idle }
+}
+
+/// Counts a request while it is in hand, however it ends.
+struct InHand<'a>(&'a Counter);
+
+impl InHand<'_> {
+    fn new(counter: &Counter) -> InHand<'_> {
+        counter.in_hand.fetch_add(1, Ordering::Relaxed);
+        InHand(counter)
+    }
+}
+
+impl Drop for InHand<'_> {
+    fn drop(&mut self) {
+        self.0.in_hand.fetch_sub(1, Ordering::Relaxed);
     }
-    // A request on its way gets its answer, which closes the connection; without one it ends soon.
-    let _ = timeout(span(LAST_IDLE), serving.as_mut()).await;
-    serving.as_mut().graceful_shutdown();
-    let _ = serving.await;
 }
 
 /// One request, from its head to its answer.
-async fn serve(counter: Arc<Counter>, request: Request<Incoming>) -> Reply {
-    counter.in_hand.fetch_add(1, Ordering::Relaxed);
-    let mut reply = answer(&counter, request).await;
-    counter.in_hand.fetch_sub(1, Ordering::Relaxed);
-    if counter.leaving() {
-        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+async fn serve(counter: &Arc<Counter>, visit: &Visit<TcpStream>, request: Request<Incoming>) -> Reply {
+    let _in_hand = InHand::new(counter);
+    let (taken, started) = visit.begin();
+    let mut reply = match started {
+        Some(started) => started.answer().await.unwrap_or_else(|| own_end(Next::Fail, taken)),
+        None => {
+            let (head, body) = request.into_parts();
+            match found(counter, &head) {
+                Ok(found) => {
+                    if found.1.sort == Sort::Safe {
+                        visit.safe();
+                    }
+                    answer(counter, taken, head, body, found).await
+                }
+                // What is not read of a body stands in the way of the next request.
+                Err(reply) if body.is_end_stream() => *reply,
+                Err(reply) => closing(*reply),
+            }
+        }
+    };
+    if let Some(wrong) = visit.fault() {
+        let status = StatusCode::from_u16(wrong.status()).unwrap_or(StatusCode::BAD_REQUEST);
+        reply = closing(own(status, format!("{}\n", wrong.text())));
+    }
+    // Those behind it that are on their way get their answers first.
+    if !visit.answered() && counter.leaving() {
+        reply = closing(reply);
     }
     reply
 }
 
+/// Starts a request before its turn, if it is safe.
+fn early(counter: &Arc<Counter>, ahead: Early<'_>) -> Option<Started> {
+    let (method, target) = head::first_of(ahead.head)?;
+    let mut request = Request::builder().method(method).uri(target).body(()).ok()?;
+    for (name, value) in head::fields_of(ahead.head) {
+        let name = HeaderName::from_bytes(name).ok()?;
+        request.headers_mut().append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    let (head, ()) = request.into_parts();
+    let found = found(counter, &head).ok().filter(|(_, route)| route.sort == Sort::Safe)?;
+    let (counter, taken) = (counter.clone(), ahead.taken);
+    Some(Started::new(tokio::spawn(async move {
+        let _in_hand = InHand::new(&counter);
+        answer(&counter, taken, head, Empty::<Bytes>::new(), found).await
+    })))
+}
+
 /// An answer of the gateway's own.
 fn own(status: StatusCode, text: String) -> Reply {
     let mut reply = Response::new(Full::from(text));
@@ -110,16 +174,34 @@
     reply
 }
 
-async fn answer(counter: &Arc<Counter>, request: Request<Incoming>) -> Reply {
-    let taken = now();
-    let (head, body) = request.into_parts();
+/// What is in force, and the route that it gives a request.
+type Found = (Arc<Edition>, Arc<Route>);
+
+fn found(counter: &Counter, head: &Parts) -> Result<Found, Box<Reply>> {
     let Some(edition) = counter.state().edition.clone() else {
-        return closing(refused(COME_BACK * 3));
+        return Err(Box::new(closing(refused(COME_BACK * 3))));
     };
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).or(head.uri.host()).unwrap_or("");
-    let Some(route) = edition.table().find(host, head.uri.path()).cloned() else {
-        return own(StatusCode::NOT_FOUND, format!("No route for {host}{}.\n", head.uri.path()));
-    };
+    match edition.table().find(host, head.uri.path()).cloned() {
+        Some(route) => Ok((edition, route)),
+        None => {
+            let text = format!("No route for {host}{}.\n", head.uri.path());
+            Err(Box::new(own(StatusCode::NOT_FOUND, text)))
+        }
+    }
+}
+
+async fn answer<B>(
+    counter: &Arc<Counter>,
+    taken: Micros,
+    head: Parts,
+    body: B,
+    (edition, route): Found,
+) -> Reply
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let most = edition.allowances.body_bytes;
     let told =
         head.headers.get(CONTENT_LENGTH).and_then(|l| l.to_str().ok()).and_then(|l| l.parse::<u64>().ok());
@@ -137,8 +219,12 @@
         head.headers.get("time-left-ms").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<f64>().ok());
     let waits = waits.filter(|w| w.is_finite() && *w >= 0.0).map_or(UNTOLD, |ms| (ms * 1e3) as Micros);
     let due = taken.saturating_add(waits.min(route.give_up));
-    let parcel =
-        Parcel { method: head.method, uri: head.uri, headers: forward::passed_on(head.headers), body, due };
+    // An appliance is asked for the path, however its client has put it.
+    let uri = match head.uri.path_and_query() {
+        Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
+        _ => head.uri,
+    };
+    let parcel = Parcel { method: head.method, uri, headers: forward::passed_on(head.headers), body, due };
     carry(counter, &route, Arc::new(parcel)).await
 }
 
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -1,5 +1,6 @@
 //! The counter: carries clients' requests to appliances.
 
+mod doorway;
 mod forward;
 mod front;
 mod list;
--- a/programs/orchard/src/net.rs
+++ b/programs/orchard/src/net.rs
@@ -5,6 +5,7 @@
 use magpieline_trellis::words;
 use serde::{Deserialize, Serialize};
 use socket2::{SockRef, TcpKeepalive};
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddrV4;
 use std::pin::Pin;
@@ -80,6 +81,30 @@
     to.write_all(&words::frame(message)).await
 }
 
+thread_local! {
+    /// Where bytes are read to while it is not known whose they are.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; 16 << 10]);
+}
+
+/// Reads some bytes that are there, at most `most`, and hands them on; how many they were, 0 at the end.
+pub fn poll_some<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    cx: &mut Context<'_>,
+    most: usize,
+    take: impl FnOnce(&[u8]),
+) -> Poll<io::Result<usize>> {
+    SCRATCH.with_borrow_mut(|room| {
+        let most = most.min(room.len());
+        let mut buffer = ReadBuf::new(&mut room[..most]);
+        ready!(Pin::new(stream).poll_read(cx, &mut buffer))?;
+        let bytes = buffer.filled();
+        if !bytes.is_empty() {
+            take(bytes);
+        }
+        Poll::Ready(Ok(bytes.len()))
+    })
+}
+
 /// A stream as hyper wants it.
 pub struct Wire<S>(pub S);
 
