An appliance's bytes reach hyper only where they are the answer that is due

Cause: an appliance in trouble answers twice, late in the place of the next answer, or with bytes that are none. hyper takes a late answer for the one that is due; the counter then found another id in it and gave the request up, though the true answer was right behind. Change: connections to appliances are read by furrow's echo before hyper: what comes while nothing is asked ends the connection, answers with another id are dropped (four at most, 256 KiB), bytes behind the answer never reach hyper and the connection is not used again. Line is a sender with its echo.

--- a/programs/orchard/src/counter/forward.rs
+++ b/programs/orchard/src/counter/forward.rs
@@ -1,10 +1,10 @@
 //! One forward: a request to one appliance, and how it ended.
 
+use super::echo::Line;
 use super::front::{self, Reply};
-use super::pool::Line;
 use super::Counter;
 use crate::clock::{now, span, Micros};
-use crate::net::{self, Wire};
+use crate::net;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -138,7 +138,7 @@
             // Handed back: no byte of it was written. A kept connection that had ended is no sign of anything.
             Err(e) if e.message().is_some() && !fresh => continue,
             Err(e) if e.message().is_some() => return (Ending::NeverSent, None),
-            Err(e) if e.error().is_parse() => return (Ending::Spoilt, None),
+            Err(e) if e.error().is_parse() || line.spoilt() => return (Ending::Spoilt, None),
             Err(_) => return (Ending::Broken, None),
         }
     }
@@ -147,9 +147,7 @@
 async fn connect(counter: &Counter, appliance: usize) -> Option<Line> {
     let address = counter.state().field.get(appliance).map(|a| a.address)?;
     let stream = net::connect(address, UP_WITHIN).await.ok()?;
-    let (line, rest) = hyper::client::conn::http1::handshake(Wire(stream)).await.ok()?;
-    tokio::spawn(rest);
-    Some(line)
+    Line::new(stream).await
 }
 
 /// Reads an answer whole and says what it proves. The connection is kept only after a sound one.
@@ -178,7 +176,7 @@
     if spoilt {
         return (Ending::Spoilt, None);
     }
-    if line.ready().await.is_ok() {
+    if line.ready().await {
         let open = counter.state().field.get(appliance).is_some_and(|a| !a.closing);
         if open {
             counter.pool().put(appliance, line, kept);
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -1,6 +1,7 @@
 //! The counter: carries clients' requests to appliances.
 
 mod doorway;
+mod echo;
 mod forward;
 mod front;
 mod list;
--- a/programs/orchard/src/counter/pool.rs
+++ b/programs/orchard/src/counter/pool.rs
@@ -1,14 +1,9 @@
 //! Connections to appliances that wait for their next request.
 
+use super::echo::Line;
 use crate::clock::{now, Micros};
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
 use std::collections::{HashMap, VecDeque};
 
-/// A connection on which requests are sent.
-pub type Line = SendRequest<Full<Bytes>>;
-
 /// Of the time after which an appliance closes idle connections so much is used: what is sent while it closes may
 /// have run, and an order can't be sent again.
 const OF_KEPT: f64 = 0.6;
