Packages: all grouped by floor

Cause: the gateway's packages lie by floor in deciding/, carrying/, keeping/, programs/ and rigs/, the older ones in the root; who looks for a part had to know how old it is. Change: agent to programs/, exchange to carrying/, verdict, levels and ledger to deciding/, operator to keeping/, resp to speaking/, front-resp and front-extproc to fronts/, trials and benchlink to rigs/. Nothing else changes; the root package stays.

--- a/operator/src/schema.rs
+++ b/keeping/operator/src/schema.rs
@@ -194,7 +194,7 @@
     /// The operators' own, as it stands in `deploy/`.
     pub fn own() -> Schema {
         // It is part of the program; a test reads it, so it can be read.
-        Schema::read(include_str!("../../deploy/magpieline.xsd")).unwrap_or_else(|e| unreachable!("{e}"))
+        Schema::read(include_str!("../../../deploy/magpieline.xsd")).unwrap_or_else(|e| unreachable!("{e}"))
     }
 
     /// What an element or attribute is for, by its dotted name (`verdict.bad_carried`), with what it may be.
--- a/agent/src/life/start.rs
+++ b/programs/agent/src/life/start.rs
@@ -226,7 +226,7 @@
     #[test]
     fn the_file_in_deploy_is_good() {
         let values =
-            Schema::own().check(include_str!("../../../deploy/magpieline.xml")).expect("a good file");
+            Schema::own().check(include_str!("../../../../deploy/magpieline.xml")).expect("a good file");
         assert_eq!(values.get("verdict.shows_after_s"), Some(&Setting::Number(12.0)));
     }
 
