--- a/keeping/trellis/src/roster.rs
+++ b/keeping/trellis/src/roster.rs
@@ -3,7 +3,7 @@
 //! Totals, not steps: what a counter tells replaces what it told before, so loss and repeats do no harm. A counter
 //! that starts anew begins new totals; what its earlier life told is kept, as it was seen.
 
-use crate::words::{Evidence, Totals, Vote};
+use crate::words::{Evidence, Spot, Totals, Vote};
 use crate::Micros;
 use std::collections::BTreeMap;
 
@@ -44,8 +44,12 @@
 pub struct Pooled {
     /// By route: the earlier arm's totals, then the trial's.
     pub routes: BTreeMap<u64, [Totals; 2]>,
+    /// What the trial build's appliances gave.
+    pub spots: BTreeMap<u32, Spot>,
     /// Requests taken for the service since the order.
     pub taken: u64,
+    /// The longest time that a counter has known of the order, in microseconds.
+    pub age: u64,
     /// Counters that vote it back, and on.
     pub back: u32,
     pub on: u32,
@@ -54,6 +58,18 @@
 }
 
 impl Totals {
+    /// What is new since older totals of the same kind; nothing where they are not older.
+    pub fn since(&self, old: &Totals) -> Totals {
+        Totals {
+            pulls: self.pulls.saturating_sub(old.pulls),
+            in_time: self.in_time.saturating_sub(old.in_time),
+            bad: self.bad.saturating_sub(old.bad),
+            outcomes: self.outcomes.saturating_sub(old.outcomes),
+            spent_ms: self.spent_ms.saturating_sub(old.spent_ms),
+            served: self.served.saturating_sub(old.served),
+        }
+    }
+
     /// Adds another's totals.
     pub fn add(&mut self, other: &Totals) {
         self.pulls += other.pulls;
@@ -117,6 +133,14 @@
             }
             pooled.voices += 1;
             pooled.taken += evidence.taken;
+            pooled.age = pooled.age.max(evidence.age);
+            for spot in &evidence.spots {
+                let sum = pooled.spots.entry(spot.appliance).or_default();
+                sum.appliance = spot.appliance;
+                sum.outcomes += spot.outcomes;
+                sum.bad += spot.bad;
+                sum.late += spot.late;
+            }
             pooled.back += u32::from(evidence.vote == Vote::Back);
             pooled.on += u32::from(evidence.vote == Vote::On);
             for (route, arms) in &evidence.totals {
--- a/keeping/trellis/src/tendril.rs
+++ b/keeping/trellis/src/tendril.rs
@@ -187,7 +187,7 @@
                 self.counters = (*counters).max(1);
             }
             Down::Beat { counters } => self.counters = (*counters).max(1),
-            Down::Edition(_) | Down::Services(_) | Down::Listing(_) => {}
+            Down::Edition(_) | Down::Services(_) | Down::Stage(..) | Down::Listing(_) => {}
         }
     }
 
--- a/keeping/trellis/src/words.rs
+++ b/keeping/trellis/src/words.rs
@@ -56,6 +56,28 @@
     pub served: u32,
 }
 
+/// What a counter has met at one appliance of the trial build.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spot {
+    /// Its id, as a number that is the same everywhere.
+    pub appliance: u32,
+    pub outcomes: u32,
+    /// Failures of its own, and answers that came late while it was warm.
+    pub bad: u32,
+    pub late: u32,
+}
+
+/// How far a trial is open.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Stage {
+    /// Of a service's requests, the share that may go to the trial build.
+    pub share: f64,
+    /// Only requests that may run again go there.
+    pub guarded: bool,
+    /// So many of its appliances get what goes there, the same ones from all counters; 0: all of them.
+    pub focus: u32,
+}
+
 /// What a counter makes of a trial.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Vote {
@@ -74,11 +96,15 @@
     pub vote: Vote,
     /// By route (a hash of its name): the earlier arm's totals, then the trial's.
     pub totals: Vec<(u64, [Totals; 2])>,
+    /// What the trial build's appliances gave.
+    pub spots: Vec<Spot>,
     /// Requests for the service that were taken since the order.
     pub taken: u64,
     /// Forwards under way to appliances of versions that the counter sends nothing new to.
     pub under_way: u32,
-    /// Whether the counter knows the newest phase told.
+    /// Microseconds since the counter first heard of the order.
+    pub age: u64,
+    /// The newest phase that the counter knows of.
     pub phase: Option<crate::records::Phase>,
 }
 
@@ -92,7 +118,7 @@
 }
 
 /// What a sorting machine says to a counter.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Down {
     /// It does not lead. Who does, and who else there is.
     Elsewhere {
@@ -110,6 +136,8 @@
     Edition(Kept),
     /// Standings that have changed.
     Services(Vec<(String, Standing)>),
+    /// How far a rollout's trial is open: service, order.
+    Stage(Arc<str>, u64, Stage),
     Listing(Listing),
     /// A sign of life: it still leads.
     Beat {
