--- /dev/null
+++ b/keeping/rootstock/src/asking.rs
@@ -0,0 +1,118 @@
+//! How a machine that hears no leader finds it: one that joins, one whose address book is old, one that was taken out
+//! while it was away.
+
+use crate::members::{MAX_LEARNERS, MAX_VOTERS};
+use crate::replication::{Mode, Peer};
+use crate::{Core, Index, Message, Micros, Seat};
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+/// Without a sign of the leader for so long a machine that does not vote asks around: more than four beats.
+const LEARNERS_SILENCE: Micros = 500_000;
+/// A voter has elections, and asks only if these come to nothing: then it may be off the list.
+const VOTERS_SILENCE: Micros = 3_000_000;
+/// How often all are asked; a joining machine's place is worth some messages.
+const EVERY: Micros = 300_000;
+const VOTERS_EVERY: Micros = 2_000_000;
+/// How often one machine is asked on another's word.
+const POINTED: Micros = 50_000;
+/// Addresses that others named.
+const MOST_CONTACTS: usize = 2 * MAX_VOTERS;
+/// The life of whoever is there.
+const ANY: u64 = u64::MAX;
+
+#[derive(Default)]
+pub(crate) struct Asking {
+    /// Since when no leader was heard; None: never.
+    pub(crate) silent_since: Option<Micros>,
+    asked_at: Option<Micros>,
+    pointed_at: Option<Micros>,
+    contacts: BTreeSet<SocketAddrV4>,
+}
+
+impl Core {
+    fn silence_ends(&self) -> Micros {
+        let silence = if self.is_voter() { VOTERS_SILENCE } else { LEARNERS_SILENCE };
+        self.asking.silent_since.map_or(0, |since| since + silence)
+    }
+
+    pub(crate) fn ask_due(&self) -> Micros {
+        let every = if self.is_voter() { VOTERS_EVERY } else { EVERY };
+        self.silence_ends().max(self.asking.asked_at.map_or(0, |at| at + every))
+    }
+
+    pub(crate) fn check_asking(&mut self) {
+        if self.is_voter() && self.asking.silent_since.is_none() {
+            // A founder, or a voter that starts again.
+            self.asking.silent_since = Some(self.now);
+        }
+        if self.now < self.ask_due() {
+            return;
+        }
+        self.asking.asked_at = Some(self.now);
+        let voters = self.voters().iter().map(|seat| &seat.address);
+        let known: BTreeSet<SocketAddrV4> =
+            voters.chain(&self.seeds).chain(&self.asking.contacts).copied().collect();
+        for address in known {
+            self.ask(address);
+        }
+    }
+
+    fn ask(&mut self, address: SocketAddrV4) {
+        if address != self.me.address {
+            self.send(Seat { address, life: ANY }, Message::Ask { last: self.log.last() });
+        }
+    }
+
+    fn ask_on_word(&mut self, address: SocketAddrV4) {
+        let lately = self.asking.pointed_at.is_some_and(|at| self.now < at + POINTED);
+        if self.lead.is_none() && self.now >= self.silence_ends() && !lately {
+            self.asking.pointed_at = Some(self.now);
+            self.ask(address);
+        }
+    }
+
+    pub(crate) fn on_point(&mut self, leader: Option<SocketAddrV4>, members: &[SocketAddrV4]) {
+        let room = MOST_CONTACTS.saturating_sub(self.asking.contacts.len());
+        self.asking.contacts.extend(members.iter().take(room));
+        if let Some(leader) = leader {
+            self.ask_on_word(leader);
+        }
+    }
+
+    /// Somebody takes this machine for an earlier life of its address: it may be the leader.
+    pub(crate) fn on_mistaken(&mut self, from: Seat) {
+        self.ask_on_word(from.address);
+    }
+
+    /// A machine that hears no leader. The leader takes it in as a learner, or speaks to it at once if it knows it.
+    pub(crate) fn on_ask(&mut self, from: Seat, last: Index) {
+        if from.address == self.me.address {
+            return;
+        }
+        let Some(lead) = &mut self.lead else {
+            let leader = self.leader();
+            let members = self.voters().iter().map(|seat| seat.address).collect();
+            return self.send(from, Message::Point { leader, members });
+        };
+        let known = lead.peers.contains_key(&from);
+        let votes = self.roll.newest().voters.contains(&from);
+        if votes || known {
+            // A later life that knocked here before this one did has gone again.
+            lead.learners.retain(|seat| seat.address != from.address || *seat == from);
+        } else {
+            lead.learners.retain(|seat| seat.address != from.address);
+            if lead.learners.len() >= MAX_LEARNERS {
+                return;
+            }
+            lead.learners.insert(from);
+        }
+        let begin = self.log.last().min(last) + 1;
+        let peer = lead.peers.entry(from).or_insert_with(|| Peer::begin(begin, self.now));
+        peer.heard_at = self.now;
+        if !matches!(peer.mode, Mode::Fill(_)) {
+            peer.rewind(last.min(self.log.last()));
+        }
+        self.seat_peers();
+    }
+}
