Agreement in the program: editions and rollouts on the sorting machines' log, on disk before they are acknowledged

Change: the replicated log drives the records, its disk has a thread of its own, counters are told after a read barrier; a counter that has just started begins with what any sorting machine knows, and a request that comes before that waits half a second at most; a second forward beside a slow one for requests that may run again.

--- a/carrying/furrow/src/journey.rs
+++ b/carrying/furrow/src/journey.rs
@@ -49,6 +49,8 @@
     /// Forwards under way.
     flying: u32,
     may_have_run: bool,
+    /// Whether a second forward may start while one is under way.
+    doubles: bool,
     /// When its time is over.
     due: Micros,
 }
@@ -56,7 +58,7 @@
 impl Journey {
     /// `tries`: appliances that it may be sent to at most.
     pub fn new(repeatable: bool, tries: u32, due: Micros) -> Journey {
-        Journey { repeatable, left: tries.max(1), flying: 0, may_have_run: false, due }
+        Journey { repeatable, left: tries.max(1), flying: 0, may_have_run: false, doubles: repeatable, due }
     }
 
     pub fn due(&self) -> Micros {
@@ -74,7 +76,12 @@
 
     /// Whether a second forward may start while the first is under way.
     pub fn may_double(&self) -> bool {
-        self.repeatable && self.left > 0 && self.flying == 1
+        self.doubles && self.left > 0 && self.flying == 1
+    }
+
+    /// No second forward beside the first, until that has ended.
+    pub fn single(&mut self) {
+        self.doubles = false;
     }
 
     /// A forward starts.
@@ -87,6 +94,7 @@
     /// A forward has ended. `another` says whether there is budget and somebody to send it to again.
     pub fn ended(&mut self, now: Micros, ending: Ending, another: bool) -> Next {
         self.flying = self.flying.saturating_sub(1);
+        self.doubles = self.repeatable;
         match ending {
             // Nothing of it arrived: it is no appliance that it was sent to.
             Ending::NeverSent => self.left += 1,
--- a/keeping/trellis/src/tendril.rs
+++ b/keeping/trellis/src/tendril.rs
@@ -12,9 +12,9 @@
 const SILENT: Micros = 1_000_000;
 /// A link that is not up after this is given up: connections within a region take a few milliseconds, across
 /// regions some fifty.
-const UP_WITHIN: Micros = 400_000;
+const UP_WITHIN: Micros = 250_000;
 /// A machine that knows no leader is asked again after this, and the next one meanwhile.
-const ASK_AGAIN: Micros = 120_000;
+const ASK_AGAIN: Micros = 80_000;
 /// A sign of life goes up this often: the leader counts who is there, and hears of evidence.
 const REPORT_EVERY: Micros = 500_000;
 
@@ -247,7 +247,7 @@
     }
 
     fn elsewhere(leader: Option<SocketAddrV4>, core: &[SocketAddrV4]) -> Down {
-        Down::Elsewhere { leader, core: core.to_vec(), edition: None, services: Vec::new() }
+        Down::Elsewhere { leader, core: core.to_vec(), edition: None, services: Vec::new(), listing: None }
     }
 
     fn welcome() -> Down {
--- a/keeping/trellis/src/words.rs
+++ b/keeping/trellis/src/words.rs
@@ -120,12 +120,14 @@
 /// What a sorting machine says to a counter.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Down {
-    /// It does not lead. Who does, and who else there is.
+    /// It does not lead. Who does, and who else there is; and what this machine itself knows, which may be old: enough
+    /// for a counter that has just started and knows nothing to begin with.
     Elsewhere {
         leader: Option<SocketAddrV4>,
         core: Vec<SocketAddrV4>,
         edition: Option<Kept>,
         services: Vec<(String, Standing)>,
+        listing: Option<Listing>,
     },
     /// It leads, and the counter is known now. How many counters there are.
     Welcome {
--- a/programs/orchard/src/carrier.rs
+++ b/programs/orchard/src/carrier.rs
@@ -128,15 +128,6 @@
     })
 }
 
-/// Until when an appliance is slow, by what its entry said when it was read at `read_at`. Lists are a few changes
-/// apart; the time left is the same instant, and no change.
-pub fn cold_until(entry: &Entry, read_at: Micros) -> Micros {
-    if entry.cold == 0 {
-        0
-    } else {
-        read_at + entry.cold
-    }
-}
 
 /// When a list was read.
 pub struct Reading {
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -2,7 +2,7 @@
 
 use super::forward::{self, Answer, Parcel};
 use super::{Counter, State};
-use crate::clock::{now, span, Micros};
+use crate::clock::{self, now, span, Micros};
 use crate::net::{self, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -29,6 +29,18 @@
 /// one request's time has passed.
 const COME_BACK: Micros = 150_000;
 
+/// A request that comes before the counter knows any configuration waits for it this long: a leader is found, or
+/// another machine's word, in less.
+const STARTING: Micros = 500_000;
+
+/// A request that may run again and has no answer after so many usual times gets a second forward: few are that slow by
+/// their own work, most have met a slow or silent appliance.
+const SECOND_AFTER: f64 = 2.2;
+/// It goes only where an answer is expected within so many usual times,
+const SECOND_WITHIN: f64 = 1.6;
+/// and only while so much of the budget is left: failures come first.
+const SECOND_NEEDS: f64 = 2.0;
+
 pub type Reply = Response<Full<Bytes>>;
 
 /// Takes connections until the process leaves, then until all have ended.
@@ -113,6 +125,10 @@
 async fn answer(counter: &Arc<Counter>, request: Request<Incoming>) -> Reply {
     let taken = now();
     let (head, body) = request.into_parts();
+    // Just started: what it needs to know is on its way.
+    if !counter.knowing(STARTING).await {
+        return closing(refused(COME_BACK * 3));
+    }
     let Some(edition) = counter.state().edition.clone() else {
         return closing(refused(COME_BACK * 3));
     };
@@ -142,50 +158,87 @@
     carry(counter, &route, Arc::new(parcel)).await
 }
 
-/// Sends a request on, again where that is allowed, and turns the ending into its answer.
-async fn carry(counter: &Arc<Counter>, route: &Arc<Route>, parcel: Arc<Parcel>) -> Reply {
-    let repeatable = route.sort == Sort::Safe;
-    let mut journey = Journey::new(repeatable, route.tries, parcel.due);
-    let service = route.part(rand::thread_rng().gen_range(0.0..1.0)).service.clone();
-    counter.state().budget.taken(&service);
-    let (tell, mut endings) = mpsc::unbounded_channel::<(usize, Ending, Option<Answer>)>();
-    let mut tried: Vec<usize> = Vec::new();
-    let mut arrived = 0;
-    loop {
-        // One more forward, if there is anybody.
-        let choice = {
-            let mut state = counter.state();
+/// A request on its way through the appliances of its service.
+struct Trip<'a> {
+    counter: &'a Arc<Counter>,
+    service: Arc<str>,
+    parcel: Arc<Parcel>,
+    journey: Journey,
+    /// Appliances that it was sent to.
+    tried: Vec<usize>,
+    /// Forwards of it that have, or may have, arrived somewhere.
+    arrived: usize,
+    tell: mpsc::UnboundedSender<(usize, Ending, Option<Answer>)>,
+}
+
+impl Trip<'_> {
+    /// Sends it to one more appliance, if there is one. `within`: only if its answer is expected in this time, in
+    /// microseconds.
+    fn send(&mut self, within: f64) -> Result<(), Nobody> {
+        let chosen = {
+            let mut state = self.counter.state();
             let State { field, standings, budget, .. } = &mut *state;
-            let standing = standings.get(&*service);
+            let standing = standings.get(&*self.service);
             let versions = |version: &str| State::carries(standing, version);
-            let ask = Ask { service: &service, versions: &versions, not: &tried, repeatable };
-            let choice = field.choose(now(), ask);
-            if choice.is_ok() && arrived > 0 {
-                budget.spend(&service);
+            let repeatable = self.journey.repeatable();
+            let ask = Ask { service: &self.service, versions: &versions, not: &self.tried, repeatable };
+            let choice = field.choose(now(), ask)?;
+            if choice.expected > within {
+                return Err(Nobody::Full);
             }
-            choice
-        };
-        let chosen = match choice {
-            Ok(choice) => choice.appliance,
-            Err(Nobody::Listed | Nobody::Full) => {
-                return own_end(journey.give_up(now()), parcel.due);
+            if self.arrived > 0 {
+                budget.spend(&self.service);
             }
+            choice.appliance
         };
-        tried.push(chosen);
-        journey.sent();
-        forward::start(counter.clone(), chosen, parcel.clone(), tell.clone());
+        self.tried.push(chosen);
+        self.journey.sent();
+        self.arrived += 1;
+        forward::start(self.counter.clone(), chosen, self.parcel.clone(), self.tell.clone());
+        Ok(())
+    }
+
+    fn saved(&self) -> f64 {
+        self.counter.state().budget.saved(&self.service)
+    }
+}
+
+/// Sends a request on, again where that is allowed, and turns the ending into its answer.
+async fn carry(counter: &Arc<Counter>, route: &Arc<Route>, parcel: Arc<Parcel>) -> Reply {
+    let due = parcel.due;
+    let service = route.part(rand::thread_rng().gen_range(0.0..1.0)).service.clone();
+    counter.state().budget.taken(&service);
+    let (tell, mut endings) = mpsc::unbounded_channel();
+    let journey = Journey::new(route.sort == Sort::Safe, route.tries, due);
+    let mut trip = Trip { counter, service, parcel, journey, tried: Vec::new(), arrived: 0, tell };
+    loop {
+        if trip.send(f64::INFINITY).is_err() {
+            return own_end(trip.journey.give_up(now()), due);
+        }
+        let sent = now();
+        let usual = counter.state().field.usual(&trip.service);
+        let second_at = sent + (SECOND_AFTER * usual) as Micros;
         loop {
-            let Some((_, ending, answer)) = endings.recv().await else { break };
-            arrived += usize::from(ending != Ending::NeverSent);
-            let another = arrived == 0 || counter.state().budget.saved(&service) >= 1.0;
-            match journey.ended(now(), ending, another) {
-                Next::Pass => match answer {
-                    Some(answer) => return answer,
-                    None => return own_end(Next::Fail, parcel.due),
-                },
+            let doubles = trip.journey.may_double() && second_at < due;
+            let (ending, answer) = tokio::select! {
+                Some((_, ending, answer)) = endings.recv() => (ending, answer),
+                () = clock::until(second_at), if doubles => {
+                    // The first goes on; whichever answers first is the answer.
+                    if trip.saved() < SECOND_NEEDS || trip.send(SECOND_WITHIN * usual).is_err() {
+                        trip.journey.single();
+                    }
+                    continue;
+                }
+            };
+            if ending == Ending::NeverSent {
+                trip.arrived -= 1;
+            }
+            let another = trip.arrived == 0 || trip.saved() >= 1.0;
+            match trip.journey.ended(now(), ending, another) {
+                Next::Pass => return answer.unwrap_or_else(|| own_end(Next::Fail, due)),
                 Next::Again => break,
-                Next::Wait => continue,
-                end => return own_end(end, parcel.due),
+                Next::Wait => {}
+                end => return own_end(end, due),
             }
         }
     }
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -36,6 +36,8 @@
     in_hand: AtomicUsize,
     /// Wakes the session: there is something to tell.
     pub tell: Notify,
+    /// Told when this counter knows enough to serve.
+    knows: Notify,
 }
 
 /// What a counter knows.
@@ -77,6 +79,7 @@
             left: Notify::new(),
             in_hand: AtomicUsize::new(0),
             tell: Notify::new(),
+            knows: Notify::new(),
             machine,
         }
     }
@@ -93,10 +96,32 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Waits until there are a configuration and a list, for so long at most; whether there are.
+    async fn knowing(&self, most: Micros) -> bool {
+        let knows = || {
+            let state = self.state();
+            state.edition.is_some() && state.listed_at.is_some()
+        };
+        if knows() {
+            return true;
+        }
+        let _ = tokio::time::timeout(crate::clock::span(most), async {
+            loop {
+                let told = self.knows.notified();
+                if knows() {
+                    return;
+                }
+                told.await;
+            }
+        })
+        .await;
+        knows()
+    }
+
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
         let state = self.state();
-        !self.leaving() && state.confirmed && state.edition.is_some() && state.listed_at.is_some()
+        !self.leaving() && state.edition.is_some() && state.listed_at.is_some()
     }
 
     /// Takes a configuration into force if it is newer than what is.
@@ -113,6 +138,8 @@
                     state.kept = Some(kept.clone());
                     tracing::info!(target: "edition", "Edition {} is in force.", kept.number);
                 }
+                drop(state);
+                self.knows.notify_waiters();
             }
             // It was checked before it was agreed on; a counter of another build may know less.
             Err(wrong) => {
@@ -162,6 +189,7 @@
             }
         }
         drop(state);
+        self.knows.notify_waiters();
         let mut pool = self.pool();
         closed.into_iter().for_each(|appliance| pool.drop_all(appliance));
     }
--- a/programs/orchard/src/counter/session.rs
+++ b/programs/orchard/src/counter/session.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 /// A connection takes no longer than the tendril waits for it.
-const UP_WITHIN: clock::Micros = 390_000;
+const UP_WITHIN: clock::Micros = 240_000;
 
 struct Link {
     read: Frames<OwnedReadHalf>,
@@ -107,6 +107,13 @@
         Down::Edition(kept) => counter.take_edition(kept),
         Down::Services(standings) => counter.take_standings(standings.clone()),
         Down::Listing(listing) => counter.take_listing(listing),
-        Down::Beat { .. } | Down::Elsewhere { .. } => {}
+        // A machine that does not lead may know an older state. It is better than none for a counter that has just
+        // started, until the leader is found.
+        Down::Elsewhere { edition, services, listing, .. } if !counter.state().confirmed => {
+            edition.iter().for_each(|kept| counter.take_edition(kept));
+            counter.take_standings(services.clone());
+            listing.iter().for_each(|listing| counter.take_listing(listing));
+        }
+        Down::Stage(..) | Down::Beat { .. } | Down::Elsewhere { .. } => {}
     }
 }
--- a/programs/orchard/src/sorting/control.rs
+++ b/programs/orchard/src/sorting/control.rs
@@ -127,10 +127,10 @@
             return Some(reply);
         }
         let left = span(until.saturating_sub(now()));
-        match timeout(left, sorting.council.propose(sorting, command)).await {
+        match timeout(left, sorting.council.propose(command)).await {
             Ok(Ok(())) => return None,
             // Who leads now is asked again; until then it is not in force by this call.
-            Ok(Err(Refusal::NotLeading)) if now() < until => continue,
+            Ok(Err(Refusal::NotNow)) if now() < until => continue,
             Ok(Err(_)) | Err(_) => {
                 return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "none in time", "ask again"))
             }
--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -1,68 +1,300 @@
-//! The agreement among the sorting machines, as the rest of the program sees it.
+//! The agreement among the sorting machines, driven: its core gets events from links, the disk and the clock, and its
+//! actions are carried out. One task owns the core; others ask it by messages.
 
 use super::Sorting;
+use crate::clock::{self, now, Micros};
+use crate::net;
 use magpieline_almanac::machine::Machine;
-use magpieline_trellis::records::Command;
+use magpieline_granary::{Error, Granary};
+use magpieline_rootstock::{Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start};
+use magpieline_trellis::records::{Command, Records};
+use magpieline_trellis::words::{self, Opening};
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::path::Path;
+use std::sync::{mpsc as threads, Arc, Mutex, MutexGuard};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{mpsc, oneshot};
+
+/// Events that may wait for the core; what is beyond is refused, or lost as on a network.
+const MOST_WAITING: usize = 1024;
+/// Messages that may wait for one other machine; what is beyond is lost as on a network.
+const MOST_OUT: usize = 64;
+/// A link to another machine is up within this, or its messages are lost.
+const UP_WITHIN: Micros = 300_000;
+/// After a link that did not come up nothing is tried for so long.
+const LINK_AGAIN: Micros = 100_000;
 
 /// Why a command was not agreed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// Another machine leads, or none.
-    NotLeading,
+    /// Another machine leads, or none, or too much is asked: nothing was done.
+    NotNow,
     /// It may be in force or not.
     Unknown,
 }
 
+/// How this machine stands in the agreement.
+#[derive(Clone, Debug)]
+pub struct View {
+    pub me: Seat,
+    pub role: Role,
+    pub term: u64,
+    pub leader: Option<SocketAddrV4>,
+    pub voters: Vec<Seat>,
+    pub learners: Vec<Seat>,
+    pub commit: u64,
+    pub applied: u64,
+    pub durable: u64,
+    pub disk_troubled: bool,
+    pub contacts: Vec<Contact>,
+    /// It leads, and a majority has said so lately.
+    leads: bool,
+    seen_at: Micros,
+}
+
+enum Asked {
+    Event(Event),
+    Propose(Vec<u8>, oneshot::Sender<Outcome>),
+    Read(oneshot::Sender<Outcome>),
+}
+
+/// The agreement as the rest of the program sees it.
 pub struct Council {
-    own: SocketAddrV4,
-    leader: SocketAddrV4,
-    all: Vec<SocketAddrV4>,
-    index: AtomicU64,
+    ask: mpsc::Sender<Asked>,
+    view: Mutex<View>,
 }
 
+/// What drives the agreement; becomes a task.
+pub struct Driver {
+    core: Core,
+    first: Vec<Action>,
+    asked: mpsc::Receiver<Asked>,
+    write: threads::Sender<(u64, Batch)>,
+}
+
+/// A leadership seen this long ago says nothing any more: the core is stepped at least at each beat.
+const FRESH: Micros = 400_000;
+
 impl Council {
-    pub fn new(machine: &Machine, _life: u64) -> Council {
+    /// Reads the store and makes ready; nothing runs before the driver does.
+    pub fn open(machine: &Machine, seed: u64) -> std::io::Result<(Council, Driver)> {
+        let Some(store) = &machine.store else {
+            return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
+        };
+        let broken = |e: Error| std::io::Error::other(format!("{store}: {e:?}"));
+        let mut granary = Granary::open(Path::new(store)).map_err(broken)?;
+        let stored = granary.load().map_err(broken)?;
         let inner = machine.inner_ports.0;
-        let mut all: Vec<SocketAddrV4> =
-            machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
-        all.sort();
-        let own = SocketAddrV4::new(machine.ip, inner);
-        Council { own, leader: all.first().copied().unwrap_or(own), all, index: AtomicU64::new(0) }
+        let me = SocketAddrV4::new(machine.ip, inner);
+        let seeds = machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
+        tracing::info!(
+            target: "council",
+            "Store read: {} entries{}.",
+            stored.entries.len(),
+            if stored.hard.is_none() { ", empty" } else { "" }
+        );
+        let start = Start { me, seeds, first_run: machine.first_run, seed };
+        let (core, first) = Core::start(now(), start, stored);
+        let (ask, asked) = mpsc::channel(MOST_WAITING);
+        let (write, writes) = threads::channel::<(u64, Batch)>();
+        let synced = ask.clone();
+        // The disk may hang for seconds: it has a thread of its own.
+        std::thread::spawn(move || {
+            while let Ok((serial, batch)) = writes.recv() {
+                let event = match granary.write(&batch) {
+                    Ok(()) => Event::Synced { serial },
+                    Err(e) => {
+                        tracing::warn!(target: "council", "The disk refused a write: {e:?}.");
+                        Event::Refused { serial }
+                    }
+                };
+                if synced.blocking_send(Asked::Event(event)).is_err() {
+                    return;
+                }
+            }
+        });
+        let view = Mutex::new(View::of(&core));
+        Ok((Council { ask, view }, Driver { core, first, asked, write }))
+    }
+
+    fn view_now(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    pub fn view(&self) -> View {
+        self.view_now().clone()
     }
 
+    /// Whether this machine leads and was said to by a majority just now.
     pub fn leads(&self) -> bool {
-        self.own == self.leader
+        let view = self.view_now();
+        view.leads && now() < view.seen_at + FRESH
     }
 
+    /// Who leads, as far as known here.
     pub fn leader(&self) -> Option<SocketAddrV4> {
-        Some(self.leader)
+        self.view_now().leader
     }
 
     pub fn term(&self) -> u64 {
-        1
+        self.view_now().term
     }
 
+    /// All sorting machines that vote.
     pub fn members(&self) -> Vec<SocketAddrV4> {
-        self.all.clone()
+        self.view_now().voters.iter().map(|s| s.address).collect()
     }
 
-    pub async fn propose(&self, sorting: &Sorting, command: &Command) -> Result<(), Refusal> {
-        if !self.leads() {
-            return Err(Refusal::NotLeading);
-        }
-        let index = self.index.fetch_add(1, Ordering::Relaxed) + 1;
-        sorting.applied(index, command);
-        Ok(())
+    /// Has a command agreed on: `Ok` once it is in force for ever and applied here.
+    pub async fn propose(&self, command: &Command) -> Result<(), Refusal> {
+        let (tell, told) = oneshot::channel();
+        self.ask.try_send(Asked::Propose(command.pack(), tell)).map_err(|_| Refusal::NotNow)?;
+        outcome(told).await
     }
 
-    /// Waits until all that was acknowledged before now is known here.
+    /// Waits until all that was acknowledged before now is applied here; only the leader can tell.
     pub async fn barrier(&self) -> Result<(), Refusal> {
-        if self.leads() {
-            Ok(())
-        } else {
-            Err(Refusal::NotLeading)
+        let (tell, told) = oneshot::channel();
+        self.ask.try_send(Asked::Read(tell)).map_err(|_| Refusal::NotNow)?;
+        outcome(told).await
+    }
+
+    /// A message from another sorting machine; lost where too much waits.
+    pub fn receive(&self, envelope: Envelope) {
+        let _ = self.ask.try_send(Asked::Event(Event::Receive(envelope)));
+    }
+
+    /// This machine is about to stop: if it leads, another one should at once.
+    pub async fn give_way(&self) {
+        let _ = self.ask.send(Asked::Event(Event::GiveWay)).await;
+    }
+}
+
+async fn outcome(told: oneshot::Receiver<Outcome>) -> Result<(), Refusal> {
+    match told.await {
+        Ok(Outcome::Committed { .. }) => Ok(()),
+        Ok(Outcome::NotLeader { .. } | Outcome::Overloaded) => Err(Refusal::NotNow),
+        Ok(Outcome::Lost) | Err(_) => Err(Refusal::Unknown),
+    }
+}
+
+impl View {
+    fn of(core: &Core) -> View {
+        let now = now();
+        View {
+            me: core.me(),
+            role: core.role(),
+            term: core.term(),
+            leader: core.leader(),
+            voters: core.voters().to_vec(),
+            learners: core.learners(),
+            commit: core.commit(),
+            applied: core.applied(),
+            durable: core.durable(),
+            disk_troubled: core.is_disk_troubled(),
+            contacts: core.contacts(),
+            leads: core.leads(now),
+            seen_at: now,
+        }
+    }
+}
+
+impl Driver {
+    /// Drives the core for as long as the process lives.
+    pub async fn run(mut self, sorting: Arc<Sorting>) {
+        let mut links: HashMap<SocketAddrV4, mpsc::Sender<Envelope>> = HashMap::new();
+        let mut tickets: HashMap<u64, oneshot::Sender<Outcome>> = HashMap::new();
+        let mut next_ticket = 0;
+        let mut actions = std::mem::take(&mut self.first);
+        loop {
+            for action in actions {
+                match action {
+                    Action::Send(envelope) => {
+                        let to = envelope.to.address;
+                        let link = links.entry(to).or_insert_with(|| {
+                            let (link, messages) = mpsc::channel(MOST_OUT);
+                            tokio::spawn(send(self.core.me().address, to, messages));
+                            link
+                        });
+                        let _ = link.try_send(envelope);
+                    }
+                    Action::Write { serial, batch } => {
+                        // The thread ends with the process only.
+                        let _ = self.write.send((serial, batch));
+                    }
+                    Action::Apply { index, command } => match Command::unpack(&command) {
+                        Some(command) => sorting.applied(index, &command),
+                        None => tracing::error!(target: "council", "Command {index} can't be read."),
+                    },
+                    Action::Restore { index, state } => match Records::unpack(&state) {
+                        Some(records) => sorting.restored(records),
+                        None => tracing::error!(target: "council", "Snapshot {index} can't be read."),
+                    },
+                    Action::Done { ticket, outcome } => {
+                        if let Some(tell) = tickets.remove(&ticket) {
+                            let _ = tell.send(outcome);
+                        }
+                    }
+                }
+            }
+            self.show(&sorting.council);
+            let wake = self.core.next_wake();
+            let event = if self.core.wants_compact() {
+                Event::Compact { index: self.core.applied(), state: sorting.state().records.pack() }
+            } else {
+                tokio::select! {
+                    asked = self.asked.recv() => match asked {
+                        None => return,
+                        Some(Asked::Event(event)) => event,
+                        Some(Asked::Propose(command, tell)) => {
+                            next_ticket += 1;
+                            tickets.insert(next_ticket, tell);
+                            Event::Propose { ticket: next_ticket, command }
+                        }
+                        Some(Asked::Read(tell)) => {
+                            next_ticket += 1;
+                            tickets.insert(next_ticket, tell);
+                            Event::Read { ticket: next_ticket }
+                        }
+                    },
+                    () = clock::until(wake) => Event::Tick,
+                }
+            };
+            actions = self.core.step(now(), event);
+        }
+    }
+
+    fn show(&self, council: &Council) {
+        let view = View::of(&self.core);
+        let mut shown = council.view_now();
+        if (shown.role, shown.term, shown.leader) != (view.role, view.term, view.leader) {
+            let leader = view.leader.map_or("nobody".to_owned(), |l| l.to_string());
+            tracing::info!(target: "council", "{:?} in term {}, led by {leader}.", view.role, view.term);
+        }
+        if shown.voters != view.voters {
+            tracing::info!(target: "council", "{} machines vote.", view.voters.len());
+        }
+        *shown = view;
+    }
+}
+
+/// Sends messages to one other machine; what can't be sent is lost.
+async fn send(own: SocketAddrV4, to: SocketAddrV4, mut messages: mpsc::Receiver<Envelope>) {
+    loop {
+        let Some(first) = messages.recv().await else { return };
+        let Ok(mut stream) = net::connect(to, UP_WITHIN).await else {
+            while messages.try_recv().is_ok() {}
+            clock::until(now() + LINK_AGAIN).await;
+            continue;
+        };
+        if net::say(&mut stream, &Opening::Sorting(own)).await.is_err() {
+            continue;
+        }
+        let mut next = first;
+        while stream.write_all(&words::frame(&next)).await.is_ok() {
+            let Some(message) = messages.recv().await else { return };
+            next = message;
         }
     }
 }
--- a/programs/orchard/src/sorting/counters.rs
+++ b/programs/orchard/src/sorting/counters.rs
@@ -4,6 +4,7 @@
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Frames};
 use bytes::Bytes;
+use magpieline_rootstock::Envelope;
 use magpieline_trellis::words::{self, Down, Opening, Up};
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
@@ -42,7 +43,6 @@
             // Links end; whoever leads now hears from the counters anew.
             state.links.clear();
             state.roster.clear();
-            state.list = None;
         }
     }
 }
@@ -52,7 +52,12 @@
     let mut read = Frames::new(read);
     match timeout(span(SAID_WITHIN), read.next::<Opening>()).await {
         Ok(Ok(Some(Opening::Counter))) => counter(sorting, read, write).await,
-        Ok(Ok(Some(Opening::Sorting(_) | Opening::View))) | Ok(Ok(None) | Err(_)) | Err(_) => {}
+        Ok(Ok(Some(Opening::Sorting(_)))) => {
+            while let Ok(Some(envelope)) = read.next::<Envelope>().await {
+                sorting.council.receive(envelope);
+            }
+        }
+        Ok(Ok(Some(Opening::View))) | Ok(Ok(None) | Err(_)) | Err(_) => {}
     }
 }
 
@@ -68,6 +73,7 @@
                 core: sorting.council.members(),
                 edition: state.records.edition.clone(),
                 services: state.records.services.clone().into_iter().collect(),
+                listing: state.listing(),
             }
         };
         let _ = net::say(&mut write, &elsewhere).await;
--- a/programs/orchard/src/sorting/lister.rs
+++ b/programs/orchard/src/sorting/lister.rs
@@ -19,11 +19,22 @@
 pub async fn run(sorting: Arc<Sorting>) {
     let Some(address) = sorting.machine.carrier.address else { return };
     let mut carrier = Carrier::new(address);
+    // Read once at the start, whoever leads: counters that start with it have nobody else to ask yet.
+    if let Ok(list) = carrier.list().await {
+        sorting.state().list = Some(Reading::new(list));
+    }
+    let mut led = false;
     loop {
-        if !sorting.council.leads() {
+        let leads = sorting.council.leads();
+        if !leads {
+            led = false;
             tokio::time::sleep(span(LOOK)).await;
             continue;
         }
+        if !led {
+            // What another leader told since is not known here: all is told anew.
+            (led, sorting.state().list) = (true, None);
+        }
         let pause = match carrier.list().await {
             Ok(list) => {
                 stand(&sorting, &list).await;
@@ -84,7 +95,7 @@
         let known = sorting.state().records.services.get(service).is_some_and(|s| s.version.is_some());
         if let ([version], false) = (&seen[..], known) {
             let command = Command::Stands { service: service.to_owned(), version: (*version).to_owned() };
-            let _ = sorting.council.propose(sorting, &command).await;
+            let _ = sorting.council.propose(&command).await;
         }
     }
 }
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -22,6 +22,9 @@
 /// Frames that may wait for one counter; one that takes no more is let go, and comes again.
 const MOST_WAITING: usize = 512;
 
+/// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
+const GIVE_WAY: crate::clock::Micros = 300_000;
+
 /// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
 pub struct Sorting {
     pub machine: Machine,
@@ -57,6 +60,11 @@
         Some(SocketAddrV4::new(*inner.ip(), own.port()))
     }
 
+    /// The agreement's state was read from disk, or sent by the leader.
+    pub fn restored(&self, records: Records) {
+        self.state().records = records;
+    }
+
     /// A command has been agreed on.
     pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
         let mut state = self.state();
@@ -104,16 +112,20 @@
         let mut all = Vec::new();
         all.extend(self.records.edition.clone().map(Down::Edition));
         all.push(Down::Services(self.records.services.clone().into_iter().collect()));
-        if let Some(reading) = &self.list {
-            let age = now().saturating_sub(reading.at);
-            let entries = reading.list.iter().map(|(id, entry)| {
-                let cold = entry.cold.saturating_sub(age);
-                (id.clone(), Some(words::Entry { cold, ..entry.clone() }))
-            });
-            all.push(Down::Listing(Listing { whole: true, entries: entries.collect() }));
-        }
+        all.extend(self.listing().map(Down::Listing));
         all
     }
+
+    /// The list as last read, whole.
+    fn listing(&self) -> Option<Listing> {
+        let reading = self.list.as_ref()?;
+        let age = now().saturating_sub(reading.at);
+        let entries = reading.list.iter().map(|(id, entry)| {
+            let cold = entry.cold.saturating_sub(age);
+            (id.clone(), Some(words::Entry { cold, ..entry.clone() }))
+        });
+        Some(Listing { whole: true, entries: entries.collect() })
+    }
 }
 
 /// Serves until SIGTERM.
@@ -124,12 +136,15 @@
     let inner = SocketAddrV4::new(machine.ip, machine.inner_ports.0);
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let council = Council::new(&machine, life);
+    let (council, driver) = Council::open(&machine, life)?;
     let sorting = Arc::new(Sorting { machine, state: Mutex::new(State::default()), council });
+    tokio::spawn(driver.run(sorting.clone()));
     tokio::spawn(counters::run(sorting.clone(), inner));
     tokio::spawn(control::run(sorting.clone(), door));
     tokio::spawn(lister::run(sorting.clone()));
     crate::signals::terminated().await;
     tracing::info!(target: "sorting", "Leaving.");
+    sorting.council.give_way().await;
+    tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
     Ok(())
 }
