--- a/programs/orchard/src/carrier.rs
+++ b/programs/orchard/src/carrier.rs
@@ -128,7 +128,6 @@
     })
 }
 
-
 /// When a list was read.
 pub struct Reading {
     pub at: Micros,
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -8,19 +8,26 @@
 mod session;
 
 use crate::clock::{now, Micros};
-use crate::net;
+use crate::net::{self, Frames};
+use crate::view;
+use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
 use magpieline_trellis::records::{Kept, Phase, Standing};
-use magpieline_trellis::words::{Evidence, Listing, State as ListState};
+use magpieline_trellis::words::{Evidence, Listing, Opening, State as ListState};
 use magpieline_windrow::budget::Budget;
 use magpieline_windrow::field::{Field, Listed};
 use pool::Pool;
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+/// How often idle connections are looked through.
+const SWEEP: Micros = 1_000_000;
+
 /// What all parts of a counter share. Locks are held for a few microseconds, never across a wait.
 pub struct Counter {
     pub machine: Machine,
@@ -194,6 +201,38 @@
         closed.into_iter().for_each(|appliance| pool.drop_all(appliance));
     }
 
+    /// This counter's view of things, for operators.
+    fn shown(&self) -> Json {
+        let state = self.state();
+        let mut services = Json::new_object();
+        for service in state.edition.iter().flat_map(|e| e.fleets.keys()) {
+            let versions: Vec<String> = state.field.versions(service).iter().map(|v| v.to_string()).collect();
+            let standing = state.standings.get(&**service);
+            let rollout = standing.and_then(|s| s.rollout.as_ref());
+            let shown = jzon::object! {
+                listed: versions,
+                stands: standing.and_then(|s| s.version.as_deref()),
+                rollout: rollout.map_or(Json::Null, |r| {
+                    jzon::object! { to: r.to.as_str(), phase: format!("{:?}", r.phase), order: r.order }
+                }),
+                usual_ms: state.field.usual(service) / 1e3,
+                further_forwards_saved: state.budget.saved(service)
+            };
+            let _ = services.insert(service, shown);
+        }
+        jzon::object! {
+            node: self.machine.node.as_str(),
+            edition: state.kept.as_ref().map(|k| k.number),
+            confirmed: state.confirmed,
+            leader_held: state.held,
+            counters: state.counters,
+            list_ms_ago: state.listed_at.map(|at| now().saturating_sub(at) / 1000),
+            in_hand: self.in_hand.load(Ordering::Relaxed),
+            leaving: self.leaving(),
+            services: services
+        }
+    }
+
     /// So many counters hold parts of the sums that all keep together.
     pub fn heard_counters(&self, counters: u32) {
         let mut state = self.state();
@@ -247,6 +286,33 @@
     }
 }
 
+/// Ends connections to appliances that have been idle for too long.
+async fn swept(counter: Arc<Counter>) {
+    loop {
+        tokio::time::sleep(crate::clock::span(SWEEP)).await;
+        counter.pool().sweep();
+    }
+}
+
+/// Answers operators who want to see this counter's view.
+async fn shown(counter: Arc<Counter>, inner: TcpListener) {
+    loop {
+        let Ok((stream, _)) = inner.accept().await else {
+            tokio::time::sleep(crate::clock::span(SWEEP)).await;
+            continue;
+        };
+        let counter = counter.clone();
+        tokio::spawn(async move {
+            let (read, mut write) = stream.into_split();
+            let mut read = Frames::new(read);
+            let opening = tokio::time::timeout(crate::clock::span(SWEEP), read.next::<Opening>()).await;
+            if let Ok(Ok(Some(Opening::View))) = opening {
+                view::answer(&mut write, &counter.shown()).await;
+            }
+        });
+    }
+}
+
 /// Serves until SIGTERM.
 pub async fn run(machine: Machine, life: u64) -> std::io::Result<()> {
     let (Some(front), Some(ready)) =
@@ -257,6 +323,9 @@
     let counter = Arc::new(Counter::new(machine, life));
     let door = net::listen(front)?;
     let asked = net::listen(ready)?;
+    let inner = net::listen(SocketAddrV4::new(counter.machine.ip, counter.machine.inner_ports.0))?;
+    tokio::spawn(shown(counter.clone(), inner));
+    tokio::spawn(swept(counter.clone()));
     tokio::spawn(ready::run(counter.clone(), asked));
     tokio::spawn(session::run(counter.clone()));
     tokio::spawn(list::run(counter.clone()));
--- a/programs/orchard/src/main.rs
+++ b/programs/orchard/src/main.rs
@@ -7,6 +7,7 @@
 mod net;
 mod signals;
 mod sorting;
+mod view;
 
 use gumdrop::Options;
 use magpieline_almanac::machine::Machine;
@@ -29,6 +30,18 @@
     Counter(Serve),
     #[options(help = "keeps what is agreed on, and leads the counters")]
     Sorting(Serve),
+    #[options(help = "shows a running agent's view: members, editions, rollouts")]
+    View(Ask),
+}
+
+#[derive(Options)]
+struct Ask {
+    #[options(help = "prints this")]
+    help: bool,
+    #[options(free, required, help = "the agent's inner address, such as 10.1.0.16:7720")]
+    address: String,
+    #[options(help = "as JSON")]
+    json: bool,
 }
 
 #[derive(Options)]
@@ -52,6 +65,7 @@
     match arguments.command {
         Some(Command::Counter(serve)) => start(serve, |machine, life| Box::pin(counter::run(machine, life))),
         Some(Command::Sorting(serve)) => start(serve, |machine, life| Box::pin(sorting::run(machine, life))),
+        Some(Command::View(ask)) => show(&ask),
         None => {
             eprintln!("orchard: expected a command\n\n{}", Arguments::usage());
             ExitCode::from(2)
@@ -59,6 +73,24 @@
     }
 }
 
+/// Asks a running agent for its view and prints it.
+fn show(ask: &Ask) -> ExitCode {
+    let Ok(address) = ask.address.parse() else {
+        eprintln!("{}: expected an address and a port such as 10.1.0.16:7720", ask.address);
+        return ExitCode::from(2);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(view::ask(address))) {
+        Ok(view) if ask.json => println!("{}", view.dump()),
+        Ok(view) => print!("{}", view::table(&view)),
+        Err(wrong) => {
+            eprintln!("{wrong}");
+            return ExitCode::from(1);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 type Run = std::pin::Pin<Box<dyn std::future::Future<Output = std::io::Result<()>>>>;
 
 /// Reads the settings file and runs a role on one thread: machines have a fifth of a core.
--- a/programs/orchard/src/sorting/counters.rs
+++ b/programs/orchard/src/sorting/counters.rs
@@ -3,6 +3,7 @@
 use super::{Sorting, MOST_WAITING};
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Frames};
+use crate::view;
 use bytes::Bytes;
 use magpieline_rootstock::Envelope;
 use magpieline_trellis::words::{self, Down, Opening, Up};
@@ -48,7 +49,7 @@
 }
 
 async fn link(sorting: Arc<Sorting>, stream: TcpStream) {
-    let (read, write) = stream.into_split();
+    let (read, mut write) = stream.into_split();
     let mut read = Frames::new(read);
     match timeout(span(SAID_WITHIN), read.next::<Opening>()).await {
         Ok(Ok(Some(Opening::Counter))) => counter(sorting, read, write).await,
@@ -57,7 +58,8 @@
                 sorting.council.receive(envelope);
             }
         }
-        Ok(Ok(Some(Opening::View))) | Ok(Ok(None) | Err(_)) | Err(_) => {}
+        Ok(Ok(Some(Opening::View))) => view::answer(&mut write, &sorting.shown()).await,
+        Ok(Ok(None) | Err(_)) | Err(_) => {}
     }
 }
 
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -10,7 +10,9 @@
 use crate::net;
 use bytes::Bytes;
 use council::Council;
+use jzon::JsonValue as Json;
 use magpieline_almanac::machine::Machine;
+use magpieline_rootstock::Seat;
 use magpieline_trellis::records::{Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing};
@@ -60,6 +62,59 @@
         Some(SocketAddrV4::new(*inner.ip(), own.port()))
     }
 
+    /// This machine's view of things, for operators.
+    pub fn shown(&self) -> Json {
+        let view = self.council.view();
+        let seats = |seats: &[Seat]| -> Vec<Json> {
+            seats.iter().map(|s| jzon::object! { address: s.address.to_string(), life: s.life }).collect()
+        };
+        let at = now();
+        let state = self.state();
+        let counters: Vec<Json> = state
+            .roster
+            .all()
+            .map(|(node, c)| {
+                jzon::object! { counter: node.as_str(), zone: c.zone.as_str(), edition: c.edition,
+                heard_ms_ago: at.saturating_sub(c.heard_at) / 1000, there: !c.away(at) }
+            })
+            .collect();
+        let mut services = Json::new_object();
+        for (name, standing) in &state.records.services {
+            let rollout = standing.rollout.as_ref().map_or(Json::Null, |r| {
+                jzon::object! { to: r.to.as_str(), phase: format!("{:?}", r.phase), order: r.order,
+                within_ms: r.within / 1000 }
+            });
+            let shown = jzon::object! { version: standing.version.as_deref(), barred: standing.barred.clone(),
+            rollout: rollout };
+            let _ = services.insert(name, shown);
+        }
+        let contacts: Vec<Json> = view
+            .contacts
+            .iter()
+            .map(|c| {
+                jzon::object! { address: c.seat.address.to_string(), matched: c.matched,
+                votes: c.votes, heard_ms_ago: at.saturating_sub(c.heard_at) / 1000 }
+            })
+            .collect();
+        jzon::object! {
+            node: self.machine.node.as_str(),
+            role: format!("{:?}", view.role),
+            leads: self.council.leads(),
+            term: view.term,
+            leader: view.leader.map(|l| l.to_string()),
+            own: jzon::object! { address: view.me.address.to_string(), life: view.me.life },
+            voters: seats(&view.voters),
+            learners: seats(&view.learners),
+            contacts: contacts,
+            log: jzon::object! { in_force: view.commit, applied: view.applied, on_disk: view.durable,
+                disk_troubled: view.disk_troubled },
+            edition: state.records.edition.as_ref().map(|k| k.number),
+            appliances: state.list.as_ref().map(|l| l.list.len()),
+            services: services,
+            counters: counters
+        }
+    }
+
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
         self.state().records = records;
