--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -10,19 +10,26 @@
 mod session;
 
 use crate::clock::{now, Micros};
-use crate::net;
+use crate::net::{self, Frames};
+use crate::view;
+use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
 use magpieline_trellis::records::{Kept, Phase, Standing};
-use magpieline_trellis::words::{Evidence, Listing, State as ListState};
+use magpieline_trellis::words::{Evidence, Listing, Opening, State as ListState};
 use magpieline_windrow::budget::Budget;
 use magpieline_windrow::field::{Field, Listed};
 use pool::Pool;
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+/// How often idle connections are looked through.
+const SWEEP: Micros = 1_000_000;
+
 /// What all parts of a counter share. Locks are held for a few microseconds, never across a wait.
 pub struct Counter {
     pub machine: Machine,
@@ -38,6 +45,8 @@
     in_hand: AtomicUsize,
     /// Wakes the session: there is something to tell.
     pub tell: Notify,
+    /// Told when this counter knows enough to serve.
+    knows: Notify,
 }
 
 /// What a counter knows.
@@ -79,6 +88,7 @@
             left: Notify::new(),
             in_hand: AtomicUsize::new(0),
             tell: Notify::new(),
+            knows: Notify::new(),
             machine,
         }
     }
@@ -95,10 +105,32 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Waits until there are a configuration and a list, for so long at most; whether there are.
+    async fn knowing(&self, most: Micros) -> bool {
+        let knows = || {
+            let state = self.state();
+            state.edition.is_some() && state.listed_at.is_some()
+        };
+        if knows() {
+            return true;
+        }
+        let _ = tokio::time::timeout(crate::clock::span(most), async {
+            loop {
+                let told = self.knows.notified();
+                if knows() {
+                    return;
+                }
+                told.await;
+            }
+        })
+        .await;
+        knows()
+    }
+
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
         let state = self.state();
-        !self.leaving() && state.confirmed && state.edition.is_some() && state.listed_at.is_some()
+        !self.leaving() && state.edition.is_some() && state.listed_at.is_some()
     }
 
     /// Takes a configuration into force if it is newer than what is.
@@ -115,6 +147,8 @@
                     state.kept = Some(kept.clone());
                     tracing::info!(target: "edition", "Edition {} is in force.", kept.number);
                 }
+                drop(state);
+                self.knows.notify_waiters();
             }
             // It was checked before it was agreed on; a counter of another build may know less.
             Err(wrong) => {
@@ -164,10 +198,43 @@
             }
         }
         drop(state);
+        self.knows.notify_waiters();
         let mut pool = self.pool();
         closed.into_iter().for_each(|appliance| pool.drop_all(appliance));
     }
 
+    /// This counter's view of things, for operators.
+    fn shown(&self) -> Json {
+        let state = self.state();
+        let mut services = Json::new_object();
+        for service in state.edition.iter().flat_map(|e| e.fleets.keys()) {
+            let versions: Vec<String> = state.field.versions(service).iter().map(|v| v.to_string()).collect();
+            let standing = state.standings.get(&**service);
+            let rollout = standing.and_then(|s| s.rollout.as_ref());
+            let shown = jzon::object! {
+                listed: versions,
+                stands: standing.and_then(|s| s.version.as_deref()),
+                rollout: rollout.map_or(Json::Null, |r| {
+                    jzon::object! { to: r.to.as_str(), phase: format!("{:?}", r.phase), order: r.order }
+                }),
+                usual_ms: state.field.usual(service) / 1e3,
+                further_forwards_saved: state.budget.saved(service)
+            };
+            let _ = services.insert(service, shown);
+        }
+        jzon::object! {
+            node: self.machine.node.as_str(),
+            edition: state.kept.as_ref().map(|k| k.number),
+            confirmed: state.confirmed,
+            leader_held: state.held,
+            counters: state.counters,
+            list_ms_ago: state.listed_at.map(|at| now().saturating_sub(at) / 1000),
+            in_hand: self.in_hand.load(Ordering::Relaxed),
+            leaving: self.leaving(),
+            services: services
+        }
+    }
+
     /// So many counters hold parts of the sums that all keep together.
     pub fn heard_counters(&self, counters: u32) {
         let mut state = self.state();
@@ -221,6 +288,33 @@
     }
 }
 
+/// Ends connections to appliances that have been idle for too long.
+async fn swept(counter: Arc<Counter>) {
+    loop {
+        tokio::time::sleep(crate::clock::span(SWEEP)).await;
+        counter.pool().sweep();
+    }
+}
+
+/// Answers operators who want to see this counter's view.
+async fn shown(counter: Arc<Counter>, inner: TcpListener) {
+    loop {
+        let Ok((stream, _)) = inner.accept().await else {
+            tokio::time::sleep(crate::clock::span(SWEEP)).await;
+            continue;
+        };
+        let counter = counter.clone();
+        tokio::spawn(async move {
+            let (read, mut write) = stream.into_split();
+            let mut read = Frames::new(read);
+            let opening = tokio::time::timeout(crate::clock::span(SWEEP), read.next::<Opening>()).await;
+            if let Ok(Ok(Some(Opening::View))) = opening {
+                view::answer(&mut write, &counter.shown()).await;
+            }
+        });
+    }
+}
+
 /// Serves until SIGTERM.
 pub async fn run(machine: Machine, life: u64) -> std::io::Result<()> {
     let (Some(front), Some(ready)) =
@@ -231,6 +325,9 @@
     let counter = Arc::new(Counter::new(machine, life));
     let door = net::listen(front)?;
     let asked = net::listen(ready)?;
+    let inner = net::listen(SocketAddrV4::new(counter.machine.ip, counter.machine.inner_ports.0))?;
+    tokio::spawn(shown(counter.clone(), inner));
+    tokio::spawn(swept(counter.clone()));
     tokio::spawn(ready::run(counter.clone(), asked));
     tokio::spawn(session::run(counter.clone()));
     tokio::spawn(list::run(counter.clone()));
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -10,7 +10,9 @@
 use crate::net;
 use bytes::Bytes;
 use council::Council;
+use jzon::JsonValue as Json;
 use magpieline_almanac::machine::Machine;
+use magpieline_rootstock::Seat;
 use magpieline_trellis::records::{Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing};
@@ -22,6 +24,9 @@
 /// Frames that may wait for one counter; one that takes no more is let go, and comes again.
 const MOST_WAITING: usize = 512;
 
+/// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
+const GIVE_WAY: crate::clock::Micros = 300_000;
+
 /// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
 pub struct Sorting {
     pub machine: Machine,
@@ -57,6 +62,64 @@
         Some(SocketAddrV4::new(*inner.ip(), own.port()))
     }
 
+    /// This machine's view of things, for operators.
+    pub fn shown(&self) -> Json {
+        let view = self.council.view();
+        let seats = |seats: &[Seat]| -> Vec<Json> {
+            seats.iter().map(|s| jzon::object! { address: s.address.to_string(), life: s.life }).collect()
+        };
+        let at = now();
+        let state = self.state();
+        let counters: Vec<Json> = state
+            .roster
+            .all()
+            .map(|(node, c)| {
+                jzon::object! { counter: node.as_str(), zone: c.zone.as_str(), edition: c.edition,
+                heard_ms_ago: at.saturating_sub(c.heard_at) / 1000, there: !c.away(at) }
+            })
+            .collect();
+        let mut services = Json::new_object();
+        for (name, standing) in &state.records.services {
+            let rollout = standing.rollout.as_ref().map_or(Json::Null, |r| {
+                jzon::object! { to: r.to.as_str(), phase: format!("{:?}", r.phase), order: r.order,
+                within_ms: r.within / 1000 }
+            });
+            let shown = jzon::object! { version: standing.version.as_deref(), barred: standing.barred.clone(),
+            rollout: rollout };
+            let _ = services.insert(name, shown);
+        }
+        let contacts: Vec<Json> = view
+            .contacts
+            .iter()
+            .map(|c| {
+                jzon::object! { address: c.seat.address.to_string(), matched: c.matched,
+                votes: c.votes, heard_ms_ago: at.saturating_sub(c.heard_at) / 1000 }
+            })
+            .collect();
+        jzon::object! {
+            node: self.machine.node.as_str(),
+            role: format!("{:?}", view.role),
+            leads: self.council.leads(),
+            term: view.term,
+            leader: view.leader.map(|l| l.to_string()),
+            own: jzon::object! { address: view.me.address.to_string(), life: view.me.life },
+            voters: seats(&view.voters),
+            learners: seats(&view.learners),
+            contacts: contacts,
+            log: jzon::object! { in_force: view.commit, applied: view.applied, on_disk: view.durable,
+                disk_troubled: view.disk_troubled },
+            edition: state.records.edition.as_ref().map(|k| k.number),
+            appliances: state.list.as_ref().map(|l| l.list.len()),
+            services: services,
+            counters: counters
+        }
+    }
+
+    /// The agreement's state was read from disk, or sent by the leader.
+    pub fn restored(&self, records: Records) {
+        self.state().records = records;
+    }
+
     /// A command has been agreed on.
     pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
         let mut state = self.state();
@@ -104,16 +167,20 @@
         let mut all = Vec::new();
         all.extend(self.records.edition.clone().map(Down::Edition));
         all.push(Down::Services(self.records.services.clone().into_iter().collect()));
-        if let Some(reading) = &self.list {
-            let age = now().saturating_sub(reading.at);
-            let entries = reading.list.iter().map(|(id, entry)| {
-                let cold = entry.cold.saturating_sub(age);
-                (id.clone(), Some(words::Entry { cold, ..entry.clone() }))
-            });
-            all.push(Down::Listing(Listing { whole: true, entries: entries.collect() }));
-        }
+        all.extend(self.listing().map(Down::Listing));
         all
     }
+
+    /// The list as last read, whole.
+    fn listing(&self) -> Option<Listing> {
+        let reading = self.list.as_ref()?;
+        let age = now().saturating_sub(reading.at);
+        let entries = reading.list.iter().map(|(id, entry)| {
+            let cold = entry.cold.saturating_sub(age);
+            (id.clone(), Some(words::Entry { cold, ..entry.clone() }))
+        });
+        Some(Listing { whole: true, entries: entries.collect() })
+    }
 }
 
 /// Serves until SIGTERM.
@@ -124,12 +191,15 @@
     let inner = SocketAddrV4::new(machine.ip, machine.inner_ports.0);
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let council = Council::new(&machine, life);
+    let (council, driver) = Council::open(&machine, life)?;
     let sorting = Arc::new(Sorting { machine, state: Mutex::new(State::default()), council });
+    tokio::spawn(driver.run(sorting.clone()));
     tokio::spawn(counters::run(sorting.clone(), inner));
     tokio::spawn(control::run(sorting.clone(), door));
     tokio::spawn(lister::run(sorting.clone()));
     crate::signals::terminated().await;
     tracing::info!(target: "sorting", "Leaving.");
+    sorting.council.give_way().await;
+    tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
     Ok(())
 }
