--- a/keeping/rootstock/src/members.rs
+++ b/keeping/rootstock/src/members.rs
@@ -177,6 +177,11 @@
         lead.peers.iter().map(contact).collect()
     }
 
+    /// The voters before the newest list, while that is not known here to be in force.
+    pub fn voters_before(&self) -> Option<&[Seat]> {
+        self.roll.previous(self.commit).map(|members| &members.voters[..])
+    }
+
     /// Machines being filled, as the leader knows them; empty on others.
     pub fn learners(&self) -> Vec<Seat> {
         self.lead.as_ref().map_or_else(Vec::new, |lead| lead.learners.iter().copied().collect())
--- a/rigs/nursery/src/lib.rs
+++ b/rigs/nursery/src/lib.rs
@@ -1,1 +1,21 @@
-//! A simulated network, disk and clock, seeded, on which any number of the cores run.
+//! A simulated network, disk and clock, seeded, on which any number of cores run: what takes days of bad luck on machines
+//! takes milliseconds here, and comes again from its seed.
+//!
+//! [`World`] knows nothing of what runs on it: anything that is a [`Node`] does, and a [`Watch`] sees all that it sends
+//! and does. [`Chaos`] breaks things by chance and mends them. [`Grove`] is the agreement of the sorting machines on it,
+//! with its clients and the checks after every step.
+
+mod chaos;
+mod grove;
+mod world;
+
+pub use chaos::{Chaos, Fault};
+pub use grove::{Call, Grove, Note, Planting, Played, Tree};
+pub use world::{address, Boot, Effect, Input, Net, Node, Trouble, Watch, World};
+
+/// A time, in microseconds.
+pub type Micros = u64;
+/// A second.
+pub const SECOND: Micros = 1_000_000;
+/// A millisecond.
+pub const MILLI: Micros = 1_000;
--- /dev/null
+++ b/rigs/nursery/src/world.rs
@@ -0,0 +1,422 @@
+//! Machines, their links, disks and clocks.
+
+use crate::{Micros, MILLI};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// What a process is told at its start.
+#[derive(Clone, Debug)]
+pub struct Boot {
+    pub me: SocketAddrV4,
+    pub seeds: Vec<SocketAddrV4>,
+    pub first_run: bool,
+    /// Different at every start.
+    pub seed: u64,
+}
+
+/// What happens to a node.
+pub enum Input<N: Node> {
+    Tick,
+    Message(N::Message),
+    /// The write of this serial is on disk.
+    Synced(u64),
+    /// The disk refused it.
+    Refused(u64),
+    /// Somebody on this machine calls.
+    Call(N::Call),
+}
+
+/// What a node does.
+pub enum Effect<N: Node> {
+    Send {
+        to: SocketAddrV4,
+        message: N::Message,
+    },
+    /// One at a time.
+    Write {
+        serial: u64,
+        write: N::Write,
+    },
+    /// For the one who watches.
+    Note(N::Note),
+}
+
+/// A core that runs on a machine: no I/O, no clock.
+pub trait Node: Sized {
+    type Message: Clone;
+    /// What is written in one go, all of it or nothing.
+    type Write;
+    /// What is on the disk; empty by default. `()` for those without one.
+    type Disk: Default;
+    type Call;
+    type Note;
+
+    fn start(boot: &Boot, now: Micros, disk: &Self::Disk) -> (Self, Vec<Effect<Self>>);
+    fn step(&mut self, now: Micros, input: Input<Self>) -> Vec<Effect<Self>>;
+    fn next_wake(&self) -> Option<Micros>;
+    fn put(disk: &mut Self::Disk, write: Self::Write);
+}
+
+/// Who looks on; panics when something is wrong.
+pub trait Watch<N: Node> {
+    /// `machine` sends a message; `disk` is what would survive a loss of power just then.
+    fn sent(&mut self, _machine: usize, _disk: &N::Disk, _message: &N::Message) {}
+    fn noted(&mut self, _machine: usize, _note: N::Note) {}
+    /// After every step.
+    fn stepped(&mut self, _machine: usize, _node: &N) {}
+}
+
+/// How a disk does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// Thirty times its usual time.
+    Slow,
+    /// Nothing completes until it is over.
+    Hangs,
+    Full,
+}
+
+/// The network's manners, for all links.
+#[derive(Clone, Copy, Debug)]
+pub struct Net {
+    pub delay: Micros,
+    /// Up to so much is added to the delay of each message, so that they overtake one another.
+    pub jitter: Micros,
+    /// Of a thousand messages, so many are lost, and so many come twice.
+    pub lost: u32,
+    pub doubled: u32,
+}
+
+impl Net {
+    /// One millisecond, nothing lost.
+    pub const CALM: Net = Net { delay: MILLI, jitter: 100, lost: 0, doubled: 0 };
+}
+
+const SYNC: Micros = 2 * MILLI;
+const SLOW_FACTOR: Micros = 30;
+/// Timers fire up to so much late.
+const LATE: Micros = 2 * MILLI;
+
+struct Machine<N: Node> {
+    boot: Boot,
+    node: Option<N>,
+    /// Counts starts: what was for an earlier process does not reach this one.
+    starts: u64,
+    /// What came while frozen.
+    inbox: Option<Vec<Input<N>>>,
+    disk: N::Disk,
+    trouble: Trouble,
+    writing: Option<(u64, N::Write)>,
+    wake_at: Option<Micros>,
+    /// What is added to the delay of every message, up to: a machine short of processor time.
+    lag: Micros,
+    /// The steady clock: its start, and how many millionths too fast.
+    clock: (Micros, u64),
+}
+
+enum Happening<N: Node> {
+    Deliver { from: usize, to: usize, message: N::Message },
+    Wake(usize),
+    DiskDone { machine: usize, starts: u64, serial: u64 },
+}
+
+/// All of it.
+pub struct World<N: Node> {
+    now: Micros,
+    rng: ChaCha8Rng,
+    machines: Vec<Machine<N>>,
+    ahead: BTreeMap<(Micros, u64), Happening<N>>,
+    order: u64,
+    pub net: Net,
+    /// From, to: nothing passes.
+    cuts: BTreeSet<(usize, usize)>,
+    messages: u64,
+    steps: u64,
+}
+
+/// Where a machine is.
+pub fn address(machine: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 1, (machine / 200) as u8, (machine % 200) as u8 + 1].into(), 7720)
+}
+
+impl<N: Node> World<N> {
+    pub fn new(seed: u64, net: Net) -> World<N> {
+        World {
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            machines: Vec::new(),
+            ahead: BTreeMap::new(),
+            order: 0,
+            net,
+            cuts: BTreeSet::new(),
+            messages: 0,
+            steps: 0,
+        }
+    }
+
+    /// Puts a machine up, not yet started.
+    pub fn add(&mut self, seeds: Vec<SocketAddrV4>, first_run: bool) -> usize {
+        let boot = Boot { me: address(self.machines.len()), seeds, first_run, seed: 0 };
+        // Clocks began at any time and differ by up to a thousandth.
+        let clock = (self.rng.gen_range(0..1_000_000_000), self.rng.gen_range(0..1000));
+        self.machines.push(Machine {
+            boot,
+            node: None,
+            starts: 0,
+            inbox: None,
+            disk: N::Disk::default(),
+            trouble: Trouble::None,
+            writing: None,
+            wake_at: None,
+            lag: 0,
+            clock,
+        });
+        self.machines.len() - 1
+    }
+
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    pub fn machines(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Messages sent so far.
+    pub fn messages(&self) -> u64 {
+        self.messages
+    }
+
+    /// Steps of nodes so far.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
+    /// The process on the machine, frozen or not.
+    pub fn node(&self, machine: usize) -> Option<&N> {
+        self.machines[machine].node.as_ref()
+    }
+
+    pub fn is_frozen(&self, machine: usize) -> bool {
+        self.machines[machine].inbox.is_some()
+    }
+
+    pub fn disk(&self, machine: usize) -> &N::Disk {
+        &self.machines[machine].disk
+    }
+
+    pub fn boot(&self, machine: usize) -> &Boot {
+        &self.machines[machine].boot
+    }
+
+    /// What the machine's steady clock shows.
+    pub fn clock(&self, machine: usize) -> Micros {
+        let (start, fast) = self.machines[machine].clock;
+        start + self.now + (u128::from(self.now) * u128::from(fast) / 1_000_000) as u64
+    }
+
+    fn plan(&mut self, at: Micros, what: Happening<N>) {
+        self.order += 1;
+        self.ahead.insert((at.max(self.now), self.order), what);
+    }
+
+    /// Starts the process if it does not run.
+    pub fn start(&mut self, machine: usize, watch: &mut impl Watch<N>) {
+        if self.machines[machine].node.is_some() {
+            return;
+        }
+        let now = self.clock(machine);
+        let seed = self.rng.gen();
+        let this = &mut self.machines[machine];
+        this.starts += 1;
+        this.boot.seed = seed;
+        let (node, effects) = N::start(&this.boot, now, &this.disk);
+        this.node = Some(node);
+        self.carry_out(machine, effects, watch);
+    }
+
+    /// From the next start on, and `first_run` is over.
+    pub fn set_seeds(&mut self, machine: usize, seeds: Vec<SocketAddrV4>) {
+        self.machines[machine].boot.seeds = seeds;
+        self.machines[machine].boot.first_run = false;
+    }
+
+    /// The process ends, or the power: what was synced stays, the write under way is there or not.
+    pub fn kill(&mut self, machine: usize) {
+        let written = self.rng.gen();
+        let this = &mut self.machines[machine];
+        this.boot.first_run = false;
+        this.node = None;
+        this.inbox = None;
+        this.wake_at = None;
+        let takes = matches!(this.trouble, Trouble::None | Trouble::Slow);
+        if let Some((_, write)) = this.writing.take().filter(|_| written && takes) {
+            N::put(&mut this.disk, write);
+        }
+    }
+
+    /// As [`World::kill`], and the disk comes back empty.
+    pub fn wipe(&mut self, machine: usize) {
+        self.kill(machine);
+        self.machines[machine].disk = N::Disk::default();
+    }
+
+    pub fn freeze(&mut self, machine: usize) {
+        let this = &mut self.machines[machine];
+        if this.node.is_some() {
+            this.inbox.get_or_insert_default();
+        }
+    }
+
+    pub fn thaw(&mut self, machine: usize, watch: &mut impl Watch<N>) {
+        let inputs = self.machines[machine].inbox.take().unwrap_or_default();
+        for input in inputs.into_iter().chain([Input::Tick]) {
+            self.give(machine, input, watch);
+        }
+    }
+
+    pub fn set_lag(&mut self, machine: usize, lag: Micros) {
+        self.machines[machine].lag = lag;
+    }
+
+    /// Nothing passes from one to the other; the other way is another link.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn join(&mut self, from: usize, to: usize) {
+        self.cuts.remove(&(from, to));
+    }
+
+    pub fn set_trouble(&mut self, machine: usize, trouble: Trouble) {
+        self.machines[machine].trouble = trouble;
+        // What hung goes on; what is under way otherwise ends as it was begun.
+        if let Some((serial, _)) = self.machines[machine].writing {
+            self.plan_disk(machine, serial);
+        }
+    }
+
+    fn plan_disk(&mut self, machine: usize, serial: u64) {
+        let takes = match self.machines[machine].trouble {
+            Trouble::None | Trouble::Full => SYNC,
+            Trouble::Slow => SYNC * SLOW_FACTOR,
+            Trouble::Hangs => return,
+        };
+        let at = self.now + self.rng.gen_range(takes / 2..=takes);
+        let starts = self.machines[machine].starts;
+        self.plan(at, Happening::DiskDone { machine, starts, serial });
+    }
+
+    /// Somebody on the machine calls its process; nothing happens if it does not run.
+    pub fn call(&mut self, machine: usize, call: N::Call, watch: &mut impl Watch<N>) {
+        self.give(machine, Input::Call(call), watch);
+    }
+
+    /// When something happens next.
+    pub fn next_at(&self) -> Option<Micros> {
+        self.ahead.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Time passes, with nothing happening.
+    pub fn pass(&mut self, until: Micros) {
+        assert!(self.next_at().is_none_or(|at| at >= until), "something happens before");
+        self.now = self.now.max(until);
+    }
+
+    /// The next thing happens.
+    pub fn step(&mut self, watch: &mut impl Watch<N>) {
+        let Some(((at, _), what)) = self.ahead.pop_first() else { return };
+        self.now = at;
+        match what {
+            Happening::Deliver { from, to, message } => {
+                if !self.cuts.contains(&(from, to)) {
+                    self.give(to, Input::Message(message), watch);
+                }
+            }
+            Happening::Wake(machine) => {
+                if self.machines[machine].wake_at == Some(at) {
+                    self.machines[machine].wake_at = None;
+                    self.give(machine, Input::Tick, watch);
+                }
+            }
+            Happening::DiskDone { machine, starts, serial } => self.disk_done(machine, starts, serial, watch),
+        }
+    }
+
+    fn disk_done(&mut self, machine: usize, starts: u64, serial: u64, watch: &mut impl Watch<N>) {
+        let this = &mut self.machines[machine];
+        if this.starts != starts || this.trouble == Trouble::Hangs {
+            return;
+        }
+        let Some((_, write)) = this.writing.take_if(|(writing, _)| *writing == serial) else { return };
+        let input = if this.trouble == Trouble::Full {
+            Input::Refused(serial)
+        } else {
+            N::put(&mut this.disk, write);
+            Input::Synced(serial)
+        };
+        self.give(machine, input, watch);
+    }
+
+    fn give(&mut self, machine: usize, input: Input<N>, watch: &mut impl Watch<N>) {
+        let now = self.clock(machine);
+        let this = &mut self.machines[machine];
+        let Some(node) = &mut this.node else { return };
+        if let Some(inbox) = &mut this.inbox {
+            inbox.push(input);
+            return;
+        }
+        let effects = node.step(now, input);
+        self.carry_out(machine, effects, watch);
+    }
+
+    fn carry_out(&mut self, machine: usize, effects: Vec<Effect<N>>, watch: &mut impl Watch<N>) {
+        self.steps += 1;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    watch.sent(machine, &self.machines[machine].disk, &message);
+                    self.send(machine, to, message);
+                }
+                Effect::Write { serial, write } => {
+                    let before = self.machines[machine].writing.replace((serial, write));
+                    assert!(before.is_none(), "machine {machine} writes twice at a time");
+                    self.plan_disk(machine, serial);
+                }
+                Effect::Note(note) => watch.noted(machine, note),
+            }
+        }
+        if let Some(node) = &self.machines[machine].node {
+            watch.stepped(machine, node);
+        }
+        self.plan_wake(machine);
+    }
+
+    fn plan_wake(&mut self, machine: usize) {
+        let due = self.machines[machine].node.as_ref().and_then(N::next_wake);
+        let clock = self.clock(machine);
+        let at = due.map(|due| self.now + due.saturating_sub(clock) + self.rng.gen_range(1..LATE));
+        self.machines[machine].wake_at = at;
+        if let Some(at) = at {
+            self.plan(at, Happening::Wake(machine));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddrV4, message: N::Message) {
+        self.messages += 1;
+        let Some(to) = (0..self.machines.len()).find(|machine| address(*machine) == to) else { return };
+        if self.cuts.contains(&(from, to)) || self.rng.gen_ratio(self.net.lost, 1000) {
+            return;
+        }
+        let copies = if self.rng.gen_ratio(self.net.doubled, 1000) { 2 } else { 1 };
+        for _ in 0..copies {
+            let lag = self.machines[from].lag + self.machines[to].lag;
+            let delay =
+                self.net.delay + self.rng.gen_range(0..=self.net.jitter) + self.rng.gen_range(0..=lag);
+            self.plan(self.now + delay, Happening::Deliver { from, to, message: message.clone() });
+        }
+    }
+}
