Rootstock: a machine that joins takes a silent voter's place, or waits until all answer

A late message of a life long gone also kept the leader from speaking to the one that sits there.

Change: a seat is added only while all voters have answered this leader within a second; after 30 s of silence a filled machine takes the silent one's place in one entry, safe by the same argument as for wiped seats. A life counts as succeeded once its successor has answered; learners that don't answer are dropped.

--- a/keeping/rootstock/src/members.rs
+++ b/keeping/rootstock/src/members.rs
@@ -7,17 +7,19 @@
 //!
 //! A wiped machine comes back as a new life at its old address. It is filled as a learner, then one entry puts the new
 //! seat in the place of the old one. Two such lists may have halves that share no member, {old A, B} and {new A, C}, so
-//! why is that safe in one step? The entry commits only with more than half of the *old* list, in which the old A can
-//! no longer take part: with {B, C}. Suppose a leader that lacks the entry, then or later, elected by more than half of
-//! the old list. Some voter of it, not the old A, also stored the entry (two halves overlap, and of a half that holds the
-//! old A the rest still overlaps with every half that does not). If it stored the entry first, it would not have voted
-//! for a log without it. If it voted first, its term was newer than that of the entry's leader, whose entry it would have
-//! turned away. So no such leader stands once the entry is committed, and later halves of the old list alone don't
-//! occur: they would need the old A, who can never vote again. What was committed before is in every log that has
-//! the entry. Votes that the old A gave before it was wiped are covered by the same overlap; the new A has promised
-//! nothing yet, and only those who have the entry count it.
+//! why is that safe in one step? The entry commits only with more than half of the *old* list, too, in which the old A
+//! can no longer take part: with {B, C}. Suppose a leader that lacks the entry, elected by more than half of the old
+//! list, then or later. The halves overlap: some voter of it, not the old A, also stored the entry (of a half that holds
+//! votes which the old A gave in its time, the rest still overlaps with every half that does not hold it). If this voter
+//! stored the entry first, it would not have voted for a log without it. If it voted first, its term was newer than that
+//! of the entry's leader, whose entry it would have turned away. So no such leader stands once the entry is committed,
+//! and halves of the old list alone decide nothing any more. What was committed before is in every log that has the entry.
+//! The new A has promised nothing yet, and only those who have the entry count it.
 //!
-//! Additions are the ordinary change by one voter. A voter that was silent for [`GONE`] is taken out if enough stay.
+//! Nothing in this rests on the old A being wiped. So a filled machine at a new address may as well take the place of a
+//! voter that has been silent for [`STAND_IN`]. Otherwise it is added, but only while all voters answer: with one of
+//! three gone and a fourth added, the loss of that fourth would leave two of four. A voter silent for [`GONE`] is taken
+//! out if enough stay.
 
 use crate::log::Log;
 use crate::replication::Peer;
@@ -30,8 +32,12 @@
 pub const MAX_VOTERS: usize = 11;
 /// Learners at once: the machines that one day may add together; each costs the leader a window of bytes.
 pub(crate) const MAX_LEARNERS: usize = 8;
-/// A voter silent for so long is taken out, so that machines that were given up don't count for ever: far longer than
-/// restarts, hangs and cuts, and a machine that comes back later is taken in again within a second.
+/// A voter that has not answered for so long may be gone: ten beats.
+const QUIET: Micros = 1_000_000;
+/// One silent for so long gives its place to a machine that waits for one: longer than restarts, hangs and most cuts.
+const STAND_IN: Micros = 30_000_000;
+/// One silent for so long is taken out, so that machines that were given up don't count for ever. A machine that comes
+/// back later is taken in again within a second.
 const GONE: Micros = 300_000_000;
 /// Never fewer voters than this after taking one out: with three, one may still be lost.
 const FEWEST: usize = 3;
@@ -49,17 +55,12 @@
         Members { voters: seeds.into_iter().map(|address| Seat { address, life: 0 }).collect() }
     }
 
-    /// With `seat` in place of another life at its address, or in addition. None if there is no room.
-    fn with(&self, seat: Seat) -> Option<Members> {
-        let mut voters: Vec<Seat> =
-            self.voters.iter().copied().filter(|voter| voter.address != seat.address).collect();
-        voters.push(seat);
+    /// Without `old`, with `new`.
+    fn exchange(&self, old: Option<Seat>, new: Option<Seat>) -> Members {
+        let stay = self.voters.iter().copied().filter(|voter| Some(*voter) != old);
+        let mut voters: Vec<Seat> = stay.chain(new).collect();
         voters.sort();
-        (voters.len() <= MAX_VOTERS).then_some(Members { voters })
-    }
-
-    fn without(&self, seat: Seat) -> Members {
-        Members { voters: self.voters.iter().copied().filter(|voter| *voter != seat).collect() }
+        Members { voters }
     }
 
     /// The highest value that more than half have reached.
@@ -194,17 +195,29 @@
             return;
         }
         let newest = self.roll.newest();
+        let silence =
+            |seat: &Seat| lead.peers.get(seat).map_or(0, |peer| self.now.saturating_sub(peer.heard_at));
         // Filled: it holds all that was committed by the last beat (with traffic there is always something on its way).
-        let filled = |seat: &&Seat| lead.peers[seat].matched >= lead.aim.max(lead.first);
-        let joined = lead.learners.iter().filter(filled).find_map(|seat| newest.with(*seat));
-        let gone = |seat: &&Seat| {
-            lead.peers.get(seat).is_some_and(|peer| self.now.saturating_sub(peer.heard_at) > GONE)
+        let is_filled = |seat: &&Seat| lead.peers[seat].matched >= lead.aim.max(lead.first);
+        let filled = || lead.learners.iter().filter(is_filled).copied();
+        let same = |seat: &Seat| newest.voters.iter().copied().find(|voter| voter.address == seat.address);
+        let silent = |span| newest.voters.iter().copied().find(|voter| silence(voter) > span);
+        let back = || filled().find_map(|seat| same(&seat).map(|old| newest.exchange(Some(old), Some(seat))));
+        let added = || {
+            let seat = filled().next()?;
+            let instead = silent(STAND_IN);
+            let answers = |voter: &Seat| {
+                let peer = lead.peers.get(voter);
+                *voter == self.me || peer.is_some_and(|peer| peer.round > 0 && silence(voter) < QUIET)
+            };
+            let has_room = newest.voters.len() < MAX_VOTERS && newest.voters.iter().all(answers);
+            (instead.is_some() || has_room).then(|| newest.exchange(instead, Some(seat)))
         };
         let left = || {
-            let seat = newest.voters.iter().find(gone).filter(|_| newest.voters.len() > FEWEST)?;
-            Some(newest.without(*seat))
+            let gone = silent(GONE).filter(|_| newest.voters.len() > FEWEST)?;
+            Some(newest.exchange(Some(gone), None))
         };
-        if let Some(members) = joined.or_else(left) {
+        if let Some(members) = back().or_else(added).or_else(left) {
             self.append(Payload::Members(members));
             self.seat_peers();
         }
--- a/keeping/rootstock/src/replication.rs
+++ b/keeping/rootstock/src/replication.rs
@@ -15,6 +15,8 @@
 const MOST_FLYING: usize = 64;
 /// A follower that has not answered for so long gets no entries, just signs of life.
 const QUIET: Micros = 1_000_000;
+/// A learner that has not answered for so long is dropped; it asks again.
+const LEARNER_GONE: Micros = 10_000_000;
 /// One that has not answered for so long gets only every fifth of them; when it comes back it speaks up by itself.
 const ASLEEP: Micros = 5_000_000;
 const ASLEEP_BEATS: u64 = 5;
@@ -47,10 +49,11 @@
         }
     }
 
-    /// Another life sits at this address now: nothing reaches this one.
+    /// Another life sits at this address now, and has answered (a late message of a life long gone has not): nothing
+    /// reaches this one.
     fn is_succeeded(&self, seat: &Seat) -> bool {
-        self.peers.contains_key(seat)
-            && self.learners.iter().any(|other| other.address == seat.address && other != seat)
+        let answers = |other: &Seat| self.peers.get(other).is_some_and(|peer| peer.round > 0);
+        self.learners.iter().any(|other| other.address == seat.address && other != seat && answers(other))
     }
 }
 
@@ -145,6 +148,10 @@
         lead.beat_due = self.now + BEAT;
         lead.aim = self.commit;
         lead.questions.beaten(lead.round, self.now);
+        lead.learners.retain(|seat| self.now < lead.peers[seat].heard_at + LEARNER_GONE);
+        lead.peers.retain(|seat, peer| {
+            self.now < peer.heard_at + LEARNER_GONE || self.roll.in_force(self.commit).contains(seat)
+        });
         let mut messages = Vec::new();
         for (seat, peer) in &lead.peers {
             let asleep = self.now >= peer.heard_at + ASLEEP && lead.round % ASLEEP_BEATS != 0;
--- a/rigs/nursery/src/grove.rs
+++ b/rigs/nursery/src/grove.rs
@@ -5,7 +5,7 @@
     address, Boot, Chaos, Effect, Fault, Input, Micros, Net, Node, Trouble, Watch, World, MILLI, SECOND,
 };
 use magpieline_rootstock::{
-    Action, Batch, Core, Envelope, Event, Index, Message, Outcome, Role, Seat, Start, Stored, Term,
+    Action, Batch, Core, Envelope, Event, Index, Message, Outcome, Payload, Role, Seat, Start, Stored, Term,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -430,22 +430,31 @@
     }
 
     /// Whether the rules of losses allow that this machine's disk goes, too: of no list of voters that any other machine
-    /// goes by are more than `withstand` gone, the less half.
+    /// goes by, or that is on its way to one, is half or more gone.
     fn may_wipe(&self, machine: usize) -> bool {
         let Some(seat) = self.seat(machine) else { return false };
         let gone = |voter: &&Seat| **voter == seat || self.checks.retired.contains(*voter);
         let enough = |voters: &[Seat]| 2 * voters.iter().filter(gone).count() < voters.len().max(1);
-        (0..self.world.machines()).filter(|other| *other != machine).all(|other| {
-            let stored;
-            let core = match self.tree(other) {
-                Some(tree) => tree.core(),
-                None => {
-                    stored = Tree::start(self.world.boot(other), 0, self.world.disk(other)).0;
-                    stored.core()
-                }
-            };
-            enough(core.voters()) && core.voters_before().is_none_or(enough)
-        })
+        let on_the_way = self.world.under_way().all(|envelope| match &envelope.message {
+            Message::Append { entries, .. } => entries.iter().all(|entry| match &entry.payload {
+                Payload::Members(members) => enough(&members.voters),
+                Payload::Noop | Payload::Command { .. } => true,
+            }),
+            Message::Fill { members, .. } => enough(&members.voters),
+            _ => true,
+        });
+        on_the_way
+            && (0..self.world.machines()).filter(|other| *other != machine).all(|other| {
+                let stored;
+                let core = match self.tree(other) {
+                    Some(tree) => tree.core(),
+                    None => {
+                        stored = Tree::start(self.world.boot(other), 0, self.world.disk(other)).0;
+                        stored.core()
+                    }
+                };
+                enough(core.voters()) && core.voters_before().is_none_or(enough)
+            })
     }
 
     /// Breaks and mends things for so many steps, with clients calling, then mends all and looks whether everything that
@@ -569,7 +578,11 @@
             });
         }
         let from = self.story.len().saturating_sub(25);
-        lines.extend(self.story[from..].iter().map(|(at, fault)| format!("{} ms {fault:?}", at / MILLI)));
+        let told = |(at, (_, fault)): &(usize, &(Micros, Fault))| {
+            *at >= from || matches!(fault, Fault::Wipe(_) | Fault::Add)
+        };
+        let story = self.story.iter().enumerate().filter(told);
+        lines.extend(story.map(|(_, (at, fault))| format!("{} ms {fault:?}", at / MILLI)));
         lines.join("\n")
     }
 }
--- a/rigs/nursery/src/world.rs
+++ b/rigs/nursery/src/world.rs
@@ -212,6 +212,19 @@
         &self.machines[machine].boot
     }
 
+    /// Messages that may still reach somebody.
+    pub fn under_way(&self) -> impl Iterator<Item = &N::Message> {
+        let flying = self.ahead.values().filter_map(|what| match what {
+            Happening::Deliver { message, .. } => Some(message),
+            _ => None,
+        });
+        let waiting = self.machines.iter().flat_map(|machine| machine.inbox.iter().flatten());
+        flying.chain(waiting.filter_map(|input| match input {
+            Input::Message(message) => Some(message),
+            _ => None,
+        }))
+    }
+
     /// What the machine's steady clock shows.
     pub fn clock(&self, machine: usize) -> Micros {
         let (start, fast) = self.machines[machine].clock;
