Nursery: strikes right after an acknowledgement; disks are lost by what is stored, too

Cause: taking rules out one by one showed that a leader counting its own unsynced copy was seldom met; and a wiped machine never found its own address among its seeds.

Pauses between faults are longer, so that more is agreed on between them.

--- a/rigs/nursery/src/grove.rs
+++ b/rigs/nursery/src/grove.rs
@@ -299,6 +299,8 @@
     machines: usize,
     /// The faults so far, for who reads a failure.
     story: Vec<(Micros, Fault)>,
+    /// All are killed right after the next acknowledgement.
+    armed: bool,
 }
 
 /// Founders named to all at the first start.
@@ -317,6 +319,7 @@
             tickets: 0,
             machines,
             story: Vec::new(),
+            armed: false,
         };
         let seeds: Vec<_> = (0..machines.min(SEEDS)).map(address).collect();
         for _ in 0..machines {
@@ -340,8 +343,11 @@
             self.checks.retired.insert(seat);
         }
         self.world.wipe(machine);
-        let seeds = self.stale_seeds(machine);
-        self.world.set_seeds(machine, seeds);
+        // As at the first start, its own address among them, or old ones.
+        if self.rng.gen() {
+            let seeds = self.stale_seeds(machine);
+            self.world.set_seeds(machine, seeds);
+        }
     }
 
     /// An empty machine is added and started, with old seeds.
@@ -445,15 +451,11 @@
         });
         on_the_way
             && (0..self.world.machines()).filter(|other| *other != machine).all(|other| {
-                let stored;
-                let core = match self.tree(other) {
-                    Some(tree) => tree.core(),
-                    None => {
-                        stored = Tree::start(self.world.boot(other), 0, self.world.disk(other)).0;
-                        stored.core()
-                    }
-                };
-                enough(core.voters()) && core.voters_before().is_none_or(enough)
+                // By what it knows, and by what it would know after a loss of power.
+                let rebooted = Tree::start(self.world.boot(other), 0, self.world.disk(other)).0;
+                let fits =
+                    |tree: &Tree| enough(tree.core.voters()) && tree.core.voters_before().is_none_or(enough);
+                self.tree(other).is_none_or(fits) && fits(&rebooted)
             })
     }
 
@@ -461,10 +463,15 @@
     /// was acknowledged is there and the machines are whole again. Panics if not.
     pub fn endure(&mut self, seed: u64, steps: u64) {
         let calm = self.world.net;
-        let pause = [300 * MILLI, SECOND, 4 * SECOND][(seed % 3) as usize];
+        let pause = [500 * MILLI, 2 * SECOND, 8 * SECOND][(seed % 3) as usize];
         let mut chaos = Chaos::new(seed, SECOND / 2, pause, calm);
         let mut call_at = 0;
+        let mut seen = 0;
         while self.world.steps() < steps {
+            if self.acknowledged() > seen {
+                seen = self.acknowledged();
+                self.strike(&mut chaos);
+            }
             let next = chaos.next_at().min(call_at);
             if self.world.next_at().is_some_and(|at| at <= next) {
                 self.world.step(&mut self.checks);
@@ -483,10 +490,25 @@
         self.recover();
     }
 
+    /// What waits for an acknowledgement to come right after it: one disk is lost, if the rules allow it, and all processes
+    /// end or all power goes.
+    fn strike(&mut self, chaos: &mut Chaos) {
+        if std::mem::take(&mut self.armed) {
+            let machine = self.rng.gen_range(0..self.world.machines());
+            self.suffer(chaos, Fault::Wipe(machine));
+            self.story.push((self.world.now(), Fault::KillAll));
+            chaos.break_it(&mut self.world, Fault::KillAll);
+        }
+    }
+
     fn suffer(&mut self, chaos: &mut Chaos, fault: Fault) {
         match fault {
             Fault::Wipe(machine) if !self.may_wipe(machine) => return,
             Fault::Wipe(machine) => self.wipe(machine),
+            Fault::KillAll => {
+                self.armed = true;
+                return;
+            }
             Fault::Add if self.world.machines() >= self.machines + MOST_ADDED => return,
             Fault::Add => {
                 self.add();
@@ -507,13 +529,11 @@
             }
             70..=98 => {
                 // All that think they lead are asked: one of them may be of the past.
-                let leads = |grove: &Grove, machine| {
-                    grove.tree(machine).is_some_and(|tree| tree.core().role() == Role::Leader)
-                };
-                for machine in (0..self.world.machines())
-                    .filter(|other| *other == machine || leads(self, *other))
-                    .collect::<Vec<_>>()
-                {
+                let leads = |tree: &Tree| tree.core().role() == Role::Leader;
+                let asked: Vec<usize> = (0..self.world.machines())
+                    .filter(|other| *other == machine || self.tree(*other).is_some_and(leads))
+                    .collect();
+                for machine in asked {
                     self.read(machine);
                 }
             }
