Loopback tests: the counter between a client and an appliance that the tests play

Cause: the framing machines are tested by themselves; that hyper, the doorway and the echo agree on where requests begin and end shows only with all of them in a row. Change: six tests on loopback sockets, driven by what arrives, none sleeps: a request hidden behind an odd one, a broken body, pipelined lookups early and in order, leaving with requests started early, late and doubled answers, proper oddities.

--- /dev/null
+++ b/programs/orchard/src/counter/loopback.rs
@@ -0,0 +1,292 @@
+//! The counter between a client and an appliance played by the tests. They wait for what is to come, for no time.
+
+use super::{front, Counter};
+use magpieline_almanac::machine::Machine;
+use magpieline_trellis::records::Kept;
+use magpieline_trellis::words::{Entry, Listing, State};
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+const MACHINE: &str = r#"
+[self]
+node = "n-1"
+machine_class = "counter"
+ip = "127.0.0.1"
+zone = "a"
+region = "r"
+[network]
+inner_ports = [7720,7735]
+seed_depots = ["127.0.0.1:8166"]
+[carrier.carrier_api]
+address = "127.0.0.1:8169"
+"#;
+
+const EDITION: &str = r#"{"edition":1,"allowances":{"header_bytes":2000},"fleets":[{"name":"s"}],
+"wickets":[{"depot":"h","regulations":[
+{"name":"r","sort":"safe","target":"1s","sorting":{"lane_prefix":"/safe/"},"dispatch":{"service":"s","give_up":"9s","tries":2}},
+{"name":"u","sort":"unsafe","target":"1s","sorting":{"lane_prefix":"/once/"},"dispatch":{"service":"s","give_up":"9s","tries":2}}]}]}"#;
+
+/// A request at the appliance, by its connection; it waits for the bytes to answer with.
+struct Asked {
+    connection: usize,
+    text: String,
+    reply: oneshot::Sender<String>,
+}
+
+impl Asked {
+    fn id(&self) -> String {
+        let id = self.text.lines().find_map(|line| line.strip_prefix("try-id: "));
+        id.unwrap_or_default().to_owned()
+    }
+    fn whole(id: &str) -> String {
+        format!("HTTP/1.1 200 OK\r\nTry-Id: {id}\r\nPostmark: p\r\nContent-Length: {}\r\n\r\n{id}", id.len())
+    }
+    /// Answers, with what stands before and behind the answer.
+    fn answer(self, before: &str, behind: &str) {
+        let answer = Self::whole(&self.id());
+        self.reply.send(format!("{before}{answer}{behind}")).expect("the connection is up");
+    }
+}
+
+async fn appliance(listener: TcpListener, tell: mpsc::UnboundedSender<Asked>) {
+    for connection in 0.. {
+        let Ok((mut stream, _)) = listener.accept().await else { return };
+        let tell = tell.clone();
+        tokio::spawn(async move {
+            let mut bytes = Vec::new();
+            loop {
+                let text = String::from_utf8_lossy(&bytes).into_owned();
+                let length = text.lines().find_map(|line| line.strip_prefix("content-length: "));
+                let length = length.map_or(0, |l| l.parse().expect("a number"));
+                let whole = text.find("\r\n\r\n").map(|at| at + 4 + length).filter(|end| *end <= bytes.len());
+                if let Some(end) = whole {
+                    bytes.drain(..end);
+                    let (reply, answer) = oneshot::channel();
+                    let _ = tell.send(Asked { connection, text: text[..end].into(), reply });
+                    let Ok(answer) = answer.await else { return };
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                } else if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+struct Stage {
+    counter: Arc<Counter>,
+    door: SocketAddrV4,
+    asked: mpsc::UnboundedReceiver<Asked>,
+}
+
+async fn local() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    (listener, SocketAddrV4::new([127, 0, 0, 1].into(), port))
+}
+
+impl Stage {
+    async fn new() -> Stage {
+        let (far, address) = local().await;
+        let (tell, asked) = mpsc::unbounded_channel();
+        tokio::spawn(appliance(far, tell));
+        let counter = Arc::new(Counter::new(Machine::read(MACHINE).expect("sound"), 1));
+        counter.take_edition(&Kept { number: 1, text: EDITION.into() });
+        let entry = Entry {
+            service: "s".into(),
+            address,
+            zone: "a".into(),
+            version: "v1".into(),
+            berths: 30,
+            state: State::Ready,
+            cold: 0,
+        };
+        counter.take_listing(&Listing { whole: true, entries: vec![("i-1".into(), Some(entry))] });
+        let (near, door) = local().await;
+        tokio::spawn(front::run(counter.clone(), near));
+        Stage { counter, door, asked }
+    }
+
+    async fn client(&self) -> TcpStream {
+        TcpStream::connect(self.door).await.expect("a connection")
+    }
+
+    async fn asked(&mut self) -> Asked {
+        self.asked.recv().await.expect("a request")
+    }
+}
+
+fn request(method: &str, path: &str, id: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\nTime-Left-Ms: 9000\r\n\r\n")
+}
+
+/// Reads until the text ends so.
+async fn until(client: &mut TcpStream, end: &str) -> String {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(end.as_bytes()) {
+        assert!(client.read_buf(&mut bytes).await.expect("bytes") > 0, "{}", String::from_utf8_lossy(&bytes));
+    }
+    String::from_utf8(bytes).expect("text")
+}
+
+async fn rest(client: &mut TcpStream) -> String {
+    let mut text = String::new();
+    client.read_to_string(&mut text).await.expect("the end, in order");
+    text
+}
+
+/// Runs a test; whoever waits for what never comes fails.
+fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let within = async { tokio::time::timeout(Duration::from_secs(30), test).await };
+    runtime.block_on(within).expect("what is waited for comes");
+}
+
+/// Guards against smuggling through the real server: what came before is served, the odd request is answered with
+/// 400 by the counter, what is hidden behind it goes nowhere, and the connection ends in order.
+#[test]
+fn a_hidden_request_reaches_nobody() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut client = stage.client().await;
+        let hidden = request("GET", "/safe/hidden", "hidden");
+        let odd = "POST /once/a HTTP/1.1\r\nHost: h\r\nTry-Id: odd\r\nContent-Length: 4\r\n\
+                   Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        let sent = [&request("GET", "/safe/a", "t1"), odd, &hidden].concat();
+        client.write_all(sent.as_bytes()).await.expect("sent");
+        stage.asked().await.answer("", "");
+        let text = rest(&mut client).await;
+        assert!(text.starts_with("HTTP/1.1 200 OK") && text.contains("\r\n\r\nt1HTTP/1.1 400 Bad"), "{text}");
+        assert_eq!((text.matches("HTTP/1.1").count(), text.matches("connection: close").count()), (2, 1));
+        assert!(stage.asked.try_recv().is_err(), "nothing more was asked");
+    });
+}
+
+/// Guards against a body in chunks that goes on oddly: its request was begun, yet nothing of it reaches an appliance.
+#[test]
+fn a_broken_body_is_answered_and_reaches_nobody() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut client = stage.client().await;
+        let head = request("PUT", "/once/a", "t1");
+        let head = head.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n");
+        client.write_all(format!("{head}3\r\nabc\r\n").as_bytes()).await.expect("sent");
+        client
+            .write_all(b"0x1\r\na\r\n0\r\n\r\nGET /safe/a HTTP/1.1\r\nHost: h\r\n\r\n")
+            .await
+            .expect("sent");
+        let text = rest(&mut client).await;
+        assert!(text.starts_with("HTTP/1.1 400 ") && text.contains("connection: close"), "{text}");
+        assert_eq!(text.matches("HTTP/1.1").count(), 1);
+        assert!(stage.asked.try_recv().is_err(), "nothing was asked");
+        let mut long = stage.client().await;
+        long.write_all(format!("GET /{} HTTP/1.1\r\n", "y".repeat(2000)).as_bytes()).await.expect("sent");
+        assert!(rest(&mut long).await.starts_with("HTTP/1.1 431 "));
+    });
+}
+
+/// Guards against lookups that wait for one another, and against answers out of order: all are at the appliance
+/// before the first is answered, and are answered in the order they were sent. The order behind them waits.
+#[test]
+fn pipelined_lookups_start_early_and_are_answered_in_order() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut client = stage.client().await;
+        let mut sent: String =
+            (1..5).map(|i| request("GET", &format!("/safe/{i}"), &format!("t{i}"))).collect();
+        sent += &request("POST", "/once/5", "t5");
+        client.write_all(sent.as_bytes()).await.expect("sent");
+        let mut waiting = Vec::new();
+        for _ in 1..5 {
+            waiting.push(stage.asked().await);
+        }
+        assert!(waiting.iter().all(|w| w.id() != "t5"));
+        waiting.sort_by_key(Asked::id);
+        for asked in waiting.into_iter().rev() {
+            assert!(stage.asked.try_recv().is_err(), "an order does not start early");
+            asked.answer("", "");
+        }
+        let last = stage.asked().await;
+        assert!(last.text.starts_with("POST /once/5 "));
+        last.answer("", "");
+        let text = until(&mut client, "\r\n\r\nt5").await;
+        let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("try-id: ")).collect();
+        assert_eq!(ids, ["t1", "t2", "t3", "t4", "t5"]);
+    });
+}
+
+/// Guards against requests lost when the process leaves: those that are at an appliance are all answered, the last
+/// of them closes, and a request that was sent behind them goes nowhere.
+#[test]
+fn leaving_answers_what_was_started() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut client = stage.client().await;
+        let sent = [request("GET", "/safe/1", "t1"), request("GET", "/safe/2", "t2")].concat();
+        client.write_all(sent.as_bytes()).await.expect("sent");
+        let both = [stage.asked().await, stage.asked().await];
+        stage.counter.leaving.store(true, Ordering::Relaxed);
+        stage.counter.left.notify_waiters();
+        client.write_all(request("POST", "/once/3", "t3").as_bytes()).await.expect("sent");
+        both.into_iter().for_each(|asked| asked.answer("", ""));
+        let text = rest(&mut client).await;
+        let closing = text.find("connection: close").expect("told so");
+        assert!(text.find("t2").expect("answered") < text.len() && text.find("\r\n\r\nt1") < Some(closing));
+        assert_eq!(text.matches("HTTP/1.1 200 OK").count(), 2);
+        assert!(stage.asked.try_recv().is_err(), "nothing more was asked");
+    });
+}
+
+/// Guards against another request's answer (MIXED) and against requests lost to it: late answers are passed over,
+/// and a connection on which more came than was asked for is not used again.
+#[test]
+fn answers_late_or_doubled_harm_nobody() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut client = stage.client().await;
+        let (mut connections, late, surplus) = (Vec::new(), Asked::whole("t0"), Asked::whole("t9"));
+        for (i, (before, behind)) in
+            [("", ""), (late.as_str(), ""), ("", surplus.as_str()), ("", "")].iter().enumerate()
+        {
+            let id = format!("t{i}");
+            client.write_all(request("POST", "/once/a", &id).as_bytes()).await.expect("sent");
+            let asked = stage.asked().await;
+            connections.push(asked.connection);
+            asked.answer(before, behind);
+            let text = until(&mut client, &format!("\r\n\r\n{id}")).await;
+            assert!(text.starts_with("HTTP/1.1 200 OK") && !text.contains("t9"), "{text}");
+        }
+        assert_eq!(connections, [0, 0, 0, 1]);
+    });
+}
+
+/// Guards against refusing or holding up what is proper: a body that waits to be asked for, version 1.0 kept alive,
+/// a target in absolute form, and requests behind a body.
+#[test]
+fn proper_oddities_are_served() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut client = stage.client().await;
+        let waits = "PUT /once/a HTTP/1.1\r\nHost: h\r\nTry-Id: t1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n";
+        client.write_all(waits.as_bytes()).await.expect("sent");
+        assert_eq!(until(&mut client, "\r\n\r\n").await, "HTTP/1.1 100 Continue\r\n\r\n");
+        let old = "GET /safe/b HTTP/1.0\r\nHost: h\r\nTry-Id: t2\r\nConnection: keep-alive\r\n\r\n";
+        let far = "BREW http://h/once/c?d HTTP/1.1\r\nHost: h\r\nTry-Id: t3\r\n\r\n";
+        client.write_all(format!("abc\r\n{old}{far}").as_bytes()).await.expect("sent");
+        for (begin, end) in
+            [("PUT /once/a ", "\r\n\r\nabc"), ("GET /safe/b ", "\r\n\r\n"), ("BREW /once/c?d ", "\r\n\r\n")]
+        {
+            let asked = stage.asked().await;
+            assert!(asked.text.starts_with(begin) && asked.text.ends_with(end), "{}", asked.text);
+            asked.answer("", "");
+        }
+        let text = until(&mut client, "\r\n\r\nt3").await;
+        assert_eq!(text.matches(" 200 OK").count(), 3, "{text}");
+    });
+}
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -5,6 +5,8 @@
 mod forward;
 mod front;
 mod list;
+#[cfg(test)]
+mod loopback;
 mod pool;
 mod ready;
 mod session;
