Heads are read with fewer looks at each byte

Cause: checking heads took half of what framing costs: each byte was looked at three times, one by one. Change: line feeds are found by memchr, and control characters are looked for once in a whole head instead of in each value.

--- a/carrying/furrow/src/framing/head.rs
+++ b/carrying/furrow/src/framing/head.rs
@@ -110,6 +110,9 @@
     }
 
     fn whole(&self, bytes: &[u8], old: bool) -> Result<Asked, Wrong> {
+        if !self.lines.plain(bytes) {
+            return Err(Wrong::Control);
+        }
         let body = self.facts.body()?;
         if old && self.facts.chunked {
             return Err(Wrong::Coding); // version 1.0 knows no chunks
@@ -219,6 +222,9 @@
                 continue;
             };
             if line.is_empty() {
+                if !self.lines.plain(bytes) {
+                    return Err(Wrong::Control);
+                }
                 return self.whole(status, old, bodiless).map(Some);
             }
             let (name, value) = field(line)?;
--- a/carrying/furrow/src/framing/lines.rs
+++ b/carrying/furrow/src/framing/lines.rs
@@ -131,12 +131,14 @@
     /// Where the line that is being read begins, and up to where it has been looked at.
     begin: usize,
     seen: usize,
+    /// How many there were.
+    count: usize,
 }
 
 impl Lines {
     /// The next whole line without its end, if it is there. All lines together take `most` bytes at most.
     pub fn next<'a>(&mut self, bytes: &'a [u8], most: usize) -> Result<Option<&'a [u8]>, Wrong> {
-        let Some(feed) = bytes[self.seen..].iter().position(|b| *b == b'\n').map(|at| self.seen + at) else {
+        let Some(feed) = memchr::memchr(b'\n', &bytes[self.seen..]).map(|at| self.seen + at) else {
             self.seen = bytes.len();
             return if bytes.len() >= most { Err(Wrong::TooLong) } else { Ok(None) };
         };
@@ -144,7 +146,7 @@
             return Err(Wrong::TooLong);
         }
         let line = bytes[self.begin..feed].strip_suffix(b"\r").ok_or(Wrong::BareFeed)?;
-        (self.begin, self.seen) = (feed + 1, feed + 1);
+        (self.begin, self.seen, self.count) = (feed + 1, feed + 1, self.count + 1);
         Ok(Some(line))
     }
 
@@ -152,19 +154,23 @@
     pub fn passed(&self) -> usize {
         self.begin
     }
+
+    /// Whether the lines so far hold no control characters but tabs and their own ends. One look at all of them costs
+    /// less than one at each.
+    pub fn plain(&self, bytes: &[u8]) -> bool {
+        let odd = |b: &u8| u8::from(((*b < b' ') & (*b != b'\t')) | (*b == 0x7f));
+        let some = |bytes: &[u8]| usize::from(bytes.iter().fold(0, |sum: u8, b| sum + odd(b)));
+        bytes[..self.begin].chunks(128).map(some).sum::<usize>() == 2 * self.count
+    }
 }
 
-/// Name and value of a header line, checked.
+/// Name and value of a header line; the name is checked.
 pub fn field(line: &[u8]) -> Result<(&[u8], &[u8]), Wrong> {
     let colon = line.iter().position(|b| !in_token(*b)).ok_or(Wrong::Field)?;
     if colon == 0 || line[colon] != b':' {
         return Err(Wrong::Field);
     }
-    let value = trimmed(&line[colon + 1..]);
-    if !value.iter().all(|b| in_value(*b)) {
-        return Err(Wrong::Control);
-    }
-    Ok((&line[..colon], value))
+    Ok((&line[..colon], trimmed(&line[colon + 1..])))
 }
 
 /// Without spaces and tabs around it.
