Less done for each request: names of hop headers are names, a dry stream is asked once; bounds in time tested

Change: the doorway remembers that its stream has nothing for now; the headers of one connection are a list of names; buffers above 2 KiB are not kept while they are empty. A loopback test holds that 408 and idle ends come, and none under a request.

--- a/carrying/furrow/src/framing/doorway.rs
+++ b/carrying/furrow/src/framing/doorway.rs
@@ -18,7 +18,7 @@
 /// Bytes behind the last request that are read and dropped, so that the end of the connection is seen behind them.
 const MOST_SUNK: usize = 64 << 10;
 /// An empty buffer larger than this is not kept.
-const KEPT: usize = 8 << 10;
+const KEPT: usize = 2 << 10;
 
 /// What clients may send, and how long it may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/carrying/furrow/src/framing/echo.rs
+++ b/carrying/furrow/src/framing/echo.rs
@@ -14,7 +14,7 @@
 const MOST_DROPPED: usize = 4;
 const DROPPED_BYTES: usize = 256 << 10;
 /// An empty buffer larger than this is not kept.
-const KEPT: usize = 8 << 10;
+const KEPT: usize = 2 << 10;
 
 /// Why a connection is of no more use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/programs/orchard/src/counter/doorway.rs
+++ b/programs/orchard/src/counter/doorway.rs
@@ -91,6 +91,8 @@
     sent: usize,
     ended: bool,
     broken: Option<io::ErrorKind>,
+    /// Nothing is there to be read for now; the stream tells when there is.
+    dry: bool,
     /// hyper wanted to read when there was nothing for it.
     hungry: bool,
     /// Requests started early, in their order.
@@ -112,6 +114,7 @@
             sent: 0,
             ended: false,
             broken: None,
+            dry: false,
             hungry: false,
             early: VecDeque::new(),
         };
@@ -238,6 +241,7 @@
 impl<S: AsyncRead + AsyncWrite + Unpin> Inner<S> {
     /// Reads and writes what can be, lets time pass, and goes on where an answer is written.
     fn turn(&mut self, cx: &mut Context<'_>) -> Option<End> {
+        self.dry = false;
         self.fill(cx);
         if let Poll::Ready(Err(_)) = self.pump(cx) {
             return Some(End::Served);
@@ -258,14 +262,14 @@
 
     /// Reads all that is there and may be held.
     fn fill(&mut self, cx: &mut Context<'_>) {
-        while !self.ended && self.broken.is_none() {
+        while !self.ended && !self.dry && self.broken.is_none() {
             let Inner { stream, door, bounds, now, .. } = self;
             let room = door.room(bounds);
             if room == 0 {
                 return;
             }
             match poll_some(stream, cx, room, |bytes| door.feed(*now, bounds, bytes)) {
-                Poll::Pending => return,
+                Poll::Pending => self.dry = true,
                 Poll::Ready(Ok(0)) => self.ended = true,
                 Poll::Ready(Ok(_)) => {}
                 Poll::Ready(Err(e)) => self.broken = Some(e.kind()),
--- a/programs/orchard/src/counter/forward.rs
+++ b/programs/orchard/src/counter/forward.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH};
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::{Method, Request, Response, Uri};
 use magpieline_furrow::journey::{promises, Ending};
 use magpieline_windrow::field::{Load, Sign};
@@ -41,6 +44,18 @@
     pub due: Micros,
 }
 
+/// What concerns one connection only. They are names already: nothing is read at each request.
+static OF_ONE_CONNECTION: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    EXPECT,
+];
+
 /// Takes off what concerns one connection only.
 pub fn passed_on(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
@@ -53,16 +68,7 @@
     for name in named {
         headers.remove(name);
     }
-    for name in [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    ] {
+    for name in &OF_ONE_CONNECTION {
         headers.remove(name);
     }
     headers
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -154,10 +154,14 @@
     reply
 }
 
+/// Room for the headers that a request usually has.
+const MOST_COMMON: usize = 12;
+
 /// Starts a request before its turn, if it is safe.
 fn early(counter: &Arc<Counter>, ahead: Early<'_>) -> Option<Started> {
     let (method, target) = head::first_of(ahead.head)?;
     let mut request = Request::builder().method(method).uri(target).body(()).ok()?;
+    request.headers_mut().reserve(MOST_COMMON);
     for (name, value) in head::fields_of(ahead.head) {
         let name = HeaderName::from_bytes(name).ok()?;
         request.headers_mut().append(name, HeaderValue::from_bytes(value).ok()?);
--- a/programs/orchard/src/counter/loopback.rs
+++ b/programs/orchard/src/counter/loopback.rs
@@ -93,11 +93,15 @@
 
 impl Stage {
     async fn new() -> Stage {
+        Stage::with(EDITION).await
+    }
+
+    async fn with(edition: &str) -> Stage {
         let (far, address) = local().await;
         let (tell, asked) = mpsc::unbounded_channel();
         tokio::spawn(appliance(far, tell));
         let counter = Arc::new(Counter::new(Machine::read(MACHINE).expect("sound"), 1));
-        counter.take_edition(&Kept { number: 1, text: EDITION.into() });
+        counter.take_edition(&Kept { number: 1, text: edition.into() });
         let entry = Entry {
             service: "s".into(),
             address,
@@ -290,3 +294,32 @@
         assert_eq!(text.matches(" 200 OK").count(), 3, "{text}");
     });
 }
+
+/// Guards against clients that hold connections for ever, and against ending one under a request: one that sends
+/// nothing is let go, a head or a body that stops is answered with 408, and an appliance may take its time.
+#[test]
+fn time_runs_out_for_clients_but_not_for_requests() {
+    play(async {
+        let short = r#""allowances":{"header":"150ms","idle":"300ms","#;
+        let mut stage = Stage::with(&EDITION.replace(r#""allowances":{"#, short)).await;
+        let mut busy = stage.client().await;
+        busy.write_all(request("POST", "/once/a", "t1").as_bytes()).await.expect("sent");
+        let mut head = stage.client().await;
+        head.write_all(b"GET /safe/b HTTP/1.1\r\nHo").await.expect("sent");
+        let mut body = stage.client().await;
+        let long = request("PUT", "/once/b", "t2").replace("\r\n\r\n", "\r\nContent-Length: 9\r\n\r\nabc");
+        body.write_all(long.as_bytes()).await.expect("sent");
+        let asked = stage.asked().await;
+        let mut idle = stage.client().await;
+        assert_eq!(rest(&mut idle).await, "");
+        for late in [&mut head, &mut body] {
+            let text = rest(late).await;
+            assert!(text.starts_with("HTTP/1.1 408 ") && text.contains("connection: close"), "{text}");
+        }
+        // All that time one was in work.
+        asked.answer("", "");
+        assert!(until(&mut busy, "\r\n\r\nt1").await.starts_with("HTTP/1.1 200 OK"));
+        assert_eq!(rest(&mut busy).await, "");
+        assert!(stage.asked.try_recv().is_err(), "nothing more was asked");
+    });
+}
