Almanac tells all complaints; Granary tells whether a store is in use

Cause: a file that is checked by hand was told of twenty complaints at most, and a store that is looked at gave no sign of whether its machine still runs.

Change: `Edition::examine` keeps all complaints, `Edition::read` still cuts them for answers; `is_in_use` asks for the store's lock and lets go of it at once.

--- a/deciding/almanac/src/edition.rs
+++ b/deciding/almanac/src/edition.rs
@@ -52,18 +52,23 @@
 }
 
 impl Edition {
-    /// Reads and checks a configuration; all that is wrong with it is returned, up to twenty complaints.
+    /// Reads and checks a configuration; what is wrong with it is returned, up to twenty complaints.
     pub fn read(text: &str) -> Result<Edition, Vec<Complaint>> {
+        Edition::examine(text).map_err(|mut wrong| {
+            wrong.truncate(MOST_TOLD);
+            wrong
+        })
+    }
+
+    /// Reads and checks a configuration; all that is wrong with it is returned.
+    pub fn examine(text: &str) -> Result<Edition, Vec<Complaint>> {
         let root = jzon::parse(text)
             .map_err(|e| vec![Complaint::new("document", quoted(&e.to_string()), "JSON, whole")])?;
         let mut reader = Reader { wrong: Vec::new(), names: HashSet::new() };
         let edition = reader.edition(&root);
         match edition.filter(|_| reader.wrong.is_empty()) {
             Some(edition) => Ok(edition),
-            None => {
-                reader.wrong.truncate(MOST_TOLD);
-                Err(reader.wrong)
-            }
+            None => Err(reader.wrong),
         }
     }
 
--- a/keeping/granary/src/lib.rs
+++ b/keeping/granary/src/lib.rs
@@ -160,6 +160,15 @@
     Ok(Some(Inspection { stored: read(&database)?, file_bytes }))
 }
 
+/// Whether a process has the store in `dir` open. The lock that tells is let go at once.
+pub fn is_in_use(dir: &Path) -> Result<bool, Error> {
+    match File::open(dir.join(FILE))?.try_lock_shared() {
+        Ok(()) => Ok(false),
+        Err(fs::TryLockError::WouldBlock) => Ok(true),
+        Err(fs::TryLockError::Error(error)) => Err(error.into()),
+    }
+}
+
 /// What stores are opened with, for those that bring their own disk.
 pub fn builder() -> Builder {
     let mut builder = Builder::new();
