Commands of the gateway's operators; the settings file is watched

Cause: SIGHUP ended a counter or a sorting machine (exit code 129), and a changed settings file was never read; operators had `view` alone, and wrong use of it was not told apart from a failure.

A watcher reads the settings at SIGHUP and every second, takes a text once two looks have found it the same, and hands out what can take effect while the program runs: terms, seeds, carrier, zones. Budget, tendril and carrier go along. Ctrl-C ends a role in order, as SIGTERM does. An address that can't be listened at is named.

--- a/deciding/windrow/src/budget.rs
+++ b/deciding/windrow/src/budget.rs
@@ -38,6 +38,12 @@
         self.saved.values_mut().for_each(|s| *s = s.min(self.depth));
     }
 
+    /// Other terms hold from now on, for so many agents; what is saved up stays within them.
+    pub fn retune(&mut self, ratio: f64, slack: f64, agents: u32) {
+        self.ratio = ratio;
+        self.share(slack, agents);
+    }
+
     /// A request for the service has been taken.
     pub fn taken(&mut self, service: &Arc<str>) {
         let saved = self.saved.entry(service.clone()).or_insert(FIRST);
--- a/keeping/trellis/src/tendril.rs
+++ b/keeping/trellis/src/tendril.rs
@@ -124,6 +124,14 @@
         &self.core
     }
 
+    /// Other seeds are told. Who is held stays held; what was learnt is asked first, as before.
+    pub fn reseed(&mut self, seeds: Vec<SocketAddrV4>) {
+        if self.core == self.seeds {
+            self.core = seeds.clone();
+        }
+        self.seeds = seeds;
+    }
+
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
@@ -269,6 +277,15 @@
         assert!(t.holds(UP_WITHIN + 5) && t.counters() == 9);
     }
 
+    /// Guards against a counter that goes on asking seeds that are said to be gone.
+    #[test]
+    fn other_seeds_take_the_place_of_those_before() {
+        let mut t = Tendril::new(0, vec![at(1)], 0);
+        assert_eq!(t.step(0, Event::Tick), [Action::Dial(at(1))]);
+        t.reseed(vec![at(2)]);
+        assert_eq!(t.step(UP_WITHIN, Event::Tick), [Action::HangUp, Action::Dial(at(2))]);
+    }
+
     /// Guards against a counter that goes on as if in touch behind a cut that nothing reports.
     #[test]
     fn a_silent_leader_is_let_go_of_and_the_others_are_asked() {
--- a/programs/orchard/src/carrier.rs
+++ b/programs/orchard/src/carrier.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Wire};
+use crate::settings::Held;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::SendRequest;
@@ -34,19 +35,26 @@
     Unreadable(&'static str),
 }
 
-/// A caller of the list, who keeps its connection.
+/// A caller of the list, who keeps its connection and goes where the settings say.
 pub struct Carrier {
     address: SocketAddrV4,
+    settings: Held,
     line: Option<SendRequest<Empty<Bytes>>>,
 }
 
 impl Carrier {
-    pub fn new(address: SocketAddrV4) -> Carrier {
-        Carrier { address, line: None }
+    /// None where the settings name no list at the start.
+    pub fn of(settings: &Held) -> Option<Carrier> {
+        let address = settings.borrow().carrier.address?;
+        Some(Carrier { address, settings: settings.clone(), line: None })
     }
 
     /// Reads the whole list, all its pages.
     pub async fn list(&mut self) -> Result<List, Failed> {
+        let told = self.settings.borrow().carrier.address.filter(|to| *to != self.address);
+        if let Some(address) = told {
+            (self.address, self.line) = (address, None);
+        }
         let (mut list, mut page) = (List::new(), None);
         for _ in 0..MOST_PAGES {
             let text = self.page(page.as_deref()).await?;
--- /dev/null
+++ b/programs/orchard/src/commands/check.rs
@@ -0,0 +1,409 @@
+//! Checks files: a machine's settings (TOML) or a configuration (JSON), told apart by how they begin.
+
+use super::tables::{columns, listed, pairs};
+use super::{say, End};
+use jzon::JsonValue as Json;
+use magpieline_almanac::edition::Edition;
+use magpieline_almanac::machine::Machine;
+use magpieline_almanac::place::Complaint;
+use magpieline_almanac::routes::{Route, Sort};
+use magpieline_almanac::times;
+use std::io::Read;
+
+#[derive(gumdrop::Options)]
+pub struct Options {
+    #[options(help = "prints this")]
+    help: bool,
+    #[options(free, required, help = "the files; - is standard input")]
+    files: Vec<String>,
+    #[options(help = "takes them for `settings` or `configuration`, however they begin", meta = "KIND")]
+    kind: Option<Kind>,
+    #[options(help = "lists a configuration's routes, too")]
+    routes: bool,
+    #[options(help = "as JSON, one line a file")]
+    json: bool,
+}
+
+/// What a file holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A machine's settings.
+    Settings,
+    /// What operators send to the sorting machines.
+    Configuration,
+}
+
+impl std::str::FromStr for Kind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Kind, String> {
+        match text {
+            "settings" => Ok(Kind::Settings),
+            "configuration" => Ok(Kind::Configuration),
+            other => Err(format!("found '{other}', expected settings or configuration")),
+        }
+    }
+}
+
+impl Kind {
+    /// A configuration is a JSON object; no TOML file begins like one.
+    fn of(text: &str) -> Kind {
+        match text.trim_start().starts_with('{') {
+            true => Kind::Configuration,
+            false => Kind::Settings,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Kind::Settings => "settings",
+            Kind::Configuration => "configuration",
+        }
+    }
+}
+
+pub fn run(options: &Options) -> Result<End, String> {
+    let mut sound = true;
+    for file in &options.files {
+        let (shown, good) = match read(file) {
+            Ok(text) => {
+                let kind = options.kind.unwrap_or(Kind::of(&text));
+                let found = examine(&text, kind, options.routes);
+                (if options.json { found.as_json(file) } else { found.as_text(file) }, found.wrong.is_empty())
+            }
+            Err(e) => {
+                eprintln!("{file}: can't be read: {e}");
+                let wrong = jzon::object! { file: file.as_str(), sound: false, unreadable: e.to_string() };
+                (if options.json { format!("{}\n", wrong.dump()) } else { String::new() }, false)
+            }
+        };
+        sound &= good;
+        say(&shown);
+    }
+    Ok(sound.into())
+}
+
+/// A file's text, or that of standard input.
+pub fn read(file: &str) -> std::io::Result<String> {
+    if file == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text)?;
+        return Ok(text);
+    }
+    std::fs::read_to_string(file)
+}
+
+/// What a check has found.
+struct Found {
+    kind: Kind,
+    wrong: Vec<Complaint>,
+    /// What is sound, and hardly what was meant.
+    notes: Vec<String>,
+    summary: Vec<(&'static str, String)>,
+    json: Json,
+    /// A table of routes, if it was asked for.
+    routes: String,
+}
+
+fn examine(text: &str, kind: Kind, routes: bool) -> Found {
+    let mut found = Found {
+        kind,
+        wrong: Vec::new(),
+        notes: Vec::new(),
+        summary: Vec::new(),
+        json: Json::Null,
+        routes: String::new(),
+    };
+    match kind {
+        Kind::Settings => match Machine::read(text) {
+            Ok(machine) => (found.summary, found.json) = (machine_lines(&machine), machine_json(&machine)),
+            Err(wrong) => found.wrong = wrong,
+        },
+        Kind::Configuration => match Edition::examine(text) {
+            Ok(edition) => {
+                (found.summary, found.json) = (edition_lines(&edition), edition_json(&edition));
+                found.notes = notes(&edition);
+                if routes {
+                    found.routes = route_table(&edition);
+                }
+            }
+            Err(wrong) => found.wrong = wrong,
+        },
+    }
+    found
+}
+
+impl Found {
+    fn as_text(&self, file: &str) -> String {
+        let what = match self.kind {
+            Kind::Settings => "a machine's settings",
+            Kind::Configuration => "a configuration",
+        };
+        let verdict = match self.wrong.len() {
+            0 => "sound".to_owned(),
+            1 => "1 complaint".to_owned(),
+            many => format!("{many} complaints"),
+        };
+        let mut text = format!("{file}: {what}, {verdict}\n");
+        self.wrong.iter().for_each(|complaint| text.push_str(&format!("  {complaint}\n")));
+        text.push_str(&pairs(&self.summary, "  "));
+        self.notes.iter().for_each(|note| text.push_str(&format!("  note: {note}\n")));
+        text.push_str(&self.routes);
+        text
+    }
+
+    fn as_json(&self, file: &str) -> String {
+        let sound = self.wrong.is_empty();
+        let shown = jzon::object! {
+            file: file, kind: self.kind.name(), sound: sound, complaints: complaints(&self.wrong),
+            notes: self.notes.clone(), summary: self.json.clone()
+        };
+        format!("{}\n", shown.dump())
+    }
+}
+
+/// Complaints for machines.
+pub fn complaints(wrong: &[Complaint]) -> Vec<Json> {
+    let shown = |c: &Complaint| {
+        jzon::object! { place: c.place.as_str(), found: c.found.as_str(), expected: c.expected.as_str() }
+    };
+    wrong.iter().map(shown).collect()
+}
+
+fn machine_lines(machine: &Machine) -> Vec<(&'static str, String)> {
+    let posts: Vec<String> = machine.posts.iter().map(|(name, at)| format!("{name} {at}")).collect();
+    let seeds: Vec<String> = machine.seeds.iter().map(|s| s.to_string()).collect();
+    let zones: Vec<String> =
+        machine.zones.iter().map(|(zone, region)| format!("{zone} ({region})")).collect();
+    let terms: Vec<String> = terms(machine).into_iter().map(|(name, v)| format!("{name} {v}")).collect();
+    let carrier = match machine.carrier.address {
+        Some(at) => {
+            format!(
+                "{at}, {} calls a second, {} behind",
+                machine.carrier.per_s,
+                times::write(machine.carrier.lag)
+            )
+        }
+        None => "none".into(),
+    };
+    vec![
+        ("node", machine.node.clone()),
+        ("class", machine.class.clone()),
+        ("zone", format!("{} ({})", machine.zone, machine.region)),
+        ("runs", listed(&roles(machine))),
+        ("inner", format!("{}:{} to {}", machine.ip, machine.inner_ports.0, machine.inner_ports.1)),
+        ("posts", listed(&posts)),
+        ("store", machine.store.clone().unwrap_or_else(|| "none".into())),
+        ("first run", machine.first_run.to_string()),
+        ("seeds", listed(&seeds)),
+        ("platform", carrier),
+        ("zones", listed(&zones)),
+        (
+            "bounds",
+            format!(
+                "{} MB of memory, {} descriptors, {} MB of disk",
+                machine.memory_mb, machine.descriptors, machine.disk_mb
+            ),
+        ),
+        ("withstands", format!("the loss of {}", machine.withstand)),
+        ("terms", terms.join(", ")),
+    ]
+}
+
+fn machine_json(machine: &Machine) -> Json {
+    let mut posts = Json::new_object();
+    machine.posts.iter().for_each(|(name, at)| drop(posts.insert(name, at.to_string())));
+    let mut terms_shown = Json::new_object();
+    terms(machine).into_iter().for_each(|(name, value)| drop(terms_shown.insert(name, value)));
+    jzon::object! {
+        node: machine.node.as_str(), class: machine.class.as_str(), zone: machine.zone.as_str(),
+        region: machine.region.as_str(), runs: roles(machine), ip: machine.ip.to_string(),
+        inner_ports: [machine.inner_ports.0, machine.inner_ports.1], posts: posts,
+        store: machine.store.as_deref(), first_run: machine.first_run,
+        seeds: machine.seeds.iter().map(|s| s.to_string()).collect::<Vec<_>>(),
+        platform: machine.carrier.address.map(|a| a.to_string()),
+        zones: machine.zones.keys().map(String::as_str).collect::<Vec<_>>(),
+        memory_mb: machine.memory_mb, descriptors: machine.descriptors, disk_mb: machine.disk_mb,
+        withstand: machine.withstand, terms: terms_shown
+    }
+}
+
+/// The commands that such a machine can run.
+fn roles(machine: &Machine) -> Vec<&'static str> {
+    let has = |post: &str| machine.posts.contains_key(post);
+    let mut roles = Vec::new();
+    if has("front") && has("ready") {
+        roles.push("counter");
+    }
+    if has("control") && machine.store.is_some() {
+        roles.push("sorting");
+    }
+    roles
+}
+
+fn terms(machine: &Machine) -> Vec<(&'static str, String)> {
+    let t = &machine.terms;
+    let time = |micros| times::write(micros);
+    vec![
+        ("seed_lag", time(t.seed_lag)),
+        ("reuse_after", time(t.reuse_after)),
+        ("contact", time(t.contact)),
+        ("receipt", time(t.receipt)),
+        ("catch_up", time(t.catch_up)),
+        ("drain", time(t.drain)),
+        ("grace", time(t.grace)),
+        ("edition_time", time(t.edition_time)),
+        ("outer", time(t.outer)),
+        ("retry_ratio", t.retry_ratio.to_string()),
+        ("retry_window", time(t.retry_window)),
+        ("retry_slack", t.retry_slack.to_string()),
+        ("expose_share", t.expose_share.to_string()),
+        ("expose_slack", t.expose_slack.to_string()),
+        ("recall", time(t.recall)),
+    ]
+}
+
+/// All routes, by host and prefix.
+fn sorted(edition: &Edition) -> Vec<(&str, &Route)> {
+    let mut all: Vec<(&str, &Route)> = edition.table().all().map(|(host, route)| (host, &**route)).collect();
+    all.sort_by(|a, b| (a.0, &a.1.prefix).cmp(&(b.0, &b.1.prefix)));
+    all
+}
+
+fn sort_name(sort: Sort) -> &'static str {
+    match sort {
+        Sort::Safe => "safe",
+        Sort::Unsafe => "unsafe",
+    }
+}
+
+struct Counts {
+    hosts: Vec<String>,
+    all: usize,
+    safe: usize,
+    split: usize,
+}
+
+fn counts(edition: &Edition) -> Counts {
+    let routes = sorted(edition);
+    let mut hosts: Vec<String> = routes.iter().map(|(host, _)| (*host).to_owned()).collect();
+    hosts.dedup();
+    Counts {
+        hosts,
+        all: routes.len(),
+        safe: routes.iter().filter(|(_, r)| r.sort == Sort::Safe).count(),
+        split: routes.iter().filter(|(_, r)| r.parts.len() > 1).count(),
+    }
+}
+
+fn fleets(edition: &Edition) -> Vec<&magpieline_almanac::edition::Fleet> {
+    let mut fleets: Vec<_> = edition.fleets.values().collect();
+    fleets.sort_by(|a, b| a.name.cmp(&b.name));
+    fleets
+}
+
+/// How many routes go to a service, at least in part.
+fn routes_to(edition: &Edition, service: &str) -> usize {
+    edition.table().all().filter(|(_, r)| r.parts.iter().any(|p| &*p.service == service)).count()
+}
+
+/// A configuration for people.
+pub fn edition_lines(edition: &Edition) -> Vec<(&'static str, String)> {
+    let (counts, allowed) = (counts(edition), edition.allowances);
+    let services: Vec<String> = fleets(edition)
+        .iter()
+        .map(|f| {
+            let cap = if f.conn_cap == u32::MAX { "any number of".into() } else { f.conn_cap.to_string() };
+            let routes = routes_to(edition, &f.name);
+            format!("{} ({routes} routes, {cap} connections an appliance, {})", f.name, f.health_path)
+        })
+        .collect();
+    vec![
+        ("edition", edition.number.to_string()),
+        ("hosts", listed(&counts.hosts)),
+        (
+            "routes",
+            format!(
+                "{}: {} safe, {} unsafe, {} of them split",
+                counts.all,
+                counts.safe,
+                counts.all - counts.safe,
+                counts.split
+            ),
+        ),
+        ("services", listed(&services)),
+        (
+            "allowances",
+            format!(
+                "header_bytes {}, body_bytes {}, header {}, idle {}",
+                allowed.header_bytes,
+                allowed.body_bytes,
+                times::write(allowed.header),
+                times::write(allowed.idle)
+            ),
+        ),
+    ]
+}
+
+/// A configuration for machines.
+fn edition_json(edition: &Edition) -> Json {
+    let (counts, allowed) = (counts(edition), edition.allowances);
+    let services: Vec<Json> = fleets(edition)
+        .iter()
+        .map(|f| {
+            jzon::object! { name: &*f.name, routes: routes_to(edition, &f.name), conn_cap: f.conn_cap,
+            health_path: f.health_path.as_str() }
+        })
+        .collect();
+    jzon::object! {
+        edition: edition.number,
+        hosts: counts.hosts,
+        routes: jzon::object! { all: counts.all, safe: counts.safe, unsafe: counts.all - counts.safe,
+            split: counts.split },
+        services: services,
+        allowances: jzon::object! { header_bytes: allowed.header_bytes, body_bytes: allowed.body_bytes,
+            header: times::write(allowed.header), idle: times::write(allowed.idle) }
+    }
+}
+
+/// A configuration's routes, one a line.
+pub fn route_table(edition: &Edition) -> String {
+    let head = ["host", "prefix", "route", "sort", "to", "target", "give_up", "tries", "precedence"];
+    let mut rows = vec![head.map(str::to_owned).to_vec()];
+    for (host, route) in sorted(edition) {
+        let all: f64 = route.parts.iter().map(|p| p.share).sum();
+        let to: Vec<String> = match &route.parts[..] {
+            [one] => vec![one.service.to_string()],
+            parts => parts.iter().map(|p| format!("{} {:.0}%", p.service, 100.0 * p.share / all)).collect(),
+        };
+        rows.push(vec![
+            host.to_owned(),
+            route.prefix.clone(),
+            route.name.to_string(),
+            sort_name(route.sort).to_owned(),
+            listed(&to),
+            times::write(route.target),
+            times::write(route.give_up),
+            route.tries.to_string(),
+            route.precedence.to_string(),
+        ]);
+    }
+    columns(&rows, "  ")
+}
+
+/// What a configuration may say, and hardly means.
+fn notes(edition: &Edition) -> Vec<String> {
+    let unmet = |prefix: &str| !prefix.starts_with('/') || !prefix.ends_with('/');
+    let prefixes = sorted(edition).into_iter().filter(|(_, route)| unmet(&route.prefix));
+    let mut notes: Vec<String> = prefixes
+        .map(|(host, r)| {
+            format!(
+                "route {} of {host} is never met: its prefix is '{}', expected one that begins and ends with /",
+                r.name, r.prefix
+            )
+        })
+        .collect();
+    let idle = fleets(edition).into_iter().filter(|f| routes_to(edition, &f.name) == 0);
+    notes.extend(idle.map(|f| format!("service {}: no route goes to it", f.name)));
+    notes
+}
--- /dev/null
+++ b/programs/orchard/src/commands/store.rs
@@ -0,0 +1,325 @@
+//! What a sorting machine's store holds: read, never written, while its owner runs or not.
+
+use super::tables::{columns, listed, pairs};
+use super::{say, End};
+use jzon::JsonValue as Json;
+use magpieline_almanac::times;
+use magpieline_granary::{inspect, is_in_use, Error, Inspection};
+use magpieline_rootstock::{Entry, Payload, Seat, Stored};
+use magpieline_trellis::records::{Command, Records};
+use std::path::Path;
+use std::time::Duration;
+
+/// A store that is written just then may look corrupt: it is read so often, this far apart.
+const TRIES: u32 = 5;
+const APART: Duration = Duration::from_millis(60);
+
+#[derive(gumdrop::Options)]
+pub struct Options {
+    #[options(help = "prints this")]
+    help: bool,
+    #[options(free, required, help = "the store's folder: self.store_dir of the machine's settings")]
+    dir: String,
+    #[options(help = "lists the log's entries, too")]
+    entries: bool,
+    #[options(help = "prints the newest configuration alone, as it was sent")]
+    configuration: bool,
+    #[options(help = "as JSON")]
+    json: bool,
+}
+
+pub fn run(options: &Options) -> Result<End, String> {
+    let (dir, path) = (&options.dir, Path::new(&options.dir));
+    let in_use = is_in_use(path).unwrap_or(false);
+    let found = match read(path, in_use) {
+        Ok(Some(found)) => found,
+        Ok(None) => return Ok(failed(options, "found no store, expected a sorting machine's store.redb")),
+        Err(error) => return Ok(failed(options, &told(error, in_use))),
+    };
+    let contents = Contents::of(&found, in_use);
+    if options.configuration {
+        return Ok(match &contents.latest().edition {
+            Some(kept) => say(&kept.text).into(),
+            None => failed(options, "found no configuration, expected one that was sent"),
+        });
+    }
+    let text = match options.json {
+        true => format!("{}\n", contents.as_json(dir, options.entries).dump()),
+        false => contents.as_text(dir, options.entries),
+    };
+    Ok(say(&text).into())
+}
+
+fn failed(options: &Options, what: &str) -> End {
+    eprintln!("{}: {what}", options.dir);
+    if options.json {
+        say(&format!("{}\n", jzon::object! { store: options.dir.as_str(), wrong: what }.dump()));
+    }
+    End::Failed
+}
+
+fn read(dir: &Path, in_use: bool) -> Result<Option<Inspection>, Error> {
+    for _ in 1..TRIES {
+        match inspect(dir) {
+            Err(Error::Corrupt) if in_use => std::thread::sleep(APART),
+            done => return done,
+        }
+    }
+    inspect(dir)
+}
+
+fn told(error: Error, in_use: bool) -> String {
+    match error {
+        Error::Corrupt if in_use => {
+            "found what does not add up while the store is in use, expected a moment \
+            without a write: try again, or stop the machine's process first"
+                .into()
+        }
+        Error::Corrupt => {
+            "the store is corrupt: found what does not add up, expected what was written. The machine \
+            will not start with it; see `a sorting machine lost its disk` in docs/gateway/operators.md"
+                .into()
+        }
+        Error::InUse => "the store is in use".into(),
+        Error::Full => "the disk has no room".into(),
+        Error::Io(kind) => format!("can't be read: {kind}"),
+    }
+}
+
+/// A command's name and what it is about.
+fn command_shown(command: &Command) -> (&'static str, String) {
+    match command {
+        Command::Replace(kept) => ("replace", format!("edition {}, {} bytes", kept.number, kept.text.len())),
+        Command::Begin { service, to, within } => {
+            ("begin", format!("{service} to {to} within {}", times::write(*within)))
+        }
+        Command::Advance { service, order, phase } => {
+            ("advance", format!("{service}, order {order}: {phase:?}"))
+        }
+        Command::Stands { service, version } => ("stands", format!("{service} {version}")),
+    }
+}
+
+/// What a place in the log is, once its pieces are put together.
+struct Place {
+    index: u64,
+    term: u64,
+    kind: &'static str,
+    about: String,
+    command: Option<Command>,
+}
+
+/// The log's places in order. A command in pieces stands at its last one, as it is applied there.
+fn places(entries: &[Entry]) -> Vec<Place> {
+    let (mut pieces, mut term) = (Vec::new(), 0);
+    let mut list = Vec::new();
+    for entry in entries {
+        if entry.term != term {
+            pieces.clear(); // another leader's: what was begun before means nothing
+        }
+        term = entry.term;
+        let mut command = None;
+        let (kind, about) = match &entry.payload {
+            Payload::Noop => ("noop", "a new leader's first".into()),
+            Payload::Members(members) => ("members", seats(&members.voters)),
+            Payload::Command { more: true, bytes } => {
+                pieces.extend_from_slice(bytes);
+                ("piece", format!("{} bytes", bytes.len()))
+            }
+            Payload::Command { more: false, bytes } => {
+                pieces.extend_from_slice(bytes);
+                command = Command::unpack(&std::mem::take(&mut pieces));
+                command.as_ref().map_or(("unreadable", format!("{} bytes", bytes.len())), command_shown)
+            }
+        };
+        if !matches!(entry.payload, Payload::Command { .. }) {
+            pieces.clear();
+        }
+        list.push(Place { index: entry.index, term, kind, about, command });
+    }
+    list
+}
+
+fn seats(seats: &[Seat]) -> String {
+    let shown: Vec<String> = seats.iter().map(|s| format!("{} (life {})", s.address, s.life)).collect();
+    listed(&shown)
+}
+
+/// What was agreed on, carried out again: from the snapshot, through the log up to `to`.
+fn replay(stored: &Stored, places: &[Place], to: u64) -> Records {
+    let (mut records, mut at) = (Records::default(), 0);
+    if let Some(snapshot) = &stored.snapshot {
+        (records, at) = (Records::unpack(&snapshot.state).unwrap_or_default(), snapshot.index);
+    }
+    for place in places.iter().filter(|p| p.index > at && p.index <= to) {
+        if let Some(command) = &place.command {
+            records.apply(place.index, command);
+        }
+    }
+    records
+}
+
+/// What a store holds.
+struct Contents<'a> {
+    found: &'a Inspection,
+    in_use: bool,
+    places: Vec<Place>,
+    /// Up to here all is in force for certain, as far as this store knows.
+    certain: u64,
+    last: u64,
+    in_force: Records,
+    /// With what follows in the log, which may be in force or not, if that says more.
+    beyond: Option<Records>,
+}
+
+impl Contents<'_> {
+    fn of(found: &Inspection, in_use: bool) -> Contents<'_> {
+        let stored = &found.stored;
+        let places = places(&stored.entries);
+        let covered = stored.snapshot.as_ref().map_or(0, |s| s.index);
+        let last = places.last().map_or(covered, |p| p.index);
+        let certain = stored.hard.map_or(0, |h| h.commit).max(covered).min(last);
+        let in_force = replay(stored, &places, certain);
+        let beyond = Some(replay(stored, &places, last)).filter(|all| *all != in_force);
+        Contents { found, in_use, places, certain, last, in_force, beyond }
+    }
+
+    fn latest(&self) -> &Records {
+        self.beyond.as_ref().unwrap_or(&self.in_force)
+    }
+
+    /// How many entries there are of each kind, the frequent ones first.
+    fn kinds(&self) -> Vec<(&'static str, usize)> {
+        let mut kinds: Vec<(&'static str, usize)> = Vec::new();
+        for place in &self.places {
+            match kinds.iter_mut().find(|(kind, _)| *kind == place.kind) {
+                Some((_, count)) => *count += 1,
+                None => kinds.push((place.kind, 1)),
+            }
+        }
+        kinds.sort_by_key(|(kind, count)| (std::cmp::Reverse(*count), *kind));
+        kinds
+    }
+
+    fn as_text(&self, dir: &str, entries: bool) -> String {
+        let stored = &self.found.stored;
+        let mut text =
+            format!("{dir}: {} bytes{}\n", self.found.file_bytes, if self.in_use { ", in use" } else { "" });
+        let Some(hard) = stored.hard else {
+            text.push_str("  empty: this machine has never taken part\n");
+            return text;
+        };
+        let log = match (self.places.first(), self.places.last()) {
+            (Some(first), Some(last)) => format!("entries {} to {}", first.index, last.index),
+            _ => "no entries".into(),
+        };
+        let kinds: Vec<String> = self.kinds().iter().map(|(kind, count)| format!("{count} {kind}")).collect();
+        let snapshot = stored.snapshot.as_ref().map_or("none".into(), |s| {
+            let whole = if Records::unpack(&s.state).is_some() { "" } else { ", unreadable" };
+            format!("up to entry {} of term {}, {} bytes{whole}", s.index, s.term, s.state.len())
+        });
+        text.push_str(&pairs(
+            &[
+                ("term", hard.term.to_string()),
+                ("vote", hard.vote.map_or("none".into(), |v| seats(&[v]))),
+                ("life", hard.life.to_string()),
+                ("voters", seats(&self.voters())),
+                ("log", log),
+                ("entries", listed(&kinds)),
+                ("snapshot", snapshot),
+                ("certain", format!("up to entry {} of {}", self.certain, self.last)),
+            ],
+            "  ",
+        ));
+        text.push_str(&format!("in force, up to entry {}\n{}", self.certain, records_text(&self.in_force)));
+        if let Some(beyond) = &self.beyond {
+            let to = self.last;
+            text.push_str(&format!(
+                "if what follows up to entry {to} is in force, too\n{}",
+                records_text(beyond)
+            ));
+        }
+        if entries {
+            let mut rows = vec![["entry", "term", "kind", "about"].map(str::to_owned).to_vec()];
+            rows.extend(
+                self.places.iter().map(|p| {
+                    vec![p.index.to_string(), p.term.to_string(), p.kind.to_owned(), p.about.clone()]
+                }),
+            );
+            text.push_str(&columns(&rows, "  "));
+        }
+        text
+    }
+
+    /// Who votes by the newest list stored.
+    fn voters(&self) -> Vec<Seat> {
+        let stored = &self.found.stored;
+        let listed = stored.entries.iter().rev().find_map(|e| match &e.payload {
+            Payload::Members(members) => Some(members.voters.clone()),
+            _ => None,
+        });
+        listed.or(stored.snapshot.as_ref().map(|s| s.members.voters.clone())).unwrap_or_default()
+    }
+
+    fn as_json(&self, dir: &str, entries: bool) -> Json {
+        let stored = &self.found.stored;
+        let mut kinds = Json::new_object();
+        self.kinds().into_iter().for_each(|(kind, count)| drop(kinds.insert(kind, count)));
+        let seat = |s: &Seat| jzon::object! { address: s.address.to_string(), life: s.life };
+        let mut shown = jzon::object! {
+            store: dir, bytes: self.found.file_bytes, in_use: self.in_use, empty: stored.hard.is_none(),
+            term: stored.hard.map(|h| h.term), life: stored.hard.map(|h| h.life),
+            vote: stored.hard.and_then(|h| h.vote).map_or(Json::Null, |v| seat(&v)),
+            voters: self.voters().iter().map(seat).collect::<Vec<_>>(),
+            log: jzon::object! { first: self.places.first().map(|p| p.index),
+                last: self.places.last().map(|p| p.index), certain: self.certain, kinds: kinds },
+            snapshot: stored.snapshot.as_ref().map_or(Json::Null, |s| jzon::object! {
+                index: s.index, term: s.term, bytes: s.state.len(), readable: Records::unpack(&s.state).is_some() }),
+            in_force: records_json(&self.in_force),
+            with_what_follows: self.beyond.as_ref().map(records_json)
+        };
+        if entries {
+            let list: Vec<Json> = self
+                .places
+                .iter()
+                .map(
+                    |p| jzon::object! { index: p.index, term: p.term, kind: p.kind, about: p.about.as_str() },
+                )
+                .collect();
+            let _ = shown.insert("entries", list);
+        }
+        shown
+    }
+}
+
+fn records_text(records: &Records) -> String {
+    let edition = records.edition.as_ref();
+    let edition = edition.map_or("none".into(), |k| format!("{}, {} bytes", k.number, k.text.len()));
+    let mut text = pairs(&[("edition", edition)], "  ");
+    let mut rows = vec![["service", "stands", "rollout", "barred"].map(str::to_owned).to_vec()];
+    for (name, standing) in &records.services {
+        let rollout = standing.rollout.as_ref().map_or("none".into(), |r| {
+            format!("to {}: {:?} (order {}, within {})", r.to, r.phase, r.order, times::write(r.within))
+        });
+        let stands = standing.version.clone().unwrap_or_else(|| "not known".into());
+        rows.push(vec![name.clone(), stands, rollout, listed(&standing.barred)]);
+    }
+    if rows.len() > 1 {
+        text.push_str(&columns(&rows, "  "));
+    }
+    text
+}
+
+fn records_json(records: &Records) -> Json {
+    let mut services = Json::new_object();
+    for (name, standing) in &records.services {
+        let rollout = standing.rollout.as_ref().map_or(Json::Null, |r| {
+            jzon::object! { to: r.to.as_str(), phase: format!("{:?}", r.phase), order: r.order,
+            within_ms: r.within / 1000 }
+        });
+        let shown = jzon::object! { version: standing.version.as_deref(), barred: standing.barred.clone(),
+        rollout: rollout };
+        let _ = services.insert(name, shown);
+    }
+    jzon::object! { edition: records.edition.as_ref().map(|k| k.number), services: services }
+}
--- /dev/null
+++ b/programs/orchard/src/commands/views.rs
@@ -0,0 +1,95 @@
+//! Running agents' views, once or again and again.
+
+use super::{address, say, time, wait_for, End};
+use crate::clock::{span, Micros};
+use crate::view;
+use std::io::IsTerminal;
+use std::net::SocketAddrV4;
+
+/// Clears a terminal and goes to its first line.
+const CLEAR: &str = "\x1b[H\x1b[2J";
+
+#[derive(gumdrop::Options)]
+pub struct Options {
+    #[options(help = "prints this")]
+    help: bool,
+    #[options(
+        free,
+        required,
+        help = "agents' inner addresses: self.ip and the first of network.inner_ports",
+        parse(try_from_str = "address")
+    )]
+    addresses: Vec<SocketAddrV4>,
+    #[options(
+        help = "asks again after each such time, until Ctrl-C",
+        meta = "TIME",
+        parse(try_from_str = "time")
+    )]
+    every: Option<Micros>,
+    #[options(help = "with --every, asks so many times only", meta = "NUMBER")]
+    times: Option<u64>,
+    #[options(help = "as JSON, one line a view")]
+    json: bool,
+}
+
+pub fn run(options: &Options) -> Result<End, String> {
+    if options.times.is_some() && options.every.is_none() {
+        return Err("--times: expected --every with it".into());
+    }
+    wait_for(async {
+        let mut left = if options.every.is_some() { options.times.unwrap_or(u64::MAX) } else { 1 };
+        loop {
+            let all = show(options).await;
+            left = left.saturating_sub(1);
+            match options.every {
+                Some(every) if left > 0 && all != Shown::Unread => tokio::time::sleep(span(every)).await,
+                _ => return (all == Shown::All).into(),
+            }
+        }
+    })
+}
+
+#[derive(PartialEq, Eq)]
+enum Shown {
+    All,
+    /// Some agent did not answer.
+    Some,
+    /// Nobody reads what is printed any more.
+    Unread,
+}
+
+/// Asks all at once and prints the views in the order of the addresses.
+async fn show(options: &Options) -> Shown {
+    let asked: Vec<_> = options.addresses.iter().map(|at| tokio::spawn(view::ask(*at))).collect();
+    let (mut text, mut failed) = (String::new(), Vec::new());
+    if !options.json && options.every.is_some() && std::io::stdout().is_terminal() {
+        text.push_str(CLEAR);
+    }
+    for (at, asked) in options.addresses.iter().zip(asked) {
+        let view = asked.await.unwrap_or_else(|e| Err(format!("{at}: {e}")));
+        if options.addresses.len() > 1 && !options.json {
+            text.push_str(&format!("{at}\n"));
+        }
+        match view {
+            Ok(mut view) if options.json => {
+                let _ = view.insert("address", at.to_string());
+                text.push_str(&format!("{}\n", view.dump()));
+            }
+            Ok(view) => text.push_str(&view::table(&view)),
+            Err(wrong) => {
+                if options.json {
+                    let failed = jzon::object! { address: at.to_string(), wrong: wrong.as_str() };
+                    text.push_str(&format!("{}\n", failed.dump()));
+                }
+                failed.push(wrong);
+            }
+        }
+    }
+    let read = say(&text);
+    failed.iter().for_each(|wrong| eprintln!("{wrong}"));
+    match (read, failed.is_empty()) {
+        (false, _) => Shown::Unread,
+        (true, true) => Shown::All,
+        (true, false) => Shown::Some,
+    }
+}
--- a/programs/orchard/src/counter/list.rs
+++ b/programs/orchard/src/counter/list.rs
@@ -15,12 +15,12 @@
 const OF_CALLS: f64 = 0.5;
 
 pub async fn run(counter: Arc<Counter>) {
-    let Some(address) = counter.machine.carrier.address else { return };
-    let mut carrier = Carrier::new(address);
+    let Some(mut carrier) = Carrier::of(&counter.settings) else { return };
     loop {
         // Counters that are cut off together must not ask in step.
         let all = f64::from(counter.state().counters.max(1));
-        let shared = (2.0 * all / (OF_CALLS * counter.machine.carrier.per_s.max(1.0)) * 1e6) as Micros;
+        let shared =
+            (2.0 * all / (OF_CALLS * counter.settings.borrow().carrier.per_s.max(1.0)) * 1e6) as Micros;
         let pause = EVERY.max(shared);
         let pause = rand::thread_rng().gen_range(pause / 2..pause * 3 / 2);
         tokio::time::sleep(span(pause)).await;
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -7,10 +7,12 @@
 mod list;
 mod pool;
 mod ready;
+mod retune;
 mod session;
 
 use crate::clock::{now, Micros};
 use crate::net::{self, Frames};
+use crate::settings::Held;
 use crate::view;
 use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
@@ -32,7 +34,10 @@
 
 /// What all parts of a counter share. Locks are held for a few microseconds, never across a wait.
 pub struct Counter {
+    /// The settings as it began.
     pub machine: Machine,
+    /// The settings in force.
+    pub settings: Held,
     /// Differs between starts.
     pub life: u64,
     state: Mutex<State>,
@@ -67,7 +72,8 @@
 }
 
 impl Counter {
-    fn new(machine: Machine, life: u64) -> Counter {
+    fn new(settings: Held, life: u64) -> Counter {
+        let machine = Machine::clone(&settings.borrow());
         let terms = &machine.terms;
         let state = State {
             edition: None,
@@ -90,6 +96,7 @@
             tell: Notify::new(),
             knows: Notify::new(),
             machine,
+            settings,
         }
     }
 
@@ -240,7 +247,7 @@
         let mut state = self.state();
         if state.counters != counters {
             state.counters = counters;
-            state.budget.share(self.machine.terms.retry_slack, counters);
+            state.budget.share(self.settings.borrow().terms.retry_slack, counters);
         }
     }
 
@@ -316,18 +323,20 @@
 }
 
 /// Serves until SIGTERM.
-pub async fn run(machine: Machine, life: u64) -> std::io::Result<()> {
+pub async fn run(settings: Held, life: u64) -> std::io::Result<()> {
+    let counter = Arc::new(Counter::new(settings, life));
+    let machine = &counter.machine;
     let (Some(front), Some(ready)) =
         (machine.posts.get("front").copied(), machine.posts.get("ready").copied())
     else {
         return Err(std::io::Error::other("network.posts: expected front and ready"));
     };
-    let counter = Arc::new(Counter::new(machine, life));
     let door = net::listen(front)?;
     let asked = net::listen(ready)?;
     let inner = net::listen(SocketAddrV4::new(counter.machine.ip, counter.machine.inner_ports.0))?;
     tokio::spawn(shown(counter.clone(), inner));
     tokio::spawn(swept(counter.clone()));
+    tokio::spawn(retune::run(counter.clone()));
     tokio::spawn(ready::run(counter.clone(), asked));
     tokio::spawn(session::run(counter.clone()));
     tokio::spawn(list::run(counter.clone()));
--- a/programs/orchard/src/counter/session.rs
+++ b/programs/orchard/src/counter/session.rs
@@ -3,6 +3,7 @@
 use super::Counter;
 use crate::clock::{self, now};
 use crate::net::{self, Frames};
+use magpieline_almanac::machine::Machine;
 use magpieline_trellis::tendril::{hello, Action, Event, Tendril};
 use magpieline_trellis::words::{Down, Opening, Up};
 use std::net::SocketAddrV4;
@@ -20,8 +21,9 @@
 
 pub async fn run(counter: Arc<Counter>) {
     let inner = counter.machine.inner_ports.0;
-    let seeds = counter.machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
-    let mut tendril = Tendril::new(now(), seeds, counter.life as usize);
+    let seeds = |machine: &Machine| machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
+    let mut settings = counter.settings.clone();
+    let mut tendril = Tendril::new(now(), seeds(&settings.borrow_and_update()), counter.life as usize);
     let mut link: Option<Link> = None;
     let mut dialled: Option<JoinHandle<std::io::Result<Link>>> = None;
     let mut actions = tendril.step(now(), Event::Tick);
@@ -53,6 +55,9 @@
                 actions.extend(tendril.step(now(), Event::Closed));
             }
         }
+        if settings.has_changed().unwrap_or(false) {
+            tendril.reseed(seeds(&settings.borrow_and_update()));
+        }
         counter.state().held = tendril.holds(now());
         counter.heard_counters(tendril.counters());
         if !actions.is_empty() {
--- a/programs/orchard/src/log.rs
+++ b/programs/orchard/src/log.rs
@@ -4,8 +4,10 @@
 
 /// Starts logging at a level such as `info`; `json` for machines. Colours and the time of day are left out: the
 /// platform puts its own time before each line.
-pub fn start(level: &str, json: bool) {
-    let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
+pub fn start(level: &str, json: bool) -> Result<(), String> {
+    let filter = EnvFilter::try_new(level).map_err(|_| {
+        format!("--log: found '{level}', expected a level such as info, or info,session=debug")
+    })?;
     let plain =
         tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
     if json {
@@ -13,4 +15,5 @@
     } else {
         plain.without_time().init();
     }
+    Ok(())
 }
--- a/programs/orchard/src/net.rs
+++ b/programs/orchard/src/net.rs
@@ -22,10 +22,13 @@
 
 /// Listens at an address, at once again after a restart.
 pub fn listen(at: SocketAddrV4) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(at.into())?;
-    socket.listen(WAITING)
+    let listening = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(at.into())?;
+        socket.listen(WAITING)
+    };
+    listening().map_err(|e| io::Error::new(e.kind(), format!("{at}: can't listen: {e}")))
 }
 
 /// Sets what every connection needs: no delay for small writes, an end where the other side is silent.
--- a/programs/orchard/src/signals.rs
+++ b/programs/orchard/src/signals.rs
@@ -1,10 +1,17 @@
 //! Signals of the platform.
 
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
-/// Waits for SIGTERM.
+/// Waits for SIGTERM, or for Ctrl-C where a person has started the program.
 pub async fn terminated() {
-    match signal(SignalKind::terminate()) {
+    tokio::select! {
+        () = came(signal(SignalKind::terminate())) => {}
+        () = came(signal(SignalKind::interrupt())) => {}
+    }
+}
+
+async fn came(signal: std::io::Result<Signal>) {
+    match signal {
         Ok(mut signal) => {
             signal.recv().await;
         }
--- a/programs/orchard/src/sorting/lister.rs
+++ b/programs/orchard/src/sorting/lister.rs
@@ -17,8 +17,7 @@
 const LOOK: Micros = 50_000;
 
 pub async fn run(sorting: Arc<Sorting>) {
-    let Some(address) = sorting.machine.carrier.address else { return };
-    let mut carrier = Carrier::new(address);
+    let Some(mut carrier) = Carrier::of(&sorting.settings) else { return };
     // Read once at the start, whoever leads: counters that start with it have nobody else to ask yet.
     if let Ok(list) = carrier.list().await {
         sorting.state().list = Some(Reading::new(list));
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -8,6 +8,7 @@
 use crate::carrier::Reading;
 use crate::clock::now;
 use crate::net;
+use crate::settings::Held;
 use bytes::Bytes;
 use council::Council;
 use jzon::JsonValue as Json;
@@ -29,7 +30,10 @@
 
 /// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
 pub struct Sorting {
+    /// The settings as it began.
     pub machine: Machine,
+    /// The settings in force.
+    pub settings: Held,
     state: Mutex<State>,
     pub council: Council,
 }
@@ -184,7 +188,8 @@
 }
 
 /// Serves until SIGTERM.
-pub async fn run(machine: Machine, life: u64) -> std::io::Result<()> {
+pub async fn run(settings: Held, life: u64) -> std::io::Result<()> {
+    let machine = Machine::clone(&settings.borrow());
     let Some(control) = machine.posts.get("control").copied() else {
         return Err(std::io::Error::other("network.posts: expected control"));
     };
@@ -192,7 +197,7 @@
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
     let (council, driver) = Council::open(&machine, life)?;
-    let sorting = Arc::new(Sorting { machine, state: Mutex::new(State::default()), council });
+    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(State::default()), council });
     tokio::spawn(driver.run(sorting.clone()));
     tokio::spawn(counters::run(sorting.clone(), inner));
     tokio::spawn(control::run(sorting.clone(), door));
