Rollouts: the duel in every counter, a jury on the sums of all, moved to with the old build still standing

Change: a counter's part (scion::trial) plays the library's duel on its first sends within a bucket that fills by the told share; its totals go to the leader, whose jury plays the same duel on the sums, weighs failures and late answers by route, and moves the rollout: guarded, open, Moving (all traffic, evidence ten times a second), Delivered once every counter has told that nothing is under way at old appliances. Appliances in focus can be chosen alike by all counters.

--- a/deciding/scion/src/jury.rs
+++ b/deciding/scion/src/jury.rs
@@ -6,7 +6,7 @@
 //! time. Failures are held against the build only where they come from many of its appliances.
 
 use crate::Micros;
-use magpieline::duel::{lean, Duel, EARLIER, TRIAL};
+use magpieline::{Duel, Evidence, EARLIER, TRIAL};
 use magpieline_trellis::records::Phase;
 use magpieline_trellis::roster::Pooled;
 use magpieline_trellis::words::{Stage, Totals};
@@ -20,19 +20,38 @@
 const WORSE: f64 = 0.25;
 /// The earlier build's usual rate is never taken to be below this: few answers can't show less.
 const USUAL_LEAST: f64 = 0.01;
+/// The same for late answers: one alone leaves no doubt.
+const USUAL_LATE: f64 = 0.03;
+/// A route with fewer outcomes of the trial build than this is weighed with all others only: what few requests met by
+/// chance would stand for ever.
+const LEAST_OF_ROUTE: u32 = 6;
+/// A build that fails under load only fails a little more often while it has little: this much, against a usual rate
+/// that many answers of the earlier one have shown. It is a reason to doubt, not to condemn.
+const LITTLE_WORSE: f64 = 0.04;
+const LITTLE_USUAL: f64 = 0.003;
+/// Such failures count for this much of the others: the move shows them anyway, and two by chance must not stop a build.
+const LITTLE_COUNTS: f64 = 0.7;
 /// Of the share that is allowed so much is used: retries and requests that arrive later count, too.
-const OF_SHARE: f64 = 0.8;
+const OF_SHARE: f64 = 0.65;
 /// A guarded stage lasts so long from the first outcomes on; then orders may go to the trial build.
 const GUARDED: Micros = 1_500_000;
 const GUARDED_OUTCOMES: u32 = 8;
-/// Before a build is voted on it has been seen warm for so long, with so many outcomes in all.
+/// Before a build is voted on it has been seen warm for so long, or in so many pulls (which are warm ones), with so many
+/// outcomes in all.
 const SOAK: Micros = 2_500_000;
+const SOAK_PULLS: u32 = 40;
 const LEAST_OUTCOMES: u32 = 10;
+/// In doubt to the last, a build is returned so long before the term ends.
+const LAST: Micros = 1_500_000;
 /// Time that is kept for the move before the term ends.
 const RESERVE: Micros = 4_500_000;
 const MOVE_AT_LEAST: Micros = 700_000;
 /// A move waits so long for counters that can't be reached; by then their own lists have shown them.
 const MOVE_AT_MOST: Micros = 4_000_000;
+/// Routes that the duel tells apart; more of them share the last place.
+const ROUTES: usize = 64;
+/// So many bad outcomes at least have to be left when the worst appliances are left out.
+const WIDESPREAD: u32 = 3;
 /// Votes back of so many counters send back, whatever the sums say.
 const BACK_VOTES: u32 = 2;
 
@@ -70,9 +89,9 @@
     duel: Duel,
     first_outcome: Option<Micros>,
     moving_since: Option<Micros>,
-    /// What was weighed already, by route.
-    weighed: BTreeMap<u64, [Totals; 2]>,
-    scores: BTreeMap<u64, Scores>,
+    /// What was weighed already, by route; none: all of them together.
+    weighed: BTreeMap<Option<u64>, [Totals; 2]>,
+    scores: BTreeMap<Option<u64>, Scores>,
 }
 
 /// Evidence against the trial build on one route.
@@ -80,6 +99,10 @@
 pub struct Scores {
     pub failed: f64,
     pub late: f64,
+    /// Failures that are few, but more than the earlier build's.
+    pub little: f64,
+    /// Whether there are enough outcomes to go by.
+    pub known: bool,
 }
 
 impl Jury {
@@ -91,7 +114,7 @@
             phase,
             share,
             stage: Stage::default(),
-            duel: Duel::new(64, rate.max(1.0)),
+            duel: Duel::new(ROUTES, rate),
             first_outcome: None,
             moving_since: None,
             weighed: BTreeMap::new(),
@@ -113,7 +136,31 @@
 
     /// The strongest evidence against the trial build; [`ENOUGH`] convinces.
     pub fn against(&self) -> f64 {
-        self.scores.values().fold(0.0, |most: f64, s| most.max(s.failed).max(s.late))
+        self.known().fold(0.0, |most: f64, s| most.max(s.failed).max(s.late))
+    }
+
+    fn known(&self) -> impl Iterator<Item = &Scores> {
+        self.scores.iter().filter(|(route, s)| s.known || route.is_none()).map(|(_, s)| s)
+    }
+
+    /// What speaks against it without condemning it; above [`DOUBT`] it is not moved to.
+    pub fn doubt(&self) -> f64 {
+        self.known().fold(self.against(), |most, s| most.max(LITTLE_COUNTS * s.little))
+    }
+
+    /// What it rests on, in a line.
+    pub fn account(&self, pooled: &Pooled) -> String {
+        let mut sums = [Totals::default(); 2];
+        for arms in pooled.routes.values() {
+            sums.iter_mut().zip(arms).for_each(|(sum, arm)| sum.add(arm));
+        }
+        let [e, t] = sums;
+        format!(
+            "trial {} of {} in time, {} failed of {}; earlier {} of {}, {} failed of {}; against it {:.1} of {ENOUGH}, \
+             doubt {:.1}, {}, votes back {}, on {}, of {}",
+            t.in_time, t.pulls, t.bad, t.outcomes, e.in_time, e.pulls, e.bad, e.outcomes, self.against(), self.doubt(),
+            if self.widespread(pooled) { "widespread" } else { "at few appliances" }, pooled.back, pooled.on, pooled.voices
+        )
     }
 
     /// Weighs what is new in the totals of all.
@@ -122,44 +169,51 @@
         for arms in pooled.routes.values() {
             all.iter_mut().zip(arms).for_each(|(sum, arm)| sum.add(arm));
         }
-        for (place, (route, arms)) in pooled.routes.iter().enumerate() {
-            let old = self.weighed.insert(*route, *arms).unwrap_or_default();
-            let [earlier, trial] = [0, 1].map(|i| arms[i].since(&old[i]));
+        let with_all = pooled.routes.iter().map(|(route, arms)| (Some(*route), arms)).chain([(None, &all)]);
+        for (place, (route, arms)) in with_all.enumerate() {
+            let old = self.weighed.insert(route, *arms).unwrap_or_default();
+            let new = [0, 1].map(|i| arms[i].since(&old[i]));
+            let trial = &new[TRIAL];
             // What is usual on a route is known by its own answers, and by all where it has few.
             let usual = |bad: u32, of: u32, all_bad: u32, all_of: u32| {
                 let all = (f64::from(all_bad) + 0.5) / (f64::from(all_of) + 30.0);
-                ((f64::from(bad) + 10.0 * all) / (f64::from(of) + 10.0)).max(USUAL_LEAST)
+                (f64::from(bad) + 10.0 * all) / (f64::from(of) + 10.0)
             };
-            let e = &arms[EARLIER];
-            let failing = usual(e.bad, e.outcomes, all[EARLIER].bad, all[EARLIER].outcomes);
+            let (e, every) = (&arms[EARLIER], &all[EARLIER]);
             let late = |t: &Totals| t.pulls - t.in_time.min(t.pulls);
-            let lating = usual(late(e), e.pulls, late(&all[EARLIER]), all[EARLIER].pulls);
-            let scores = self.scores.entry(*route).or_default();
-            let passed = f64::from(trial.outcomes - trial.bad.min(trial.outcomes));
-            lean(&mut scores.failed, f64::from(trial.bad), passed, failing, (failing + WORSE).min(0.95));
-            let in_time = f64::from(trial.in_time);
-            lean(&mut scores.late, f64::from(late(&trial)), in_time, lating, (lating + WORSE).min(0.95));
-            let _ = earlier;
-            for (arm, totals) in arms.iter().enumerate() {
-                self.duel.set(arm, place.min(63), f64::from(totals.pulls), f64::from(totals.in_time));
+            let failing = usual(e.bad, e.outcomes, every.bad, every.outcomes);
+            let lating = usual(late(e), e.pulls, late(every), every.pulls).max(USUAL_LATE);
+            let scores = self.scores.entry(route).or_default();
+            scores.known = arms[TRIAL].outcomes >= LEAST_OF_ROUTE;
+            let (bad, passed) =
+                (f64::from(trial.bad), f64::from(trial.outcomes - trial.bad.min(trial.outcomes)));
+            let (plain, little) = (failing.max(USUAL_LEAST), failing.max(LITTLE_USUAL));
+            Evidence::lean(&mut scores.failed, bad, passed, plain, (plain + WORSE).min(0.95));
+            Evidence::lean(&mut scores.little, bad, passed, little, (little + LITTLE_WORSE).min(0.95));
+            let (slow, in_time) = (f64::from(late(trial)), f64::from(trial.in_time));
+            Evidence::lean(&mut scores.late, slow, in_time, lating, (lating + WORSE).min(0.95));
+            if route.is_none() {
+                continue; // the duel knows routes
+            }
+            for (arm, totals) in new.iter().enumerate() {
+                for i in 0..totals.pulls {
+                    self.duel.add(arm, place.min(ROUTES - 1), f64::from(u8::from(i < totals.in_time)));
+                }
+                (0..totals.outcomes).for_each(|_| self.duel.outcome(arm));
             }
         }
         self.duel.judge();
     }
 
-    /// Of the trial build's appliances that gave outcomes, the part that failed or were late more than once in four.
-    fn spread(&self, pooled: &Pooled) -> f64 {
-        let met = pooled.spots.values().filter(|s| s.outcomes > 0);
-        let (mut all, mut ill) = (0.0, 0.0);
-        for spot in met {
-            all += 1.0;
-            ill += f64::from(u8::from(4 * (spot.bad + spot.late) >= spot.outcomes));
-        }
-        if all > 0.0 {
-            ill / all
-        } else {
-            0.0
-        }
+    /// Whether what is bad comes from many of the trial build's appliances: with the worst eighth of them left out
+    /// there is still some, and a quarter of all.
+    fn widespread(&self, pooled: &Pooled) -> bool {
+        let mut ills: Vec<u32> =
+            pooled.spots.values().filter(|s| s.outcomes > 0).map(|s| s.bad + s.late).collect();
+        ills.sort_unstable_by(|a, b| b.cmp(a));
+        let left_out = if ills.len() > 1 { ills.len().div_ceil(8) } else { 0 };
+        let (all, rest): (u32, u32) = (ills.iter().sum(), ills[left_out..].iter().sum());
+        rest >= WIDESPREAD && 4 * rest >= all
     }
 
     /// Looks at what all have seen, and says what to do. To be called a few times a second.
@@ -170,8 +224,8 @@
         if outcomes > 0 && self.first_outcome.is_none() {
             self.first_outcome = Some(now);
         }
-        // A third of the appliances have to be ill: one that crashed or stalls condemns no build.
-        let many = self.spread(look.pooled) > 0.3;
+        // One appliance that is sick or stalls condemns no build.
+        let many = self.widespread(look.pooled);
         let convinced = self.against() >= ENOUGH || self.duel.dropped() == Some(TRIAL);
         let voted = look.pooled.back >= BACK_VOTES && self.against() >= DOUBT;
         if matches!(self.phase, Phase::Trial | Phase::Moving) && many && (convinced || voted) {
@@ -191,7 +245,9 @@
         }
         let guarded = match self.first_outcome {
             None => true,
-            Some(first) => now < first + GUARDED || (outcomes < GUARDED_OUTCOMES && now < first + 2 * GUARDED),
+            Some(first) => {
+                now < first + GUARDED || (outcomes < GUARDED_OUTCOMES && now < first + 2 * GUARDED)
+            }
         };
         let stage = Stage { share: OF_SHARE * self.share, guarded, focus: 0 };
         if stage != self.stage {
@@ -200,21 +256,32 @@
         }
         let reserve = RESERVE.min(self.within / 3);
         let due = self.began + self.within - reserve;
-        let soaked = look.warm_since.is_some_and(|since| now >= since + SOAK);
+        let pulls: u32 = look.pooled.routes.values().map(|arms| arms[TRIAL].pulls).sum();
+        let soaked = look.warm_since.is_some_and(|since| now >= since + SOAK || pulls >= SOAK_PULLS);
         let ripe = soaked && outcomes >= LEAST_OUTCOMES && now >= due;
-        if ripe && self.against() < DOUBT && self.duel.dropped() != Some(TRIAL) {
+        let doubted = self.doubt() >= DOUBT || self.duel.dropped() == Some(TRIAL);
+        if ripe && !doubted {
             return Step::Advance(Phase::Moving);
         }
+        let last = now + LAST.min(self.within / 6) >= self.began + self.within;
+        if doubted && last {
+            return Step::Advance(Phase::Returned);
+        }
         Step::None
     }
 
     fn moving(&mut self, look: Look) -> Step {
         let since = *self.moving_since.get_or_insert(look.now);
         let (under_way, unheard) = look.leaving;
-        let left = under_way == 0 && unheard == 0;
+        let left = under_way == 0 && unheard == 0 && look.away == 0;
         let waited = look.now >= since + MOVE_AT_MOST;
-        let quick = look.now < since + MOVE_AT_LEAST;
-        if !quick && ((left && look.away == 0) || waited) {
+        // The old appliances end as soon as it is delivered: with a doubt left it is not.
+        match (self.doubt() >= DOUBT, waited) {
+            (true, true) => return Step::Advance(Phase::Returned),
+            (true, false) => return Step::None,
+            (false, _) => {}
+        }
+        if look.now >= since + MOVE_AT_LEAST && (left || waited) {
             return Step::Advance(Phase::Delivered);
         }
         Step::None
--- a/deciding/scion/src/lib.rs
+++ b/deciding/scion/src/lib.rs
@@ -5,8 +5,8 @@
 //! votes. On the leading sorting machine `jury::Jury` plays the same duel on the outcomes of all, weighs the votes
 //! and the evidence, and moves the rollout. No I/O and no clock.
 
-// pub mod jury; // waits for the duel
-// pub mod trial;
+pub mod jury;
+pub mod trial;
 
 /// A time span or an instant on a steady clock, in microseconds.
 pub type Micros = u64;
--- a/deciding/scion/src/trial.rs
+++ b/deciding/scion/src/trial.rs
@@ -1,6 +1,6 @@
 //! One counter's part in a rollout.
 
-use magpieline::duel::{Duel, EARLIER, TRIAL};
+use magpieline::{Duel, EARLIER, TRIAL};
 use magpieline_trellis::words::{Evidence, Spot, Stage, Totals, Vote};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -119,7 +119,10 @@
             totals.spent_ms += seen.spent / 1000;
         }
         if seen.trial {
-            let spot = self.spots.entry(seen.appliance).or_insert(Spot { appliance: seen.appliance, ..Spot::default() });
+            let spot = self
+                .spots
+                .entry(seen.appliance)
+                .or_insert(Spot { appliance: seen.appliance, ..Spot::default() });
             spot.outcomes += 1;
             spot.bad += u32::from(seen.end == End::Failed);
             spot.late += u32::from(seen.end != End::Failed && !seen.in_time && !seen.cold);
@@ -130,7 +133,8 @@
         }
         totals.pulls += 1;
         totals.in_time += u32::from(seen.in_time);
-        self.duel.pull(arm, place, f64::from(u8::from(seen.in_time)));
+        self.duel.add(arm, place, f64::from(u8::from(seen.in_time)));
+        self.duel.outcome(arm);
         self.duel.judge();
         self.vote = match self.duel.dropped() {
             Some(TRIAL) => Vote::Back,
--- a/deciding/windrow/src/field.rs
+++ b/deciding/windrow/src/field.rs
@@ -118,6 +118,8 @@
     pub not: &'a [usize],
     /// Whether it may run more than once: only such try an appliance that may be dead.
     pub repeatable: bool,
+    /// Only so many of the appliances, the same ones at all agents; 0: all of them.
+    pub focus: u32,
 }
 
 /// An appliance that was chosen.
@@ -255,17 +257,33 @@
         !owes && tried
     }
 
+    /// The largest number that is in focus; none where all are. Numbers are drawn from ids: agents agree on them.
+    fn focus(&self, members: &[usize], ask: &Ask) -> Option<u32> {
+        if ask.focus == 0 {
+            return None;
+        }
+        let open = members.iter().map(|at| &self.all[*at].listed);
+        let mut numbers: Vec<u32> =
+            open.filter(|l| !l.closing && (ask.versions)(&l.version)).map(|l| mix(0, &l.id)).collect();
+        numbers.sort_unstable();
+        numbers.get(ask.focus as usize - 1).copied()
+    }
+
     /// Chooses an appliance.
     pub fn choose(&mut self, now: Micros, ask: Ask) -> Result<Choice, Nobody> {
         let Some(service) = self.services.get(ask.service) else { return Err(Nobody::Listed) };
         let (mut best, mut spare, mut listed): (Option<Choice>, Option<Choice>, bool) = (None, None, false);
         let mut least = f64::INFINITY;
         let jitter = self.chance.gen_range(0.0..0.02);
+        let most = self.focus(&service.members, &ask);
         for at in &service.members {
             let a = &self.all[*at];
             if ask.not.contains(at) || a.listed.closing || !(ask.versions)(&a.listed.version) {
                 continue;
             }
+            if most.is_some_and(|most| mix(0, &a.listed.id) > most) {
+                continue;
+            }
             listed = true;
             let berths = f64::from(a.listed.berths.max(1));
             let own = a.flying.len() as f64;
@@ -366,3 +384,145 @@
     }
     (hash >> 32) as u32
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const MS: Micros = 1000;
+
+    fn listed(id: &str, zone: &str, version: &str) -> Listed {
+        Listed {
+            id: id.into(),
+            service: "s".into(),
+            address: SocketAddrV4::new([10, 0, 0, 1].into(), 80),
+            zone: zone.into(),
+            version: version.into(),
+            berths: 2,
+            closing: false,
+            cold_until: 0,
+        }
+    }
+
+    /// A field of appliances of one zone.
+    fn field(ids: &[&str]) -> Field {
+        let mut field = Field::new("a", 3);
+        ids.iter().for_each(|id| field.list(0, listed(id, "a", "v1")));
+        field
+    }
+
+    fn ask<'a>(versions: &'a dyn Fn(&str) -> bool, not: &'a [usize], repeatable: bool) -> Ask<'a> {
+        Ask { service: "s", versions, not, repeatable, focus: 0 }
+    }
+
+    fn any(_: &str) -> bool {
+        true
+    }
+
+    fn choose(field: &mut Field, now: Micros, repeatable: bool) -> Result<String, Nobody> {
+        let choice = field.choose(now, ask(&any, &[], repeatable))?;
+        Ok(field.get(choice.appliance).expect("listed").id.to_string())
+    }
+
+    /// Guards against requests that queue at one appliance while another is idle.
+    #[test]
+    fn what_is_in_hand_spreads_until_all_are_busy_and_then_nothing_is_pushed_in() {
+        let mut field = field(&["x", "y", "z"]);
+        let mut sent = HashMap::<String, u32>::new();
+        while let Ok(id) = choose(&mut field, 0, false) {
+            let at = field.find(&id).expect("listed");
+            field.sent(0, at);
+            *sent.entry(id).or_default() += 1;
+            let (least, most) = (sent.values().min(), sent.values().max());
+            assert!(sent.len() < 3 || most.zip(least).is_some_and(|(m, l)| m - l <= 1), "{sent:?}");
+        }
+        // Two at work and a few that wait: some appliances never answer what is beyond that.
+        assert_eq!(sent.values().sum::<u32>(), 3 * 5);
+        assert_eq!(choose(&mut field, 0, false), Err(Nobody::Full));
+    }
+
+    /// Guards against sending to what is closing, of another version, or was tried for the same request.
+    #[test]
+    fn only_those_that_may_get_it_are_chosen() {
+        let mut field = field(&["x"]);
+        field.list(0, listed("new", "a", "v2"));
+        field.list(0, Listed { closing: true, ..listed("old", "a", "v1") });
+        let x = field.find("x").expect("listed");
+        let v1 = |version: &str| version == "v1";
+        assert_eq!(field.choose(0, ask(&v1, &[], true)).map(|c| c.appliance), Ok(x));
+        assert_eq!(field.choose(0, ask(&v1, &[x], true)), Err(Nobody::Listed));
+        field.drop("x");
+        assert_eq!(field.choose(0, ask(&v1, &[], true)), Err(Nobody::Listed));
+        assert_eq!(field.versions("s"), [Arc::<str>::from("v2")]);
+    }
+
+    /// Guards against an order lost at an appliance that has gone dark: after the first silence nothing that may run
+    /// once only goes there, until a lookup was answered.
+    #[test]
+    fn a_silent_appliance_gets_nothing_that_may_run_once_only() {
+        let mut field = field(&["x", "y"]);
+        let (x, y) = (field.find("x").expect("listed"), field.find("y").expect("listed"));
+        let lost = field.sent(0, x);
+        let busy: Vec<u64> = (0..4).map(|_| field.sent(500 * MS, y)).collect();
+        // It owes an answer for long: the busier one is taken.
+        assert_eq!(choose(&mut field, 800 * MS, false).as_deref(), Ok("y"));
+        field.ended(800 * MS, x, lost, Sign::Silent, None);
+        assert_eq!(choose(&mut field, 1000 * MS, true).as_deref(), Ok("y"), "left alone at first");
+        busy.iter().for_each(|b| field.ended(1000 * MS, y, *b, Sign::Served, None));
+        let later = 1400 * MS;
+        assert_eq!(choose(&mut field, later, false).as_deref(), Ok("y"));
+        let trial = field.sent(later, x);
+        field.ended(later + 100 * MS, x, trial, Sign::Served, None);
+        let all: Vec<_> = (0..3).map(|_| field.sent(later + 100 * MS, y)).collect();
+        assert_eq!(
+            choose(&mut field, later + 100 * MS, false).as_deref(),
+            Ok("x"),
+            "it serves again: {all:?}"
+        );
+    }
+
+    /// Guards against crowding an appliance that others crowd already, and against old word of it.
+    #[rstest]
+    #[case(0, "y")]
+    #[case(3000, "x")]
+    fn what_it_told_of_others_counts_and_is_forgotten(#[case] later: u64, #[case] chosen: &str) {
+        let mut field = Field::new("a", 3);
+        // The far one is taken only while the near one is crowded.
+        field.list(0, listed("x", "a", "v1"));
+        field.list(0, listed("y", "b", "v1"));
+        let x = field.find("x").expect("listed");
+        let number = field.sent(0, x);
+        let load = Load { running: 2, waiting: 2, berths: 2 };
+        field.ended(100 * MS, x, number, Sign::Served, Some(load));
+        assert_eq!(choose(&mut field, (100 + later) * MS, true).as_deref(), Ok(chosen));
+    }
+
+    /// Guards against a trial that is meant to load a few appliances and is spread by each agent to others.
+    #[test]
+    fn all_agents_focus_on_the_same_appliances() {
+        let ids = ["a", "b", "c", "d", "e", "f", "g", "h"];
+        let mut met = std::collections::BTreeSet::new();
+        for seed in 0..20 {
+            let mut field = Field::new("a", seed);
+            ids.iter().for_each(|id| field.list(0, listed(id, "a", "v2")));
+            for _ in 0..4 {
+                let choice = field.choose(0, Ask { focus: 2, ..ask(&any, &[], true) }).expect("one of two");
+                met.insert(field.get(choice.appliance).expect("listed").id.clone());
+                field.sent(0, choice.appliance);
+            }
+        }
+        assert_eq!(met.len(), 2);
+    }
+
+    /// Guards against a cold appliance that gets as much as a warm one.
+    #[test]
+    fn a_cold_appliance_waits_until_the_warm_ones_are_busy() {
+        let mut field = field(&["x"]);
+        field.list(0, Listed { cold_until: 3000 * MS, ..listed("cold", "a", "v1") });
+        let x = field.find("x").expect("listed");
+        assert_eq!(choose(&mut field, 0, true).as_deref(), Ok("x"));
+        (0..3).for_each(|_| _ = field.sent(0, x));
+        assert_eq!(choose(&mut field, 0, true).as_deref(), Ok("cold"));
+    }
+}
--- a/keeping/trellis/src/tendril.rs
+++ b/keeping/trellis/src/tendril.rs
@@ -166,9 +166,9 @@
         }
     }
 
-    /// What has been seen is to be told soon, not at the next regular time.
-    pub fn hurry(&mut self, now: Micros) {
-        self.report_at = self.report_at.min(now);
+    /// What has been seen is to be told by then, not at the next regular time.
+    pub fn hurry(&mut self, by: Micros) {
+        self.report_at = self.report_at.min(by);
     }
 
     fn let_go(&mut self, now: Micros, pause: Micros) {
--- a/programs/orchard/src/counter/forward.rs
+++ b/programs/orchard/src/counter/forward.rs
@@ -2,7 +2,7 @@
 
 use super::echo::Line;
 use super::front::{self, Reply};
-use super::Counter;
+use super::{Counter, State};
 use crate::clock::{now, span, Micros};
 use crate::net;
 use bytes::Bytes;
@@ -13,7 +13,9 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Response, Uri};
+use magpieline_almanac::routes::Route;
 use magpieline_furrow::journey::{promises, Ending};
+use magpieline_scion::trial::{number, End, Seen};
 use magpieline_windrow::field::{Load, Sign};
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
@@ -56,6 +58,16 @@
     EXPECT,
 ];
 
+/// What a forward is for, as far as its outcome tells of builds.
+pub struct Errand {
+    pub service: Arc<str>,
+    pub route: Arc<Route>,
+    /// The first forward of its request.
+    pub first: bool,
+    /// The appliance was slow from its start when it was chosen.
+    pub cold: bool,
+}
+
 /// Takes off what concerns one connection only.
 pub fn passed_on(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
@@ -79,10 +91,12 @@
 pub fn start(
     counter: Arc<Counter>,
     appliance: usize,
+    errand: Errand,
     parcel: Arc<Parcel>,
     tell: UnboundedSender<(usize, Ending, Option<Answer>)>,
 ) {
-    let number = counter.state().field.sent(now(), appliance);
+    let sent = now();
+    let number = counter.state().field.sent(sent, appliance);
     tokio::spawn(async move {
         let mut load = None;
         let left = parcel.due.saturating_sub(now());
@@ -99,11 +113,40 @@
             Ending::Spoilt => Sign::Spoilt,
             Ending::Silent => Sign::Silent,
         };
-        counter.state().field.ended(now(), appliance, number, sign, load);
+        {
+            let mut state = counter.state();
+            tell_trial(&mut state, &errand, appliance, ending, now().saturating_sub(sent));
+            state.field.ended(now(), appliance, number, sign, load);
+        }
         let _ = tell.send((appliance, ending, answer));
     });
 }
 
+/// Tells the service's trial, if there is one, how a forward ended.
+fn tell_trial(state: &mut State, errand: &Errand, appliance: usize, ending: Ending, spent: Micros) {
+    let (Some(part), Some(listed)) = (state.trials.get_mut(&*errand.service), state.field.get(appliance))
+    else {
+        return;
+    };
+    let end = match ending {
+        Ending::Answered { status } if status < 500 => End::Served,
+        Ending::Answered { .. } => End::Failed,
+        Ending::Silent => End::Silent,
+        // A crash, a cut or a garbled line is no build's doing.
+        Ending::TurnedAway | Ending::NeverSent | Ending::Broken | Ending::Spoilt => End::Nothing,
+    };
+    part.trial.seen(Seen {
+        trial: *listed.version == *part.to,
+        route: number(&errand.route.name),
+        appliance: number(&listed.id) as u32,
+        first: errand.first,
+        end,
+        in_time: end == End::Served && spent <= errand.route.target,
+        cold: errand.cold,
+        spent,
+    });
+}
+
 /// What a request looks like at this appliance.
 fn dressed(parcel: &Parcel, id: &str) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(parcel.body.clone()));
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -1,7 +1,7 @@
 //! Clients' side: connections, requests as they come, and the one answer of each.
 
 use super::doorway::{Side, Started, Visit, LAST_IDLE};
-use super::forward::{self, Answer, Parcel};
+use super::forward::{self, Answer, Errand, Parcel};
 use super::{Counter, State};
 use crate::clock::{self, now, span, Micros};
 use crate::net;
@@ -253,6 +253,7 @@
 /// A request on its way through the appliances of its service.
 struct Trip<'a> {
     counter: &'a Arc<Counter>,
+    route: &'a Arc<Route>,
     service: Arc<str>,
     parcel: Arc<Parcel>,
     journey: Journey,
@@ -267,26 +268,50 @@
     /// Sends it to one more appliance, if there is one. `within`: only if its answer is expected in this time, in
     /// microseconds.
     fn send(&mut self, within: f64) -> Result<(), Nobody> {
-        let chosen = {
+        let (now, first) = (now(), self.tried.is_empty());
+        let (chosen, errand) = {
             let mut state = self.counter.state();
-            let State { field, standings, budget, .. } = &mut *state;
+            let State { field, standings, budget, trials, rates, held, .. } = &mut *state;
             let standing = standings.get(&*self.service);
-            let versions = |version: &str| State::carries(standing, version);
             let repeatable = self.journey.repeatable();
-            let ask = Ask { service: &self.service, versions: &versions, not: &self.tried, repeatable };
-            let choice = field.choose(now(), ask)?;
+            let mut part = trials.get_mut(&*self.service);
+            if first {
+                rates.entry(self.service.clone()).or_default().count(now);
+                part.iter_mut().for_each(|p| p.trial.request());
+            }
+            let plain = |version: &str| State::carries(standing, version);
+            let ask =
+                Ask { service: &self.service, versions: &plain, not: &self.tried, repeatable, focus: 0 };
+            // The design's index takes a first forward to the trial build, within the share; only while the leader is
+            // held, who may have returned it otherwise.
+            let tried = part.as_ref().filter(|p| first && *held && p.trial.wants(repeatable)).and_then(|p| {
+                let trial = |version: &str| version == p.to;
+                let focus = p.trial.stage().focus;
+                field.choose(now, Ask { versions: &trial, focus, ..ask }).ok()
+            });
+            let choice = match tried {
+                Some(choice) => choice,
+                None => field.choose(now, ask)?,
+            };
             if choice.expected > within {
                 return Err(Nobody::Full);
             }
             if self.arrived > 0 {
                 budget.spend(&self.service);
             }
-            choice.appliance
+            if let (Some(part), true) = (&mut part, tried.is_some()) {
+                part.trial.sent();
+            }
+            let cold = field.get(choice.appliance).is_some_and(|l| now < l.cold_until);
+            (
+                choice.appliance,
+                Errand { service: self.service.clone(), route: self.route.clone(), first, cold },
+            )
         };
         self.tried.push(chosen);
         self.journey.sent();
         self.arrived += 1;
-        forward::start(self.counter.clone(), chosen, self.parcel.clone(), self.tell.clone());
+        forward::start(self.counter.clone(), chosen, errand, self.parcel.clone(), self.tell.clone());
         Ok(())
     }
 
@@ -302,7 +327,7 @@
     counter.state().budget.taken(&service);
     let (tell, mut endings) = mpsc::unbounded_channel();
     let journey = Journey::new(route.sort == Sort::Safe, route.tries, due);
-    let mut trip = Trip { counter, service, parcel, journey, tried: Vec::new(), arrived: 0, tell };
+    let mut trip = Trip { counter, route, service, parcel, journey, tried: Vec::new(), arrived: 0, tell };
     loop {
         if trip.send(f64::INFINITY).is_err() {
             return own_end(trip.journey.give_up(now()), due);
--- a/programs/orchard/src/counter/loopback.rs
+++ b/programs/orchard/src/counter/loopback.rs
@@ -100,7 +100,10 @@
         let (far, address) = local().await;
         let (tell, asked) = mpsc::unbounded_channel();
         tokio::spawn(appliance(far, tell));
-        let counter = Arc::new(Counter::new(Machine::read(MACHINE).expect("sound"), 1));
+        let counter = Arc::new(Counter::new(
+            tokio::sync::watch::channel(Arc::new(Machine::read(MACHINE).expect("sound"))).1,
+            1,
+        ));
         counter.take_edition(&Kept { number: 1, text: edition.into() });
         let entry = Entry {
             service: "s".into(),
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -19,11 +19,13 @@
 use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_scion::trial::Trial;
 use magpieline_trellis::records::{Kept, Phase, Standing};
-use magpieline_trellis::words::{Evidence, Listing, Opening, State as ListState};
+use magpieline_trellis::words::{Evidence, Listing, Opening, Stage, State as ListState};
 use magpieline_windrow::budget::Budget;
 use magpieline_windrow::field::{Field, Listed};
 use pool::Pool;
+use rand::Rng;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -56,6 +58,36 @@
     knows: Notify,
 }
 
+/// A counter's part in a rollout.
+pub struct Part {
+    pub trial: Trial,
+    /// The version on trial.
+    pub to: String,
+    /// When the order was first heard of.
+    since: Micros,
+}
+
+/// How often something happens, over the last few seconds.
+#[derive(Clone, Copy, Default)]
+pub struct Rate {
+    per_s: f64,
+    at: Micros,
+}
+
+impl Rate {
+    /// Seconds that are looked back.
+    const SPAN: f64 = 4.0;
+
+    pub fn count(&mut self, now: Micros) {
+        self.per_s = self.now(now) + 1.0 / Rate::SPAN;
+        self.at = now;
+    }
+
+    pub fn now(&self, now: Micros) -> f64 {
+        self.per_s * (-(now.saturating_sub(self.at) as f64) / 1e6 / Rate::SPAN).exp()
+    }
+}
+
 /// What a counter knows.
 pub struct State {
     pub edition: Option<Arc<Edition>>,
@@ -63,6 +95,10 @@
     pub standings: HashMap<String, Standing>,
     pub field: Field,
     pub budget: Budget,
+    /// Rollouts that this counter has a part in, by service.
+    pub trials: HashMap<String, Part>,
+    /// Requests a second, by service.
+    pub rates: HashMap<Arc<str>, Rate>,
     /// When a list was last heard of, whole or confirmed.
     pub listed_at: Option<Micros>,
     /// Whether the leader confirmed what is in force, once in this life.
@@ -83,6 +119,8 @@
             standings: HashMap::new(),
             field: Field::new(&machine.zone, life),
             budget: Budget::new(terms.retry_ratio, terms.retry_slack),
+            trials: HashMap::new(),
+            rates: HashMap::new(),
             listed_at: None,
             confirmed: false,
             held: false,
@@ -256,27 +294,58 @@
     /// What this counter has to tell of rollouts.
     pub fn evidence(&self) -> Vec<Evidence> {
         let state = self.state();
-        let rolling =
-            state.standings.iter().filter_map(|(service, s)| Some((service, s, s.rollout.as_ref()?)));
-        rolling
-            .filter(|(_, _, r)| matches!(r.phase, Phase::Trial | Phase::Moving))
-            .map(|(service, standing, rollout)| Evidence {
-                service: service.as_str().into(),
-                order: rollout.order,
+        let now = now();
+        let told = state.trials.iter().filter_map(|(service, part)| {
+            let standing = state.standings.get(service)?;
+            let rollout = standing.rollout.as_ref().filter(|r| r.order == part.trial.order())?;
+            Some(Evidence {
                 phase: Some(rollout.phase),
                 under_way: state.field.under_way(service, |v| !State::carries(Some(standing), v)) as u32,
-                ..Evidence::default()
+                age: now.saturating_sub(part.since),
+                ..part.trial.evidence()
             })
-            .collect()
+        });
+        told.collect()
     }
 
-    pub fn take_standings(&self, standings: Vec<(String, Standing)>) {
+    /// Whether a service is moving to another version.
+    pub fn moving(&self) -> bool {
+        let moves = |s: &Standing| s.rollout.as_ref().is_some_and(|r| r.phase == Phase::Moving);
+        self.state().standings.values().any(moves)
+    }
+
+    /// How far a trial is open.
+    pub fn take_stage(&self, service: &str, order: u64, stage: Stage) {
         let mut state = self.state();
+        if let Some(part) = state.trials.get_mut(service).filter(|p| p.trial.order() == order) {
+            part.trial.enter(stage);
+        }
+    }
+
+    pub fn take_standings(&self, standings: Vec<(String, Standing)>) {
+        let (mut state, now) = (self.state(), now());
         for (service, standing) in standings {
-            if let Some(rollout) = &standing.rollout {
-                tracing::info!(target: "rollout", "{service} to {}: {:?}.", rollout.to, rollout.phase);
+            match &standing.rollout {
+                Some(rollout) if matches!(rollout.phase, Phase::Trial | Phase::Moving) => {
+                    if state.trials.get(&service).is_none_or(|p| p.trial.order() != rollout.order) {
+                        let rate = state.rates.get(&*service).map_or(0.0, |r| r.now(now));
+                        let first = rand::thread_rng().gen_range(0.0..1.0);
+                        let trial = Trial::new(service.as_str().into(), rollout.order, rate, first);
+                        state
+                            .trials
+                            .insert(service.clone(), Part { trial, to: rollout.to.clone(), since: now });
+                    }
+                }
+                _ => {
+                    state.trials.remove(&service);
+                }
+            }
+            if state.standings.get(&service) != Some(&standing) {
+                if let Some(rollout) = &standing.rollout {
+                    tracing::info!(target: "rollout", "{service} to {}: {:?}.", rollout.to, rollout.phase);
+                }
+                state.standings.insert(service, standing);
             }
-            state.standings.insert(service, standing);
         }
         drop(state);
         self.tell.notify_one();
@@ -292,7 +361,11 @@
         match (standing.rollout.as_ref().filter(decided), &standing.version) {
             (Some(rollout), _) => rollout.to == version,
             (None, Some(stands)) => stands == version,
-            (None, None) => !standing.barred.iter().any(|b| b == version),
+            // Not known yet which one stands: all but those that are on trial or were returned.
+            (None, None) => {
+                let tried = standing.rollout.as_ref().is_some_and(|r| r.to == version);
+                !tried && !standing.barred.iter().any(|b| b == version)
+            }
         }
     }
 }
--- a/programs/orchard/src/counter/session.rs
+++ b/programs/orchard/src/counter/session.rs
@@ -14,6 +14,9 @@
 /// A connection takes no longer than the tendril waits for it.
 const UP_WITHIN: clock::Micros = 240_000;
 
+/// While a service moves to another version, evidence is told this often.
+const MOVING: clock::Micros = 100_000;
+
 struct Link {
     read: Frames<OwnedReadHalf>,
     write: OwnedWriteHalf,
@@ -58,6 +61,10 @@
         if settings.has_changed().unwrap_or(false) {
             tendril.reseed(seeds(&settings.borrow_and_update()));
         }
+        // While a service moves, a build that fails under all its load must be found out within a moment.
+        if counter.moving() {
+            tendril.hurry(now() + MOVING);
+        }
         counter.state().held = tendril.holds(now());
         counter.heard_counters(tendril.counters());
         if !actions.is_empty() {
@@ -119,6 +126,7 @@
             counter.take_standings(services.clone());
             listing.iter().for_each(|listing| counter.take_listing(listing));
         }
-        Down::Stage(..) | Down::Beat { .. } | Down::Elsewhere { .. } => {}
+        Down::Stage(service, order, stage) => counter.take_stage(service, *order, *stage),
+        Down::Beat { .. } | Down::Elsewhere { .. } => {}
     }
 }
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -4,6 +4,7 @@
 mod council;
 mod counters;
 mod lister;
+mod steward;
 
 use crate::carrier::Reading;
 use crate::clock::now;
@@ -16,8 +17,8 @@
 use magpieline_rootstock::Seat;
 use magpieline_trellis::records::{Effect, Records};
 use magpieline_trellis::roster::Roster;
-use magpieline_trellis::words::{self, Down, Listing};
-use std::collections::HashMap;
+use magpieline_trellis::words::{self, Down, Listing, Stage};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::mpsc;
@@ -46,6 +47,8 @@
     /// Counters' links, while this machine leads.
     links: HashMap<u64, mpsc::Sender<Bytes>>,
     next_link: u64,
+    /// How far trials are open, by service: the order and its stage.
+    stages: BTreeMap<String, (u64, Stage)>,
     /// The list as last read under this leadership.
     pub list: Option<Reading>,
 }
@@ -171,6 +174,9 @@
         let mut all = Vec::new();
         all.extend(self.records.edition.clone().map(Down::Edition));
         all.push(Down::Services(self.records.services.clone().into_iter().collect()));
+        all.extend(
+            self.stages.iter().map(|(s, (order, stage))| Down::Stage(s.as_str().into(), *order, *stage)),
+        );
         all.extend(self.listing().map(Down::Listing));
         all
     }
@@ -202,6 +208,7 @@
     tokio::spawn(counters::run(sorting.clone(), inner));
     tokio::spawn(control::run(sorting.clone(), door));
     tokio::spawn(lister::run(sorting.clone()));
+    tokio::spawn(steward::run(sorting.clone()));
     crate::signals::terminated().await;
     tracing::info!(target: "sorting", "Leaving.");
     sorting.council.give_way().await;
