Rootstock: no spinning while a retried write is under way; Nursery: a check for it

Cause: after a refused write the time of the retry stayed in the past while the retry was under way: a real process would have woken without end. An Ask of a voter counted as an answer, which it is not.

Change: the retry is due only when no write is under way; the world fails a node that wants to be woken again and again.

--- a/keeping/rootstock/src/asking.rs
+++ b/keeping/rootstock/src/asking.rs
@@ -109,7 +109,10 @@
         }
         let begin = self.log.last().min(last) + 1;
         let peer = lead.peers.entry(from).or_insert_with(|| Peer::begin(begin, self.now));
-        peer.heard_at = self.now;
+        if !votes {
+            // A voter that asks does not hear this leader: that is no answer.
+            peer.heard_at = self.now;
+        }
         if !matches!(peer.mode, Mode::Fill(_)) {
             peer.rewind(last.min(self.log.last()));
         }
--- a/keeping/rootstock/src/disk.rs
+++ b/keeping/rootstock/src/disk.rs
@@ -132,8 +132,9 @@
         }
     }
 
+    /// When to try again after a refused write.
     pub(crate) fn retry_due(&self) -> Option<Micros> {
-        self.refused_at.map(|at| at + RETRY)
+        self.refused_at.filter(|_| self.writing.is_none()).map(|at| at + RETRY)
     }
 }
 
--- a/keeping/rootstock/src/lib.rs
+++ b/keeping/rootstock/src/lib.rs
@@ -39,6 +39,9 @@
 //! assert!(matches!(outcome, Some(Outcome::Committed { .. })));
 //! ```
 //!
+//! Followers apply a command up to a beat (100 ms) after the leader does: a message of its own for that would cost more
+//! than it brings. Messages may be dropped by the owner when a link is full.
+//!
 //! The owner also calls [`Event::Compact`] with the state machine's state when [`Core::wants_compact`] says so, asks
 //! [`Event::Read`] before it answers from its state, and [`Event::GiveWay`] before it stops in order.
 //!
--- a/keeping/rootstock/src/replication.rs
+++ b/keeping/rootstock/src/replication.rs
@@ -148,10 +148,12 @@
         lead.beat_due = self.now + BEAT;
         lead.aim = self.commit;
         lead.questions.beaten(lead.round, self.now);
+        let learners = lead.learners.len();
         lead.learners.retain(|seat| self.now < lead.peers[seat].heard_at + LEARNER_GONE);
-        lead.peers.retain(|seat, peer| {
-            self.now < peer.heard_at + LEARNER_GONE || self.roll.in_force(self.commit).contains(seat)
-        });
+        if lead.learners.len() < learners {
+            self.seat_peers();
+        }
+        let Some(lead) = &mut self.lead else { return };
         let mut messages = Vec::new();
         for (seat, peer) in &lead.peers {
             let asleep = self.now >= peer.heard_at + ASLEEP && lead.round % ASLEEP_BEATS != 0;
--- a/rigs/nursery/src/world.rs
+++ b/rigs/nursery/src/world.rs
@@ -111,6 +111,8 @@
     trouble: Trouble,
     writing: Option<(u64, N::Write)>,
     wake_at: Option<Micros>,
+    /// Steps in a row after which it wanted to be woken at once.
+    overdue: u32,
     /// What is added to the delay of every message, up to: a machine short of processor time.
     lag: Micros,
     /// The steady clock: its start, and how many millionths too fast.
@@ -171,6 +173,7 @@
             trouble: Trouble::None,
             writing: None,
             wake_at: None,
+            overdue: 0,
             lag: 0,
             clock,
         });
@@ -411,6 +414,11 @@
     fn plan_wake(&mut self, machine: usize) {
         let due = self.machines[machine].node.as_ref().and_then(N::next_wake);
         let clock = self.clock(machine);
+        // A due time that stays in the past would keep a real process busy.
+        let overdue = due.is_some_and(|due| due <= clock);
+        let this = &mut self.machines[machine];
+        this.overdue = if overdue { this.overdue + 1 } else { 0 };
+        assert!(this.overdue < 3, "machine {machine} wants to be woken again and again");
         let at = due.map(|due| self.now + due.saturating_sub(clock) + self.rng.gen_range(1..LATE));
         self.machines[machine].wake_at = at;
         if let Some(at) = at {
