Editions reach counters as what has changed

Change: pieces kept and added against the edition before, with the digest of the whole; a counter that they do not fit asks for the whole; one that comes back with the newest edition is not told it again.

--- a/keeping/trellis/src/lib.rs
+++ b/keeping/trellis/src/lib.rs
@@ -1,6 +1,7 @@
 //! How counters and sorting machines keep together.
 //!
 //! - [`records`]: what the sorting machines agree on, and the commands that change it.
+//! - [`delta`]: a new edition as what has changed since the one before.
 //! - [`words`]: what counters and sorting machines say to each other.
 //! - [`tendril`]: a counter's hold on the leading sorting machine, found through seeds that may be old.
 //! - [`roster`]: the leader's view of the counters, and what each of them has to be told.
@@ -8,6 +9,7 @@
 //! No I/O and no clock: events and the time go in, actions come out. Times are microseconds on the steady clock of
 //! the machine that runs the code.
 
+pub mod delta;
 pub mod records;
 pub mod roster;
 pub mod tendril;
--- a/keeping/trellis/src/words.rs
+++ b/keeping/trellis/src/words.rs
@@ -1,6 +1,7 @@
 //! What counters and sorting machines say to each other. One message is one frame: its length in four bytes, the
 //! least significant first, then its bytes.
 
+use crate::delta::Piece;
 use crate::records::{Kept, Standing};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -111,7 +112,7 @@
 /// What a counter says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Up {
-    /// First of all: who it is. `life` differs between starts.
+    /// First of all: who it is, and which edition it holds whole (0: none). `life` differs between starts.
     Hello { node: String, zone: String, life: u64, edition: u64 },
     /// A sign of life, with what has changed; `edition` is the one in force.
     Report { edition: u64, evidence: Vec<Evidence> },
@@ -136,6 +137,13 @@
         counters: u32,
     },
     Edition(Kept),
+    /// A new edition as what has changed since the one before it, and the digest of the whole.
+    Amend {
+        from: u64,
+        number: u64,
+        pieces: Vec<Piece>,
+        digest: u64,
+    },
     /// Standings that have changed.
     Services(Vec<(String, Standing)>),
     /// How far a rollout's trial is open: service, order.
--- a/programs/orchard/src/counter/session.rs
+++ b/programs/orchard/src/counter/session.rs
@@ -28,6 +28,7 @@
     let mut settings = counter.settings.clone();
     let mut tendril = Tendril::new(now(), seeds(&settings.borrow_and_update()), counter.life as usize);
     let mut link: Option<Link> = None;
+    let mut whole = false;
     let mut dialled: Option<JoinHandle<std::io::Result<Link>>> = None;
     let mut actions = tendril.step(now(), Event::Tick);
     loop {
@@ -42,12 +43,10 @@
                     (link, dialled) = (None, None);
                     continue;
                 }
-                Action::Hello => hello(
-                    &counter.machine.node,
-                    &counter.machine.zone,
-                    counter.life,
-                    counter.edition_number(),
-                ),
+                Action::Hello => {
+                    let held = if std::mem::take(&mut whole) { 0 } else { counter.edition_number() };
+                    hello(&counter.machine.node, &counter.machine.zone, counter.life, held)
+                }
                 Action::Report => {
                     Up::Report { edition: counter.edition_number(), evidence: counter.evidence() }
                 }
@@ -84,8 +83,14 @@
             heard = async { link.as_mut().expect("guarded").read.next::<Down>().await }, if link.is_some() => {
                 match heard {
                     Ok(Some(down)) => {
-                        take(&counter, &down);
-                        tendril.step(now(), Event::Heard(&down))
+                        if take(&counter, &down) {
+                            tendril.step(now(), Event::Heard(&down))
+                        } else {
+                            // Said again from the beginning, by who has the whole.
+                            tracing::warn!(target: "edition", "A change does not fit; the whole is asked for.");
+                            (link, whole) = (None, true);
+                            tendril.step(now(), Event::Closed)
+                        }
                     }
                     _ => {
                         link = None;
@@ -109,14 +114,18 @@
     Ok(Link { read: Frames::new(read), write })
 }
 
-/// What a sorting machine says is taken into force before the tendril goes on: its word is the order of things.
-fn take(counter: &Counter, down: &Down) {
+/// What a sorting machine says is taken into force before the tendril goes on: its word is the order of things. `false`:
+/// it can't be, and has to be said anew.
+fn take(counter: &Counter, down: &Down) -> bool {
     match down {
         Down::Welcome { term, .. } => {
             tracing::info!(target: "session", "Held by the leader of term {term}.");
             counter.state().confirmed = true;
         }
         Down::Edition(kept) => counter.take_edition(kept),
+        Down::Amend { from, number, pieces, digest } => {
+            return counter.amend(*from, *number, pieces, *digest)
+        }
         Down::Services(standings) => counter.take_standings(standings.clone()),
         Down::Listing(listing) => counter.take_listing(listing),
         // A machine that does not lead may know an older state. It is better than none for a counter that has just
@@ -129,4 +138,5 @@
         Down::Stage(service, order, stage) => counter.take_stage(service, *order, *stage),
         Down::Beat { .. } | Down::Elsewhere { .. } => {}
     }
+    true
 }
--- a/programs/orchard/src/sorting/counters.rs
+++ b/programs/orchard/src/sorting/counters.rs
@@ -88,7 +88,7 @@
         let link = state.next_link;
         state.roster.hello(now(), link, &node, &zone, life, edition);
         let counters = state.roster.count(now());
-        let mut all = state.all();
+        let mut all = state.all(edition);
         all.push(Down::Welcome { term: sorting.council.term(), core: sorting.council.members(), counters });
         for down in &all {
             let _ = to.try_send(Bytes::from(words::frame(down)));
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -15,7 +15,8 @@
 use jzon::JsonValue as Json;
 use magpieline_almanac::machine::Machine;
 use magpieline_rootstock::Seat;
-use magpieline_trellis::records::{Effect, Records};
+use magpieline_trellis::delta;
+use magpieline_trellis::records::{Effect, Kept, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing, Stage};
 use std::collections::{BTreeMap, HashMap};
@@ -130,9 +131,10 @@
     /// A command has been agreed on.
     pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
         let mut state = self.state();
+        let before = state.records.edition.clone();
         let effect = state.records.apply(index, command);
         let down = match effect {
-            Effect::Edition => state.records.edition.clone().map(Down::Edition),
+            Effect::Edition => state.records.edition.clone().map(|kept| amended(before, kept)),
             Effect::Service => {
                 use magpieline_trellis::records::Command;
                 let (Command::Begin { service, .. }
@@ -152,6 +154,19 @@
     }
 }
 
+/// A new edition as counters that hold the one before are told it: as what has changed, where that is shorter.
+fn amended(before: Option<Kept>, kept: Kept) -> Down {
+    let Some(before) = before else { return Down::Edition(kept) };
+    let pieces = delta::diff(&before.text, &kept.text);
+    let amend =
+        Down::Amend { from: before.number, number: kept.number, pieces, digest: delta::digest(&kept.text) };
+    if words::frame(&amend).len() < kept.text.len() {
+        amend
+    } else {
+        Down::Edition(kept)
+    }
+}
+
 impl State {
     /// Tells all counters. One that takes no more is let go.
     pub fn tell_all(&mut self, down: &Down) {
@@ -169,10 +184,10 @@
         });
     }
 
-    /// All that a counter has to know, in the order in which it is to take it in.
-    fn all(&self) -> Vec<Down> {
+    /// All that a counter has to know that holds this edition, in the order in which it is to take it in.
+    fn all(&self, held: u64) -> Vec<Down> {
         let mut all = Vec::new();
-        all.extend(self.records.edition.clone().map(Down::Edition));
+        all.extend(self.records.edition.clone().filter(|kept| kept.number != held).map(Down::Edition));
         all.push(Down::Services(self.records.services.clone().into_iter().collect()));
         all.extend(
             self.stages.iter().map(|(s, (order, stage))| Down::Stage(s.as_str().into(), *order, *stage)),
