--- a/programs/orchard/src/commands/caller.rs
+++ b/programs/orchard/src/commands/caller.rs
@@ -138,7 +138,8 @@
 
 async fn post(at: SocketAddrV4, path: &str, body: &Bytes) -> Result<Response, String> {
     let stream = net::connect(at, SILENCE).await.map_err(|e| format!("no connection: {e}"))?;
-    let broken = |e: hyper::Error| format!("no whole answer: {e}");
+    let broken =
+        |e: hyper::Error| format!("found no answer ({e}), expected a sorting machine's control address");
     let (mut line, rest) = hyper::client::conn::http1::handshake(Wire(stream)).await.map_err(broken)?;
     tokio::spawn(rest);
     let request = Request::post(path)
@@ -150,7 +151,7 @@
     let status = answer.status().as_u16();
     let moved = answer.headers().get(LOCATION).and_then(|l| l.to_str().ok()).map(str::to_owned);
     let body = Limited::new(answer.into_body(), LONGEST).collect().await;
-    let body = body.map_err(|e| format!("no whole answer: {e}"))?.to_bytes();
+    let body = body.map_err(|e| format!("found a part of an answer ({e}), expected all of it"))?.to_bytes();
     let text = String::from_utf8(body.into()).map_err(|_| "found bytes that are no text, expected JSON")?;
     Ok((status, moved, text))
 }
--- a/programs/orchard/src/commands/check.rs
+++ b/programs/orchard/src/commands/check.rs
@@ -314,8 +314,11 @@
         .iter()
         .map(|f| {
             let cap = if f.conn_cap == u32::MAX { "any number of".into() } else { f.conn_cap.to_string() };
-            let routes = routes_to(edition, &f.name);
-            format!("{} ({routes} routes, {cap} connections an appliance, {})", f.name, f.health_path)
+            let routes = match routes_to(edition, &f.name) {
+                1 => "1 route".into(),
+                many => format!("{many} routes"),
+            };
+            format!("{} ({routes}, {cap} connections an appliance, {})", f.name, f.health_path)
         })
         .collect();
     vec![
--- a/programs/orchard/src/view.rs
+++ b/programs/orchard/src/view.rs
@@ -77,6 +77,10 @@
     match value {
         Json::Null => "-".into(),
         Json::Array(_) => "none".into(),
+        // Whole numbers stay as they are; nobody reads more than three digits of a part.
+        Json::Number(_) if value.as_u64().is_none() => {
+            value.as_f64().map_or_else(|| value.dump(), |n| ((n * 1e3).round() / 1e3).to_string())
+        }
         other => other.as_str().map_or_else(|| other.dump(), str::to_owned),
     }
 }
@@ -97,12 +101,13 @@
     #[test]
     fn a_table_holds_all_that_the_view_holds() {
         let view = jzon::object! { role: "Leader", voters: [{ address: "10.0.0.1:7720", life: 0 }], learners: [],
-        services: { s: { version: "v1", rollout: null } } };
+        services: { s: { version: "v1", rollout: null, usual_ms: 42.002895853 } } };
         let table = super::table(&view);
         let lines: Vec<&str> = table.lines().collect();
         assert_eq!(lines[0], "role      Leader");
         assert_eq!(lines[2], "  address 10.0.0.1:7720  life 0");
         assert_eq!(lines[3], "learners  none");
-        assert_eq!(&lines[4..], ["services", "  s", "    version  v1", "    rollout  -"]);
+        let expected = ["services", "  s", "    version   v1", "    rollout   -", "    usual_ms  42.003"];
+        assert_eq!(&lines[4..], expected);
     }
 }
