--- a/programs/orchard/src/commands/serve.rs
+++ b/programs/orchard/src/commands/serve.rs
@@ -29,15 +29,15 @@
 type Running = Pin<Box<dyn Future<Output = std::io::Result<()>>>>;
 
 pub fn counter(options: Options) -> Result<End, String> {
-    start(options, |settings, life| Box::pin(counter::run(settings, life)))
+    start("counter", options, |settings, life| Box::pin(counter::run(settings, life)))
 }
 
 pub fn sorting(options: Options) -> Result<End, String> {
-    start(options, |settings, life| Box::pin(sorting::run(settings, life)))
+    start("sorting", options, |settings, life| Box::pin(sorting::run(settings, life)))
 }
 
 /// Reads the settings file and runs a role until the platform ends it.
-fn start(options: Options, run: impl FnOnce(Held, u64) -> Running) -> Result<End, String> {
+fn start(role: &str, options: Options, run: impl FnOnce(Held, u64) -> Running) -> Result<End, String> {
     log::start(&options.log, options.json)?;
     let path =
         options.settings.or_else(|| std::env::var(SETTINGS.0).ok()).unwrap_or_else(|| SETTINGS.1.to_owned());
@@ -48,6 +48,8 @@
             return Ok(End::Failed);
         }
     };
+    let (version, node) = (env!("CARGO_PKG_VERSION"), &watcher.machine().node);
+    tracing::info!(target: "start", "{role} {version} as {node}, by {path}.");
     clock::now();
     let life = rand::random::<u64>().max(1);
     let served = wait_for(async { run(settings::watch(watcher)?, life).await });
