--- a/examples/gateway/clients.rs
+++ b/examples/gateway/clients.rs
@@ -8,10 +8,13 @@
 use rand::Rng;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::signal::unix::{signal, SignalKind};
 
 const HOST: &str = "booking.example";
 /// Method, path, how long a client waits, and the share of the requests.
@@ -75,18 +78,24 @@
 
 pub async fn run(load: Load) -> Result<(), String> {
     let tasks = tokio::task::LocalSet::new();
-    tasks.run_until(send(load)).await;
+    let mut end = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    tasks.run_until(send(load, async move { end.recv().await })).await;
     Ok(())
 }
 
-async fn send(load: Load) {
+/// Sends until the time is over or SIGTERM has come; then waits for what is under way.
+async fn send(load: Load, ended: impl Future<Output = Option<()>>) {
+    let mut ended = pin!(ended);
     let seen = Rc::new(RefCell::new(Seen::default()));
     let (began, mut all) = (Instant::now(), Seen::default());
     let (end, mut line) = (began + Duration::from_secs(load.seconds), began + LINE);
     let mut open = tokio::task::JoinSet::new();
     let mut beat = tokio::time::interval(Duration::from_secs_f64(1.0 / load.per_s.max(0.1)));
     while Instant::now() < end {
-        beat.tick().await;
+        tokio::select! {
+            _ = beat.tick() => {}
+            _ = &mut ended => break,
+        }
         while open.try_join_next().is_some() {}
         open.spawn_local(client(seen.clone(), load.fronts.clone()));
         if Instant::now() >= line {
--- a/examples/gateway/run.sh
+++ b/examples/gateway/run.sh
@@ -34,6 +34,13 @@
     pids="$pids $!"
 }
 
+# Ends an agent at once, and waits until it is gone.
+killed() { # name
+    pid=$(eval "echo \$pid_$(echo "$1" | tr - _)")
+    kill -KILL "$pid"
+    wait "$pid" 2>/dev/null || true
+}
+
 # Waits until a command's output has a line that matches, for twenty seconds.
 until_seen() { # pattern command...
     pattern=$1
@@ -42,7 +49,8 @@
     while ! "$@" 2>/dev/null | grep -Eq "$pattern"; do
         tries=$((tries + 1))
         if [ $tries -gt 100 ]; then
-            echo "run.sh: waited twenty seconds for '$pattern' of: $*; logs are in $work/" >&2
+            echo "run.sh: waited twenty seconds for '$pattern' of: $*; ends of the logs in $work/:" >&2
+            for log in "$work"/*.log; do echo "$log: $(tail -n 1 "$log")" >&2; done
             exit 1
         fi
         sleep 0.2
@@ -125,6 +133,8 @@
 say "Calendar v3 is bad: a third of its answers fail. It is taken back by itself"
 show "$gateway" start calendar v3 6 --fail 0.33
 roll v3 v2
+echo "Why, by the leader's log:"
+grep -h 'rollout: calendar to v3: Returned' "$work"/sorting-*.log || true
 sleep 3
 
 say "The leader is killed; another one leads, clients go on"
@@ -132,7 +142,7 @@
 n=${led#127.0.0.1}
 n=${n%%:*}
 echo "Led by $led, sorting-$n: killed."
-eval "kill -KILL \$pid_sorting_$n"
+killed "sorting-$n"
 until_seen . leader
 echo "Led by $(leader)."
 sed 's/"edition": 1/"edition": 2/; s/"tries": 2/"tries": 3/' "$work/gateway.json" >"$work/second.json"
@@ -148,7 +158,7 @@
 say "A machine loses its disk: it comes back as another life, and is filled by the others"
 n=3
 echo "sorting-$n: killed, its store removed."
-eval "kill -KILL \$pid_sorting_$n"
+killed "sorting-$n"
 rm -f "$work/sorting-$n/store.redb"
 # It has been there before: as a founder that has forgotten its votes it would do harm.
 sed -i 's/^first_run = true/first_run = false/' "$work/sorting-$n.toml"
@@ -165,4 +175,5 @@
 
 say "What the appliances have run"
 kill -TERM "$clients"
+wait "$clients" || true
 show "$gateway" tally
--- a/programs/orchard/src/sorting/steward.rs
+++ b/programs/orchard/src/sorting/steward.rs
@@ -64,7 +64,7 @@
         let case = cases.entry(service.to_owned()).or_insert_with(|| {
             // The order may be older than this leadership: counters tell for how long they have known of it.
             let began = at - pooled.age;
-            let share = sorting.machine.terms.expose_share;
+            let share = sorting.settings.borrow().terms.expose_share;
             let rate = pooled.taken as f64 / (pooled.age as f64 / 1e6).max(1.0);
             Case {
                 order: rollout.order,
