--- a/deciding/windrow/src/field.rs
+++ b/deciding/windrow/src/field.rs
@@ -34,9 +34,10 @@
 const SHUN_MOST: Micros = 4_000_000;
 /// One that turned a request away is left alone until about half of its queue is done.
 const FULL: Micros = 150_000;
-/// Requests that may wait at an appliance beyond those it works on. They "queue a few more"; some never answer what
-/// they can't queue, so it is not tried how many.
-const WAITING: f64 = 3.0;
+/// Requests that may wait at an appliance beyond those it works on, by the precedence of who asks: what ranks high finds
+/// room where the rest is refused already. They "queue a few more"; some never answer what they can't queue, so it is
+/// not tried how many.
+const WAITING: [f64; 3] = [5.0, 4.0, 3.0];
 
 /// An appliance as listed.
 #[derive(Clone, Debug, PartialEq)]
@@ -118,6 +119,8 @@
     pub not: &'a [usize],
     /// Whether it may run more than once: only such try an appliance that may be dead.
     pub repeatable: bool,
+    /// Its rank; 0 is highest.
+    pub precedence: u32,
     /// Only so many of the appliances, the same ones at all agents; 0: all of them.
     pub focus: u32,
 }
@@ -276,6 +279,7 @@
         let mut least = f64::INFINITY;
         let jitter = self.chance.gen_range(0.0..0.02);
         let most = self.focus(&service.members, &ask);
+        let waiting = WAITING[(ask.precedence as usize).min(WAITING.len() - 1)];
         for at in &service.members {
             let a = &self.all[*at];
             if ask.not.contains(at) || a.listed.closing || !(ask.versions)(&a.listed.version) {
@@ -288,7 +292,7 @@
             let berths = f64::from(a.listed.berths.max(1));
             let own = a.flying.len() as f64;
             let ahead = own + self.others(a, service.others, now);
-            if ahead >= berths + WAITING || now < a.shunned_until {
+            if ahead >= berths + waiting || now < a.shunned_until {
                 continue;
             }
             let cold = if now < a.listed.cold_until { COLD } else { 1.0 };
@@ -413,7 +417,7 @@
     }
 
     fn ask<'a>(versions: &'a dyn Fn(&str) -> bool, not: &'a [usize], repeatable: bool) -> Ask<'a> {
-        Ask { service: "s", versions, not, repeatable, focus: 0 }
+        Ask { service: "s", versions, not, repeatable, precedence: 2, focus: 0 }
     }
 
     fn any(_: &str) -> bool {
@@ -515,6 +519,22 @@
         assert_eq!(met.len(), 2);
     }
 
+    /// Guards against orders that are refused because lookups have filled every queue.
+    #[test]
+    fn what_ranks_high_finds_room_where_the_rest_is_refused() {
+        let mut field = field(&["x"]);
+        let x = field.find("x").expect("listed");
+        let mut room = |precedence| {
+            let mut sent = 0;
+            while field.choose(0, Ask { precedence, ..ask(&any, &[], false) }).is_ok() {
+                field.sent(0, x);
+                sent += 1;
+            }
+            sent
+        };
+        assert_eq!([2, 7, 1, 0].map(&mut room), [5, 0, 1, 1]);
+    }
+
     /// Guards against a cold appliance that gets as much as a warm one.
     #[test]
     fn a_cold_appliance_waits_until_the_warm_ones_are_busy() {
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -280,8 +280,14 @@
                 part.iter_mut().for_each(|p| p.trial.request());
             }
             let plain = |version: &str| State::carries(standing, version);
-            let ask =
-                Ask { service: &self.service, versions: &plain, not: &self.tried, repeatable, focus: 0 };
+            let ask = Ask {
+                service: &self.service,
+                versions: &plain,
+                not: &self.tried,
+                repeatable,
+                precedence: self.route.precedence,
+                focus: 0,
+            };
             // The design's index takes a first forward to the trial build, within the share; only while the leader is
             // held, who may have returned it otherwise.
             let tried = part.as_ref().filter(|p| first && *held && p.trial.wants(repeatable)).and_then(|p| {
@@ -329,7 +335,8 @@
     let journey = Journey::new(route.sort == Sort::Safe, route.tries, due);
     let mut trip = Trip { counter, route, service, parcel, journey, tried: Vec::new(), arrived: 0, tell };
     loop {
-        if trip.send(f64::INFINITY).is_err() {
+        if let Err(why) = trip.send(f64::INFINITY) {
+            tracing::debug!(target: "request", "Nobody for {}: {why:?}.", trip.service);
             return own_end(trip.journey.give_up(now()), due);
         }
         let sent = now();
