--- a/keeping/rootstock/src/fill.rs
+++ b/keeping/rootstock/src/fill.rs
@@ -17,7 +17,7 @@
     received: usize,
     begun: bool,
     moved_at: Micros,
-    /// Where it was last wound back to because of a gap: later reports of the same gap are old news.
+    /// Where it was last wound back to because of a gap: more reports of the same gap are old news until it moves on.
     rewound: Option<usize>,
 }
 
@@ -71,6 +71,7 @@
             if let Mode::Fill(filling) = &mut peer.mode {
                 if self.now >= filling.moved_at + RESEND {
                     let received = filling.received;
+                    filling.rewound = None;
                     filling.rewind(received, self.now);
                 }
             }
@@ -87,6 +88,7 @@
             return;
         }
         if have > filling.received {
+            filling.rewound = None;
             filling.received = have;
             filling.moved_at = self.now;
         }
--- a/rigs/nursery/src/grove.rs
+++ b/rigs/nursery/src/grove.rs
@@ -439,8 +439,12 @@
     /// goes by, or that is on its way to one, is half or more gone.
     fn may_wipe(&self, machine: usize) -> bool {
         let Some(seat) = self.seat(machine) else { return false };
-        let gone = |voter: &&Seat| **voter == seat || self.checks.retired.contains(*voter);
-        let enough = |voters: &[Seat]| 2 * voters.iter().filter(gone).count() < voters.len().max(1);
+        let enough = |voters: &[Seat]| {
+            let gone = voters.iter().filter(|voter| **voter == seat || self.checks.retired.contains(*voter));
+            let gone: BTreeSet<_> = gone.map(|voter| voter.address).collect();
+            let all: BTreeSet<_> = voters.iter().map(|voter| voter.address).collect();
+            2 * gone.len() < all.len().max(1)
+        };
         let on_the_way = self.world.under_way().all(|envelope| match &envelope.message {
             Message::Append { entries, .. } => entries.iter().all(|entry| match &entry.payload {
                 Payload::Members(members) => enough(&members.voters),
@@ -453,8 +457,12 @@
             && (0..self.world.machines()).filter(|other| *other != machine).all(|other| {
                 // By what it knows, and by what it would know after a loss of power.
                 let rebooted = Tree::start(self.world.boot(other), 0, self.world.disk(other)).0;
-                let fits =
-                    |tree: &Tree| enough(tree.core.voters()) && tree.core.voters_before().is_none_or(enough);
+                let fits = |tree: &Tree| {
+                    // Those being filled may be on the list before their loss is noticed.
+                    let soon = [tree.core.voters(), &tree.core.learners()].concat();
+                    let before = tree.core.voters_before();
+                    enough(tree.core.voters()) && enough(&soon) && before.is_none_or(enough)
+                };
                 self.tree(other).is_none_or(fits) && fits(&rebooted)
             })
     }
