--- a/rigs/nursery/src/grove.rs
+++ b/rigs/nursery/src/grove.rs
@@ -458,10 +458,11 @@
                 // By what it knows, and by what it would know after a loss of power.
                 let rebooted = Tree::start(self.world.boot(other), 0, self.world.disk(other)).0;
                 let fits = |tree: &Tree| {
-                    // Those being filled may be on the list before their loss is noticed.
-                    let soon = [tree.core.voters(), &tree.core.learners()].concat();
+                    // Any of those being filled may be on the list before its loss is noticed.
+                    let voters = tree.core.voters();
+                    let soon = tree.core.learners().into_iter().map(|seat| [voters, &[seat]].concat());
                     let before = tree.core.voters_before();
-                    enough(tree.core.voters()) && enough(&soon) && before.is_none_or(enough)
+                    enough(voters) && soon.into_iter().all(|list| enough(&list)) && before.is_none_or(enough)
                 };
                 self.tree(other).is_none_or(fits) && fits(&rebooted)
             })
