Editions reach counters in pieces, behind all that is more urgent

A counter that holds an edition is not handed one by machines that do not lead. orchard view shows what is on its way.

--- a/keeping/trellis/src/lib.rs
+++ b/keeping/trellis/src/lib.rs
@@ -1,7 +1,9 @@
 //! How counters and sorting machines keep together.
 //!
 //! - [`records`]: what the sorting machines agree on, and the commands that change it.
-//! - [`delta`]: a new edition as what has changed since the one before.
+//! - [`delta`]: a new edition as what has changed since another one; long messages and commands in fewer bytes.
+//! - [`feed`]: how editions go out to counters, piece by piece, behind all that is more urgent.
+//! - [`intake`]: how a counter puts the pieces together.
 //! - [`words`]: what counters and sorting machines say to each other.
 //! - [`tendril`]: a counter's hold on the leading sorting machine, found through seeds that may be old.
 //! - [`roster`]: the leader's view of the counters, and what each of them has to be told.
@@ -10,6 +12,8 @@
 //! the machine that runs the code.
 
 pub mod delta;
+pub mod feed;
+pub mod intake;
 pub mod records;
 pub mod roster;
 pub mod tendril;
--- a/keeping/trellis/src/records.rs
+++ b/keeping/trellis/src/records.rs
@@ -1,6 +1,7 @@
 //! What the sorting machines agree on: the newest configuration, and for each service which version stands and how
 //! far its rollout is. A plain state machine: the same commands in the same order give the same state everywhere.
 
+use crate::delta;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -138,12 +139,12 @@
 
     /// All of it in bytes, for a snapshot.
     pub fn pack(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data can be written")
+        delta::pack(postcard::to_stdvec(self).expect("plain data can be written"))
     }
 
     /// Reads what [`Records::pack`] wrote.
     pub fn unpack(bytes: &[u8]) -> Option<Records> {
-        postcard::from_bytes(bytes).ok()
+        postcard::from_bytes(&delta::unpack(bytes)?).ok()
     }
 }
 
@@ -152,11 +153,11 @@
 
 impl Command {
     pub fn pack(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data can be written")
+        delta::pack(postcard::to_stdvec(self).expect("plain data can be written"))
     }
 
     pub fn unpack(bytes: &[u8]) -> Option<Command> {
-        postcard::from_bytes(bytes).ok()
+        postcard::from_bytes(&delta::unpack(bytes)?).ok()
     }
 }
 
--- a/keeping/trellis/src/tendril.rs
+++ b/keeping/trellis/src/tendril.rs
@@ -195,11 +195,7 @@
                 self.counters = (*counters).max(1);
             }
             Down::Beat { counters } => self.counters = (*counters).max(1),
-            Down::Edition(_)
-            | Down::Amend { .. }
-            | Down::Services(_)
-            | Down::Stage(..)
-            | Down::Listing(_) => {}
+            Down::Piece(_) | Down::Services(_) | Down::Stage(..) | Down::Listing(_) => {}
         }
     }
 
--- a/keeping/trellis/src/words.rs
+++ b/keeping/trellis/src/words.rs
@@ -1,7 +1,8 @@
 //! What counters and sorting machines say to each other. One message is one frame: its length in four bytes, the
-//! least significant first, then its bytes.
+//! least significant first, then its bytes; the length's highest bit says that they are squeezed
+//! ([`delta::squeeze`]).
 
-use crate::delta::Piece;
+use crate::delta;
 use crate::records::{Kept, Standing};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -109,6 +110,18 @@
     pub phase: Option<crate::records::Phase>,
 }
 
+/// A part of an edition that is on its way, as what has changed since another one ([`crate::delta::diff`]).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    pub number: u64,
+    /// The edition that it is put on; 0: none, it is told whole.
+    pub from: u64,
+    /// Bytes that are told in all pieces together, and how many came before this one.
+    pub length: u32,
+    pub at: u32,
+    pub bytes: Vec<u8>,
+}
+
 /// What a counter says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Up {
@@ -116,6 +129,10 @@
     Hello { node: String, zone: String, life: u64, edition: u64 },
     /// A sign of life, with what has changed; `edition` is the one in force.
     Report { edition: u64, evidence: Vec<Evidence> },
+    /// So many bytes of an edition that is on its way are here; more are awaited.
+    Got { number: u64, upto: u32 },
+    /// An edition that came is done with, and this one is in force; 0: it did not go with what is held here.
+    Holds { edition: u64 },
 }
 
 /// What a sorting machine says to a counter.
@@ -136,14 +153,8 @@
         core: Vec<SocketAddrV4>,
         counters: u32,
     },
-    Edition(Kept),
-    /// A new edition as what has changed since the one before it, and the digest of the whole.
-    Amend {
-        from: u64,
-        number: u64,
-        pieces: Vec<Piece>,
-        digest: u64,
-    },
+    /// A part of a new edition. Never more than a few are on their way, and all else goes before the next.
+    Piece(Piece),
     /// Standings that have changed.
     Services(Vec<(String, Standing)>),
     /// How far a rollout's trial is open: service, order.
@@ -166,26 +177,36 @@
     View,
 }
 
+/// In a frame's length: the bytes are squeezed.
+const SQUEEZED: u32 = 1 << 31;
+
 /// A message as a frame.
 pub fn frame<T: Serialize>(message: &T) -> Vec<u8> {
-    let mut bytes = postcard::to_extend(message, vec![0; 4]).expect("plain data can be written");
-    let length = (bytes.len() - 4) as u32;
-    bytes[..4].copy_from_slice(&length.to_le_bytes());
-    bytes
+    let bytes = postcard::to_stdvec(message).expect("plain data can be written");
+    let (bytes, mark) = delta::squeeze(&bytes).map_or((bytes, 0), |squeezed| (squeezed, SQUEEZED));
+    let mut frame = Vec::with_capacity(4 + bytes.len());
+    frame.extend((bytes.len() as u32 | mark).to_le_bytes());
+    frame.extend(bytes);
+    frame
 }
 
 /// Takes the next frame's message off the front of `bytes`. `Ok(None)` while it is not whole; an error says that
 /// what came is no message, and nothing after it can be read.
 pub fn unframe<T: for<'a> Deserialize<'a>>(bytes: &mut Vec<u8>) -> Result<Option<T>, Unreadable> {
     let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
-    let length = u32::from_le_bytes(*head) as usize;
+    let head = u32::from_le_bytes(*head);
+    let length = (head & !SQUEEZED) as usize;
     if length > LONGEST {
         return Err(Unreadable);
     }
-    if bytes.len() < 4 + length {
-        return Ok(None);
-    }
-    let message = postcard::from_bytes(&bytes[4..4 + length]).map_err(|_| Unreadable)?;
+    let Some(told) = bytes.get(4..4 + length) else { return Ok(None) };
+    let message = if head & SQUEEZED == 0 {
+        postcard::from_bytes(told)
+    } else {
+        let whole = delta::unsqueeze(told, LONGEST).ok_or(Unreadable)?;
+        postcard::from_bytes(&whole)
+    };
+    let message = message.map_err(|_| Unreadable)?;
     bytes.drain(..4 + length);
     Ok(Some(message))
 }
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -20,7 +20,6 @@
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
 use magpieline_scion::trial::Trial;
-use magpieline_trellis::delta;
 use magpieline_trellis::records::{Kept, Phase, Standing};
 use magpieline_trellis::words::{Evidence, Listing, Opening, Stage, State as ListState};
 use magpieline_windrow::budget::Budget;
@@ -205,22 +204,9 @@
         }
     }
 
-    /// Takes a configuration into force that is told as what has changed. `false`: it does not fit what is held here,
-    /// and the whole is needed.
-    pub fn amend(&self, from: u64, number: u64, pieces: &[delta::Piece], digest: u64) -> bool {
-        let held = self.state().kept.clone();
-        let Some(held) = held else { return false };
-        if held.number >= number {
-            return true; // newer already
-        }
-        let text = Some(held).filter(|h| h.number == from).and_then(|h| delta::apply(&h.text, pieces));
-        match text.filter(|t| delta::digest(t) == digest) {
-            Some(text) => {
-                self.take_edition(&Kept { number, text: text.into() });
-                true
-            }
-            None => false,
-        }
+    /// The configuration in force, as it was sent.
+    pub fn kept(&self) -> Option<Kept> {
+        self.state().kept.clone()
     }
 
     pub fn edition_number(&self) -> u64 {
--- a/programs/orchard/src/counter/session.rs
+++ b/programs/orchard/src/counter/session.rs
@@ -4,6 +4,7 @@
 use crate::clock::{self, now};
 use crate::net::{self, Frames};
 use magpieline_almanac::machine::Machine;
+use magpieline_trellis::intake::{Intake, Taken};
 use magpieline_trellis::tendril::{hello, Action, Event, Tendril};
 use magpieline_trellis::words::{Down, Opening, Up};
 use std::net::SocketAddrV4;
@@ -20,6 +21,7 @@
 struct Link {
     read: Frames<OwnedReadHalf>,
     write: OwnedWriteHalf,
+    intake: Intake,
 }
 
 pub async fn run(counter: Arc<Counter>) {
@@ -28,7 +30,6 @@
     let mut settings = counter.settings.clone();
     let mut tendril = Tendril::new(now(), seeds(&settings.borrow_and_update()), counter.life as usize);
     let mut link: Option<Link> = None;
-    let mut whole = false;
     let mut dialled: Option<JoinHandle<std::io::Result<Link>>> = None;
     let mut actions = tendril.step(now(), Event::Tick);
     loop {
@@ -43,10 +44,12 @@
                     (link, dialled) = (None, None);
                     continue;
                 }
-                Action::Hello => {
-                    let held = if std::mem::take(&mut whole) { 0 } else { counter.edition_number() };
-                    hello(&counter.machine.node, &counter.machine.zone, counter.life, held)
-                }
+                Action::Hello => hello(
+                    &counter.machine.node,
+                    &counter.machine.zone,
+                    counter.life,
+                    counter.edition_number(),
+                ),
                 Action::Report => {
                     Up::Report { edition: counter.edition_number(), evidence: counter.evidence() }
                 }
@@ -83,13 +86,13 @@
             heard = async { link.as_mut().expect("guarded").read.next::<Down>().await }, if link.is_some() => {
                 match heard {
                     Ok(Some(down)) => {
-                        if take(&counter, &down) {
-                            tendril.step(now(), Event::Heard(&down))
-                        } else {
-                            // Said again from the beginning, by who has the whole.
-                            tracing::warn!(target: "edition", "A change does not fit; the whole is asked for.");
-                            (link, whole) = (None, true);
-                            tendril.step(now(), Event::Closed)
+                        let open = link.as_mut().expect("guarded");
+                        match take(&counter, &mut open.intake, &down) {
+                            Some(up) if net::say(&mut open.write, &up).await.is_err() => {
+                                link = None;
+                                tendril.step(now(), Event::Closed)
+                            }
+                            _ => tendril.step(now(), Event::Heard(&down)),
                         }
                     }
                     _ => {
@@ -111,20 +114,30 @@
     let stream = net::connect(to, UP_WITHIN).await?;
     let (read, mut write) = stream.into_split();
     net::say(&mut write, &Opening::Counter).await?;
-    Ok(Link { read: Frames::new(read), write })
+    Ok(Link { read: Frames::new(read), write, intake: Intake::default() })
 }
 
-/// What a sorting machine says is taken into force before the tendril goes on: its word is the order of things. `false`:
-/// it can't be, and has to be said anew.
-fn take(counter: &Counter, down: &Down) -> bool {
+/// What a sorting machine says is taken into force before the tendril goes on: its word is the order of things. What
+/// is to be said in return.
+fn take(counter: &Counter, intake: &mut Intake, down: &Down) -> Option<Up> {
     match down {
         Down::Welcome { term, .. } => {
             tracing::info!(target: "session", "Held by the leader of term {term}.");
             counter.state().confirmed = true;
         }
-        Down::Edition(kept) => counter.take_edition(kept),
-        Down::Amend { from, number, pieces, digest } => {
-            return counter.amend(*from, *number, pieces, *digest)
+        Down::Piece(piece) => {
+            return Some(match intake.take(counter.kept().as_ref(), piece) {
+                Taken::More(upto) => Up::Got { number: piece.number, upto },
+                Taken::Whole(kept) => {
+                    counter.take_edition(&kept);
+                    Up::Holds { edition: counter.edition_number() }
+                }
+                Taken::Stale => Up::Holds { edition: counter.edition_number() },
+                Taken::Unfit => {
+                    tracing::warn!(target: "edition", "A change does not fit; the whole is asked for.");
+                    Up::Holds { edition: 0 }
+                }
+            })
         }
         Down::Services(standings) => counter.take_standings(standings.clone()),
         Down::Listing(listing) => counter.take_listing(listing),
@@ -138,5 +151,5 @@
         Down::Stage(service, order, stage) => counter.take_stage(service, *order, *stage),
         Down::Beat { .. } | Down::Elsewhere { .. } => {}
     }
-    true
+    None
 }
--- a/programs/orchard/src/sorting/counters.rs
+++ b/programs/orchard/src/sorting/counters.rs
@@ -1,17 +1,16 @@
 //! Links from other agents: counters that hold on to the leader, and other sorting machines.
 
-use super::{Sorting, MOST_WAITING};
+use super::Sorting;
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Frames};
 use crate::view;
-use bytes::Bytes;
 use magpieline_rootstock::Envelope;
-use magpieline_trellis::words::{self, Down, Opening, Up};
+use magpieline_trellis::feed::Event;
+use magpieline_trellis::words::{Down, Opening, Up};
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 /// Who opens a link says at once what it is for.
@@ -40,10 +39,10 @@
         if leads {
             let counters = state.roster.count(now());
             state.tell_all(&Down::Beat { counters });
-        } else if !state.links.is_empty() {
+            state.feed(Event::Tick);
+        } else {
             // Links end; whoever leads now hears from the counters anew.
-            state.links.clear();
-            state.roster.clear();
+            state.hang_up();
         }
     }
 }
@@ -73,7 +72,8 @@
             Down::Elsewhere {
                 leader: sorting.council.leader().filter(|l| *l != sorting.inner()),
                 core: sorting.council.members(),
-                edition: state.records.edition.clone(),
+                // Who holds one is told of a newer one by who leads: a whole one takes seconds on a narrow link.
+                edition: state.records.edition.clone().filter(|_| edition == 0),
                 services: state.records.services.clone().into_iter().collect(),
                 listing: state.listing(),
             }
@@ -81,20 +81,19 @@
         let _ = net::say(&mut write, &elsewhere).await;
         return;
     }
-    let (to, mut waiting) = mpsc::channel::<Bytes>(MOST_WAITING);
-    let link = {
+    let (link, mut waiting) = {
         let mut state = sorting.state();
-        state.next_link += 1;
-        let link = state.next_link;
+        let all = state.all();
+        let (link, waiting) = state.open();
         state.roster.hello(now(), link, &node, &zone, life, edition);
         let counters = state.roster.count(now());
-        let mut all = state.all(edition);
-        all.push(Down::Welcome { term: sorting.council.term(), core: sorting.council.members(), counters });
         for down in &all {
-            let _ = to.try_send(Bytes::from(words::frame(down)));
+            state.tell(link, down);
         }
-        state.links.insert(link, to);
-        link
+        let welcome =
+            Down::Welcome { term: sorting.council.term(), core: sorting.council.members(), counters };
+        state.begin(link, edition, &welcome);
+        (link, waiting)
     };
     tracing::debug!(target: "session", "Counter {node} is held.");
     let writing = async {
@@ -106,8 +105,12 @@
     };
     let reading = async {
         while let Ok(Some(up)) = read.next::<Up>().await {
-            if let Up::Report { edition, evidence } = up {
-                sorting.state().roster.report(now(), link, edition, evidence);
+            let mut state = sorting.state();
+            match up {
+                Up::Report { edition, evidence } => state.roster.report(now(), link, edition, evidence),
+                Up::Got { number, upto } => state.feed(Event::Got { link, number, upto }),
+                Up::Holds { edition } => state.feed(Event::Holds { link, edition }),
+                Up::Hello { .. } => {}
             }
         }
     };
@@ -115,7 +118,5 @@
         () = writing => {}
         () = reading => {}
     }
-    let mut state = sorting.state();
-    state.links.remove(&link);
-    state.roster.closed(link);
+    sorting.state().let_go(link);
 }
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -4,28 +4,24 @@
 mod council;
 mod counters;
 mod lister;
+mod mouth;
 mod steward;
 
 use crate::carrier::Reading;
 use crate::clock::now;
 use crate::net;
 use crate::settings::Held;
-use bytes::Bytes;
 use council::Council;
 use jzon::JsonValue as Json;
 use magpieline_almanac::machine::Machine;
 use magpieline_rootstock::Seat;
-use magpieline_trellis::delta;
-use magpieline_trellis::records::{Effect, Kept, Records};
+use magpieline_trellis::feed::Feeds;
+use magpieline_trellis::records::{Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing, Stage};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex, MutexGuard};
-use tokio::sync::mpsc;
-
-/// Frames that may wait for one counter; one that takes no more is let go, and comes again.
-const MOST_WAITING: usize = 512;
 
 /// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
 const GIVE_WAY: crate::clock::Micros = 300_000;
@@ -45,9 +41,10 @@
 pub struct State {
     pub records: Records,
     pub roster: Roster,
-    /// Counters' links, while this machine leads.
-    links: HashMap<u64, mpsc::Sender<Bytes>>,
-    next_link: u64,
+    /// What counters that hold on to this machine are told.
+    mouth: mouth::Mouth,
+    /// How editions go out to them.
+    feeds: Feeds,
     /// How far trials are open, by service: the order and its stage.
     stages: BTreeMap<String, (u64, Stage)>,
     /// The list as last read under this leadership.
@@ -117,6 +114,7 @@
             log: jzon::object! { in_force: view.commit, applied: view.applied, on_disk: view.durable,
                 disk_troubled: view.disk_troubled },
             edition: state.records.edition.as_ref().map(|k| k.number),
+            telling: state.telling(),
             appliances: state.list.as_ref().map(|l| l.list.len()),
             services: services,
             counters: counters
@@ -125,16 +123,20 @@
 
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
-        self.state().records = records;
+        let mut state = self.state();
+        state.records = records;
+        state.feed_newest();
     }
 
     /// A command has been agreed on.
     pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
         let mut state = self.state();
-        let before = state.records.edition.clone();
         let effect = state.records.apply(index, command);
         let down = match effect {
-            Effect::Edition => state.records.edition.clone().map(|kept| amended(before, kept)),
+            Effect::Edition => {
+                state.feed_newest();
+                None
+            }
             Effect::Service => {
                 use magpieline_trellis::records::Command;
                 let (Command::Begin { service, .. }
@@ -154,41 +156,10 @@
     }
 }
 
-/// A new edition as counters that hold the one before are told it: as what has changed, where that is shorter.
-fn amended(before: Option<Kept>, kept: Kept) -> Down {
-    let Some(before) = before else { return Down::Edition(kept) };
-    let pieces = delta::diff(&before.text, &kept.text);
-    let amend =
-        Down::Amend { from: before.number, number: kept.number, pieces, digest: delta::digest(&kept.text) };
-    if words::frame(&amend).len() < kept.text.len() {
-        amend
-    } else {
-        Down::Edition(kept)
-    }
-}
-
 impl State {
-    /// Tells all counters. One that takes no more is let go.
-    pub fn tell_all(&mut self, down: &Down) {
-        if self.links.is_empty() {
-            return;
-        }
-        let frame = Bytes::from(words::frame(down));
-        let roster = &mut self.roster;
-        self.links.retain(|link, to| {
-            let kept = to.try_send(frame.clone()).is_ok();
-            if !kept {
-                roster.closed(*link);
-            }
-            kept
-        });
-    }
-
-    /// All that a counter has to know that holds this edition, in the order in which it is to take it in.
-    fn all(&self, held: u64) -> Vec<Down> {
-        let mut all = Vec::new();
-        all.extend(self.records.edition.clone().filter(|kept| kept.number != held).map(Down::Edition));
-        all.push(Down::Services(self.records.services.clone().into_iter().collect()));
+    /// All that a counter has to know besides the edition, in the order in which it is to take it in.
+    fn all(&self) -> Vec<Down> {
+        let mut all = vec![Down::Services(self.records.services.clone().into_iter().collect())];
         all.extend(
             self.stages.iter().map(|(s, (order, stage))| Down::Stage(s.as_str().into(), *order, *stage)),
         );
