--- /dev/null
+++ b/keeping/trellis/tests/delta.rs
@@ -0,0 +1,67 @@
+//! Editions as what has changed.
+
+use magpieline_trellis::delta::{apply, diff, pack, unpack};
+use magpieline_trellis::words::LONGEST;
+use rand::{Rng, SeedableRng};
+
+fn routes(chance: &mut rand_chacha::ChaCha8Rng, count: usize) -> Vec<String> {
+    let route =
+        |i| format!("{{\"name\":\"r-{i}\",\"sort\":\"safe\",\"target\":\"600ms\",\"prefix\":\"/é{i}/\"}}");
+    (0..count).map(|_| route(chance.gen_range(0..50_000))).collect()
+}
+
+/// Guards against a configuration put together wrongly, and against changes that cost as much as a whole.
+#[test]
+fn what_is_put_together_is_the_new_text_and_small_changes_are_small() {
+    let mut chance = rand_chacha::ChaCha8Rng::seed_from_u64(5);
+    for round in 0..60 {
+        let mut list = routes(&mut chance, 200);
+        let old = list.join(",");
+        for _ in 0..round % 4 {
+            let at = chance.gen_range(0..list.len());
+            match chance.gen_range(0..3) {
+                0 => _ = list.remove(at),
+                1 => list.insert(at, routes(&mut chance, 1).remove(0)),
+                _ => list[at] = list[at].replace("600ms", "1.5s"),
+            }
+        }
+        let new = list.join(",");
+        let told = diff(&old, &new);
+        assert_eq!(apply(&old, &told, LONGEST).as_deref(), Some(&*new), "round {round}");
+        assert!(told.len() < 300, "round {round}: {} bytes of {}", told.len(), new.len());
+        assert_eq!(apply("", &diff("", &new), LONGEST).as_deref(), Some(&*new), "round {round}");
+    }
+    assert_eq!(apply("", &diff("", "abc"), LONGEST).as_deref(), Some("abc"));
+    assert_eq!(apply("abc", &diff("abc", ""), LONGEST).as_deref(), Some(""));
+}
+
+/// Guards against changes for another text that are taken for this one's, against what was cut short, and against a few
+/// bytes that fill the memory.
+#[test]
+fn changes_that_do_not_fit_are_found_out() {
+    let mut chance = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+    let old = routes(&mut chance, 60).join(",");
+    let new = old.replace("600ms", "1.5s");
+    let told = diff(&old, &new);
+    for other in ["", "short", &routes(&mut chance, 60).join(","), &old[..old.len() - 1]] {
+        assert_eq!(apply(other, &told, LONGEST), None);
+    }
+    // What differs only where nothing is taken from makes the new text all the same, or nothing.
+    assert!(apply(&old[1..], &told, LONGEST).is_none_or(|made| made == new));
+    for cut in 0..told.len() {
+        assert_eq!(apply(&old, &told[..cut], LONGEST), None, "cut to {cut}");
+    }
+    assert_eq!(apply("", &diff("", &"z".repeat(1 << 20)), 1 << 16), None);
+}
+
+/// Guards against commands and snapshots of the release before squeezing that can't be read any more.
+#[test]
+fn what_is_packed_is_read_and_so_is_what_was_packed_before() {
+    let long: Vec<u8> = (0..40_000u32).map(|i| (i % 251) as u8).collect();
+    assert!(pack(long.clone()).len() < 2000);
+    for bytes in [vec![0, 7, 1], vec![], long] {
+        assert_eq!(unpack(&pack(bytes.clone())).as_deref(), Some(&*bytes));
+        assert_eq!(unpack(&bytes).as_deref(), Some(&*bytes), "as packed before");
+    }
+    assert_eq!(unpack(&[0xff, 1, 2]), None);
+}
--- /dev/null
+++ b/keeping/trellis/tests/narrow_links.rs
@@ -0,0 +1,396 @@
+//! Editions on narrow links: a leader on 51 Mbit/s and 88 counters on 2 Mbit/s, most of which their clients don't need,
+//! simulated; a large edition, a storm of small ones, joins, restarts, cuts and a new leader in the middle of it. Checked
+//! after each step: no counter goes back, each edition is in force in time wherever it can be, counters and followers
+//! hear signs of life in time, and what is on its way and what is kept is bounded. `NARROW_SEEDS` plays more days.
+
+use bytes::Bytes;
+use magpieline_trellis::feed::{Action, Event, Feeds, WINDOW, WINDOW_OF_ALL};
+use magpieline_trellis::intake::{Intake, Taken};
+use magpieline_trellis::records::Kept;
+use magpieline_trellis::words::{frame, unframe, Down};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+
+const COUNTERS: usize = 88;
+/// Microseconds.
+const S: u64 = 1_000_000;
+/// Bytes a second: of the leader's link, and what clients leave of a counter's.
+const UP: u64 = 6_375_000;
+const DOWN: u64 = 190_000;
+const IN_FORCE_WITHIN: u64 = 3 * S;
+const IN_TOUCH_AFTER: u64 = 5 * S;
+/// Counters let go of a leader after a second without a word, followers after 0.4 s.
+const PATIENCE: u64 = S;
+const FOLLOWERS_PATIENCE: u64 = 400_000;
+/// A counter takes so long to read a kilobyte of an edition, at a tenth of a core.
+const READ_KB: u64 = 300;
+
+/// How editions are sent: as they are, or as they were: each to all counters at once, in one frame.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Feeds,
+    Fifo,
+}
+
+#[derive(Debug, Clone)]
+enum Then {
+    Edition(usize),
+    Due(u64),
+    Beat,
+    FollowersBeat,
+    /// A follower hears a beat that was sent then.
+    Followed(u64),
+    Arrives(usize, u64, Bytes),
+    Holds(usize, u64, Kept),
+    /// The leader hears, on a link: an acknowledgement, or what is held.
+    Got(u64, u64, u32),
+    Held(u64, u64),
+    Opens(usize, u64),
+    Looks(usize),
+    Cut(usize, u64),
+    Restarts(usize),
+    Leads,
+}
+
+#[derive(Default)]
+struct Counter {
+    /// Differs from link to link; as the leader names the link.
+    link: u64,
+    intake: Intake,
+    held: Option<Kept>,
+    heard_at: u64,
+    /// Nothing had happened to it since.
+    calm_since: u64,
+    cut_until: u64,
+    free_at: u64,
+}
+
+struct Day {
+    way: Way,
+    now: u64,
+    next: BTreeMap<(u64, u64), Then>,
+    serial: u64,
+    chance: ChaCha8Rng,
+    feeds: Feeds,
+    editions: Vec<Kept>,
+    agreed: usize,
+    links: HashMap<u64, usize>,
+    counters: Vec<Counter>,
+    up_free_at: u64,
+    /// Bytes that were said and have not arrived, by counter.
+    waiting: Vec<usize>,
+    broken: Vec<String>,
+}
+
+fn editions(chance: &mut ChaCha8Rng) -> Vec<Kept> {
+    let mut routes: Vec<String> = Vec::new();
+    let grow = |chance: &mut ChaCha8Rng, routes: &mut Vec<String>, by| {
+        routes.extend((0..by).map(|_| {
+            let (name, kind) = (chance.gen::<u32>(), ["safe", "unsafe"][chance.gen_range(0..2)]);
+            format!(
+                "{{\"name\":\"r-{name:x}\",\"sort\":\"{kind}\",\"target\":\"600ms\",\"precedence\":2,\"sorting\":{{\
+                 \"lane_prefix\":\"/{:x}/\"}},\"dispatch\":{{\"service\":\"s\",\"give_up\":\"{}ms\",\"tries\":2}}}}",
+                name.rotate_left(9),
+                chance.gen_range(400..3000)
+            )
+        }));
+    };
+    (1..16u64)
+        .map(|number| {
+            grow(
+                chance,
+                &mut routes,
+                if number == 1 {
+                    680
+                } else if number == 2 {
+                    1640
+                } else {
+                    2
+                },
+            );
+            let at = chance.gen_range(0..routes.len());
+            routes[at] = routes[at].replace("\"tries\":2", "\"tries\":3");
+            let text = format!("{{\"edition\":{number},\"regulations\":[{}]}}", routes.join(","));
+            Kept { number, text: text.into() }
+        })
+        .collect()
+}
+
+impl Day {
+    fn new(seed: u64, way: Way) -> Day {
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let editions = editions(&mut chance);
+        // None has come yet.
+        let none = || Counter { calm_since: 1000 * S, ..Counter::default() };
+        let counters = (0..COUNTERS).map(|_| none()).collect();
+        let mut day = Day {
+            way,
+            now: 0,
+            next: BTreeMap::new(),
+            serial: 0,
+            feeds: Feeds::default(),
+            editions,
+            agreed: 0,
+            links: HashMap::new(),
+            counters,
+            up_free_at: 0,
+            waiting: vec![0; COUNTERS],
+            broken: Vec::new(),
+            chance,
+        };
+        day.at(0, Then::Beat);
+        day.at(0, Then::FollowersBeat);
+        day.at(10_000, Then::Edition(0));
+        for counter in 0..COUNTERS {
+            let joins = if counter < 80 { S / 4 } else { 12 * S };
+            let at = day.chance.gen_range(joins / 20..joins);
+            day.at(at, Then::Restarts(counter));
+            day.at(at, Then::Looks(counter));
+        }
+        day.at(7 * S, Then::Edition(1)); // the large one, and the storm
+        (2..15).for_each(|i| day.at(7 * S + 330_000 * i as u64, Then::Edition(i)));
+        for _ in 0..10 {
+            let (at, counter) = (day.chance.gen_range(5 * S..11 * S), day.chance.gen_range(0..COUNTERS));
+            let until = at + day.chance.gen_range(S / 10..4 * S);
+            day.at(at, Then::Cut(counter, until));
+            let (at, counter) = (day.chance.gen_range(5 * S..11 * S), day.chance.gen_range(0..COUNTERS));
+            day.at(at, Then::Restarts(counter));
+        }
+        let leads = day.chance.gen_range(7 * S..11 * S);
+        day.at(leads, Then::Leads);
+        day
+    }
+
+    fn at(&mut self, at: u64, then: Then) {
+        self.serial += 1;
+        self.next.insert((at.max(self.now), self.serial), then);
+    }
+
+    /// Whether a day breaks a rule, and the first that it broke.
+    fn play(mut self) -> Option<String> {
+        while let Some(((at, _), then)) = self.next.pop_first() {
+            self.now = at;
+            if at > 20 * S || !self.broken.is_empty() {
+                break;
+            }
+            self.happens(then);
+            if self.feeds.flying() > WINDOW_OF_ALL + WINDOW {
+                self.broken.push(format!("{} bytes of editions on their way", self.feeds.flying()));
+            }
+            if self.feeds.kept_bytes() > 10 << 20 {
+                self.broken.push(format!("{} bytes are kept", self.feeds.kept_bytes()));
+            }
+        }
+        self.broken.first().map(|b| format!("at {} ms: {b}", self.now / 1000))
+    }
+
+    /// Bytes leave by the leader's link; when the last one has.
+    fn leaves(&mut self, length: usize) -> u64 {
+        self.up_free_at = self.up_free_at.max(self.now) + length as u64 * S / UP;
+        self.up_free_at + 500
+    }
+
+    fn say(&mut self, link: u64, frame: Bytes, length: usize) {
+        let Some(&to) = self.links.get(&link) else { return };
+        let arrives = self.leaves(length);
+        let counter = &mut self.counters[to];
+        counter.free_at = counter.free_at.max(arrives) + length as u64 * S / DOWN;
+        let at = counter.free_at;
+        self.waiting[to] += if counter.link == link { length } else { 0 };
+        self.at(at, Then::Arrives(to, link, frame));
+    }
+
+    fn feed(&mut self, event: Event) {
+        for action in self.feeds.step(self.now, event) {
+            if let Action::Send { link, frame } = action {
+                let length = frame.len();
+                self.say(link, frame, length);
+            }
+        }
+    }
+
+    /// As editions were sent before: what has changed took twice the bytes that it takes now, a whole one its length.
+    fn fifo(&mut self, link: u64, from: Option<&Kept>, edition: &Kept) {
+        let told = from.map(|f| 2 * magpieline_trellis::delta::diff(&f.text, &edition.text).len());
+        let down = Down::Elsewhere {
+            leader: None,
+            core: Vec::new(),
+            edition: Some(edition.clone()),
+            services: Vec::new(),
+            listing: None,
+        };
+        self.say(link, frame(&down).into(), told.unwrap_or(edition.text.len()));
+    }
+
+    fn happens(&mut self, then: Then) {
+        match then {
+            Then::Edition(i) => {
+                self.agreed = i + 1;
+                let kept = self.editions[i].clone();
+                self.at(self.now + IN_FORCE_WITHIN, Then::Due(kept.number));
+                if self.way == Way::Feeds {
+                    return self.feed(Event::Edition(kept));
+                }
+                let links: Vec<u64> = self.links.keys().copied().collect();
+                let before = i.checked_sub(1).map(|i| self.editions[i].clone());
+                links.into_iter().for_each(|link| self.fifo(link, before.as_ref(), &kept));
+            }
+            Then::Due(number) => {
+                for (i, counter) in self.counters.iter().enumerate() {
+                    let bound = self.now >= counter.calm_since.max(counter.cut_until) + IN_TOUCH_AFTER;
+                    if bound && counter.held.as_ref().is_none_or(|k| k.number < number) {
+                        self.broken.push(format!("edition {number} is not in force at counter {i}"));
+                    }
+                }
+            }
+            Then::Beat => {
+                let beat = Bytes::from(frame(&Down::Beat { counters: 88 }));
+                let links: Vec<u64> = self.links.keys().copied().collect();
+                links.into_iter().for_each(|link| self.say(link, beat.clone(), beat.len()));
+                self.feed(Event::Tick);
+                self.at(self.now + 300_000, Then::Beat);
+            }
+            Then::FollowersBeat => {
+                let hears = (0..4).map(|_| self.leaves(80)).max().expect("four");
+                self.at(hears, Then::Followed(self.now));
+                self.at(self.now + 100_000, Then::FollowersBeat);
+            }
+            Then::Followed(sent) if self.now > sent + FOLLOWERS_PATIENCE - 100_000 => {
+                self.broken.push(format!("a beat takes {} ms to followers", (self.now - sent) / 1000));
+            }
+            Then::Followed(_) => {}
+            Then::Cut(counter, until) => self.counters[counter].cut_until = until,
+            Then::Restarts(counter) => {
+                let anew = Counter { calm_since: self.now, ..Counter::default() };
+                let old = std::mem::replace(&mut self.counters[counter], anew);
+                self.counters[counter].free_at = old.free_at.min(self.now);
+                self.reopen(counter, old.link);
+            }
+            Then::Leads => {
+                // The others have applied the same log; what the old leader had on its way is gone.
+                let (mut feeds, known) = (Feeds::default(), &self.editions[..self.agreed]);
+                for kept in known {
+                    feeds.step(self.now, Event::Edition(kept.clone()));
+                }
+                (self.feeds, self.up_free_at) = (feeds, self.now);
+                let links: Vec<(u64, usize)> = self.links.drain().collect();
+                links.into_iter().for_each(|(link, counter)| self.reopen(counter, link));
+            }
+            Then::Opens(counter, _) if self.counters[counter].cut_until > self.now => {
+                let until = self.counters[counter].cut_until;
+                self.at(until, Then::Opens(counter, 0));
+            }
+            Then::Opens(counter, _) => {
+                self.serial += 1;
+                let (link, this) = (self.serial, &mut self.counters[counter]);
+                (this.link, this.heard_at, this.intake) = (link, self.now, Intake::default());
+                let held = this.held.as_ref().map_or(0, |k| k.number);
+                self.links.insert(link, counter);
+                self.waiting[counter] = 0;
+                match self.way {
+                    Way::Feeds => self.feed(Event::Opened { link, held }),
+                    Way::Fifo => {
+                        let newest = self.agreed.checked_sub(1).map(|i| self.editions[i].clone());
+                        let newest = newest.filter(|n| n.number > held);
+                        newest.into_iter().for_each(|n| self.fifo(link, None, &n));
+                    }
+                }
+            }
+            Then::Looks(counter) => {
+                let this = &mut self.counters[counter];
+                if this.link != 0 && self.now >= this.heard_at + PATIENCE {
+                    let link = std::mem::take(&mut this.link);
+                    if self.now > this.cut_until + PATIENCE + 100_000 {
+                        self.broken.push(format!("counter {counter} lets go of a leader that stands"));
+                    }
+                    self.reopen(counter, link);
+                }
+                self.at(self.now + 50_000, Then::Looks(counter));
+            }
+            Then::Arrives(to, link, _)
+                if self.counters[to].link != link && self.counters[to].cut_until <= self.now =>
+            {
+                // A reset comes back.
+                self.links.remove(&link);
+                self.feed(Event::Closed { link });
+            }
+            Then::Arrives(to, link, frame) if self.counters[to].cut_until > self.now => {
+                let until = self.counters[to].cut_until;
+                self.at(until, Then::Arrives(to, link, frame));
+            }
+            Then::Arrives(to, link, frame) => {
+                self.waiting[to] = self.waiting[to].saturating_sub(frame.len());
+                if self.way == Way::Feeds && self.waiting[to] > WINDOW + 4096 {
+                    self.broken.push(format!("{} bytes wait for counter {to}", self.waiting[to]));
+                }
+                let down = unframe::<Down>(&mut frame.to_vec()).expect("ours").expect("whole");
+                self.hears(to, link, down);
+            }
+            Then::Holds(counter, link, kept) if self.counters[counter].link == link => {
+                let (number, this) = (kept.number, &mut self.counters[counter]);
+                if this.held.as_ref().is_some_and(|held| held.number >= number) {
+                    return if self.way == Way::Feeds {
+                        self.broken.push(format!("{counter} goes back"))
+                    };
+                }
+                if self.editions[number as usize - 1] != kept {
+                    self.broken.push(format!("counter {counter} has another edition {number}"));
+                }
+                this.held = Some(kept);
+                self.at(self.now + 1000, Then::Held(link, number));
+            }
+            Then::Holds(..) => {}
+            Then::Got(link, number, upto) => self.feed(Event::Got { link, number, upto }),
+            Then::Held(link, edition) => self.feed(Event::Holds { link, edition }),
+        }
+    }
+
+    fn hears(&mut self, counter: usize, link: u64, down: Down) {
+        let this = &mut self.counters[counter];
+        this.heard_at = self.now;
+        let kept = match down {
+            Down::Piece(piece) => match this.intake.take(this.held.as_ref(), &piece) {
+                Taken::More(upto) => return self.at(self.now + 1000, Then::Got(link, piece.number, upto)),
+                Taken::Whole(kept) => kept,
+                Taken::Stale => {
+                    let held = this.held.as_ref().map_or(0, |k| k.number);
+                    return self.at(self.now + 1000, Then::Held(link, held));
+                }
+                Taken::Unfit => return self.at(self.now + 1000, Then::Held(link, 0)),
+            },
+            Down::Elsewhere { edition: Some(kept), .. } => kept,
+            _ => return,
+        };
+        let read = kept.text.len() as u64 / 1024 * READ_KB;
+        self.at(self.now + read, Then::Holds(counter, link, kept));
+    }
+
+    /// A link has ended: the leader hears of it at once, or never, and the counter comes again.
+    fn reopen(&mut self, counter: usize, link: u64) {
+        if link != 0 && self.chance.gen_bool(0.7) {
+            self.links.remove(&link);
+            self.feed(Event::Closed { link });
+        }
+        self.counters[counter].link = 0;
+        let after = self.chance.gen_range(10_000..300_000);
+        self.at(self.now + after, Then::Opens(counter, 0));
+    }
+}
+
+/// Guards against what a large edition and those close behind it did on narrow links.
+#[test]
+fn editions_are_in_force_in_time_and_nothing_urgent_waits_behind_them() {
+    let seeds = std::env::var("NARROW_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(6);
+    for seed in 0..seeds {
+        assert_eq!(Day::new(seed, Way::Feeds).play(), None, "seed {seed}");
+    }
+}
+
+/// Guards against a day that no longer shows what it is for.
+#[test]
+fn editions_to_all_at_once_break_the_same_days() {
+    for seed in 0..6 {
+        assert!(Day::new(seed, Way::Fifo).play().is_some(), "seed {seed}");
+    }
+}
