--- a/keeping/trellis/tests/narrow_links.rs
+++ b/keeping/trellis/tests/narrow_links.rs
@@ -46,7 +46,7 @@
     /// The leader hears, on a link: an acknowledgement, or what is held.
     Got(u64, u64, u32),
     Held(u64, u64),
-    Opens(usize, u64),
+    Opens(usize),
     Looks(usize),
     Cut(usize, u64),
     Restarts(usize),
@@ -277,11 +277,11 @@
                 let links: Vec<(u64, usize)> = self.links.drain().collect();
                 links.into_iter().for_each(|(link, counter)| self.reopen(counter, link));
             }
-            Then::Opens(counter, _) if self.counters[counter].cut_until > self.now => {
+            Then::Opens(counter) if self.counters[counter].cut_until > self.now => {
                 let until = self.counters[counter].cut_until;
-                self.at(until, Then::Opens(counter, 0));
+                self.at(until, Then::Opens(counter));
             }
-            Then::Opens(counter, _) => {
+            Then::Opens(counter) => {
                 self.serial += 1;
                 let (link, this) = (self.serial, &mut self.counters[counter]);
                 (this.link, this.heard_at, this.intake) = (link, self.now, Intake::default());
@@ -374,7 +374,7 @@
         }
         self.counters[counter].link = 0;
         let after = self.chance.gen_range(10_000..300_000);
-        self.at(self.now + after, Then::Opens(counter, 0));
+        self.at(self.now + after, Then::Opens(counter));
     }
 }
 
