Log: a compaction is wanted only for what it can drop; large commands no longer hang the machine

Cause: the log counted as long by all of its bytes, also those not in force yet. A command of more than 4 MB on a small state made it long at once, a compaction could not shorten it, and the driver, which compacts before it hears anything else, did nothing else for ever: the leader hung, and each machine that got the pieces.

--- a/keeping/rootstock/src/lib.rs
+++ b/keeping/rootstock/src/lib.rs
@@ -396,7 +396,7 @@
             return;
         }
         let members = self.roll.at(index).clone();
-        self.log.compact(index, members, state);
+        self.log.compact(index, self.applied, members, state);
         self.roll.forget_before(index);
         self.disk.snapshot_due = true;
     }
@@ -444,9 +444,9 @@
         !self.is_disk_fit()
     }
 
-    /// Whether the log has grown so long that [`Event::Compact`] is worth its while.
+    /// Whether the log has grown so long that [`Event::Compact`] is worth its while; never right after one.
     pub fn wants_compact(&self) -> bool {
-        self.log.is_long()
+        self.log.is_long(self.applied)
     }
 
     /// Who votes, by the newest list known here.
--- a/keeping/rootstock/src/log.rs
+++ b/keeping/rootstock/src/log.rs
@@ -67,8 +67,8 @@
     /// The entry before the first one kept, at or before the snapshot.
     base: (Index, Term),
     entries: VecDeque<Entry>,
-    /// What `entries` weigh.
-    weight: usize,
+    /// What the entries weigh that a compaction would drop: applied, and behind the snapshot.
+    spent: usize,
 }
 
 impl Log {
@@ -85,8 +85,7 @@
             }
             _ => covered,
         };
-        let weight = entries.iter().map(Entry::weight).sum();
-        let log = Log { snapshot, base, entries, weight };
+        let log = Log { snapshot, base, entries, spent: 0 };
         assert!(log.entries.iter().zip(base.0 + 1..).all(|(entry, index)| entry.index == index), "a gap");
         assert!(log.last() >= covered.0, "the log ends before its snapshot");
         log
@@ -142,21 +141,20 @@
 
     pub(crate) fn push(&mut self, entry: Entry) {
         assert_eq!(entry.index, self.last() + 1, "entries follow one another");
-        self.weight += entry.weight();
         self.entries.push_back(entry);
     }
 
     /// Drops the entries from `from` on.
     pub(crate) fn cut(&mut self, from: Index) {
         while self.last() >= from && self.last() > self.base.0 {
-            self.weight -= self.entries.pop_back().map_or(0, |entry| entry.weight());
+            self.entries.pop_back();
         }
     }
 
     /// Drops the entries up to `to`.
     fn forget(&mut self, to: Index) {
         while self.entries.front().is_some_and(|entry| entry.index <= to) {
-            self.weight -= self.entries.pop_front().map_or(0, |entry| entry.weight());
+            self.entries.pop_front();
         }
     }
 
@@ -170,7 +168,8 @@
         first.saturating_sub(1).max(self.base.0)
     }
 
-    pub(crate) fn compact(&mut self, index: Index, members: Members, state: Vec<u8>) {
+    /// The state just after `index`, of what is applied, takes the place of the log before it.
+    pub(crate) fn compact(&mut self, index: Index, applied: Index, members: Members, state: Vec<u8>) {
         let term = self.term_at(index).expect("applied entries after the snapshot are kept");
         self.snapshot = Some(Arc::new(Snapshot { index, term, members, state }));
         let mut bytes = 0;
@@ -183,6 +182,8 @@
         let base_term = self.term_at(base).expect("kept until now");
         self.forget(base);
         self.base = (base, base_term);
+        self.spent =
+            self.since(index + 1).take_while(|entry| entry.index <= applied).map(Entry::weight).sum();
     }
 
     /// Takes over another machine's snapshot. The entries after it stay if the log agrees with it; else all go, and false
@@ -192,36 +193,46 @@
         self.forget(if agrees { snapshot.index } else { Index::MAX });
         self.base = (snapshot.index, snapshot.term);
         self.snapshot = Some(Arc::new(snapshot));
+        self.spent = 0;
         agrees
     }
 
     /// The next whole command after `applied`, which moves past it and past all that is none.
-    pub(crate) fn next_command(&self, applied: &mut Index, commit: Index) -> Option<(Index, Vec<u8>)> {
+    pub(crate) fn next_command(&mut self, applied: &mut Index, commit: Index) -> Option<(Index, Vec<u8>)> {
         let mut pieces: Vec<&[u8]> = Vec::new();
         let mut term = 0;
+        let (mut seen, mut passed) = (0, 0);
+        let mut found = None;
         for entry in self.since(*applied + 1).take_while(|entry| entry.index <= commit) {
             if entry.term != term {
                 pieces.clear();
             }
             term = entry.term;
+            seen += entry.weight();
             match &entry.payload {
-                Payload::Command { more: true, bytes } => pieces.push(bytes),
-                Payload::Command { more: false, bytes } => {
+                Payload::Command { more: true, bytes } => {
                     pieces.push(bytes);
-                    *applied = entry.index;
-                    return Some((entry.index, pieces.concat()));
+                    continue;
                 }
-                Payload::Noop | Payload::Members(_) => {
-                    pieces.clear();
-                    *applied = entry.index;
+                Payload::Command { more: false, bytes } => {
+                    pieces.push(bytes);
+                    found = Some((entry.index, pieces.concat()));
                 }
+                Payload::Noop | Payload::Members(_) => pieces.clear(),
+            }
+            *applied = entry.index;
+            passed = seen;
+            if found.is_some() {
+                break;
             }
         }
-        None
+        self.spent += passed;
+        found
     }
 
-    pub(crate) fn is_long(&self) -> bool {
+    /// Counts only what a compaction would drop: what is not in force yet makes the log long, but not shorter by one.
+    pub(crate) fn is_long(&self, applied: Index) -> bool {
         let state = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.state.len());
-        self.last() - self.snapshot_index() > LONG_ENTRIES || self.weight > LONG_BYTES.max(2 * state)
+        applied - self.snapshot_index() > LONG_ENTRIES || self.spent > LONG_BYTES.max(2 * state)
     }
 }
