--- a/programs/orchard/src/clock.rs
+++ b/programs/orchard/src/clock.rs
@@ -1,7 +1,8 @@
-//! The steady clock of this process.
+//! The steady clock of this process. It is tokio's, so that rigs may let time pass as they like.
 
 use std::sync::OnceLock;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// A time span or an instant on the steady clock, in microseconds.
 pub type Micros = u64;
--- a/programs/orchard/src/counter/forward.rs
+++ b/programs/orchard/src/counter/forward.rs
@@ -4,7 +4,6 @@
 use super::front::{self, Reply};
 use super::{Counter, State};
 use crate::clock::{now, span, Micros};
-use crate::net;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -195,7 +194,7 @@
 
 async fn connect(counter: &Counter, appliance: usize) -> Option<Line> {
     let address = counter.state().field.get(appliance).map(|a| a.address)?;
-    let stream = net::connect(address, UP_WITHIN).await.ok()?;
+    let stream = (counter.dial)(address, UP_WITHIN).await.ok()?;
     Line::new(stream).await
 }
 
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -1,5 +1,6 @@
 //! Clients' side: connections, requests as they come, and the one answer of each.
 
+use super::dial::Stream;
 use super::doorway::{Side, Started, Visit, LAST_IDLE};
 use super::forward::{self, Answer, Errand, Parcel};
 use super::{Counter, State};
@@ -56,7 +57,7 @@
         tokio::select! {
             taken = door.accept() => match taken {
                 Ok((stream, _)) => {
-                    open.spawn(connection(counter.clone(), stream));
+                    open.spawn(socket(counter.clone(), stream));
                 }
                 // No descriptor: those in use come back.
                 Err(_) => tokio::time::sleep(span(20_000)).await,
@@ -67,17 +68,22 @@
     }
     // What the system has taken already is served; then nobody comes any more.
     while let Ok(Ok((stream, _))) = timeout(span(LAST_IDLE), door.accept()).await {
-        open.spawn(connection(counter.clone(), stream));
+        open.spawn(socket(counter.clone(), stream));
     }
     drop(door);
     while open.join_next().await.is_some() {}
 }
 
-async fn connection(counter: Arc<Counter>, stream: TcpStream) {
+async fn socket(counter: Arc<Counter>, stream: TcpStream) {
     if net::prepare(&stream).is_err() {
         return;
     }
     let _ = net::watch_idle(&stream, std::time::Duration::from_secs(10));
+    connection(counter, stream).await;
+}
+
+/// Serves a client's connection to its end.
+pub async fn connection<S: Stream + 'static>(counter: Arc<Counter>, stream: S) {
     let visit = Visit::new(stream, bounds(&counter));
     let (asked, by) = (counter.clone(), visit.clone());
     let service = service_fn(move |request| {
@@ -119,7 +125,7 @@
 }
 
 /// One request, from its head to its answer.
-async fn serve(counter: &Arc<Counter>, visit: &Visit<TcpStream>, request: Request<Incoming>) -> Reply {
+async fn serve<S: Stream>(counter: &Arc<Counter>, visit: &Visit<S>, request: Request<Incoming>) -> Reply {
     let _in_hand = InHand::new(counter);
     let (taken, started) = visit.begin();
     let mut reply = match started {
--- a/programs/orchard/src/counter/loopback.rs
+++ b/programs/orchard/src/counter/loopback.rs
@@ -103,6 +103,7 @@
         let counter = Arc::new(Counter::new(
             tokio::sync::watch::channel(Arc::new(Machine::read(MACHINE).expect("sound"))).1,
             1,
+            super::dial::tcp(),
         ));
         counter.take_edition(&Kept { number: 1, text: edition.into() });
         let entry = Entry {
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -1,9 +1,10 @@
 //! The counter: carries clients' requests to appliances.
 
+pub mod dial;
 mod doorway;
 mod echo;
 mod forward;
-mod front;
+pub mod front;
 mod list;
 #[cfg(test)]
 mod loopback;
@@ -16,6 +17,7 @@
 use crate::net::{self, Frames};
 use crate::settings::Held;
 use crate::view;
+use dial::Dial;
 use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
@@ -57,6 +59,8 @@
     pub tell: Notify,
     /// Told when this counter knows enough to serve.
     knows: Notify,
+    /// How appliances are reached.
+    dial: Dial,
 }
 
 /// A counter's part in a rollout.
@@ -111,7 +115,8 @@
 }
 
 impl Counter {
-    fn new(settings: Held, life: u64) -> Counter {
+    /// `life` differs between starts; `dial` reaches appliances.
+    pub fn new(settings: Held, life: u64, dial: Dial) -> Counter {
         let machine = Machine::clone(&settings.borrow());
         let terms = &machine.terms;
         let state = State {
@@ -136,6 +141,7 @@
             in_hand: AtomicUsize::new(0),
             tell: Notify::new(),
             knows: Notify::new(),
+            dial,
             machine,
             settings,
         }
@@ -149,6 +155,12 @@
         self.pool.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// SIGTERM has come: no new clients, what is in hand is answered.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.left.notify_waiters();
+    }
+
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
@@ -390,7 +402,7 @@
 }
 
 /// Ends connections to appliances that have been idle for too long.
-async fn swept(counter: Arc<Counter>) {
+pub async fn swept(counter: Arc<Counter>) {
     loop {
         tokio::time::sleep(crate::clock::span(SWEEP)).await;
         counter.pool().sweep();
@@ -418,7 +430,7 @@
 
 /// Serves until SIGTERM.
 pub async fn run(settings: Held, life: u64) -> std::io::Result<()> {
-    let counter = Arc::new(Counter::new(settings, life));
+    let counter = Arc::new(Counter::new(settings, life, dial::tcp()));
     let machine = &counter.machine;
     let (Some(front), Some(ready)) =
         (machine.posts.get("front").copied(), machine.posts.get("ready").copied())
@@ -437,8 +449,7 @@
     let serving = tokio::spawn(front::run(counter.clone(), door));
     crate::signals::terminated().await;
     tracing::info!(target: "counter", "Leaving: {} requests in hand.", counter.in_hand.load(Ordering::Relaxed));
-    counter.leaving.store(true, Ordering::Relaxed);
-    counter.left.notify_waiters();
+    counter.leave();
     let _ = serving.await;
     tracing::info!(target: "counter", "Left.");
     Ok(())
