--- a/keeping/trellis/tests/narrow_links.rs
+++ b/keeping/trellis/tests/narrow_links.rs
@@ -157,6 +157,9 @@
             let (at, counter) = (day.chance.gen_range(5 * S..11 * S), day.chance.gen_range(0..COUNTERS));
             day.at(at, Then::Restarts(counter));
         }
+        // A zone is cut off while the large edition is on its way.
+        let (at, until) = (day.chance.gen_range(7 * S..7 * S + 100_000), day.chance.gen_range(8 * S..12 * S));
+        (0..29).for_each(|i| day.at(at, Then::Cut(3 * i, until)));
         let leads = day.chance.gen_range(7 * S..11 * S);
         day.at(leads, Then::Leads);
         day
