--- a/deciding/almanac/src/edition.rs
+++ b/deciding/almanac/src/edition.rs
@@ -6,6 +6,7 @@
 use crate::{times, Micros};
 use jzon::JsonValue as Json;
 use std::collections::{HashMap, HashSet};
+use std::ops::Range;
 use std::sync::Arc;
 
 /// The longest time that a request may be held by a sound configuration: ten minutes.
@@ -84,11 +85,11 @@
     fn reread(text: &Arc<str>, before: Option<&Edition>) -> Option<Edition> {
         let places = reread::places(text)?;
         let none = Sources::default();
-        let (short, known) = before.map_or(&none, |b| &b.sources).shorten(text, &places);
-        let mut reader = Reader { known, ..Reader::default() };
-        let mut edition = reader.edition(&jzon::parse(&short).ok()?)?;
+        let known = before.map_or(&none, |b| &b.sources).known(text, &places);
+        let mut reader = Reader { text, places: &places, known, ..Reader::default() };
+        let mut edition = reader.edition(&jzon::parse(&reread::shorten(text, &places)).ok()?)?;
         let whole = reader.wrong.is_empty() && reader.routes.len() == places.len();
-        let routes = reader.routes.into_iter();
+        let routes = std::mem::take(&mut reader.routes);
         edition.sources = Sources::new(text, places.into_iter().zip(routes));
         whole.then_some(edition)
     }
@@ -104,9 +105,11 @@
 }
 
 #[derive(Default)]
-struct Reader {
+struct Reader<'a> {
     wrong: Vec<Complaint>,
-    /// Routes that were read before, by their place among all; nothing stands there in what is read now.
+    /// The routes' texts where they aren't in what is read, and those that were read before; by their place among all.
+    text: &'a str,
+    places: &'a [Range<usize>],
     known: Vec<Option<Arc<Route>>>,
     /// All that are met.
     routes: Vec<Arc<Route>>,
@@ -125,7 +128,7 @@
     }
 }
 
-impl Reader {
+impl Reader<'_> {
     fn complain(&mut self, place: String, found: &Json, expected: &str) {
         self.wrong.push(Complaint::new(place, shown(found), expected));
     }
@@ -192,10 +195,19 @@
             let place = format!("wickets.{i}");
             let host = self.text(wicket, &place, "depot").unwrap_or_default().to_owned();
             for (j, body) in self.list(wicket, &place, "regulations").iter().enumerate() {
-                let known = self.known.get(self.routes.len()).cloned().flatten();
-                let route = match known {
-                    Some(known) if known.parts.iter().all(|p| self.names.contains(&p.service)) => Some(known),
-                    _ => self.route(body, &format!("{place}.regulations.{j}")).map(Arc::new),
+                let (nth, place) = (self.routes.len(), || format!("{place}.regulations.{j}"));
+                let route = match (self.known.get(nth).cloned().flatten(), self.places.get(nth)) {
+                    (Some(known), _) if known.parts.iter().all(|p| self.names.contains(&p.service)) => {
+                        Some(known)
+                    }
+                    (_, Some(range)) => match jzon::parse(&self.text[range.clone()]) {
+                        Ok(body) => self.route(&body, &place()).map(Arc::new),
+                        Err(_) => {
+                            self.complain(place(), body, "JSON");
+                            None
+                        }
+                    },
+                    (_, None) => self.route(body, &place()).map(Arc::new),
                 };
                 if let Some(route) = route {
                     self.routes.push(route.clone());
--- a/deciding/almanac/src/reread.rs
+++ b/deciding/almanac/src/reread.rs
@@ -42,21 +42,23 @@
         (self.text[range.clone()] == *text).then_some(route)
     }
 
-    /// A text in which a 0 stands for each route that is known, and what those are, by the route's place among all.
-    pub(crate) fn shorten(&self, text: &str, places: &[Range<usize>]) -> (String, Vec<Option<Arc<Route>>>) {
-        let (mut short, mut from, mut known) = (String::new(), 0, Vec::with_capacity(places.len()));
-        for range in places {
-            let route = self.find(&text[range.clone()]).cloned();
-            if route.is_some() {
-                short.push_str(&text[from..range.start]);
-                short.push('0');
-                from = range.end;
-            }
-            known.push(route);
-        }
-        short.push_str(&text[from..]);
-        (short, known)
+    /// Of the routes whose texts stand there, those that are known.
+    pub(crate) fn known(&self, text: &str, places: &[Range<usize>]) -> Vec<Option<Arc<Route>>> {
+        places.iter().map(|range| self.find(&text[range.clone()]).cloned()).collect()
+    }
+}
+
+/// A text in which a 0 stands for each route: so that each is read by itself, and no more than one is held as JSON, which
+/// takes ten times the room of its text.
+pub(crate) fn shorten(text: &str, places: &[Range<usize>]) -> String {
+    let (mut short, mut from) = (String::new(), 0);
+    for range in places {
+        short.push_str(&text[from..range.start]);
+        short.push('0');
+        from = range.end;
     }
+    short.push_str(&text[from..]);
+    short
 }
 
 /// Where a list or an object stands on the way to the routes.
