--- a/keeping/trellis/src/tendril.rs
+++ b/keeping/trellis/src/tendril.rs
@@ -90,8 +90,12 @@
     term: u64,
     /// The term of the link, once a leader has spoken on it.
     spoken: Option<u64>,
+    /// The newest report that a leader has named: it led, and nobody else, at a moment after it.
+    led_at: Option<Micros>,
     /// All that was acknowledged before this moment is known here; none: nothing is.
     confirmed_at: Option<Micros>,
+    /// The edition in force here.
+    edition: u64,
     counters: u32,
 }
 
@@ -112,14 +116,16 @@
             held_at: None,
             term: 0,
             spoken: None,
+            led_at: None,
             confirmed_at: None,
+            edition: 0,
             counters: 0,
         }
     }
 
     /// Whether the leader has been heard of lately, and led lately when it spoke.
     pub fn holds(&self, now: Micros) -> bool {
-        let fresh = self.confirmed_at.is_some_and(|at| now < at + FRESH);
+        let fresh = self.led_at.is_some_and(|at| now < at + FRESH);
         matches!(self.link, Link::Held(_)) && now < self.heard_at + SILENT && fresh
     }
 
@@ -161,6 +167,11 @@
         &self.core
     }
 
+    /// This edition is in force here.
+    pub fn in_force(&mut self, edition: u64) {
+        self.edition = edition;
+    }
+
     /// Other seeds are told. Who is held stays held; what was learnt is asked first, as before.
     pub fn reseed(&mut self, seeds: Vec<SocketAddrV4>) {
         if self.core == self.seeds {
@@ -205,7 +216,7 @@
 
     /// When a leader that is held is let go of, unless more comes.
     fn silent_at(&self) -> Micros {
-        let stale = self.confirmed_at.map_or(Micros::MAX, |at| at + STALE);
+        let stale = self.led_at.map_or(Micros::MAX, |at| at + STALE);
         (self.heard_at + SILENT).min(stale)
     }
 
@@ -244,12 +255,20 @@
             Down::Welcome { core, counters, asked: at } => {
                 self.learn(core);
                 (self.link, self.hint, self.report_at) = (Link::Held(asked), None, now);
-                self.confirmed(now, *at, *counters);
+                self.led_at = self.led_at.max(Some((*at).min(now)));
+                self.confirmed_at = self.confirmed_at.max(self.led_at);
+                self.counters = (*counters).max(1);
+            }
+            Down::Beat { counters, asked: at, edition } => {
+                self.led_at = self.led_at.max(Some((*at).min(now)));
+                self.counters = (*counters).max(1);
+                // A beat goes before what is bulky: it confirms all only where nothing of that is still to come.
+                if self.edition >= *edition {
+                    self.confirmed_at = self.confirmed_at.max(self.led_at);
+                }
             }
-            Down::Beat { counters, asked: at } => self.confirmed(now, *at, *counters),
             Down::Elsewhere { .. }
-            | Down::Edition(_)
-            | Down::Amend { .. }
+            | Down::Piece(_)
             | Down::Services(_)
             | Down::Stage(..)
             | Down::Listing(_) => {}
@@ -257,12 +276,6 @@
         actions.push(Action::Take);
     }
 
-    /// The leader has named a report of this counter.
-    fn confirmed(&mut self, now: Micros, asked: Micros, counters: u32) {
-        self.confirmed_at = self.confirmed_at.max(Some(asked.min(now)));
-        self.counters = counters.max(1);
-    }
-
     fn learn(&mut self, core: &[SocketAddrV4]) {
         if !core.is_empty() {
             self.core = core.to_vec();
--- a/keeping/trellis/tests/tendril.rs
+++ b/keeping/trellis/tests/tendril.rs
@@ -20,7 +20,7 @@
 }
 
 fn beat(term: u64, asked: u64) -> Fenced<Down> {
-    Fenced { term, word: Down::Beat { counters: 9, asked } }
+    Fenced { term, word: Down::Beat { counters: 9, asked, edition: 0 } }
 }
 
 /// Held by the first machine in `term` from `now` on.
--- a/keeping/trellis/tests/words.rs
+++ b/keeping/trellis/tests/words.rs
@@ -7,7 +7,7 @@
 fn frames_are_whole_or_wait_or_are_refused() {
     let (first, second) = (
         Up::Report(Report { edition: 3, ..Report::default() }),
-        Fenced { term: 4, word: Down::Beat { counters: 9, asked: 5 } },
+        Fenced { term: 4, word: Down::Beat { counters: 9, asked: 5, edition: 0 } },
     );
     let mut bytes = frame(&first);
     bytes.extend(frame(&second));
--- a/programs/orchard/src/counter/session.rs
+++ b/programs/orchard/src/counter/session.rs
@@ -4,6 +4,7 @@
 use crate::clock::{self, now};
 use crate::net::{self, Frames};
 use magpieline_almanac::machine::Machine;
+use magpieline_trellis::intake::{Intake, Taken};
 use magpieline_trellis::tendril::{Action, Event, Tendril};
 use magpieline_trellis::words::{Down, Fenced, Hello, Opening, Report, Up};
 use std::net::SocketAddrV4;
@@ -20,6 +21,7 @@
 struct Link {
     read: Frames<OwnedReadHalf>,
     write: OwnedWriteHalf,
+    intake: Intake,
 }
 
 pub async fn run(counter: Arc<Counter>) {
@@ -28,7 +30,6 @@
     let mut settings = counter.settings.clone();
     let mut tendril = Tendril::new(now(), seeds(&settings.borrow_and_update()), counter.life as usize);
     let mut link: Option<Link> = None;
-    let mut whole = false;
     let mut dialled: Option<JoinHandle<std::io::Result<Link>>> = None;
     let mut actions = tendril.step(now(), Event::Tick);
     // What was heard last, until it is taken into force or refused.
@@ -46,23 +47,22 @@
                     continue;
                 }
                 Action::Hello => {
-                    let edition = if std::mem::take(&mut whole) { 0 } else { counter.edition_number() };
                     let (node, zone) = (counter.machine.node.clone(), counter.machine.zone.clone());
-                    let (life, term, at) = (counter.life, tendril.term(), now());
-                    Up::Hello(Hello { node, zone, life, edition, term, at })
+                    let (life, edition) = (counter.life, counter.edition_number());
+                    Up::Hello(Hello { node, zone, life, edition, term: tendril.term(), at: now() })
                 }
                 Action::Report => {
                     let (edition, evidence) = (counter.edition_number(), counter.evidence());
                     Up::Report(Report { edition, evidence, term: tendril.term(), at: now() })
                 }
                 Action::Take => {
-                    if word.take().is_some_and(|word| !take(&counter, tendril.term(), &word)) {
-                        // Said again from the beginning, by who has the whole.
-                        tracing::warn!(target: "edition", "A change does not fit; the whole is asked for.");
-                        (link, whole) = (None, true);
-                        actions.extend(tendril.step(now(), Event::Closed));
+                    let (Some(open), Some(word)) = (&mut link, word.take()) else { continue };
+                    let answer = take(&counter, &mut open.intake, tendril.term(), &word);
+                    tendril.in_force(counter.edition_number());
+                    match answer {
+                        Some(up) => up,
+                        None => continue,
                     }
-                    continue;
                 }
             };
             let Some(open) = &mut link else { continue };
@@ -120,24 +120,34 @@
     let stream = net::connect(to, UP_WITHIN).await?;
     let (read, mut write) = stream.into_split();
     net::say(&mut write, &Opening::Counter).await?;
-    Ok(Link { read: Frames::new(read), write })
+    Ok(Link { read: Frames::new(read), write, intake: Intake::default() })
 }
 
-/// Takes a leader's word into force. `false`: it can't be, and has to be said anew.
-fn take(counter: &Counter, term: u64, word: &Down) -> bool {
+/// Takes a leader's word into force. What is to be said in return.
+fn take(counter: &Counter, intake: &mut Intake, term: u64, word: &Down) -> Option<Up> {
     match word {
         Down::Welcome { .. } => {
             tracing::info!(target: "session", "Held by the leader of term {term}.");
             counter.confirmed();
         }
-        Down::Edition(kept) => counter.take_edition(kept),
-        Down::Amend { from, number, pieces, digest } => {
-            return counter.amend(*from, *number, pieces, *digest)
+        Down::Piece(piece) => {
+            return Some(match intake.take(counter.kept().as_ref(), piece) {
+                Taken::More(upto) => Up::Got { number: piece.number, upto },
+                Taken::Whole(kept) => {
+                    counter.take_edition(&kept);
+                    Up::Holds { edition: counter.edition_number() }
+                }
+                Taken::Stale => Up::Holds { edition: counter.edition_number() },
+                Taken::Unfit => {
+                    tracing::warn!(target: "edition", "A change does not fit; the whole is asked for.");
+                    Up::Holds { edition: 0 }
+                }
+            })
         }
         Down::Services(standings) => counter.take_standings(standings.clone()),
         Down::Listing(listing) => counter.take_listing(listing),
         Down::Stage(service, order, stage) => counter.take_stage(service, *order, *stage),
         Down::Beat { .. } | Down::Elsewhere { .. } => {}
     }
-    true
+    None
 }
--- a/programs/orchard/src/sorting/counters.rs
+++ b/programs/orchard/src/sorting/counters.rs
@@ -1,19 +1,19 @@
 //! Links from other agents: counters that hold on to the leader, and other sorting machines.
 
-use super::{Link, Sorting, MOST_WAITING};
+use super::mouth::Queue;
+use super::Sorting;
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Frames};
 use crate::view;
-use bytes::Bytes;
 use magpieline_rootstock::Envelope;
-use magpieline_trellis::words::{self, Down, Fenced, Hello, Opening, Up};
+use magpieline_trellis::feed::Event;
+use magpieline_trellis::words::{Down, Fenced, Hello, Opening, Up};
 use socket2::SockRef;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 /// Who opens a link says at once what it is for.
@@ -43,7 +43,9 @@
     loop {
         tokio::time::sleep(span(BEAT)).await;
         if sorting.council.leads() {
-            sorting.state().beat();
+            let mut state = sorting.state();
+            state.beat();
+            state.feed(Event::Tick);
         }
     }
 }
@@ -80,28 +82,18 @@
 /// Takes up a counter and what it is to be told first; none if this machine can't show that it leads.
 fn take_up(sorting: &Sorting, term: u64, hello: &Hello) -> Option<(u64, Queue)> {
     let mut state = sorting.state();
-    let link = state.next_link + 1;
+    let (link, queue) = state.open();
     if !state.roster.hello(now(), link, term, hello) {
+        state.let_go(link);
         return None;
     }
-    state.next_link = link;
     let counters = state.roster.count(now());
-    let mut all = state.all(hello.edition);
-    all.push(Down::Welcome { core: sorting.council.members(), counters, asked: hello.at });
-    let (to, waiting) = mpsc::channel::<Bytes>(MOST_WAITING);
-    for word in all {
-        let _ = to.try_send(Bytes::from(words::frame(&Fenced { term, word })));
+    for word in &state.all() {
+        state.tell(link, word);
     }
-    let (held, ended) = oneshot::channel();
-    state.links.insert(link, Link { to, _held: held });
-    Some((link, Queue { waiting, ended }))
-}
-
-/// What waits to be written to a counter.
-struct Queue {
-    waiting: mpsc::Receiver<Bytes>,
-    /// Ends with the link: what still waits then is not said any more.
-    ended: oneshot::Receiver<()>,
+    let welcome = Down::Welcome { core: sorting.council.members(), counters, asked: hello.at };
+    state.begin(link, hello.edition, &welcome);
+    Some((link, queue))
 }
 
 async fn counter(sorting: Arc<Sorting>, mut read: Frames<OwnedReadHalf>, mut write: OwnedWriteHalf) {
@@ -126,11 +118,17 @@
     };
     let reading = async {
         while let Ok(Some(up)) = read.next::<Up>().await {
-            if let Up::Report(report) = up {
-                if !sorting.state().roster.report(now(), link, report) {
-                    tracing::info!(target: "session", "Counter {node} has heard a newer leader.");
-                    break;
+            let mut state = sorting.state();
+            match up {
+                Up::Report(report) => {
+                    if !state.roster.report(now(), link, report) {
+                        tracing::info!(target: "session", "Counter {node} has heard a newer leader.");
+                        break;
+                    }
                 }
+                Up::Got { number, upto } => state.feed(Event::Got { link, number, upto }),
+                Up::Holds { edition } => state.feed(Event::Holds { link, edition }),
+                Up::Hello(_) => {}
             }
         }
     };
@@ -142,7 +140,5 @@
     }
     // What the system still holds of it is not to arrive either.
     let _ = SockRef::from(read.source().as_ref()).set_linger(Some(Duration::ZERO));
-    let mut state = sorting.state();
-    state.links.remove(&link);
-    state.roster.closed(link);
+    sorting.state().let_go(link);
 }
