--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -121,6 +121,17 @@
         }
     }
 
+    /// This machine leads in this term from now on, or no longer. Links of before end; whoever leads now hears from the
+    /// counters anew.
+    pub fn leads_in(&self, term: Option<u64>) {
+        let mut state = self.state();
+        if state.roster.leads_in(term) {
+            state.hang_up(term);
+            state.stages.clear();
+            state.list = None;
+        }
+    }
+
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
         let mut state = self.state();
--- a/programs/orchard/src/sorting/mouth.rs
+++ b/programs/orchard/src/sorting/mouth.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use jzon::JsonValue as Json;
 use magpieline_trellis::feed::{Action, Event};
-use magpieline_trellis::words::{self, Down};
+use magpieline_trellis::words::{self, Down, Fenced};
+use magpieline_trellis::Micros;
 use std::collections::HashMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Frames that may wait for one counter; one that takes no more is let go, and comes again.
 const MOST_WAITING: usize = 512;
@@ -26,30 +27,59 @@
     to: mpsc::Sender<Bytes>,
     /// Said once the counter has all that was agreed on before it came.
     welcome: Option<Bytes>,
+    /// Dropped with the link.
+    _held: oneshot::Sender<()>,
+}
+
+/// What waits to be written to a counter.
+pub struct Queue {
+    pub waiting: mpsc::Receiver<Bytes>,
+    /// Comes when the link ends: what still waits then is not said any more.
+    pub ended: oneshot::Receiver<()>,
 }
 
 impl State {
     /// A counter has come: its link, and the frames that wait for it.
-    pub fn open(&mut self) -> (u64, mpsc::Receiver<Bytes>) {
+    pub fn open(&mut self) -> (u64, Queue) {
         let (to, waiting) = mpsc::channel(MOST_WAITING);
+        let (held, ended) = oneshot::channel();
         self.mouth.next_link += 1;
         let link = self.mouth.next_link;
-        self.mouth.links.insert(link, Link { to, welcome: None });
-        (link, waiting)
+        self.mouth.links.insert(link, Link { to, welcome: None, _held: held });
+        (link, Queue { waiting, ended })
     }
 
     /// It has been told all but the edition, where it holds another one than the newest: that follows, and the welcome
     /// once it is in force.
     pub fn begin(&mut self, link: u64, held: u64, welcome: &Down) {
+        let frame = self.fenced(welcome);
         if let Some(link) = self.mouth.links.get_mut(&link) {
-            link.welcome = Some(words::frame(welcome).into());
+            link.welcome = Some(frame);
         }
         self.feed(Event::Opened { link, held });
     }
 
     /// Tells one counter.
     pub fn tell(&mut self, link: u64, down: &Down) {
-        self.mouth.words += self.say(link, words::frame(down).into());
+        let frame = self.fenced(down);
+        self.mouth.words += self.say(link, frame);
+    }
+
+    /// A word of the leadership that holds all links.
+    fn fenced(&self, word: &Down) -> Bytes {
+        // Without one there is no link.
+        let term = self.roster.term().unwrap_or(0);
+        words::frame(&Fenced { term, word }).into()
+    }
+
+    /// A sign of life to all counters.
+    pub fn beat(&mut self) {
+        let counters = self.roster.count(now());
+        let edition = self.records.edition.as_ref().map_or(0, |k| k.number);
+        let asked: Vec<(u64, Micros)> = self.roster.asked().collect();
+        for (link, asked) in asked {
+            self.tell(link, &Down::Beat { counters, asked, edition });
+        }
     }
 
     /// Tells all counters.
@@ -57,7 +87,7 @@
         if self.mouth.links.is_empty() {
             return;
         }
-        let frame = Bytes::from(words::frame(down));
+        let frame = self.fenced(down);
         let links: Vec<u64> = self.mouth.links.keys().copied().collect();
         for link in links {
             self.mouth.words += self.say(link, frame.clone());
@@ -86,13 +116,10 @@
         }
     }
 
-    /// This machine does not lead: all links end.
-    pub fn hang_up(&mut self) {
-        if !self.mouth.links.is_empty() {
-            self.mouth.links.clear();
-            self.roster.clear();
-            self.feed(Event::Cleared);
-        }
+    /// This machine leads in this term, or no longer: all links of before end.
+    pub fn hang_up(&mut self, term: Option<u64>) {
+        self.mouth.links.clear();
+        self.feed(Event::Leads { term });
     }
 
     /// Counters are to have the newest edition.
