Counter: each request with its own appliance, its own edition and one order once

Causes, and what holds now: - An appliance's handle passed to another one while a connection came up or an answer was read: requests went out on another appliance's connection, one of another service at worst, and connections were kept under the wrong appliance. Connections are kept by id, and id, listing, version and edition are looked at again at the moment of writing. - What no byte had left of was answered 502 or 504: time over while connecting, a connection spoilt before the writing, a body that came after the deadline. The echo says now whether a byte was written and takes care that none will be: 503. - An answer that came whole waited until the rest of its request was written, and was lost with a 504 where its appliance read no more. It is told first; the connection is looked after behind it. - A further forward, and the first one behind a slow body, went by an edition that was overtaken. The way is found anew. - A client that came back with the same Try-Id had its order sent again. Orders are let through once (60 s): 409. - A shorter `idle` ended connections whose clients went by the longer one. The longest since the rest began holds, and a longer one may be in force for the client `edition_time` before it is here. - Forwards whose client had gone, or whose double had answered, were broken off by the end of the process after SIGTERM. - A closing answer was lost to a client that was still sending for more than half a second. - A connection used without a Try-Id was used again; two Try-Ids in one request were taken. - Lookups with a body that was refused could have others started behind them.

Bounds has one field more, so its literal in furrow's tests too; loopback's machine has a shorter edition_time, as idle connections are kept for that much longer.

--- a/carrying/furrow/src/framing/doorway.rs
+++ b/carrying/furrow/src/framing/doorway.rs
@@ -26,8 +26,10 @@
     pub head_bytes: usize,
     /// From the first byte of a head to its last.
     pub head: Micros,
-    /// Without a request, or without a byte of a body that has begun.
+    /// Without a byte of a body that has begun.
     pub idle: Micros,
+    /// Without a request. A client may go by any that held since its connection came to rest.
+    pub rest: Micros,
 }
 
 /// Where a connection stands.
@@ -166,6 +168,8 @@
     body_since: Micros,
     /// Since when nothing is in work.
     free_since: Micros,
+    /// The longest rest that was allowed since then.
+    rest: Micros,
     /// Without a request it ends by then.
     leaves: Micros,
     sunk: usize,
@@ -191,6 +195,7 @@
             head_since: None,
             body_since: now,
             free_since: now,
+            rest: 0,
             leaves: Micros::MAX,
             sunk: 0,
         }
@@ -337,7 +342,7 @@
     pub fn settle(&mut self, now: Micros, bounds: &Bounds) {
         let Some(work) = self.work.filter(|w| w.answered) else { return };
         self.work = None;
-        self.free_since = now;
+        (self.free_since, self.rest) = (now, bounds.rest);
         // What is left of an answered request's body stands in the way of the next.
         let rest = !work.whole || self.start < self.open;
         if rest || self.fault.is_some() || (self.last && work.number == self.newest) {
@@ -399,7 +404,8 @@
                 self.body_since.saturating_add(bounds.idle)
             }
             None if self.head_since.is_none() => {
-                self.free_since.saturating_add(bounds.idle).min(self.leaves.max(self.free_since))
+                let rest = self.rest.max(bounds.rest);
+                self.free_since.saturating_add(rest).min(self.leaves.max(self.free_since))
             }
             _ => Micros::MAX,
         };
@@ -408,6 +414,7 @@
 
     /// Time passes. What has come is fed before: nobody is blamed for what was not read.
     pub fn tick(&mut self, now: Micros, bounds: &Bounds) {
+        self.rest = self.rest.max(bounds.rest);
         if now < self.wake(bounds) {
             return;
         }
--- a/carrying/furrow/src/framing/echo.rs
+++ b/carrying/furrow/src/framing/echo.rs
@@ -29,6 +29,8 @@
     Foreign,
     /// Too many answers to other requests, or too long ones.
     Flood,
+    /// The request that was announced is not to be written any more.
+    CalledOff,
 }
 
 #[derive(Clone, Debug)]
@@ -52,6 +54,8 @@
     open: usize,
     /// The id that is due; empty: the request has none.
     id: Vec<u8>,
+    /// A request without an id was sent here: what comes late can't be told from what is due.
+    nameless: bool,
     /// The request is a HEAD; one was sent here before.
     bodiless: bool,
     mixed: bool,
@@ -68,6 +72,7 @@
             start: 0,
             open: 0,
             id: Vec::new(),
+            nameless: false,
             bodiless: false,
             mixed: false,
             dropped: 0,
@@ -88,9 +93,20 @@
         self.id.extend_from_slice(id);
         (self.bodiless, self.dropped, self.dropped_bytes) = (bodiless, 0, 0);
         self.mixed |= bodiless;
+        self.nameless |= id.is_empty();
         true
     }
 
+    /// The request that was announced is given up. True: no byte of it was written, and none will be, as nothing may be
+    /// written here any more. False: it may have arrived.
+    pub fn call_off(&mut self) -> bool {
+        let unwritten = matches!(self.state, State::Announced);
+        if unwritten {
+            self.fault.get_or_insert(Fault::CalledOff);
+        }
+        unwritten
+    }
+
     /// Bytes of the request are written.
     pub fn written(&mut self) {
         if matches!(self.state, State::Announced) {
@@ -197,7 +213,7 @@
 
     /// Whether another request may be sent on it.
     pub fn usable(&self) -> bool {
-        self.fault.is_none() && matches!(self.state, State::Quiet)
+        self.fault.is_none() && matches!(self.state, State::Quiet) && !self.nameless
     }
 }
 
--- a/carrying/furrow/src/framing/head.rs
+++ b/carrying/furrow/src/framing/head.rs
@@ -77,6 +77,8 @@
     first: Option<(usize, usize, bool)>,
     /// Where the host lies.
     host: Option<(usize, usize)>,
+    /// It has a `Try-Id`.
+    named: bool,
     facts: Facts,
 }
 
@@ -105,6 +107,12 @@
                 let at = begin + (value.as_ptr() as usize - line.as_ptr() as usize);
                 self.host = Some((at, at + value.len()));
             }
+            if name.len() == 6 && name.eq_ignore_ascii_case(b"try-id") {
+                if self.named {
+                    return Err(Wrong::Field); // whose answer it is to get can't be said
+                }
+                self.named = true;
+            }
             self.facts.take(name, value)?;
         }
     }
--- a/carrying/furrow/src/framing/tests.rs
+++ b/carrying/furrow/src/framing/tests.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng as Dice;
 use rstest::rstest;
 
-const BOUNDS: Bounds = Bounds { head_bytes: 1000, head: 3_000, idle: 15_000 };
+const BOUNDS: Bounds = Bounds { head_bytes: 1000, head: 3_000, idle: 15_000, rest: 15_000 };
 
 /// How a stream is cut into the pieces that come.
 #[derive(Clone, Copy, Debug)]
--- a/carrying/furrow/src/journey.rs
+++ b/carrying/furrow/src/journey.rs
@@ -84,9 +84,19 @@
         self.doubles = false;
     }
 
+    /// It may run once only from now on, whatever it was before.
+    pub fn once_only(&mut self) {
+        (self.repeatable, self.doubles) = (false, false);
+    }
+
+    /// Whether it may be sent to an appliance now.
+    pub fn may_be_sent(&self) -> bool {
+        self.left > 0 && (self.repeatable || self.untouched())
+    }
+
     /// A forward starts.
     pub fn sent(&mut self) {
-        debug_assert!(self.repeatable || (!self.may_have_run && self.flying == 0), "it may run once only");
+        debug_assert!(self.may_be_sent(), "it may run once only");
         self.left = self.left.saturating_sub(1);
         self.flying += 1;
     }
--- a/programs/orchard/src/counter/doorway.rs
+++ b/programs/orchard/src/counter/doorway.rs
@@ -22,9 +22,11 @@
 
 /// A client that leaves is told so by an answer; one that sends nothing keeps the process no longer than this.
 pub const LAST_IDLE: Micros = 500_000;
-/// After the last answer a connection is read for so long until its client ends it: bytes left unread would reset
-/// it, and the answer might be lost with it.
+/// After the last answer a connection is read until its client ends it or sends nothing for so long: bytes left unread
+/// would reset it, and the answer might be lost with it. A client in the middle of a body may send on for a while.
 const LAST_READ: Micros = 500_000;
+/// But for so long at most.
+const LAST_READ_MOST: Micros = 3_000_000;
 /// New bounds are looked at this often at least.
 const LOOK_AGAIN: Micros = 5_000_000;
 /// Shown to hyper at once; it doubles its buffer whenever 8 KiB are filled.
@@ -225,16 +227,13 @@
         if shut.is_err() || quiet || self.inner().ended {
             return;
         }
-        let _ = timeout(
-            span(LAST_READ),
-            poll_fn(|cx| loop {
-                match ready!(poll_some(&mut self.inner().stream, cx, usize::MAX, |_| {})) {
-                    Ok(0) | Err(_) => return Poll::Ready(()),
-                    Ok(_) => {}
-                }
-            }),
-        )
-        .await;
+        let most = now() + LAST_READ_MOST;
+        let mut ended = false;
+        while !ended {
+            let quiet = most.saturating_sub(now()).min(LAST_READ);
+            let read = poll_fn(|cx| poll_some(&mut self.inner().stream, cx, usize::MAX, |_| {}));
+            ended = !matches!(timeout(span(quiet), read).await, Ok(Ok(1..)));
+        }
     }
 }
 
--- a/programs/orchard/src/counter/echo.rs
+++ b/programs/orchard/src/counter/echo.rs
@@ -5,7 +5,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::client::conn::TrySendError;
 use hyper::header::HeaderName;
 use hyper::{Method, Request, Response};
 use magpieline_furrow::framing::echo::Echo;
@@ -58,19 +57,50 @@
         self.sender.ready().await.is_ok() && open(&self.echo).usable()
     }
 
-    /// What was read was no answer to the request; not only the connection broke.
-    pub fn spoilt(&self) -> bool {
-        open(&self.echo).fault().is_some()
+    /// By this a request that is sent here can be called off, wherever its sending stands.
+    pub fn recall(&self) -> Recall {
+        Recall(self.echo.clone())
     }
 
-    pub async fn try_send_request(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Unanswered> {
         let id = request.headers().get(TRY_ID).map_or(&b""[..], |id| id.as_bytes());
-        // Where it may not be asked the connection is at its end, and hands the request back.
-        open(&self.echo).ask(id, request.method() == Method::HEAD);
-        self.sender.try_send_request(request).await
+        if !open(&self.echo).ask(id, request.method() == Method::HEAD) {
+            return Err(Unanswered::Unsent);
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            // hyper hands back what it has not begun with; what it has begun with may be unwritten all the same.
+            Err(e) => {
+                let mut echo = open(&self.echo);
+                Err(match echo.call_off() {
+                    true => Unanswered::Unsent,
+                    false if e.error().is_parse() || echo.fault().is_some() => Unanswered::Spoilt,
+                    false => Unanswered::Broken,
+                })
+            }
+        }
+    }
+}
+
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// No byte of it was written, and none will be.
+    Unsent,
+    /// What was read was no answer to it.
+    Spoilt,
+    /// The connection broke.
+    Broken,
+}
+
+/// A request that was handed to a line.
+pub struct Recall(Shared);
+
+impl Recall {
+    /// Nobody waits for it any more. True: no byte of it was written, and none will be.
+    pub fn call_off(self) -> bool {
+        open(&self.0).call_off()
     }
 }
 
@@ -120,16 +150,18 @@
         self.stream.is_write_vectored()
     }
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        // Nothing is sent on a connection whose next bytes belong to nobody.
-        if open(&self.echo).fault().is_some() {
+        let Side { stream, echo } = self.get_mut();
+        let mut echo = open(echo);
+        // Nothing is sent on a connection whose next bytes belong to nobody, and nothing that was called off.
+        if echo.fault().is_some() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
-        let some = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts))?;
-        open(&self.echo).written();
+        let some = ready!(Pin::new(stream).poll_write_vectored(cx, parts))?;
+        echo.written();
         Poll::Ready(Ok(some))
     }
 }
--- a/programs/orchard/src/counter/forward.rs
+++ b/programs/orchard/src/counter/forward.rs
@@ -1,6 +1,6 @@
 //! One forward: a request to one appliance, and how it ended.
 
-use super::echo::Line;
+use super::echo::{Line, Recall, Unanswered};
 use super::front::{self, Reply};
 use super::{Counter, State};
 use crate::clock::{now, span, Micros};
@@ -8,14 +8,16 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
-    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Response, Uri};
 use magpieline_almanac::routes::Route;
 use magpieline_furrow::journey::{promises, Ending};
 use magpieline_scion::trial::{number, End, Seen};
 use magpieline_windrow::field::{Load, Sign};
+use std::net::SocketAddrV4;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::timeout;
@@ -28,7 +30,7 @@
 /// Longest answer that is held whole.
 const LONGEST: usize = 16 << 20;
 
-const TRY_ID: HeaderName = HeaderName::from_static("try-id");
+pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
 const TIME_LEFT: HeaderName = HeaderName::from_static("time-left-ms");
 const ADDRESSEE: HeaderName = HeaderName::from_static("addressee");
 const POSTMARK: HeaderName = HeaderName::from_static("postmark");
@@ -45,6 +47,13 @@
     pub due: Micros,
 }
 
+impl Parcel {
+    /// The host that it is for.
+    pub fn host(&self) -> &str {
+        self.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or("")
+    }
+}
+
 /// What concerns one connection only. They are names already: nothing is read at each request.
 static OF_ONE_CONNECTION: [HeaderName; 8] = [
     CONNECTION,
@@ -57,10 +66,21 @@
     EXPECT,
 ];
 
-/// What a forward is for, as far as its outcome tells of builds.
+/// An answered connection becomes free within a moment, unless its appliance has answered without reading all of the
+/// request and does not read the rest.
+const FREE_WITHIN: Micros = 1_000_000;
+
+/// What a forward is for, and by what it was decided on.
 pub struct Errand {
+    /// Whom it is for: its handle may pass to another appliance while a connection comes up.
+    pub id: Arc<str>,
+    pub address: SocketAddrV4,
     pub service: Arc<str>,
     pub route: Arc<Route>,
+    /// Number of the edition by which it goes there.
+    pub edition: u64,
+    /// It goes to a build on trial.
+    pub trial: bool,
     /// The first forward of its request.
     pub first: bool,
     /// The appliance was slow from its start when it was chosen.
@@ -96,17 +116,23 @@
 ) {
     let sent = now();
     let number = counter.state().field.sent(sent, appliance);
+    let flight = Flight::new(counter.clone());
     tokio::spawn(async move {
-        let mut load = None;
-        let left = parcel.due.saturating_sub(now());
-        let (ending, answer) = match timeout(span(left), one(&counter, appliance, &parcel, &mut load)).await {
-            Ok(done) => done,
-            Err(_) => (Ending::Silent, None),
-        };
+        let _flight = flight;
+        let mut met = Met::default();
+        let left = parcel.due.saturating_sub(sent);
+        let (ending, answer) =
+            match timeout(span(left), one(&counter, appliance, &errand, &parcel, &mut met)).await {
+                Ok(done) => done,
+                // Where no byte of it has left by now, none will.
+                Err(_) if met.recall.take().is_none_or(Recall::call_off) => (Ending::NeverSent, None),
+                Err(_) => (Ending::Silent, None),
+            };
         let sign = match ending {
             Ending::Answered { status } if status < 500 => Sign::Served,
             Ending::Answered { .. } => Sign::Failed,
             Ending::TurnedAway => Sign::TurnedAway,
+            Ending::NeverSent if met.withheld => Sign::Nothing,
             Ending::NeverSent => Sign::NoConnection,
             Ending::Broken => Sign::Broken,
             Ending::Spoilt => Sign::Spoilt,
@@ -115,18 +141,66 @@
         {
             let mut state = counter.state();
             tell_trial(&mut state, &errand, appliance, ending, now().saturating_sub(sent));
-            state.field.ended(now(), appliance, number, sign, load);
+            state.field.ended(now(), appliance, number, sign, met.load);
         }
         let _ = tell.send((appliance, ending, answer));
+        drop(parcel);
+        // Nobody waits for this any more.
+        if let Some((line, kept)) = met.spare.take() {
+            keep(&counter, appliance, &errand.id, line, kept).await;
+        }
     });
 }
 
+/// Counts a forward while it is under way, however it ends.
+struct Flight(Arc<Counter>);
+
+impl Flight {
+    fn new(counter: Arc<Counter>) -> Flight {
+        counter.flying.fetch_add(1, Ordering::Relaxed);
+        Flight(counter)
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.flying.fetch_sub(1, Ordering::Relaxed);
+        self.0.landed.notify_waiters();
+    }
+}
+
+/// What a forward has met so far, however it ends.
+#[derive(Default)]
+struct Met {
+    load: Option<Load>,
+    /// By this it is called off; none where nothing was handed to a connection.
+    recall: Option<Recall>,
+    /// It was not sent for a reason that is none of the appliance's.
+    withheld: bool,
+    /// The connection after a sound answer, and how long its appliance keeps it.
+    spare: Option<(Line, Option<Micros>)>,
+}
+
+/// Keeps a connection for further requests, once it is free.
+async fn keep(counter: &Counter, appliance: usize, id: &Arc<str>, mut line: Line, kept: Option<Micros>) {
+    if !timeout(span(FREE_WITHIN), line.ready()).await.unwrap_or(false) {
+        return;
+    }
+    let open = counter.state().field.get(appliance).is_some_and(|a| !a.closing && a.id == *id);
+    if open {
+        counter.pool().put(id.clone(), line, kept);
+    }
+}
+
 /// Tells the service's trial, if there is one, how a forward ended.
 fn tell_trial(state: &mut State, errand: &Errand, appliance: usize, ending: Ending, spent: Micros) {
     let (Some(part), Some(listed)) = (state.trials.get_mut(&*errand.service), state.field.get(appliance))
     else {
         return;
     };
+    if listed.id != errand.id {
+        return;
+    }
     let end = match ending {
         Ending::Answered { status } if status < 500 => End::Served,
         Ending::Answered { .. } => End::Failed,
@@ -162,50 +236,75 @@
     Some(request)
 }
 
+/// Whether a request may still be written to the appliance that was chosen for it: what was known then may have changed
+/// while the connection came up.
+fn still_allowed(counter: &Counter, appliance: usize, errand: &Errand, parcel: &Parcel) -> bool {
+    let state = counter.state();
+    // Its handle may be another appliance's by now, and that of another service.
+    let Some(listed) = state.field.get(appliance).filter(|a| a.id == errand.id && !a.closing) else {
+        return false;
+    };
+    let standing = state.standings.get(&*errand.service);
+    let part = state.trials.get(&*errand.service);
+    let version = State::carries(standing, &listed.version)
+        || (errand.trial && part.is_some_and(|p| *p.to == *listed.version));
+    let edition = state.edition.as_ref().is_some_and(|edition| {
+        let new = || edition.table().find(parcel.host(), parcel.uri.path());
+        let goes = |route: &Arc<Route>| {
+            route.sort == errand.route.sort && route.parts.iter().any(|p| p.service == errand.service)
+        };
+        edition.number == errand.edition || new().is_some_and(goes)
+    });
+    version && edition && now() < parcel.due
+}
+
 async fn one(
     counter: &Arc<Counter>,
     appliance: usize,
+    errand: &Errand,
     parcel: &Parcel,
-    load: &mut Option<Load>,
+    met: &mut Met,
 ) -> (Ending, Option<Answer>) {
     loop {
-        let kept = counter.pool().take(appliance);
+        let kept = counter.pool().take(&errand.id);
         let fresh = kept.is_none();
         let mut line = match kept {
             Some(line) => line,
-            None => match connect(counter, appliance).await {
+            None => match connect(counter, errand.address).await {
                 Some(line) => line,
                 None => return (Ending::NeverSent, None),
             },
         };
-        // The list may have changed while the connection came up.
-        let id = counter.state().field.get(appliance).filter(|a| !a.closing).map(|a| a.id.clone());
-        let Some(request) = id.and_then(|id| dressed(parcel, &id)) else { return (Ending::NeverSent, None) };
-        match line.try_send_request(request).await {
-            Ok(response) => return read(counter, appliance, parcel, line, response, load).await,
-            // Handed back: no byte of it was written. A kept connection that had ended is no sign of anything.
-            Err(e) if e.message().is_some() && !fresh => continue,
-            Err(e) if e.message().is_some() => return (Ending::NeverSent, None),
-            Err(e) if e.error().is_parse() || line.spoilt() => return (Ending::Spoilt, None),
-            Err(_) => return (Ending::Broken, None),
+        let request = match still_allowed(counter, appliance, errand, parcel) {
+            true => dressed(parcel, &errand.id),
+            false => None,
+        };
+        let Some(request) = request else {
+            met.withheld = true;
+            return (Ending::NeverSent, None);
+        };
+        met.recall = Some(line.recall());
+        match line.send(request).await {
+            Ok(response) => return read(parcel, line, response, met).await,
+            // A kept connection that had ended is no sign of anything.
+            Err(Unanswered::Unsent) if !fresh => met.recall = None,
+            Err(Unanswered::Unsent) => return (Ending::NeverSent, None),
+            Err(Unanswered::Spoilt) => return (Ending::Spoilt, None),
+            Err(Unanswered::Broken) => return (Ending::Broken, None),
         }
     }
 }
 
-async fn connect(counter: &Counter, appliance: usize) -> Option<Line> {
-    let address = counter.state().field.get(appliance).map(|a| a.address)?;
-    let stream = (counter.dial)(address, UP_WITHIN).await.ok()?;
-    Line::new(stream).await
+async fn connect(counter: &Counter, address: SocketAddrV4) -> Option<Line> {
+    Line::new((counter.dial)(address, UP_WITHIN).await.ok()?).await
 }
 
 /// Reads an answer whole and says what it proves. The connection is kept only after a sound one.
 async fn read(
-    counter: &Counter,
-    appliance: usize,
     parcel: &Parcel,
-    mut line: Line,
+    line: Line,
     response: Response<Incoming>,
-    load: &mut Option<Load>,
+    met: &mut Met,
 ) -> (Ending, Option<Answer>) {
     let (head, body) = response.into_parts();
     let status = head.status.as_u16();
@@ -215,7 +314,7 @@
     // Without a told length the end of a body can't be told from a break.
     let measured = body.size_hint().exact().is_some() || head.headers.contains_key("transfer-encoding");
     let Ok(body) = Limited::new(body, LONGEST).collect().await else { return (Ending::Broken, None) };
-    *load = head.headers.get(LOAD).and_then(|v| v.to_str().ok()).and_then(read_load);
+    met.load = head.headers.get(LOAD).and_then(|v| v.to_str().ok()).and_then(read_load);
     let kept = kept_for(&head.headers);
     let promised = head.headers.contains_key(NOT_DELIVERED) || status == 421;
     let spoilt = !measured
@@ -224,12 +323,7 @@
     if spoilt {
         return (Ending::Spoilt, None);
     }
-    if line.ready().await {
-        let open = counter.state().field.get(appliance).is_some_and(|a| !a.closing);
-        if open {
-            counter.pool().put(appliance, line, kept);
-        }
-    }
+    met.spare = Some((line, kept));
     if promised {
         return (Ending::TurnedAway, None);
     }
--- a/programs/orchard/src/counter/front.rs
+++ b/programs/orchard/src/counter/front.rs
@@ -105,7 +105,9 @@
 
 fn bounds(counter: &Counter) -> Bounds {
     let allowed = counter.state().edition.as_ref().map(|e| e.allowances).unwrap_or_default();
-    Bounds { head_bytes: allowed.header_bytes, head: allowed.header, idle: allowed.idle }
+    // A longer rest may be in force for a client before it is here.
+    let rest = allowed.idle.saturating_add(counter.machine.terms.edition_time);
+    Bounds { head_bytes: allowed.header_bytes, head: allowed.header, idle: allowed.idle, rest }
 }
 
 /// Counts a request while it is in hand, however it ends.
@@ -129,7 +131,7 @@
     let _in_hand = InHand::new(counter);
     let (taken, started) = visit.begin();
     let mut reply = match started {
-        Some(started) => started.answer().await.unwrap_or_else(|| own_end(Next::Fail, taken)),
+        Some(started) => started.answer().await.unwrap_or_else(|| own_end(Err(Next::Fail), taken)),
         None => {
             let (head, body) = request.into_parts();
             // Just started: what it needs to know is on its way.
@@ -138,12 +140,7 @@
                 false => Err(Box::new(closing(refused(COME_BACK * 3)))),
             };
             match found {
-                Ok(found) => {
-                    if found.1.sort == Sort::Safe {
-                        visit.safe();
-                    }
-                    answer(counter, taken, head, body, found).await
-                }
+                Ok(found) => answer(counter, taken, head, body, found, || visit.safe()).await,
                 // What is not read of a body stands in the way of the next request.
                 Err(reply) if body.is_end_stream() => *reply,
                 Err(reply) => closing(*reply),
@@ -178,7 +175,7 @@
     let (counter, taken) = (counter.clone(), ahead.taken);
     Some(Started::new(tokio::spawn(async move {
         let _in_hand = InHand::new(&counter);
-        answer(&counter, taken, head, Empty::<Bytes>::new(), found).await
+        answer(&counter, taken, head, Empty::<Bytes>::new(), found, || {}).await
     })))
 }
 
@@ -222,9 +219,10 @@
 async fn answer<B>(
     counter: &Arc<Counter>,
     taken: Micros,
-    head: Parts,
+    mut head: Parts,
     body: B,
     (edition, route): Found,
+    safe: impl FnOnce(),
 ) -> Reply
 where
     B: Body<Data = Bytes>,
@@ -243,23 +241,41 @@
         }
         Err(_) => return closing(own(StatusCode::BAD_REQUEST, "The body did not come whole.\n".into())),
     };
+    // It is taken now, and what is in force now holds for it: a body may have been long in coming.
+    let (edition, route) = match counter.edition_number() == edition.number {
+        true => (edition, route),
+        false => match found(counter, &head) {
+            Ok(found) => found,
+            Err(reply) => return *reply,
+        },
+    };
+    if route.sort == Sort::Safe {
+        safe();
+    }
     let waits =
         head.headers.get("time-left-ms").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<f64>().ok());
     let waits = waits.filter(|w| w.is_finite() && *w >= 0.0).map_or(UNTOLD, |ms| (ms * 1e3) as Micros);
     let due = taken.saturating_add(waits.min(route.give_up));
+    if let (None, Some(host)) = (head.headers.get(HOST), head.uri.host()) {
+        if let Ok(host) = HeaderValue::from_str(host) {
+            head.headers.insert(HOST, host);
+        }
+    }
     // An appliance is asked for the path, however its client has put it.
     let uri = match head.uri.path_and_query() {
         Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
         _ => head.uri,
     };
     let parcel = Parcel { method: head.method, uri, headers: forward::passed_on(head.headers), body, due };
-    carry(counter, &route, Arc::new(parcel)).await
+    carry(counter, edition, route, Arc::new(parcel)).await
 }
 
 /// A request on its way through the appliances of its service.
 struct Trip<'a> {
     counter: &'a Arc<Counter>,
-    route: &'a Arc<Route>,
+    /// The edition by which it goes, and its route there.
+    edition: Arc<Edition>,
+    route: Arc<Route>,
     service: Arc<str>,
     parcel: Arc<Parcel>,
     journey: Journey,
@@ -270,10 +286,40 @@
     tell: mpsc::UnboundedSender<(usize, Ending, Option<Answer>)>,
 }
 
+/// Why a request is sent to nobody.
+#[derive(Clone, Copy, Debug)]
+enum Halt {
+    Nobody(Nobody),
+    /// The edition in force has no route for it any more.
+    NoRoute,
+    /// It may have run, and may run once only.
+    MayHaveRun,
+}
+
 impl Trip<'_> {
+    /// Nothing is sent by an edition that has been overtaken: the way is found anew by what is in force now.
+    fn renew(&mut self) -> Result<(), Halt> {
+        let edition = self.counter.state().edition.clone();
+        let Some(edition) = edition.filter(|e| e.number != self.edition.number) else { return Ok(()) };
+        let route = edition.table().find(self.parcel.host(), self.parcel.uri.path()).cloned();
+        let route = route.ok_or(Halt::NoRoute)?;
+        if !route.parts.iter().any(|p| p.service == self.service) {
+            self.service = part_of(&route);
+        }
+        if route.sort != Sort::Safe {
+            self.journey.once_only();
+        }
+        (self.edition, self.route) = (edition, route);
+        Ok(())
+    }
+
     /// Sends it to one more appliance, if there is one. `within`: only if its answer is expected in this time, in
     /// microseconds.
-    fn send(&mut self, within: f64) -> Result<(), Nobody> {
+    fn send(&mut self, within: f64) -> Result<(), Halt> {
+        self.renew()?;
+        if !self.journey.may_be_sent() {
+            return Err(Halt::MayHaveRun);
+        }
         let (now, first) = (now(), self.tried.is_empty());
         let (chosen, errand) = {
             let mut state = self.counter.state();
@@ -303,10 +349,10 @@
             });
             let choice = match tried {
                 Some(choice) => choice,
-                None => field.choose(now, ask)?,
+                None => field.choose(now, ask).map_err(Halt::Nobody)?,
             };
             if choice.expected > within {
-                return Err(Nobody::Full);
+                return Err(Halt::Nobody(Nobody::Full));
             }
             if self.arrived > 0 {
                 budget.spend(&self.service);
@@ -314,11 +360,18 @@
             if let (Some(part), true) = (&mut part, tried.is_some()) {
                 part.trial.sent();
             }
-            let cold = field.get(choice.appliance).is_some_and(|l| now < l.cold_until);
-            (
-                choice.appliance,
-                Errand { service: self.service.clone(), route: self.route.clone(), first, cold },
-            )
+            let Some(listed) = field.get(choice.appliance) else { return Err(Halt::Nobody(Nobody::Listed)) };
+            let errand = Errand {
+                id: listed.id.clone(),
+                address: listed.address,
+                service: self.service.clone(),
+                route: self.route.clone(),
+                edition: self.edition.number,
+                trial: tried.is_some(),
+                first,
+                cold: now < listed.cold_until,
+            };
+            (choice.appliance, errand)
         };
         self.tried.push(chosen);
         self.journey.sent();
@@ -332,18 +385,57 @@
     }
 }
 
-/// Sends a request on, again where that is allowed, and turns the ending into its answer.
-async fn carry(counter: &Arc<Counter>, route: &Arc<Route>, parcel: Arc<Parcel>) -> Reply {
+/// One of a route's services, by their shares.
+fn part_of(route: &Route) -> Arc<str> {
+    route.part(rand::thread_rng().gen_range(0.0..1.0)).service.clone()
+}
+
+/// Sends a request on, again where that is allowed, and turns the ending into its answer. One that may run once only is let
+/// through once, also if its client comes back with it.
+async fn carry(
+    counter: &Arc<Counter>,
+    edition: Arc<Edition>,
+    route: Arc<Route>,
+    parcel: Arc<Parcel>,
+) -> Reply {
     let due = parcel.due;
-    let service = route.part(rand::thread_rng().gen_range(0.0..1.0)).service.clone();
+    let id = parcel.headers.get(forward::TRY_ID).map(|id| id.as_bytes());
+    let Some(id) = id.filter(|_| route.sort != Sort::Safe) else {
+        return own_end(travel(counter, edition, route, parcel.clone()).await, due);
+    };
+    if !counter.orders().admit(now(), id, parcel.uri.path()) {
+        return own(StatusCode::CONFLICT, "This Try-Id is at work, or may have run.\n".into());
+    }
+    let end = travel(counter, edition, route, parcel.clone()).await;
+    if matches!(end, Err(Next::Refuse)) {
+        counter.orders().forget(id, parcel.uri.path());
+    }
+    own_end(end, due)
+}
+
+/// The way of a request through the appliances: an appliance's answer, or what its end is without one.
+async fn travel(
+    counter: &Arc<Counter>,
+    edition: Arc<Edition>,
+    route: Arc<Route>,
+    parcel: Arc<Parcel>,
+) -> Result<Reply, Next> {
+    let due = parcel.due;
+    let service = part_of(&route);
     counter.state().budget.taken(&service);
     let (tell, mut endings) = mpsc::unbounded_channel();
     let journey = Journey::new(route.sort == Sort::Safe, route.tries, due);
-    let mut trip = Trip { counter, route, service, parcel, journey, tried: Vec::new(), arrived: 0, tell };
+    let mut trip =
+        Trip { counter, edition, route, service, parcel, journey, tried: Vec::new(), arrived: 0, tell };
     loop {
-        if let Err(why) = trip.send(f64::INFINITY) {
-            tracing::debug!(target: "request", "Nobody for {}: {why:?}.", trip.service);
-            return own_end(trip.journey.give_up(now()), due);
+        if let Err(halt) = trip.send(f64::INFINITY) {
+            match halt {
+                Halt::Nobody(why) => {
+                    tracing::debug!(target: "request", "Nobody for {}: {why:?}.", trip.service)
+                }
+                other => tracing::debug!(target: "request", "Not sent to {}: {other:?}.", trip.service),
+            }
+            return Err(trip.journey.give_up(now()));
         }
         let sent = now();
         let usual = counter.state().field.usual(&trip.service);
@@ -351,6 +443,7 @@
         loop {
             let doubles = trip.journey.may_double() && second_at < due;
             let (ending, answer) = tokio::select! {
+                biased;
                 Some((_, ending, answer)) = endings.recv() => (ending, answer),
                 () = clock::until(second_at), if doubles => {
                     // The first goes on; whichever answers first is the answer.
@@ -365,21 +458,24 @@
             }
             let another = trip.arrived == 0 || trip.saved() >= 1.0;
             match trip.journey.ended(now(), ending, another) {
-                Next::Pass => return answer.unwrap_or_else(|| own_end(Next::Fail, due)),
+                Next::Pass => return answer.ok_or(Next::Fail),
                 Next::Again => break,
                 Next::Wait => {}
-                end => return own_end(end, due),
+                end => return Err(end),
             }
         }
     }
 }
 
-/// The answer of a request that no appliance has answered.
-fn own_end(next: Next, due: Micros) -> Reply {
-    match next {
-        Next::Refuse => refused(due.saturating_sub(now())),
-        Next::TooLate => own(StatusCode::GATEWAY_TIMEOUT, "No answer in time; it may have run.\n".into()),
-        _ => own(StatusCode::BAD_GATEWAY, "It failed on the way; it may have run.\n".into()),
+/// A request's answer: an appliance's, or one of the gateway's own.
+fn own_end(end: Result<Reply, Next>, due: Micros) -> Reply {
+    match end {
+        Ok(reply) => reply,
+        Err(Next::Refuse) => refused(due.saturating_sub(now())),
+        Err(Next::TooLate) => {
+            own(StatusCode::GATEWAY_TIMEOUT, "No answer in time; it may have run.\n".into())
+        }
+        Err(_) => own(StatusCode::BAD_GATEWAY, "It failed on the way; it may have run.\n".into()),
     }
 }
 
--- a/programs/orchard/src/counter/loopback.rs
+++ b/programs/orchard/src/counter/loopback.rs
@@ -25,6 +25,8 @@
 seed_depots = ["127.0.0.1:8166"]
 [carrier.carrier_api]
 address = "127.0.0.1:8169"
+[provisions.guarantees]
+edition_time = "200ms"
 "#;
 
 const EDITION: &str = r#"{"edition":1,"allowances":{"header_bytes":2000},"fleets":[{"name":"s"}],
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -21,6 +21,7 @@
 use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_furrow::orders::Orders;
 use magpieline_scion::trial::Trial;
 use magpieline_trellis::delta;
 use magpieline_trellis::records::{Kept, Phase, Standing};
@@ -31,7 +32,7 @@
 use rand::Rng;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -53,8 +54,15 @@
     leaving: AtomicBool,
     /// Told when `leaving` is set.
     pub left: Notify,
+    /// When it was set.
+    left_at: AtomicU64,
     /// Requests in hand.
     in_hand: AtomicUsize,
+    /// Forwards under way, and told when one has ended.
+    flying: AtomicUsize,
+    landed: Notify,
+    /// Requests that may run once only and may have run.
+    orders: Mutex<Orders>,
     /// Wakes the session: there is something to tell.
     pub tell: Notify,
     /// Told when this counter knows enough to serve.
@@ -138,7 +146,11 @@
             pool: Mutex::new(Pool::default()),
             leaving: AtomicBool::new(false),
             left: Notify::new(),
+            left_at: AtomicU64::new(0),
             in_hand: AtomicUsize::new(0),
+            flying: AtomicUsize::new(0),
+            landed: Notify::new(),
+            orders: Mutex::default(),
             tell: Notify::new(),
             knows: Notify::new(),
             dial,
@@ -157,12 +169,30 @@
 
     /// SIGTERM has come: no new clients, what is in hand is answered.
     pub fn leave(&self) {
+        self.left_at.store(now(), Ordering::Relaxed);
         self.leaving.store(true, Ordering::Relaxed);
         self.left.notify_waiters();
     }
 
-    /// Waits until what was sent to appliances has ended.
-    pub async fn settled(&self) {}
+    /// Waits until what was sent to appliances has ended, also where no client waits for it any more: in the second half
+    /// of what there is from SIGTERM on nothing is waited for.
+    pub async fn settled(&self) {
+        let until = self.left_at.load(Ordering::Relaxed) + self.settings.borrow().terms.grace / 2;
+        let ended = async {
+            loop {
+                let told = self.landed.notified();
+                if self.flying.load(Ordering::Relaxed) == 0 {
+                    return;
+                }
+                told.await;
+            }
+        };
+        let _ = tokio::time::timeout(crate::clock::span(until.saturating_sub(now())), ended).await;
+    }
+
+    fn orders(&self) -> MutexGuard<'_, Orders> {
+        self.orders.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
 
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -252,11 +282,15 @@
             let named: std::collections::HashSet<&Arc<str>> =
                 listing.entries.iter().map(|(id, _)| id).collect();
             let gone: Vec<Arc<str>> = state.field.ids().filter(|id| !named.contains(id)).cloned().collect();
-            closed.extend(gone.iter().filter_map(|id| state.field.drop(id)));
+            for id in &gone {
+                state.field.drop(id);
+            }
+            closed.extend(gone);
         }
         for (id, entry) in &listing.entries {
             let Some(entry) = entry else {
-                closed.extend(state.field.drop(id));
+                state.field.drop(id);
+                closed.push(id.clone());
                 continue;
             };
             let closing = entry.state == ListState::Closing;
@@ -275,13 +309,13 @@
                 },
             );
             if closing {
-                closed.extend(state.field.find(id));
+                closed.push(id.clone());
             }
         }
         drop(state);
         self.knows.notify_waiters();
         let mut pool = self.pool();
-        closed.into_iter().for_each(|appliance| pool.drop_all(appliance));
+        closed.iter().for_each(|id| pool.drop_all(id));
     }
 
     /// This counter's view of things, for operators.
@@ -454,6 +488,7 @@
     tracing::info!(target: "counter", "Leaving: {} requests in hand.", counter.in_hand.load(Ordering::Relaxed));
     counter.leave();
     let _ = serving.await;
+    counter.settled().await;
     tracing::info!(target: "counter", "Left.");
     Ok(())
 }
--- a/programs/orchard/src/counter/pool.rs
+++ b/programs/orchard/src/counter/pool.rs
@@ -3,6 +3,7 @@
 use super::echo::Line;
 use crate::clock::{now, Micros};
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Of the time after which an appliance closes idle connections so much is used: what is sent while it closes may
 /// have run, and an order can't be sent again.
@@ -15,17 +16,17 @@
     until: Micros,
 }
 
-/// Idle connections by appliance.
+/// Idle connections by their appliances' ids: a handle passes to another appliance, an id never does.
 #[derive(Default)]
 pub struct Pool {
-    idle: HashMap<usize, VecDeque<Idle>>,
+    idle: HashMap<Arc<str>, VecDeque<Idle>>,
 }
 
 impl Pool {
     /// The one that has been idle longest: what an appliance sent too much or too late has come by then, and has
     /// ended the connection.
-    pub fn take(&mut self, appliance: usize) -> Option<Line> {
-        let (lines, now) = (self.idle.get_mut(&appliance)?, now());
+    pub fn take(&mut self, appliance: &str) -> Option<Line> {
+        let (lines, now) = (self.idle.get_mut(appliance)?, now());
         while let Some(idle) = lines.pop_front() {
             if now < idle.until && idle.line.is_ready() {
                 return Some(idle.line);
@@ -35,14 +36,14 @@
     }
 
     /// Keeps a connection; `kept` is the time after which its appliance says that it closes it.
-    pub fn put(&mut self, appliance: usize, line: Line, kept: Option<Micros>) {
+    pub fn put(&mut self, appliance: Arc<str>, line: Line, kept: Option<Micros>) {
         let span = kept.map_or(UNSAID, |k| (k as f64 * OF_KEPT) as Micros);
         self.idle.entry(appliance).or_default().push_back(Idle { line, until: now() + span });
     }
 
     /// Ends all idle connections of an appliance.
-    pub fn drop_all(&mut self, appliance: usize) {
-        self.idle.remove(&appliance);
+    pub fn drop_all(&mut self, appliance: &str) {
+        self.idle.remove(appliance);
     }
 
     /// Ends what has been idle for too long.
--- a/rigs/turnstile/src/book.rs
+++ b/rigs/turnstile/src/book.rs
@@ -64,6 +64,8 @@
     pub arrivals: Vec<Arrival>,
     pub sent: BTreeMap<String, Vec<Sent>>,
     pub listed: HashMap<SocketAddrV4, Listing>,
+    /// Which appliance is at an address, told or not.
+    pub there: HashMap<SocketAddrV4, String>,
     pub editions: Vec<InForce>,
     pub wrong: Vec<String>,
     /// Further tallies, to show that a play met what it is about.
--- a/rigs/turnstile/src/stream.rs
+++ b/rigs/turnstile/src/stream.rs
@@ -30,6 +30,8 @@
     reset: [bool; 2],
     /// What end 0 may still write before the connection is reset under it.
     until_reset: Option<usize>,
+    /// It was reset by that.
+    torn: bool,
 }
 
 /// Sees what end 0 hands over: the bytes offered, and how many of them were taken.
@@ -50,7 +52,7 @@
 
 /// A connection; end 0 first.
 pub fn pair(dice: &mut Dice, late: u32, tap: Option<Box<dyn Tap>>) -> (End, End) {
-    let wire = Wire { ways: Default::default(), reset: [false; 2], until_reset: None };
+    let wire = Wire { ways: Default::default(), reset: [false; 2], until_reset: None, torn: false };
     let wire = Arc::new(Mutex::new(wire));
     let mut end =
         |side, tap| End { side, wire: wire.clone(), dice: crate::dice(dice.gen()), late, tap, gone: false };
@@ -98,6 +100,11 @@
         self.wire().until_reset = Some(bytes);
     }
 
+    /// Whether the network broke it, not the other end.
+    pub fn torn(&self) -> bool {
+        self.wire().torn
+    }
+
     /// Comes a turn later, now and then.
     fn tarries(&mut self, cx: &mut Context<'_>) -> bool {
         let tarries = self.late > 0 && self.dice.gen_ratio(1, self.late);
@@ -180,6 +187,7 @@
             if let Some(left) = &mut wire.until_reset {
                 *left -= some;
                 if *left == 0 {
+                    wire.torn = true;
                     wire.break_off(0);
                     wire.break_off(1);
                 }
