Store: what can't be read stops the machine, forms carry a number, and names last

A store that could not be opened ended the process, again at each start. Stored and sent forms had no version. Change: the driver reads all that a step hands to the state machine before it carries out any of it, and stops with place, found and expected. A store that does not add up is set aside (renamed, folder synced) and the machine joins as an empty one, in the same process; an entry that can't be read does the same once another machine leads that has applied it; a newer form leaves the store alone and the machine out. A disk without room is waited for. Records, commands and frames begin with a format number, the store holds one; the first release's unnumbered forms are read. Bytes after a value's end are refused.

--- a/keeping/granary/tests/power.rs
+++ b/keeping/granary/tests/power.rs
@@ -229,7 +229,7 @@
         match Granary::open_with(Disk::with(file).opener()).and_then(|mut granary| granary.load()) {
             Ok(found) => assert!(found == state, "byte {at}"),
             Err(error) => {
-                assert_eq!(error, Error::Corrupt);
+                assert!(matches!(error, Error::Corrupt(_)), "{error}");
                 reported += 1;
             }
         }
--- a/keeping/trellis/src/records.rs
+++ b/keeping/trellis/src/records.rs
@@ -1,6 +1,7 @@
 //! What the sorting machines agree on: the newest configuration, and for each service which version stands and how
 //! far its rollout is. A plain state machine: the same commands in the same order give the same state everywhere.
 
+use crate::form::{self, Unreadable};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -138,12 +139,35 @@
 
     /// All of it in bytes, for a snapshot.
     pub fn pack(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data can be written")
+        form::pack(FORMAT, self)
     }
 
-    /// Reads what [`Records::pack`] wrote.
-    pub fn unpack(bytes: &[u8]) -> Option<Records> {
-        postcard::from_bytes(bytes).ok()
+    /// Reads what [`Records::pack`] wrote, in this release or an earlier one.
+    pub fn unpack(bytes: &[u8]) -> Result<Records, Unreadable> {
+        match form::split(STATE, bytes)? {
+            (None, value) => form::whole::<FirstRecords>(STATE, value).map(Records::from),
+            (Some(FORMAT), value) => form::whole(STATE, value),
+            (number, _) => Err(form::unknown(STATE, number, FORMAT)),
+        }
+    }
+}
+
+/// The number of the forms that this release writes, for snapshots and commands.
+const FORMAT: u8 = 16;
+/// What can't be read, in the words of a complaint.
+const STATE: &str = "snapshot's state";
+const COMMAND: &str = "command";
+
+/// What was agreed on, as the first release wrote it.
+#[derive(Deserialize)]
+struct FirstRecords {
+    edition: Option<Kept>,
+    services: BTreeMap<String, Standing>,
+}
+
+impl From<FirstRecords> for Records {
+    fn from(first: FirstRecords) -> Records {
+        Records { edition: first.edition, services: first.services }
     }
 }
 
@@ -152,11 +176,16 @@
 
 impl Command {
     pub fn pack(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data can be written")
+        form::pack(FORMAT, self)
     }
 
-    pub fn unpack(bytes: &[u8]) -> Option<Command> {
-        postcard::from_bytes(bytes).ok()
+    /// Reads what [`Command::pack`] wrote, in this release or an earlier one.
+    pub fn unpack(bytes: &[u8]) -> Result<Command, Unreadable> {
+        match form::split(COMMAND, bytes)? {
+            // The first release's commands are the first of this one's, without a number.
+            (None | Some(FORMAT), value) => form::whole(COMMAND, value),
+            (number, _) => Err(form::unknown(COMMAND, number, FORMAT)),
+        }
     }
 }
 
@@ -176,7 +205,7 @@
             .map(|command| records.apply(1, &command));
         assert_eq!(effects, [Effect::Edition, Effect::None, Effect::None, Effect::Edition]);
         assert_eq!(records.edition.as_ref().map(|k| &*k.text), Some("d"));
-        assert_eq!(Records::unpack(&records.pack()), Some(records));
+        assert_eq!(Records::unpack(&records.pack()), Ok(records));
     }
 
     /// Guards against a late word of an old leader that decides a newer order, and against steps back.
--- a/keeping/trellis/src/words.rs
+++ b/keeping/trellis/src/words.rs
@@ -1,7 +1,8 @@
 //! What counters and sorting machines say to each other. One message is one frame: its length in four bytes, the
-//! least significant first, then its bytes.
+//! least significant first, then its form's number and its bytes.
 
 use crate::delta::Piece;
+use crate::form::{self, Unreadable};
 use crate::records::{Kept, Standing};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -166,9 +167,15 @@
     View,
 }
 
+/// The number of the form in which agents of this release talk.
+const FORMAT: u8 = 16;
+/// What can't be read, in the words of a complaint.
+const FRAME: &str = "frame";
+
 /// A message as a frame.
 pub fn frame<T: Serialize>(message: &T) -> Vec<u8> {
-    let mut bytes = postcard::to_extend(message, vec![0; 4]).expect("plain data can be written");
+    let head = vec![0, 0, 0, 0, FORMAT];
+    let mut bytes = postcard::to_extend(message, head).expect("plain data can be written");
     let length = (bytes.len() - 4) as u32;
     bytes[..4].copy_from_slice(&length.to_le_bytes());
     bytes
@@ -180,20 +187,20 @@
     let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_le_bytes(*head) as usize;
     if length > LONGEST {
-        return Err(Unreadable);
+        let (found, expected) = (format!("{length} bytes"), format!("at most {LONGEST}"));
+        return Err(Unreadable::of(FRAME, found, expected));
     }
     if bytes.len() < 4 + length {
         return Ok(None);
     }
-    let message = postcard::from_bytes(&bytes[4..4 + length]).map_err(|_| Unreadable)?;
+    let message = match form::split(FRAME, &bytes[4..4 + length])? {
+        (Some(FORMAT), value) => form::whole(FRAME, value)?,
+        (number, _) => return Err(form::unknown(FRAME, number, FORMAT)),
+    };
     bytes.drain(..4 + length);
     Ok(Some(message))
 }
 
-/// What came is no message of ours.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unreadable;
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -212,6 +219,6 @@
             }
         }
         assert_eq!((read, unframe::<Down>(&mut came)), (vec![first], Ok(Some(second))));
-        assert_eq!(unframe::<Up>(&mut b"GET / HTTP/1.1".to_vec()), Err(Unreadable));
+        assert!(unframe::<Up>(&mut b"GET / HTTP/1.1".to_vec()).is_err());
     }
 }
--- /dev/null
+++ b/keeping/trellis/tests/forms.rs
@@ -0,0 +1,76 @@
+//! Forms of what is stored and sent: of earlier releases, of this one, and of none.
+
+use magpieline_trellis::form::{self, Unreadable};
+use magpieline_trellis::records::{Command, Kept, Records};
+use magpieline_trellis::words::{frame, unframe, Opening};
+
+fn state() -> Records {
+    let mut records = Records::default();
+    let texts = [(7, "{\"edition\":7}")];
+    for (index, (number, text)) in (1..).zip(texts) {
+        records.apply(index, &Command::Replace(Kept { number, text: text.into() }));
+    }
+    records.apply(2, &Command::Stands { service: "calendar".into(), version: "v1".into() });
+    records
+}
+
+fn command() -> Command {
+    Command::Stands { service: "calendar".into(), version: "v1".into() }
+}
+
+/// Guards against a release that misreads what a newer one wrote: it says what it found and what it knows.
+#[test]
+fn a_newer_form_is_refused_with_its_number() {
+    let raised = |mut bytes: Vec<u8>, at: usize| {
+        bytes[at] += 1;
+        bytes
+    };
+    let told = |wrong: Unreadable| (wrong.place, wrong.found, wrong.expected, wrong.newer);
+    let wrong = told(Records::unpack(&raised(state().pack(), 0)).expect_err("newer"));
+    assert_eq!(wrong, ("snapshot's state", "format 17".into(), "format 16".into(), true));
+    let wrong = told(Command::unpack(&raised(command().pack(), 0)).expect_err("newer"));
+    assert_eq!(wrong, ("command", "format 17".into(), "format 16".into(), true));
+    let wrong = unframe::<Opening>(&mut raised(frame(&Opening::View), 4)).expect_err("newer");
+    assert_eq!(told(wrong), ("frame", "format 17".into(), "format 16".into(), true));
+}
+
+/// Guards against a frame of the first release, which had no number, that is taken for one of this.
+#[test]
+fn a_frame_without_a_number_is_refused() {
+    let mut bytes = frame(&Opening::View);
+    bytes.remove(4);
+    bytes[0] -= 1;
+    let wrong = unframe::<Opening>(&mut bytes).expect_err("no number");
+    assert_eq!((wrong.found.as_str(), wrong.newer), ("no format number", false));
+}
+
+/// Guards against state that is cut short, or has bytes left over, and is read all the same: a member would go on with
+/// another state than the others.
+#[test]
+fn what_does_not_end_where_its_bytes_do_is_refused() {
+    for bytes in [state().pack(), command().pack()] {
+        for end in 0..bytes.len() {
+            assert!(Records::unpack(&bytes[..end]).is_err() && Command::unpack(&bytes[..end]).is_err());
+        }
+    }
+    let more = |mut bytes: Vec<u8>| {
+        bytes.push(0);
+        bytes
+    };
+    let wrong = Command::unpack(&more(command().pack())).expect_err("too long");
+    assert_eq!((wrong.place, wrong.newer), ("command", false));
+    assert!(wrong.found.starts_with("1 bytes after its end"), "{wrong}");
+    assert!(Records::unpack(&more(state().pack())).is_err());
+    let mut long = frame(&Opening::View);
+    long.push(0);
+    long[0] += 1;
+    assert!(unframe::<Opening>(&mut long).is_err());
+}
+
+/// Guards the rule by which forms without a number are known: none of this release's begins like one.
+#[test]
+fn forms_are_numbered_and_read_again() {
+    let (state, command) = (state(), command());
+    assert!(state.pack()[0] >= form::LEAST && command.pack()[0] >= form::LEAST);
+    assert_eq!((Records::unpack(&state.pack()), Command::unpack(&command.pack())), (Ok(state), Ok(command)));
+}
--- a/programs/orchard/src/commands/store.rs
+++ b/programs/orchard/src/commands/store.rs
@@ -61,7 +61,7 @@
 fn read(dir: &Path, in_use: bool) -> Result<Option<Inspection>, Error> {
     for _ in 1..TRIES {
         match inspect(dir) {
-            Err(Error::Corrupt) if in_use => std::thread::sleep(APART),
+            Err(Error::Corrupt(_)) if in_use => std::thread::sleep(APART),
             done => return done,
         }
     }
@@ -70,16 +70,22 @@
 
 fn told(error: Error, in_use: bool) -> String {
     match error {
-        Error::Corrupt if in_use => {
-            "found what does not add up while the store is in use, expected a moment \
-            without a write: try again, or stop the machine's process first"
-                .into()
+        Error::Corrupt(flaw) if in_use => {
+            let (place, key) = (flaw.place, flaw.key);
+            format!(
+                "{place} {key}: found what does not add up while the store is in use, expected a moment \
+                without a write: try again, or stop the machine's process first"
+            )
         }
-        Error::Corrupt => {
-            "the store is corrupt: found what does not add up, expected what was written. The machine \
-            will not start with it; see `a sorting machine lost its disk` in docs/gateway/operators.md"
-                .into()
+        Error::Corrupt(flaw) => {
+            let (place, key, found, expected) = (flaw.place, flaw.key, flaw.found, flaw.expected);
+            format!(
+                "the store is corrupt: {place} {key}: found {found}, expected {expected}. The machine sets it \
+                aside when it starts and joins as an empty one; see `a sorting machine lost its disk` in \
+                docs/gateway/operators.md"
+            )
         }
+        Error::Newer { .. } => format!("a newer release wrote the store: {error}"),
         Error::InUse => "the store is in use".into(),
         Error::Full => "the disk has no room".into(),
         Error::Io(kind) => format!("can't be read: {kind}"),
@@ -128,7 +134,7 @@
             }
             Payload::Command { more: false, bytes } => {
                 pieces.extend_from_slice(bytes);
-                command = Command::unpack(&std::mem::take(&mut pieces));
+                command = Command::unpack(&std::mem::take(&mut pieces)).ok();
                 command.as_ref().map_or(("unreadable", format!("{} bytes", bytes.len())), command_shown)
             }
         };
@@ -215,7 +221,7 @@
         };
         let kinds: Vec<String> = self.kinds().iter().map(|(kind, count)| format!("{count} {kind}")).collect();
         let snapshot = stored.snapshot.as_ref().map_or("none".into(), |s| {
-            let whole = if Records::unpack(&s.state).is_some() { "" } else { ", unreadable" };
+            let whole = if Records::unpack(&s.state).is_ok() { "" } else { ", unreadable" };
             format!("up to entry {} of term {}, {} bytes{whole}", s.index, s.term, s.state.len())
         });
         text.push_str(&pairs(
@@ -274,7 +280,7 @@
             log: jzon::object! { first: self.places.first().map(|p| p.index),
                 last: self.places.last().map(|p| p.index), certain: self.certain, kinds: kinds },
             snapshot: stored.snapshot.as_ref().map_or(Json::Null, |s| jzon::object! {
-                index: s.index, term: s.term, bytes: s.state.len(), readable: Records::unpack(&s.state).is_some() }),
+                index: s.index, term: s.term, bytes: s.state.len(), readable: Records::unpack(&s.state).is_ok() }),
             in_force: records_json(&self.in_force),
             with_what_follows: self.beyond.as_ref().map(records_json)
         };
--- a/programs/orchard/src/net.rs
+++ b/programs/orchard/src/net.rs
@@ -67,7 +67,7 @@
             match words::unframe(&mut self.bytes) {
                 Ok(Some(message)) => return Ok(Some(message)),
                 Ok(None) => {}
-                Err(words::Unreadable) => return Err(io::ErrorKind::InvalidData.into()),
+                Err(wrong) => return Err(io::Error::new(io::ErrorKind::InvalidData, wrong.to_string())),
             }
             if self.bytes.is_empty() && self.bytes.capacity() > 64 << 10 {
                 self.bytes = Vec::new(); // a large message was read; its room is not kept
--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -5,11 +5,12 @@
 use crate::clock::{self, now, Micros};
 use crate::net;
 use magpieline_almanac::machine::Machine;
-use magpieline_granary::{Error, Granary};
+use magpieline_granary::{self as granary, Granary, Remedy};
 use magpieline_rootstock::{Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start};
+use magpieline_trellis::form::Unreadable;
 use magpieline_trellis::records::{Command, Records};
 use magpieline_trellis::words::{self, Opening};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::{mpsc as threads, Arc, Mutex, MutexGuard};
@@ -53,7 +54,20 @@
     seen_at: Micros,
 }
 
+/// Why the agreement goes on no further on this machine.
+#[derive(Debug)]
+pub enum Stop {
+    /// Nobody is left who asks.
+    Over,
+    /// The store does not add up any more.
+    Store(granary::Error),
+    /// What is in force at this place of the log can't be read here. To go on without it would be to go on as another
+    /// state machine than the others.
+    Unreadable(u64, Unreadable),
+}
+
 enum Asked {
+    Broken(granary::Error),
     Event(Event),
     Propose(Vec<u8>, oneshot::Sender<Outcome>),
     Read(oneshot::Sender<Outcome>),
@@ -78,13 +92,11 @@
 
 impl Council {
     /// Reads the store and makes ready; nothing runs before the driver does.
-    pub fn open(machine: &Machine, seed: u64) -> std::io::Result<(Council, Driver)> {
-        let Some(store) = &machine.store else {
-            return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
-        };
-        let broken = |e: Error| std::io::Error::other(format!("{store}: {e:?}"));
-        let mut granary = Granary::open(Path::new(store)).map_err(broken)?;
-        let stored = granary.load().map_err(broken)?;
+    pub fn open(machine: &Machine, store: &Path, seed: u64) -> Result<(Council, Driver), granary::Error> {
+        let mut granary = Granary::open(store)?;
+        let stored = granary.load()?;
+        // A machine whose store was set aside has been here before, even if its settings are those of its first start.
+        let first_run = machine.first_run && !granary::is_aside(&granary::Folder::at(store))?;
         let inner = machine.inner_ports.0;
         let me = SocketAddrV4::new(machine.ip, inner);
         let seeds = machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
@@ -94,7 +106,7 @@
             stored.entries.len(),
             if stored.hard.is_none() { ", empty" } else { "" }
         );
-        let start = Start { me, seeds, first_run: machine.first_run, seed };
+        let start = Start { me, seeds, first_run, seed };
         let (core, first) = Core::start(now(), start, stored);
         let (ask, asked) = mpsc::channel(MOST_WAITING);
         let (write, writes) = threads::channel::<(u64, Batch)>();
@@ -103,13 +115,14 @@
         std::thread::spawn(move || {
             while let Ok((serial, batch)) = writes.recv() {
                 let event = match granary.write(&batch) {
-                    Ok(()) => Event::Synced { serial },
-                    Err(e) => {
-                        tracing::warn!(target: "council", "The disk refused a write: {e:?}.");
-                        Event::Refused { serial }
+                    Ok(()) => Asked::Event(Event::Synced { serial }),
+                    Err(e) if e.remedy() == Remedy::Wait => {
+                        tracing::warn!(target: "council", "The disk refused a write: {e}.");
+                        Asked::Event(Event::Refused { serial })
                     }
+                    Err(e) => Asked::Broken(e),
                 };
-                if synced.blocking_send(Asked::Event(event)).is_err() {
+                if synced.blocking_send(event).is_err() {
                     return;
                 }
             }
@@ -201,13 +214,18 @@
 }
 
 impl Driver {
-    /// Drives the core for as long as the process lives.
-    pub async fn run(mut self, sorting: Arc<Sorting>) {
+    /// Drives the core until it can't go on. What it was told of an entry that can't be read reaches nobody: nothing of
+    /// that step is carried out, so that a leader never says that such an entry is in force.
+    pub async fn run(mut self, sorting: Arc<Sorting>) -> Stop {
         let mut links: HashMap<SocketAddrV4, mpsc::Sender<Envelope>> = HashMap::new();
         let mut tickets: HashMap<u64, oneshot::Sender<Outcome>> = HashMap::new();
         let mut next_ticket = 0;
         let mut actions = std::mem::take(&mut self.first);
         loop {
+            let mut read = match Read::all(&actions) {
+                Ok(read) => read,
+                Err(stop) => return stop,
+            };
             for action in actions {
                 match action {
                     Action::Send(envelope) => {
@@ -223,14 +241,16 @@
                         // The thread ends with the process only.
                         let _ = self.write.send((serial, batch));
                     }
-                    Action::Apply { index, command } => match Command::unpack(&command) {
-                        Some(command) => sorting.applied(index, &command),
-                        None => tracing::error!(target: "council", "Command {index} can't be read."),
-                    },
-                    Action::Restore { index, state } => match Records::unpack(&state) {
-                        Some(records) => sorting.restored(records),
-                        None => tracing::error!(target: "council", "Snapshot {index} can't be read."),
-                    },
+                    Action::Apply { index, .. } => {
+                        if let Some(Read::Command(command)) = read.pop_front() {
+                            sorting.applied(index, &command);
+                        }
+                    }
+                    Action::Restore { .. } => {
+                        if let Some(Read::Records(records)) = read.pop_front() {
+                            sorting.restored(records);
+                        }
+                    }
                     Action::Done { ticket, outcome } => {
                         if let Some(tell) = tickets.remove(&ticket) {
                             let _ = tell.send(outcome);
@@ -245,7 +265,8 @@
             } else {
                 tokio::select! {
                     asked = self.asked.recv() => match asked {
-                        None => return,
+                        None => return Stop::Over,
+                        Some(Asked::Broken(error)) => return Stop::Store(error),
                         Some(Asked::Event(event)) => event,
                         Some(Asked::Propose(command, tell)) => {
                             next_ticket += 1;
@@ -279,6 +300,30 @@
     }
 }
 
+/// What actions hand to the state machine.
+pub enum Read {
+    Command(Command),
+    Records(Records),
+}
+
+impl Read {
+    /// Of all the actions that hand something on, in their order.
+    pub fn all(actions: &[Action]) -> Result<VecDeque<Read>, Stop> {
+        let read = |action: &Action| match action {
+            Action::Apply { index, command } => {
+                let command = Command::unpack(command).map_err(|wrong| Stop::Unreadable(*index, wrong));
+                Some(command.map(Read::Command))
+            }
+            Action::Restore { index, state } => {
+                let records = Records::unpack(state).map_err(|wrong| Stop::Unreadable(*index, wrong));
+                Some(records.map(Read::Records))
+            }
+            Action::Send(_) | Action::Write { .. } | Action::Done { .. } => None,
+        };
+        actions.iter().filter_map(read).collect()
+    }
+}
+
 /// Sends messages to one other machine; what can't be sent is lost.
 async fn send(own: SocketAddrV4, to: SocketAddrV4, mut messages: mpsc::Receiver<Envelope>) {
     loop {
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -1,9 +1,10 @@
 //! The sorting machine: keeps what is agreed on, and while it leads tells the counters.
 
 mod control;
-mod council;
+pub mod council;
 mod counters;
 mod lister;
+pub mod lives;
 mod steward;
 
 use crate::carrier::Reading;
@@ -21,6 +22,7 @@
 use magpieline_trellis::words::{self, Down, Listing, Stage};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::mpsc;
 
@@ -64,6 +66,16 @@
         SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
     }
 
+    /// The inner addresses of the other sorting machines that are known here.
+    fn others(&self) -> Vec<SocketAddrV4> {
+        let seeds = self.machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), self.machine.inner_ports.0));
+        let mut others: Vec<SocketAddrV4> = self.council.members().into_iter().chain(seeds).collect();
+        others.retain(|other| *other != self.inner());
+        others.sort();
+        others.dedup();
+        others
+    }
+
     /// Where operators call the machine that has this inner address: ports are alike on all machines.
     pub fn control_of(&self, inner: SocketAddrV4) -> Option<SocketAddrV4> {
         let own = self.machine.posts.get("control")?;
@@ -208,25 +220,48 @@
     }
 }
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM, in more than one life where its store can't be read.
 pub async fn run(settings: Held, life: u64) -> std::io::Result<()> {
+    let mut life = life;
+    while live(settings.clone(), life).await? {
+        life = rand::random::<u64>().max(1);
+    }
+    Ok(())
+}
+
+/// One life. True: another one is to follow.
+async fn live(settings: Held, life: u64) -> std::io::Result<bool> {
     let machine = Machine::clone(&settings.borrow());
     let Some(control) = machine.posts.get("control").copied() else {
         return Err(std::io::Error::other("network.posts: expected control"));
     };
+    let Some(store) = machine.store.clone().map(PathBuf::from) else {
+        return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
+    };
     let inner = SocketAddrV4::new(machine.ip, machine.inner_ports.0);
+    // Nobody is kept waiting at a door behind which nothing runs yet.
+    let Some((council, driver)) = lives::open(&machine, &store, life).await else { return Ok(false) };
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let (council, driver) = Council::open(&machine, life)?;
     let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(State::default()), council });
-    tokio::spawn(driver.run(sorting.clone()));
-    tokio::spawn(counters::run(sorting.clone(), inner));
-    tokio::spawn(control::run(sorting.clone(), door));
-    tokio::spawn(lister::run(sorting.clone()));
-    tokio::spawn(steward::run(sorting.clone()));
-    crate::signals::terminated().await;
+    let mut driving = tokio::spawn(driver.run(sorting.clone()));
+    let others = [
+        tokio::spawn(counters::run(sorting.clone(), inner)),
+        tokio::spawn(control::run(sorting.clone(), door)),
+        tokio::spawn(lister::run(sorting.clone())),
+        tokio::spawn(steward::run(sorting.clone())),
+    ];
+    tokio::select! {
+        () = crate::signals::terminated() => {}
+        stop = &mut driving => {
+            others.iter().for_each(tokio::task::JoinHandle::abort);
+            let stop = stop.map_err(|broken| std::io::Error::other(format!("the agreement broke: {broken}")))?;
+            let others = sorting.others();
+            return Ok(lives::begin_anew(&stop, &store, &others).await);
+        }
+    }
     tracing::info!(target: "sorting", "Leaving.");
     sorting.council.give_way().await;
     tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
-    Ok(())
+    Ok(false)
 }
--- /dev/null
+++ b/programs/orchard/tests/lives.rs
@@ -0,0 +1,62 @@
+//! What a sorting machine does about a store, or an entry, that it can't read.
+
+use magpieline_granary::{Error, Flaw};
+use magpieline_orchard::sorting::council::{Read, Stop};
+use magpieline_orchard::sorting::lives::Next;
+use magpieline_rootstock::{Action, Envelope, Message, Seat};
+use magpieline_trellis::records::{Command, Records};
+
+fn send() -> Action {
+    let seat = |last| Seat { address: std::net::SocketAddrV4::new([10, 0, 0, last].into(), 7720), life: 0 };
+    Action::Send(Envelope { from: seat(1), to: seat(2), term: 3, message: Message::HandOver })
+}
+
+fn apply(index: u64, command: Vec<u8>) -> Action {
+    Action::Apply { index, command }
+}
+
+fn command() -> Vec<u8> {
+    Command::Stands { service: "calendar".into(), version: "v1".into() }.pack()
+}
+
+/// Guards against a machine that logs what it can't read and goes on: it may lead then, with old state. And against a
+/// leader that tells others of an entry as in force which it could not read itself: nothing of that step leaves.
+#[test]
+fn what_cant_be_read_stops_the_machine_before_anything_else_is_done() {
+    let spoilt = |mut bytes: Vec<u8>| {
+        bytes.truncate(bytes.len() - 1);
+        bytes
+    };
+    let readable =
+        [send(), apply(7, command()), Action::Restore { index: 9, state: Records::default().pack() }];
+    assert_eq!(Read::all(&readable).expect("readable").len(), 2);
+    let steps = [
+        (8, vec![send(), apply(7, command()), apply(8, spoilt(command())), apply(9, command())]),
+        (9, vec![send(), Action::Restore { index: 9, state: spoilt(Records::default().pack()) }]),
+    ];
+    for (place, actions) in steps {
+        let Err(stop) = Read::all(&actions) else { panic!("{place} was passed over") };
+        assert!(
+            matches!(&stop, Stop::Unreadable(index, wrong) if *index == place && !wrong.newer),
+            "{stop:?}"
+        );
+        assert_eq!(Next::after(&stop), Next::SetAsideOnceApplied(place));
+    }
+}
+
+/// Guards against a whole core that gives up its stores: where a newer release wrote, and where an entry can't be read
+/// anywhere.
+#[test]
+fn a_store_is_given_up_only_where_that_helps_and_others_hold_it() {
+    let newer = |mut bytes: Vec<u8>| {
+        bytes[0] += 1;
+        bytes
+    };
+    let Err(stop) = Read::all(&[apply(4, newer(command()))]) else { panic!("a newer command was read") };
+    assert!(matches!(&stop, Stop::Unreadable(4, wrong) if wrong.newer));
+    assert_eq!(Next::after(&stop), Next::Halt);
+    assert_eq!(Next::after(&Stop::Store(Error::Newer { found: 3, expected: 2 })), Next::Halt);
+    let flaw = Flaw { place: "log", key: 4, found: "another checksum", expected: "the value's" };
+    assert_eq!(Next::after(&Stop::Store(Error::Corrupt(flaw))), Next::SetAside);
+    assert_eq!(Next::after(&Stop::Over), Next::Leave);
+}
