--- a/keeping/trellis/src/delta.rs
+++ b/keeping/trellis/src/delta.rs
@@ -18,7 +18,7 @@
 /// Shorter bytes aren't worth a header.
 const WORTHWHILE: usize = 2048;
 /// What packed bytes begin with that are squeezed: no command and no snapshot begins so, since they begin with the
-/// number of a variant, all of which are far below.
+/// number of a form or, from the first release, of a variant; all of these are below.
 const SQUEEZED: u8 = 0xff;
 /// The longest packed value.
 const LONGEST: usize = 64 << 20;
