--- a/keeping/trellis/src/feed.rs
+++ b/keeping/trellis/src/feed.rs
@@ -12,7 +12,7 @@
 
 use crate::delta;
 use crate::records::Kept;
-use crate::words::{self, Down, Piece};
+use crate::words::{self, Down, Fenced, Piece};
 use crate::Micros;
 use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
@@ -58,8 +58,10 @@
     Closed {
         link: u64,
     },
-    /// This machine no longer leads: all links end.
-    Cleared,
+    /// This machine leads in this term from now on, or no longer: all links of before have ended.
+    Leads {
+        term: Option<u64>,
+    },
     /// Time has passed.
     Tick,
 }
@@ -122,6 +124,8 @@
 /// All counters' feeds, and the editions that they are told of.
 #[derive(Default)]
 pub struct Feeds {
+    /// The term that all is said in.
+    term: u64,
     newest: Option<Kept>,
     newest_at: Micros,
     /// Editions before the newest, the last one at the end.
@@ -152,7 +156,9 @@
             Event::Got { link, number, upto } => self.got(now, link, number, upto),
             Event::Holds { link, edition } => self.holds(now, link, edition),
             Event::Closed { link } => self.drop(link),
-            Event::Cleared => {
+            Event::Leads { term } => {
+                self.term = term.unwrap_or(0);
+                self.tellings.clear();
                 self.feeds.clear();
                 self.turns.clear();
                 self.flying = 0;
@@ -300,21 +306,22 @@
         let newest = self.newest.as_ref().expect("asked for where there is one");
         let old = self.earlier.iter().find(|k| k.number == from);
         let (from, text) = old.map_or((0, ""), |k| (k.number, &*k.text));
+        let term = self.term;
         let made = self.tellings.entry(from).or_insert_with(|| {
             let told = delta::diff(text, &newest.text);
-            Arc::new(Telling::new(newest.number, from, &told))
+            Arc::new(Telling::new(term, newest.number, from, &told))
         });
         (from, made.clone())
     }
 }
 
 impl Telling {
-    fn new(number: u64, from: u64, told: &[u8]) -> Telling {
+    fn new(term: u64, number: u64, from: u64, told: &[u8]) -> Telling {
         let length = told.len() as u32;
         let frames = told.chunks(PIECE).enumerate().map(|(i, bytes)| {
             let at = (i * PIECE) as u32;
-            let piece = Piece { number, from, length, at, bytes: bytes.to_vec() };
-            (at + bytes.len() as u32, Bytes::from(words::frame(&Down::Piece(piece))))
+            let word = Down::Piece(Piece { number, from, length, at, bytes: bytes.to_vec() });
+            (at + bytes.len() as u32, Bytes::from(words::frame(&Fenced { term, word })))
         });
         Telling { number, length, frames: frames.collect() }
     }
--- a/keeping/trellis/src/lib.rs
+++ b/keeping/trellis/src/lib.rs
@@ -1,6 +1,7 @@
 //! How counters and sorting machines keep together.
 //!
 //! - [`records`]: what the sorting machines agree on, and the commands that change it.
+//! - [`form`]: format numbers of what is stored and sent.
 //! - [`delta`]: a new edition as what has changed since another one; long messages and commands in fewer bytes.
 //! - [`feed`]: how editions go out to counters, piece by piece, behind all that is more urgent.
 //! - [`intake`]: how a counter puts the pieces together.
@@ -13,6 +14,7 @@
 
 pub mod delta;
 pub mod feed;
+pub mod form;
 pub mod intake;
 pub mod records;
 pub mod roster;
--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -21,6 +21,7 @@
 use jzon::JsonValue as Json;
 use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_furrow::orders::Orders;
 use magpieline_scion::trial::Trial;
 use magpieline_trellis::records::{Kept, Phase, Standing};
 use magpieline_trellis::words::{Evidence, Listing, Opening, Stage, State as ListState};
@@ -30,7 +31,7 @@
 use rand::Rng;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -52,8 +53,15 @@
     leaving: AtomicBool,
     /// Told when `leaving` is set.
     pub left: Notify,
+    /// When it was set.
+    left_at: AtomicU64,
     /// Requests in hand.
     in_hand: AtomicUsize,
+    /// Forwards under way, and told when one has ended.
+    flying: AtomicUsize,
+    landed: Notify,
+    /// Requests that may run once only and may have run.
+    orders: Mutex<Orders>,
     /// Wakes the session: there is something to tell.
     pub tell: Notify,
     /// Told when this counter knows enough to serve.
@@ -137,7 +145,11 @@
             pool: Mutex::new(Pool::default()),
             leaving: AtomicBool::new(false),
             left: Notify::new(),
+            left_at: AtomicU64::new(0),
             in_hand: AtomicUsize::new(0),
+            flying: AtomicUsize::new(0),
+            landed: Notify::new(),
+            orders: Mutex::default(),
             tell: Notify::new(),
             knows: Notify::new(),
             dial,
@@ -156,20 +168,38 @@
 
     /// SIGTERM has come: no new clients, what is in hand is answered.
     pub fn leave(&self) {
+        self.left_at.store(now(), Ordering::Relaxed);
         self.leaving.store(true, Ordering::Relaxed);
         self.left.notify_waiters();
     }
 
+    /// Waits until what was sent to appliances has ended, also where no client waits for it any more: in the second half
+    /// of what there is from SIGTERM on nothing is waited for.
+    pub async fn settled(&self) {
+        let until = self.left_at.load(Ordering::Relaxed) + self.settings.borrow().terms.grace / 2;
+        let ended = async {
+            loop {
+                let told = self.landed.notified();
+                if self.flying.load(Ordering::Relaxed) == 0 {
+                    return;
+                }
+                told.await;
+            }
+        };
+        let _ = tokio::time::timeout(crate::clock::span(until.saturating_sub(now())), ended).await;
+    }
+
+    fn orders(&self) -> MutexGuard<'_, Orders> {
+        self.orders.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
 
     /// Waits until there are a configuration and a list, for so long at most; whether there are.
     async fn knowing(&self, most: Micros) -> bool {
-        let knows = || {
-            let state = self.state();
-            state.edition.is_some() && state.listed_at.is_some()
-        };
+        let knows = || self.state().knows();
         if knows() {
             return true;
         }
@@ -188,8 +218,13 @@
 
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
-        let state = self.state();
-        !self.leaving() && state.edition.is_some() && state.listed_at.is_some()
+        !self.leaving() && self.state().knows()
+    }
+
+    /// A leader that a majority has confirmed since this counter asked has told it all.
+    pub fn confirmed(&self) {
+        self.state().confirmed = true;
+        self.knows.notify_waiters();
     }
 
     /// Takes a configuration into force if it is newer than what is.
@@ -237,11 +272,15 @@
             let named: std::collections::HashSet<&Arc<str>> =
                 listing.entries.iter().map(|(id, _)| id).collect();
             let gone: Vec<Arc<str>> = state.field.ids().filter(|id| !named.contains(id)).cloned().collect();
-            closed.extend(gone.iter().filter_map(|id| state.field.drop(id)));
+            for id in &gone {
+                state.field.drop(id);
+            }
+            closed.extend(gone);
         }
         for (id, entry) in &listing.entries {
             let Some(entry) = entry else {
-                closed.extend(state.field.drop(id));
+                state.field.drop(id);
+                closed.push(id.clone());
                 continue;
             };
             let closing = entry.state == ListState::Closing;
@@ -260,13 +299,13 @@
                 },
             );
             if closing {
-                closed.extend(state.field.find(id));
+                closed.push(id.clone());
             }
         }
         drop(state);
         self.knows.notify_waiters();
         let mut pool = self.pool();
-        closed.into_iter().for_each(|appliance| pool.drop_all(appliance));
+        closed.iter().for_each(|id| pool.drop_all(id));
     }
 
     /// This counter's view of things, for operators.
@@ -372,6 +411,12 @@
 }
 
 impl State {
+    /// Whether there is enough to serve by: a configuration and a list, and all that was in force when this counter first
+    /// asked.
+    fn knows(&self) -> bool {
+        self.confirmed && self.edition.is_some() && self.listed_at.is_some()
+    }
+
     /// Whether a version of a service may get ordinary requests.
     pub fn carries(standing: Option<&Standing>, version: &str) -> bool {
         let Some(standing) = standing else { return true };
@@ -439,6 +484,7 @@
     tracing::info!(target: "counter", "Leaving: {} requests in hand.", counter.in_hand.load(Ordering::Relaxed));
     counter.leave();
     let _ = serving.await;
+    counter.settled().await;
     tracing::info!(target: "counter", "Left.");
     Ok(())
 }
