Orders: a test of calls to three machines on loopback

Two documents under one number at once, each again at every machine, after the end of each and of all; an order again and another one under way.

--- /dev/null
+++ b/programs/orchard/tests/control.rs
@@ -0,0 +1,216 @@
+//! Operators' calls to three sorting machines, real processes on loopback: one document under a number and one order once,
+//! whichever machine is asked and whoever leads.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Barrier;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a clear answer: an election takes about a second, more where other tests take the processor.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Machine {
+    control: SocketAddr,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+impl Machine {
+    fn start(&mut self) {
+        let started = Command::new(env!("CARGO_BIN_EXE_orchard"))
+            .args(["sorting", "--log", "warn", "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        self.process = Some(started.expect("the program starts"));
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+struct Core {
+    machines: Vec<Machine>,
+    folder: PathBuf,
+}
+
+impl Drop for Core {
+    fn drop(&mut self) {
+        self.machines.iter_mut().for_each(Machine::kill);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Three machines with loopback addresses of their own, started.
+fn core(test: u8) -> Core {
+    let pid = std::process::id();
+    let folder = std::env::temp_dir().join(format!("orchard-control-{test}-{pid}"));
+    let net = format!("127.{}.{}", 64 + test, pid % 250);
+    let seeds: Vec<String> = (1..=3).map(|i| format!("\"{net}.{i}:7080\"")).collect();
+    let machines = (1..=3).map(|i| {
+        let store = folder.join(format!("store-{i}"));
+        std::fs::create_dir_all(&store).expect("a folder");
+        let settings = folder.join(format!("{i}.toml"));
+        let text = format!(
+            r#"
+[self]
+node = "sorting-{i}"
+machine_class = "sorting"
+ip = "{net}.{i}"
+zone = "a"
+region = "r"
+store_dir = "{}"
+first_run = true
+[network]
+inner_ports = [7720, 7735]
+seed_depots = [{}]
+[network.posts]
+control = "{net}.{i}:7080"
+[provisions.guarantees]
+receipt = "2s"
+"#,
+            store.display(),
+            seeds.join(",")
+        );
+        std::fs::write(&settings, text).expect("written");
+        let control = format!("{net}.{i}:7080").parse().expect("an address");
+        let mut machine = Machine { control, settings, process: None };
+        machine.start();
+        machine
+    });
+    let machines = machines.collect();
+    Core { machines, folder }
+}
+
+/// One call, followed twice: its status and body; None without an answer.
+fn once(first: SocketAddr, call: &str, body: &str) -> Option<(u16, String)> {
+    let mut at = first;
+    for _ in 0..3 {
+        let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        let head = format!(
+            "POST /v1/rpc?call={call} HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all((head + body).as_bytes()).ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        let (head, body) = text.split_once("\r\n\r\n")?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        if status != 307 {
+            return Some((status, body.to_owned()));
+        }
+        let location = head.lines().find_map(|l| l.strip_prefix("location: http://"))?;
+        at = location.split('/').next()?.parse().ok()?;
+    }
+    None
+}
+
+impl Core {
+    /// Calls, from this machine on, until there is a clear answer.
+    fn call(&self, machine: usize, call: &str, body: &str) -> (u16, String) {
+        let until = Instant::now() + PATIENCE;
+        let order = (0..self.machines.len()).map(|i| (machine + i) % self.machines.len());
+        for machine in order.cycle() {
+            match once(self.machines[machine].control, call, body) {
+                Some((status, text)) if status < 500 && status != 404 => return (status, text),
+                other => assert!(Instant::now() < until, "no clear answer to {call}, the last: {other:?}"),
+            }
+        }
+        unreachable!("a cycle has no end")
+    }
+
+    fn replace(&self, machine: usize, document: &str) -> u16 {
+        self.call(machine, "config.replace", document).0
+    }
+
+    fn begin(&self, machine: usize, to: &str) -> (u16, String) {
+        let order = format!(r#"{{"service":"s","to_edition":"{to}","within":"12s"}}"#);
+        self.call(machine, "editions.begin", &order)
+    }
+}
+
+fn document(number: u64, by: &str) -> String {
+    format!(
+        r#"{{"edition":{number},"wickets":[{{"depot":"{by}.example","regulations":[{{"name":"r-1",
+"sort":"safe","sorting":{{"lane_prefix":"/x/"}},"dispatch":{{"service":"s","give_up":"2s"}}}}]}}],
+"fleets":[{{"name":"s"}}]}}"#
+    )
+}
+
+/// Guards against two operators who are both confirmed under one number, against the one who was confirmed refused when
+/// the same comes again (at any machine, after the leader's end and all machines' start), and the other one confirmed then.
+#[test]
+fn one_document_under_one_number() {
+    let mut core = core(1);
+    let both = ["a", "b"];
+    let mut confirmed = Vec::new();
+    for round in 1..=10 {
+        let number = 3 * round;
+        let together = Barrier::new(2);
+        let statuses: Vec<u16> = std::thread::scope(|scope| {
+            let calls = both.iter().enumerate().map(|(machine, by)| {
+                let (core, together) = (&core, &together);
+                scope.spawn(move || {
+                    together.wait();
+                    core.replace(machine, &document(number, by))
+                })
+            });
+            let calls: Vec<_> = calls.collect();
+            calls.into_iter().map(|call| call.join().expect("an answer")).collect()
+        });
+        let winner = statuses.iter().position(|s| *s == 200).expect("one is confirmed");
+        assert_eq!(statuses[1 - winner], 409, "round {round}: {statuses:?}");
+        assert_eq!(core.call(2, "config.read", "").1, document(number, both[winner]));
+        confirmed.push((number, winner));
+    }
+    let again = |core: &Core| {
+        for machine in 0..3 {
+            for &(number, winner) in [&confirmed[0], &confirmed[9]] {
+                assert_eq!(core.replace(machine, &document(number, both[winner])), 200, "{number} again");
+                let (status, text) =
+                    core.call(machine, "config.replace", &document(number, both[1 - winner]));
+                assert_eq!(status, 409, "{number} is taken");
+                assert!(["place", "found", "expected"].iter().all(|word| text.contains(word)), "{text}");
+            }
+        }
+        // Between two numbers, never sent before: overtaken, acknowledged, without effect.
+        assert_eq!(core.replace(0, &document(29, "a")), 200);
+        assert_eq!(core.call(0, "config.read", "").1, document(30, both[confirmed[9].1]));
+    };
+    again(&core);
+    for machine in 0..3 {
+        core.machines[machine].kill();
+        again(&core);
+        core.machines[machine].start();
+    }
+    core.machines.iter_mut().for_each(Machine::kill);
+    core.machines.iter_mut().for_each(Machine::start);
+    again(&core);
+    assert_eq!(core.replace(1, &document(29, "b")), 409, "overtaken, and taken all the same");
+}
+
+/// Guards against an order that is refused when it comes again, and one that takes the place of another under way.
+#[test]
+fn one_order_once() {
+    let mut core = core(2);
+    assert_eq!(core.begin(0, "v2").0, 200);
+    for killed in 0..3 {
+        core.machines[killed].kill();
+        for machine in 0..3 {
+            assert_eq!(core.begin(machine, "v2").0, 200, "again");
+            let (status, text) = core.begin(machine, "v3");
+            assert_eq!(status, 409);
+            assert!(text.contains("a rollout to v2 within 12000ms under way"), "{text}");
+        }
+        assert_eq!(core.call(0, "editions.read&of=s", "").1, r#"{"state":"in_transit","to_edition":"v2"}"#);
+        core.machines[killed].start();
+    }
+}
