--- a/keeping/trellis/src/lib.rs
+++ b/keeping/trellis/src/lib.rs
@@ -1,6 +1,7 @@
 //! How counters and sorting machines keep together.
 //!
 //! - [`records`]: what the sorting machines agree on, and the commands that change it.
+//! - [`orders`]: whether what an operator sends is the same thing again.
 //! - [`form`]: format numbers of what is stored and sent.
 //! - [`delta`]: a new edition as what has changed since another one; long messages and commands in fewer bytes.
 //! - [`feed`]: how editions go out to counters, piece by piece, behind all that is more urgent.
@@ -16,6 +17,7 @@
 pub mod feed;
 pub mod form;
 pub mod intake;
+pub mod orders;
 pub mod records;
 pub mod roster;
 pub mod tendril;
--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -8,7 +8,7 @@
 use magpieline_granary::{self as granary, Granary, Remedy};
 use magpieline_rootstock::{Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start};
 use magpieline_trellis::form::Unreadable;
-use magpieline_trellis::records::{Command, Records};
+use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::words::{self, Opening};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -74,10 +74,13 @@
 enum Asked {
     Broken(granary::Error),
     Event(Event),
-    Propose(Vec<u8>, oneshot::Sender<Outcome>),
-    Read(oneshot::Sender<Outcome>),
+    Propose(Vec<u8>, oneshot::Sender<Told>),
+    Read(oneshot::Sender<Told>),
 }
 
+/// What came of a question; for a proposal also what its command did when it was applied at its own place.
+type Told = (Outcome, Option<Effect>);
+
 /// The agreement as the rest of the program sees it.
 pub struct Council {
     ask: mpsc::Sender<Asked>,
@@ -184,18 +187,22 @@
         self.view_now().voters.iter().map(|s| s.address).collect()
     }
 
-    /// Has a command agreed on: `Ok` once it is in force for ever and applied here.
-    pub async fn propose(&self, command: &Command) -> Result<(), Refusal> {
+    /// Has a command agreed on: what it did, once it stands in the log for ever and is applied here.
+    pub async fn propose(&self, command: &Command) -> Result<Effect, Refusal> {
         let (tell, told) = oneshot::channel();
         self.ask.try_send(Asked::Propose(command.pack(), tell)).map_err(|_| Refusal::NotNow)?;
-        outcome(told).await
+        match told.await {
+            // Agreed on and not known what it did: that is no answer.
+            Ok((outcome, effect)) => agreed(outcome).and_then(|()| effect.ok_or(Refusal::Unknown)),
+            Err(_) => Err(Refusal::Unknown),
+        }
     }
 
     /// Waits until all that was acknowledged before now is applied here; only the leader can tell.
     pub async fn barrier(&self) -> Result<(), Refusal> {
         let (tell, told) = oneshot::channel();
         self.ask.try_send(Asked::Read(tell)).map_err(|_| Refusal::NotNow)?;
-        outcome(told).await
+        told.await.map_err(|_| Refusal::Unknown).and_then(|(outcome, _)| agreed(outcome))
     }
 
     /// A message from another sorting machine; lost where too much waits.
@@ -209,11 +216,11 @@
     }
 }
 
-async fn outcome(told: oneshot::Receiver<Outcome>) -> Result<(), Refusal> {
-    match told.await {
-        Ok(Outcome::Committed { .. }) => Ok(()),
-        Ok(Outcome::NotLeader { .. } | Outcome::Overloaded) => Err(Refusal::NotNow),
-        Ok(Outcome::Lost) | Err(_) => Err(Refusal::Unknown),
+fn agreed(outcome: Outcome) -> Result<(), Refusal> {
+    match outcome {
+        Outcome::Committed { .. } => Ok(()),
+        Outcome::NotLeader { .. } | Outcome::Overloaded => Err(Refusal::NotNow),
+        Outcome::Lost => Err(Refusal::Unknown),
     }
 }
 
@@ -249,7 +256,7 @@
     /// that step is carried out, so that a leader never says that such an entry is in force.
     pub async fn run(mut self, sorting: Arc<Sorting>) -> Stop {
         let mut links: HashMap<SocketAddrV4, mpsc::Sender<Envelope>> = HashMap::new();
-        let mut tickets: HashMap<u64, oneshot::Sender<Outcome>> = HashMap::new();
+        let mut tickets: HashMap<u64, oneshot::Sender<Told>> = HashMap::new();
         let mut next_ticket = 0;
         let mut actions = std::mem::take(&mut self.first);
         loop {
@@ -257,6 +264,8 @@
                 Ok(read) => read,
                 Err(stop) => return stop,
             };
+            // By place in the log. A proposal is answered in the same step as it is applied in.
+            let mut effects: HashMap<u64, Effect> = HashMap::new();
             for action in actions {
                 match action {
                     Action::Send(envelope) => {
@@ -274,7 +283,7 @@
                     }
                     Action::Apply { index, .. } => {
                         if let Some(Read::Command(command)) = read.pop_front() {
-                            sorting.applied(index, &command);
+                            effects.insert(index, sorting.applied(index, &command));
                         }
                     }
                     Action::Restore { .. } => {
@@ -284,7 +293,11 @@
                     }
                     Action::Done { ticket, outcome } => {
                         if let Some(tell) = tickets.remove(&ticket) {
-                            let _ = tell.send(outcome);
+                            let effect = match outcome {
+                                Outcome::Committed { index } => effects.get(&index).cloned(),
+                                _ => None,
+                            };
+                            let _ = tell.send((outcome, effect));
                         }
                     }
                 }
