--- a/keeping/granary/src/lib.rs
+++ b/keeping/granary/src/lib.rs
@@ -182,20 +182,29 @@
 
     /// Everything stored.
     pub fn load(&mut self) -> Result<Stored, Error> {
-        read(self.database()?)
+        guarded(|| read(self.database()?))
     }
 
     /// Writes the batch: when this returns Ok it is on disk; else nothing of it counts (it may have been written all the
     /// same if the disk failed at the last moment, but never a part of it).
     pub fn write(&mut self, batch: &Batch) -> Result<(), Error> {
-        let written = self.database().and_then(|database| write(database, batch));
+        let written = guarded(|| self.database().and_then(|database| write(database, batch)));
         if written.is_err() {
             // After an error of the disk redb refuses everything until the file is opened anew.
-            self.database = None;
+            self.close();
         }
         written
     }
 
+    /// redb writes when it closes a file.
+    fn close(&mut self) {
+        let database = self.database.take();
+        let _ = guarded(|| {
+            drop(database);
+            Ok(())
+        });
+    }
+
     fn database(&mut self) -> Result<&Database, Error> {
         let database = match self.database.take() {
             Some(database) => database,
@@ -205,6 +214,12 @@
     }
 }
 
+impl Drop for Granary {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
 /// What [`inspect`] finds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Inspection {
@@ -226,7 +241,12 @@
     redb::StorageBackend::set_len(&copy, file_bytes)?;
     redb::StorageBackend::write(&copy, 0, &bytes)?;
     let database = opened(|| builder().create_with_backend(copy))?;
-    Ok(Some(Inspection { stored: read(&database)?, file_bytes }))
+    let stored = guarded(|| read(&database));
+    let _ = guarded(|| {
+        drop(database);
+        Ok(())
+    });
+    Ok(Some(Inspection { stored: stored?, file_bytes }))
 }
 
 /// Whether a process has the store in `dir` open. The lock that tells is let go at once.
@@ -245,12 +265,15 @@
     builder
 }
 
-/// redb panics on some files that it did not write; that is a corrupt store, not an end.
 fn opened(open: impl FnOnce() -> Result<Database, redb::DatabaseError>) -> Result<Database, Error> {
-    match std::panic::catch_unwind(std::panic::AssertUnwindSafe(open)) {
-        Ok(database) => database.map_err(Error::of),
-        Err(_) => Err(Error::Corrupt(PAGES)),
-    }
+    guarded(|| open().map_err(Error::of))
+}
+
+/// redb panics on some files that it did not write: when it opens, reads, writes or closes them. That is a corrupt store,
+/// not an end.
+fn guarded<T>(with_redb: impl FnOnce() -> Result<T, Error>) -> Result<T, Error> {
+    let done = std::panic::catch_unwind(std::panic::AssertUnwindSafe(with_redb));
+    done.unwrap_or(Err(Error::Corrupt(PAGES)))
 }
 
 fn write(database: &Database, batch: &Batch) -> Result<(), Error> {
--- a/rigs/nursery/src/lib.rs
+++ b/rigs/nursery/src/lib.rs
@@ -3,14 +3,17 @@
 //!
 //! [`World`] knows nothing of what runs on it: anything that is a [`Node`] does, and a [`Watch`] sees all that it sends
 //! and does. [`Chaos`] breaks things by chance and mends them. [`Grove`] is the agreement of the sorting machines on it,
-//! with its clients and the checks after every step.
+//! with its clients and the checks after every step. [`Season`] is the whole of a sorting machine below its sockets, with the
+//! state that it agrees on and the real store, over hundreds of large changes.
 
 mod chaos;
 mod grove;
+mod season;
 mod world;
 
 pub use chaos::{Chaos, Fault};
 pub use grove::{Call, Grove, Note, Planting, Played, Tree};
+pub use season::{Harvest, Season, Sowing, Trial};
 pub use world::{address, Boot, Effect, Input, Net, Node, Trouble, Watch, World};
 
 /// A time, in microseconds.
--- a/rigs/nursery/src/main.rs
+++ b/rigs/nursery/src/main.rs
@@ -1,7 +1,10 @@
 //! Plays many seeds.
 
 use gumdrop::Options;
-use magpieline_nursery::{Grove, Micros, Net, Planting, Played, Trouble, MILLI, SECOND};
+use magpieline_nursery::{
+    Grove, Harvest, Micros, Net, Planting, Played, Season, Sowing, Trouble, MILLI, SECOND,
+};
+use std::collections::BTreeMap;
 use std::ops::Range;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
@@ -23,6 +26,32 @@
     Run(Run),
     #[options(help = "how long it takes until a leader stands, a wiped machine votes; what idling costs")]
     Measure(Measure),
+    #[options(
+        help = "hundreds of changes, with members in trouble one after the other, on stores as on machines"
+    )]
+    Season(SeasonLine),
+}
+
+#[derive(Options)]
+struct SeasonLine {
+    #[options(help = "show this")]
+    help: bool,
+    #[options(help = "such as 0..4", required, parse(try_from_str = "seeds"))]
+    seeds: Range<u64>,
+    #[options(help = "machines (3)", default = "3")]
+    machines: usize,
+    #[options(help = "changes of a seed (2000)", default = "2000")]
+    changes: u64,
+    #[options(help = "bytes of a configuration (4000000)", default = "4000000")]
+    bytes: usize,
+    #[options(help = "least milliseconds between two changes (500)", default = "500")]
+    pause: u64,
+    #[options(help = "microseconds that a message takes (500)", default = "500")]
+    delay: u64,
+    #[options(help = "Mbit/s of a machine's link (51)", default = "51")]
+    mbps: u64,
+    #[options(help = "milliseconds within which a member is up again (4000)", default = "4000")]
+    within: u64,
 }
 
 #[derive(Options)]
@@ -58,6 +87,10 @@
     let line = Line::parse_args_default_or_exit();
     match line.command {
         Some(Command::Run(run)) => play(&run),
+        Some(Command::Season(line)) => {
+            seasons(&line);
+            ExitCode::SUCCESS
+        }
         Some(Command::Measure(measure)) => {
             show(&measure);
             ExitCode::SUCCESS
@@ -69,6 +102,39 @@
     }
 }
 
+/// One seed after the other; the first failure ends it.
+fn seasons(line: &SeasonLine) {
+    for seed in line.seeds.clone() {
+        let harvest = Season::sow(Sowing {
+            seed,
+            machines: line.machines,
+            net: Net { delay: line.delay, ..Net::CALM },
+            rate: Some(line.mbps * 1_000_000 / 8),
+            changes: line.changes,
+            size: line.bytes,
+            pause: line.pause * MILLI,
+            catch_up: line.within * MILLI,
+        })
+        .harvest();
+        let Harvest { acknowledged, trials, set_aside, most_on_disk, terms, longest_change, took } = harvest;
+        println!(
+            "seed {seed}: {acknowledged} changes, {trials} trials, {set_aside} set aside, {terms} terms, most on disk {} MB, \
+            longest change {} ms",
+            most_on_disk >> 20,
+            longest_change / MILLI
+        );
+        let mut by_trial: BTreeMap<String, Vec<Micros>> = BTreeMap::new();
+        for (trial, took) in took {
+            by_trial.entry(format!("{trial:?}")).or_default().push(took / MILLI);
+        }
+        for (trial, mut times) in by_trial {
+            times.sort_unstable();
+            let (half, most) = (times[times.len() / 2], times[times.len() - 1]);
+            println!("  up after {trial}: half {half} ms, most {most} ms, {} times", times.len());
+        }
+    }
+}
+
 fn play(run: &Run) -> ExitCode {
     let next = AtomicU64::new(run.seeds.start);
     let failed = AtomicU64::new(0);
--- a/rigs/nursery/src/world.rs
+++ b/rigs/nursery/src/world.rs
@@ -1,6 +1,6 @@
 //! Machines, their links, disks and clocks.
 
-use crate::{Micros, MILLI};
+use crate::{Micros, MILLI, SECOND};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +57,11 @@
     fn step(&mut self, now: Micros, input: Input<Self>) -> Vec<Effect<Self>>;
     fn next_wake(&self) -> Option<Micros>;
     fn put(disk: &mut Self::Disk, write: Self::Write);
+
+    /// Bytes of a message on a link, where links are narrow.
+    fn weight(_message: &Self::Message) -> usize {
+        0
+    }
 }
 
 /// Who looks on; panics when something is wrong.
@@ -111,6 +116,8 @@
     trouble: Trouble,
     writing: Option<(u64, N::Write)>,
     wake_at: Option<Micros>,
+    /// When its link has sent all that was given to it.
+    sent_at: Micros,
     /// Steps in a row after which it wanted to be woken at once.
     overdue: u32,
     /// What is added to the delay of every message, up to: a machine short of processor time.
@@ -133,6 +140,8 @@
     ahead: BTreeMap<(Micros, u64), Happening<N>>,
     order: u64,
     pub net: Net,
+    /// Bytes that a machine can send in a second, to all others together; None: any number.
+    pub rate: Option<u64>,
     /// From, to: nothing passes.
     cuts: BTreeSet<(usize, usize)>,
     messages: u64,
@@ -153,6 +162,7 @@
             ahead: BTreeMap::new(),
             order: 0,
             net,
+            rate: None,
             cuts: BTreeSet::new(),
             messages: 0,
             steps: 0,
@@ -173,6 +183,7 @@
             trouble: Trouble::None,
             writing: None,
             wake_at: None,
+            sent_at: 0,
             overdue: 0,
             lag: 0,
             clock,
@@ -432,11 +443,19 @@
         if self.cuts.contains(&(from, to)) || self.rng.gen_ratio(self.net.lost, 1000) {
             return;
         }
+        let mut queued = 0;
+        if let Some(rate) = self.rate {
+            let sent_at = &mut self.machines[from].sent_at;
+            *sent_at = self.now.max(*sent_at) + N::weight(&message) as u64 * SECOND / rate;
+            queued = *sent_at - self.now;
+        }
         let copies = if self.rng.gen_ratio(self.net.doubled, 1000) { 2 } else { 1 };
         for _ in 0..copies {
             let lag = self.machines[from].lag + self.machines[to].lag;
-            let delay =
-                self.net.delay + self.rng.gen_range(0..=self.net.jitter) + self.rng.gen_range(0..=lag);
+            let delay = queued
+                + self.net.delay
+                + self.rng.gen_range(0..=self.net.jitter)
+                + self.rng.gen_range(0..=lag);
             self.plan(self.now + delay, Happening::Deliver { from, to, message: message.clone() });
         }
     }
