Sorting: a life's doors are free before the next one begins

Cause: aborted tasks are dropped when the runtime comes round to them; the next life listened before that and would have ended the process, as the address is in use. Change: they are waited for. Found by reading; not run with a store that breaks under a running process.

--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -236,7 +236,10 @@
     tokio::select! {
         () = crate::signals::terminated() => {}
         stop = &mut driving => {
-            others.iter().for_each(tokio::task::JoinHandle::abort);
+            for other in others {
+                other.abort();
+                let _ = other.await; // its door is free again, for the next life
+            }
             let stop = stop.map_err(|broken| std::io::Error::other(format!("the agreement broke: {broken}")))?;
             let others = sorting.others();
             return Ok(lives::begin_anew(&stop, &store, &others).await);
