--- a/keeping/trellis/src/form.rs
+++ b/keeping/trellis/src/form.rs
@@ -1,6 +1,8 @@
 //! Forms of what is stored and sent: a format number first, then the value. A number that is not known is refused, never
 //! guessed at; so is a value that does not end where its bytes do.
 //!
+//! A long value is squeezed, and its number says so.
+//!
 //! The first release wrote no number. Its values began with the place of an enum's variant, all below [`LEAST`], which is
 //! how they are told apart.
 
@@ -11,6 +13,12 @@
 
 /// The lowest number that stands in a form. The first release's values begin with a byte below it.
 pub const LEAST: u8 = 16;
+/// This release's form: the value as postcard writes it. The numbers count for all that is stored and sent alike.
+pub const PLAIN: u8 = 16;
+/// The same, squeezed.
+pub const SQUEEZED: u8 = 17;
+/// The longest value: several times the longest configuration.
+const LONGEST: usize = 64 << 20;
 
 /// What can't be read, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,35 +48,45 @@
 }
 
 /// The value with its number before it.
-pub fn pack<T: Serialize>(number: u8, value: &T) -> Vec<u8> {
-    debug_assert!(number >= LEAST);
-    postcard::to_extend(value, vec![number]).expect("plain data can be written")
-}
-
-/// What [`delta::pack`] was given: number and value, squeezed or not.
-pub fn opened<'a>(place: &'static str, bytes: &'a [u8]) -> Result<Cow<'a, [u8]>, Unreadable> {
-    delta::unpack(bytes).ok_or_else(|| unsound(place))
+pub fn pack<T: Serialize>(value: &T) -> Vec<u8> {
+    let plain = postcard::to_extend(value, vec![PLAIN]).expect("plain data can be written");
+    let mut squeezed = vec![SQUEEZED];
+    if delta::squeeze(&plain[1..], &mut squeezed) {
+        squeezed
+    } else {
+        plain
+    }
 }
 
-/// What is marked as squeezed and isn't.
-pub fn unsound(place: &'static str) -> Unreadable {
-    Unreadable::of(place, "squeezed bytes that do not open", "whole ones")
+/// A value's bytes.
+pub enum Form<'a> {
+    /// As the first release wrote it.
+    First(&'a [u8]),
+    /// As this one does.
+    Known(Cow<'a, [u8]>),
 }
 
-/// The number and the value's bytes; no number: the first release's.
-pub fn split<'a>(place: &'static str, bytes: &'a [u8]) -> Result<(Option<u8>, &'a [u8]), Unreadable> {
+/// The value's bytes, by its number.
+pub fn open<'a>(place: &'static str, bytes: &'a [u8]) -> Result<Form<'a>, Unreadable> {
     match bytes.split_first() {
         None => Err(Unreadable::of(place, "nothing", "a format number")),
-        Some((number, value)) if *number >= LEAST => Ok((Some(*number), value)),
-        Some(_) => Ok((None, bytes)),
+        Some((&PLAIN, value)) => Ok(Form::Known(Cow::Borrowed(value))),
+        Some((&SQUEEZED, squeezed)) => {
+            let value = delta::unsqueeze(squeezed, LONGEST);
+            let found = || format!("{} bytes that can't be unpacked", bytes.len());
+            Ok(Form::Known(Cow::Owned(value.ok_or_else(|| Unreadable::of(place, found(), "one"))?)))
+        }
+        Some((&number, _)) if number < LEAST => Ok(Form::First(bytes)),
+        Some((number, _)) => {
+            let (found, expected) = (format!("format {number}"), format!("format {PLAIN} or {SQUEEZED}"));
+            Err(Unreadable { newer: true, ..Unreadable::of(place, found, expected) })
+        }
     }
 }
 
-/// What is of a form that this release does not know.
-pub fn unknown(place: &'static str, number: Option<u8>, known: u8) -> Unreadable {
-    let found = number.map_or("no format number".to_owned(), |number| format!("format {number}"));
-    let newer = number.is_some_and(|number| number > known);
-    Unreadable { newer, ..Unreadable::of(place, found, format!("format {known}")) }
+/// What had no number in the first release, and has to have one now.
+pub fn unnumbered(place: &'static str) -> Unreadable {
+    Unreadable::of(place, "no format number", format!("format {PLAIN} or {SQUEEZED}"))
 }
 
 /// A value of which nothing is left over.
--- a/keeping/trellis/src/records.rs
+++ b/keeping/trellis/src/records.rs
@@ -3,8 +3,7 @@
 //! machine: the same commands in the same order give the same state everywhere. What an operator is told is what
 //! applying the command did ([`Effect`]), never that it was agreed on.
 
-use crate::delta;
-use crate::form::{self, Unreadable};
+use crate::form::{self, Form, Unreadable};
 use crate::orders::Digest;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -250,22 +249,18 @@
 
     /// All of it in bytes, for a snapshot.
     pub fn pack(&self) -> Vec<u8> {
-        delta::pack(form::pack(FORMAT, self))
+        form::pack(self)
     }
 
     /// Reads what [`Records::pack`] wrote, in this release or an earlier one.
     pub fn unpack(bytes: &[u8]) -> Result<Records, Unreadable> {
-        let bytes = form::opened(STATE, bytes)?;
-        match form::split(STATE, &bytes)? {
-            (None, value) => form::whole::<FirstRecords>(STATE, value).map(Records::from),
-            (Some(FORMAT), value) => form::whole(STATE, value),
-            (number, _) => Err(form::unknown(STATE, number, FORMAT)),
+        match form::open(STATE, bytes)? {
+            Form::First(value) => form::whole::<FirstRecords>(STATE, value).map(Records::from),
+            Form::Known(value) => form::whole(STATE, &value),
         }
     }
 }
 
-/// The number of the forms that this release writes, for snapshots and commands.
-const FORMAT: u8 = 16;
 /// What can't be read, in the words of a complaint.
 const STATE: &str = "snapshot's state";
 const COMMAND: &str = "command";
@@ -286,9 +281,9 @@
             records.known_from = held.number;
         }
         for (service, standing) in &records.services {
-            let newest = standing.rollout.iter();
-            let taken = newest.map(|r| Taken { to: r.to.clone(), within: r.within, order: r.order, at: 0 });
-            records.orders.insert(service.clone(), taken.collect());
+            if let Some(Rollout { to, within, order, .. }) = standing.rollout.clone() {
+                records.orders.insert(service.clone(), vec![Taken { to, within, order, at: 0 }]);
+            }
         }
         records
     }
@@ -299,16 +294,15 @@
 
 impl Command {
     pub fn pack(&self) -> Vec<u8> {
-        delta::pack(form::pack(FORMAT, self))
+        form::pack(self)
     }
 
     /// Reads what [`Command::pack`] wrote, in this release or an earlier one.
     pub fn unpack(bytes: &[u8]) -> Result<Command, Unreadable> {
-        let bytes = form::opened(COMMAND, bytes)?;
-        match form::split(COMMAND, &bytes)? {
-            // The first release's commands are the first of this one's, without a number.
-            (None | Some(FORMAT), value) => form::whole(COMMAND, value),
-            (number, _) => Err(form::unknown(COMMAND, number, FORMAT)),
+        match form::open(COMMAND, bytes)? {
+            // The first release's commands are the first of this one's.
+            Form::First(value) => form::whole(COMMAND, value),
+            Form::Known(value) => form::whole(COMMAND, &value),
         }
     }
 }
