--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -14,7 +14,9 @@
 use crate::settings::Held;
 use council::Council;
 use jzon::JsonValue as Json;
+use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_almanac::place::Complaint;
 use magpieline_rootstock::Seat;
 use magpieline_trellis::feed::Feeds;
 use magpieline_trellis::orders::Witness;
@@ -37,6 +39,8 @@
     pub settings: Held,
     state: Mutex<State>,
     pub council: Council,
+    /// The last sound configuration that an operator sent here: the next one is read after it.
+    sent: Mutex<Option<Arc<Edition>>>,
 }
 
 /// What a sorting machine knows.
@@ -74,6 +78,14 @@
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Reads and checks a configuration that an operator sends.
+    pub fn sound(&self, text: &str) -> Result<Arc<Edition>, Vec<Complaint>> {
+        let mut sent = self.sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let edition = Arc::new(Edition::read_after(&text.into(), sent.as_deref())?);
+        *sent = Some(edition.clone());
+        Ok(edition)
+    }
+
     /// The address of agents among themselves.
     pub fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
@@ -249,7 +261,8 @@
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
     let state = State::new(Witness::new(now(), clock::day()));
-    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(state), council });
+    let sorting =
+        Arc::new(Sorting { machine, settings, state: Mutex::new(state), council, sent: Mutex::default() });
     let mut driving = tokio::spawn(driver.run(sorting.clone()));
     let others = [
         tokio::spawn(counters::run(sorting.clone(), inner)),
