Contact: counters and sorting machines played together in the nursery

Cores of both, linked by what a TCP connection does (order, resends, late bytes), under cuts of 20 s, freezes, lost power and chaos. After each step: what a counter calls confirmed holds all that was acknowledged by then, no word of a lower term is taken, none is ready unconfirmed, none holds a leader 2 s after another one acknowledged.

--- /dev/null
+++ b/rigs/nursery/tests/contact/machines.rs
@@ -0,0 +1,515 @@
+//! Sorting machines and counters as nodes of a simulated world: the cores of the programs, and in between what the
+//! programs do around them.
+
+use crate::pipe::{Pipe, Segment};
+use bytes::Bytes;
+use magpieline_nursery::{Boot, Effect, Input, Micros, Node, MILLI};
+use magpieline_rootstock::{Action, Batch, Core, Envelope, Event, Outcome, Role, Start, Stored, Term};
+use magpieline_trellis::feed::{self, Feeds};
+use magpieline_trellis::intake::{Intake, Taken};
+use magpieline_trellis::records::{Command, Kept, Records};
+use magpieline_trellis::roster::Roster;
+use magpieline_trellis::tendril::{self, Tendril};
+use magpieline_trellis::words::{frame, unframe, Down, Fenced, Hello, Report, Up};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+const BEAT: Micros = 300 * MILLI;
+
+#[derive(Clone)]
+pub enum Message {
+    Core(Envelope),
+    Link { from: SocketAddrV4, link: u64, segment: Segment },
+}
+
+pub enum Call {
+    /// An operator sends this edition.
+    Replace(u64),
+}
+
+pub enum Note {
+    /// An edition was acknowledged, by the leader of this term.
+    Acknowledged { number: u64, term: Term },
+    /// A counter has taken in what was said in this term.
+    Took { term: u64 },
+}
+
+pub enum Machine {
+    Sorting(Box<Sorting>),
+    Counter(Box<Counter>),
+}
+
+pub struct Sorting {
+    me: SocketAddrV4,
+    core: Core,
+    records: Records,
+    roster: Roster,
+    feeds: Feeds,
+    links: BTreeMap<u64, (SocketAddrV4, Pipe)>,
+    /// Counters that wait for a read, with the term in which it was asked.
+    asked: BTreeMap<u64, (u64, Hello, Option<Term>)>,
+    /// Editions that wait for their acknowledgement.
+    sent: BTreeMap<u64, u64>,
+    welcomes: BTreeMap<u64, Bytes>,
+    next_ticket: u64,
+    beat_at: Micros,
+}
+
+pub struct Counter {
+    me: SocketAddrV4,
+    life: u64,
+    next_link: u64,
+    /// The clock at the last step.
+    pub now: Micros,
+    pub tendril: Tendril,
+    pub edition: u64,
+    kept: Option<Kept>,
+    intake: Intake,
+    link: Option<(u64, SocketAddrV4, Pipe)>,
+    welcomed: bool,
+}
+
+type Effects = Vec<Effect<Machine>>;
+
+impl Sorting {
+    fn leading(&self) -> Option<Term> {
+        (self.core.role() == Role::Leader).then_some(self.core.term())
+    }
+
+    fn event(&mut self, now: Micros, event: Event, effects: &mut Effects) {
+        let actions = self.core.step(now, event);
+        self.carry_out(now, actions, effects);
+    }
+
+    fn carry_out(&mut self, now: Micros, actions: Vec<Action>, effects: &mut Effects) {
+        let mut answered = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send(envelope) => {
+                    effects.push(Effect::Send { to: envelope.to.address, message: Message::Core(envelope) });
+                }
+                Action::Write { serial, batch } => effects.push(Effect::Write { serial, write: batch }),
+                Action::Apply { index, command } => {
+                    self.records.apply(index, &Command::unpack(&command).expect("ours"));
+                    self.newest(now, effects);
+                }
+                Action::Restore { state, .. } => {
+                    self.records = Records::unpack(&state).expect("ours");
+                    self.newest(now, effects);
+                }
+                Action::Done { ticket, outcome } => answered.push((ticket, outcome)),
+            }
+        }
+        // As the driver shows it, before anybody acts on the outcomes.
+        if self.roster.leads_in(self.leading()) {
+            for (link, (to, _)) in std::mem::take(&mut self.links) {
+                self.say(to, link, Segment::Reset, effects);
+            }
+            self.welcomes.clear();
+            self.feed(now, feed::Event::Leads { term: self.leading() }, effects);
+        }
+        for (ticket, outcome) in answered {
+            let committed = matches!(outcome, Outcome::Committed { .. });
+            if let Some(number) = self.sent.remove(&ticket).filter(|_| committed) {
+                effects.push(Effect::Note(Note::Acknowledged { number, term: self.core.term() }));
+            }
+            if let Some((link, hello, term)) = self.asked.remove(&ticket) {
+                let confirmed = term.filter(|_| committed && self.leading() == term);
+                self.answer(now, link, hello, confirmed, effects);
+            }
+        }
+        if self.core.wants_compact() {
+            let event = Event::Compact { index: self.core.applied(), state: self.records.pack() };
+            self.event(now, event, effects);
+        }
+    }
+
+    fn newest(&mut self, now: Micros, effects: &mut Effects) {
+        if let Some(kept) = self.records.edition.clone() {
+            self.feed(now, feed::Event::Edition(kept), effects);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Micros,
+        link: u64,
+        hello: Hello,
+        confirmed: Option<Term>,
+        effects: &mut Effects,
+    ) {
+        let core: Vec<SocketAddrV4> = self.core.voters().iter().map(|seat| seat.address).collect();
+        match confirmed.filter(|term| self.roster.hello(now, link, *term, &hello)) {
+            Some(term) => {
+                let services = self.records.services.clone().into_iter().collect();
+                self.tell(now, link, Fenced { term, word: Down::Services(services) }, effects);
+                let counters = self.roster.count(now);
+                let word = Down::Welcome { core, counters, asked: hello.at };
+                self.welcomes.insert(link, frame(&Fenced { term, word }).into());
+                self.feed(now, feed::Event::Opened { link, held: hello.edition }, effects);
+            }
+            None => {
+                let leader = self.core.leader().filter(|leader| *leader != self.me);
+                let told = Fenced { term: self.core.term(), word: Down::Elsewhere { leader, core } };
+                // The counter ends the link.
+                self.tell(now, link, told, effects);
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Micros, link: u64, told: Fenced<Down>, effects: &mut Effects) {
+        self.tell_frame(now, link, frame(&told).into(), effects);
+    }
+
+    fn tell_frame(&mut self, now: Micros, link: u64, bytes: Bytes, effects: &mut Effects) {
+        let Some((to, pipe)) = self.links.get_mut(&link) else { return };
+        let (to, segment) = (*to, pipe.send(now, bytes));
+        self.say(to, link, segment, effects);
+    }
+
+    fn say(&self, to: SocketAddrV4, link: u64, segment: Segment, effects: &mut Effects) {
+        effects.push(Effect::Send { to, message: Message::Link { from: self.me, link, segment } });
+    }
+
+    fn feed(&mut self, now: Micros, event: feed::Event, effects: &mut Effects) {
+        for action in self.feeds.step(now, event) {
+            match action {
+                feed::Action::Send { link, frame } => self.tell_frame(now, link, frame, effects),
+                feed::Action::Current { link } => {
+                    if let Some(welcome) = self.welcomes.remove(&link) {
+                        self.tell_frame(now, link, welcome, effects);
+                    }
+                }
+                feed::Action::InForce { .. } => {}
+            }
+        }
+    }
+
+    fn let_go(&mut self, now: Micros, link: u64, effects: &mut Effects) {
+        if self.links.remove(&link).is_some() {
+            self.roster.closed(link);
+            self.welcomes.remove(&link);
+            self.feed(now, feed::Event::Closed { link }, effects);
+        }
+    }
+
+    fn segment(
+        &mut self,
+        now: Micros,
+        from: SocketAddrV4,
+        link: u64,
+        segment: Segment,
+        effects: &mut Effects,
+    ) {
+        match segment {
+            Segment::Open => {
+                self.links.entry(link).or_insert_with(|| (from, Pipe::default()));
+                self.say(from, link, Segment::Opened, effects);
+            }
+            Segment::Reset => self.let_go(now, link, effects),
+            Segment::Ack { upto } => {
+                if let Some((_, pipe)) = self.links.get_mut(&link) {
+                    pipe.acked(now, upto);
+                }
+            }
+            Segment::Frame { place, bytes } => {
+                let Some((_, pipe)) = self.links.get_mut(&link) else {
+                    return self.say(from, link, Segment::Reset, effects);
+                };
+                let (frames, ack) = pipe.take(place, bytes);
+                self.say(from, link, ack, effects);
+                for bytes in frames {
+                    let up = unframe::<Up>(&mut bytes.to_vec()).expect("ours").expect("whole");
+                    self.heard(now, link, up, effects);
+                }
+            }
+            Segment::Opened => {}
+        }
+    }
+
+    fn heard(&mut self, now: Micros, link: u64, up: Up, effects: &mut Effects) {
+        match up {
+            Up::Hello(hello) => {
+                self.next_ticket += 1;
+                let ticket = self.next_ticket;
+                self.asked.insert(ticket, (link, hello, self.leading()));
+                self.event(now, Event::Read { ticket }, effects);
+            }
+            Up::Report(report) => {
+                if !self.roster.report(now, link, report) {
+                    let to = self.links.get(&link).map(|(to, _)| *to);
+                    self.let_go(now, link, effects);
+                    to.into_iter().for_each(|to| self.say(to, link, Segment::Reset, effects));
+                }
+            }
+            Up::Got { number, upto } => self.feed(now, feed::Event::Got { link, number, upto }, effects),
+            Up::Holds { edition } => self.feed(now, feed::Event::Holds { link, edition }, effects),
+        }
+    }
+
+    fn tick(&mut self, now: Micros, effects: &mut Effects) {
+        if now >= self.beat_at {
+            self.beat_at = now + BEAT;
+            if let (true, Some(term)) = (self.core.leads(now), self.roster.term()) {
+                let counters = self.roster.count(now);
+                let edition = self.records.edition.as_ref().map_or(0, |kept| kept.number);
+                let asked: Vec<(u64, Micros)> = self.roster.asked().collect();
+                for (link, asked) in asked {
+                    let word = Down::Beat { counters, asked, edition };
+                    self.tell(now, link, Fenced { term, word }, effects);
+                }
+                self.feed(now, feed::Event::Tick, effects);
+            }
+        }
+        let links: Vec<u64> = self.links.keys().copied().collect();
+        for link in links {
+            let (to, pipe) = self.links.get_mut(&link).expect("listed");
+            let to = *to;
+            match pipe.tick(now) {
+                Some(again) => again.into_iter().for_each(|segment| self.say(to, link, segment, effects)),
+                None => self.let_go(now, link, effects),
+            }
+        }
+    }
+}
+
+impl Counter {
+    /// Whether it says that it is ready, and serves.
+    pub fn knows(&self) -> bool {
+        self.welcomed && self.edition > 0
+    }
+
+    fn act(
+        &mut self,
+        now: Micros,
+        actions: Vec<tendril::Action>,
+        word: Option<&Down>,
+        effects: &mut Effects,
+    ) {
+        for action in actions {
+            let up = match action {
+                tendril::Action::Dial(to) => {
+                    self.next_link += 1;
+                    self.intake = Intake::default();
+                    self.link = Some((self.life ^ self.next_link, to, Pipe::default()));
+                    self.say(Segment::Open, effects);
+                    continue;
+                }
+                tendril::Action::HangUp => {
+                    self.say(Segment::Reset, effects);
+                    self.link = None;
+                    continue;
+                }
+                tendril::Action::Hello => Up::Hello(Hello {
+                    node: self.me.to_string(),
+                    zone: "z".into(),
+                    life: self.life,
+                    edition: self.edition,
+                    term: self.tendril.term(),
+                    at: now,
+                }),
+                tendril::Action::Report => {
+                    let (edition, term) = (self.edition, self.tendril.term());
+                    Up::Report(Report { edition, evidence: Vec::new(), term, at: now })
+                }
+                tendril::Action::Take => {
+                    effects.push(Effect::Note(Note::Took { term: self.tendril.term() }));
+                    let answer = word.and_then(|word| self.take(word));
+                    self.tendril.in_force(self.edition);
+                    match answer {
+                        Some(up) => up,
+                        None => continue,
+                    }
+                }
+            };
+            if let Some((_, _, pipe)) = &mut self.link {
+                let segment = pipe.send(now, frame(&up).into());
+                self.say(segment, effects);
+            }
+        }
+    }
+
+    fn take(&mut self, word: &Down) -> Option<Up> {
+        match word {
+            Down::Welcome { .. } => self.welcomed = true,
+            Down::Piece(piece) => {
+                let taken = self.intake.take(self.kept.as_ref(), piece);
+                if let Taken::More(upto) = taken {
+                    return Some(Up::Got { number: piece.number, upto });
+                }
+                if let Taken::Whole(kept) = taken {
+                    (self.edition, self.kept) = (kept.number, Some(kept));
+                }
+                return Some(Up::Holds { edition: self.edition });
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn say(&self, segment: Segment, effects: &mut Effects) {
+        if let Some((link, to, _)) = &self.link {
+            let message = Message::Link { from: self.me, link: *link, segment };
+            effects.push(Effect::Send { to: *to, message });
+        }
+    }
+
+    fn event(&mut self, now: Micros, event: tendril::Event, effects: &mut Effects) {
+        let actions = self.tendril.step(now, event);
+        self.act(now, actions, None, effects);
+    }
+
+    fn segment(&mut self, now: Micros, link: u64, segment: Segment, effects: &mut Effects) {
+        let Some((_, _, pipe)) = self.link.as_mut().filter(|(own, ..)| *own == link) else { return };
+        match segment {
+            Segment::Opened => self.event(now, tendril::Event::Opened, effects),
+            Segment::Reset => {
+                self.link = None;
+                self.event(now, tendril::Event::Closed, effects);
+            }
+            Segment::Ack { upto } => pipe.acked(now, upto),
+            Segment::Frame { place, bytes } => {
+                let (frames, ack) = pipe.take(place, bytes);
+                self.say(ack, effects);
+                for bytes in frames {
+                    // What comes behind the end of a link is not heard.
+                    if self.link.as_ref().is_none_or(|(own, ..)| *own != link) {
+                        return;
+                    }
+                    let told = unframe::<Fenced<Down>>(&mut bytes.to_vec()).expect("ours").expect("whole");
+                    let actions = self.tendril.step(now, tendril::Event::Heard(&told));
+                    self.act(now, actions, Some(&told.word), effects);
+                }
+            }
+            Segment::Open => {}
+        }
+    }
+
+    fn tick(&mut self, now: Micros, effects: &mut Effects) {
+        match self.link.as_mut().map(|(_, _, pipe)| pipe.tick(now)) {
+            Some(Some(again)) => again.into_iter().for_each(|segment| self.say(segment, effects)),
+            Some(None) => {
+                self.link = None;
+                self.event(now, tendril::Event::Closed, effects);
+            }
+            None => {}
+        }
+        self.event(now, tendril::Event::Tick, effects);
+    }
+}
+
+impl Machine {
+    pub fn counter(&self) -> Option<&Counter> {
+        match self {
+            Machine::Counter(counter) => Some(counter),
+            Machine::Sorting(_) => None,
+        }
+    }
+
+    pub fn core(&self) -> Option<&Core> {
+        match self {
+            Machine::Sorting(sorting) => Some(&sorting.core),
+            Machine::Counter(_) => None,
+        }
+    }
+}
+
+impl Node for Machine {
+    type Message = Message;
+    type Write = Batch;
+    type Disk = Stored;
+    type Call = Call;
+    type Note = Note;
+
+    fn start(boot: &Boot, now: Micros, disk: &Stored) -> (Machine, Effects) {
+        let Boot { me, seeds, first_run, seed } = boot.clone();
+        let mut effects = Vec::new();
+        if seeds.contains(&me) {
+            let (core, actions) = Core::start(now, Start { me, seeds, first_run, seed }, disk.clone());
+            let mut sorting = Sorting {
+                me,
+                core,
+                records: Records::default(),
+                roster: Roster::default(),
+                feeds: Feeds::default(),
+                links: BTreeMap::new(),
+                asked: BTreeMap::new(),
+                sent: BTreeMap::new(),
+                welcomes: BTreeMap::new(),
+                next_ticket: 0,
+                beat_at: now,
+            };
+            sorting.carry_out(now, actions, &mut effects);
+            return (Machine::Sorting(Box::new(sorting)), effects);
+        }
+        let mut counter = Counter {
+            me,
+            life: seed,
+            next_link: 0,
+            now,
+            tendril: Tendril::new(now, seeds, seed as usize % 1000),
+            edition: 0,
+            kept: None,
+            intake: Intake::default(),
+            link: None,
+            welcomed: false,
+        };
+        counter.tick(now, &mut effects);
+        (Machine::Counter(Box::new(counter)), effects)
+    }
+
+    fn step(&mut self, now: Micros, input: Input<Machine>) -> Effects {
+        let mut effects = Vec::new();
+        match self {
+            Machine::Sorting(sorting) => {
+                match input {
+                    Input::Tick => {}
+                    Input::Message(Message::Core(envelope)) => {
+                        sorting.event(now, Event::Receive(envelope), &mut effects);
+                    }
+                    Input::Message(Message::Link { from, link, segment }) => {
+                        sorting.segment(now, from, link, segment, &mut effects);
+                    }
+                    Input::Synced(serial) => sorting.event(now, Event::Synced { serial }, &mut effects),
+                    Input::Refused(serial) => sorting.event(now, Event::Refused { serial }, &mut effects),
+                    Input::Call(Call::Replace(number)) => {
+                        sorting.next_ticket += 1;
+                        let ticket = sorting.next_ticket;
+                        sorting.sent.insert(ticket, number);
+                        // Some take one piece, some several.
+                        let text = format!("{number} ").repeat(if number % 3 == 0 { 9_000 } else { 9 });
+                        let command = Command::Replace(Kept { number, text: text.into() }).pack();
+                        sorting.event(now, Event::Propose { ticket, command }, &mut effects);
+                    }
+                }
+                sorting.event(now, Event::Tick, &mut effects);
+                sorting.tick(now, &mut effects);
+            }
+            Machine::Counter(counter) => {
+                counter.now = now;
+                if let Input::Message(Message::Link { link, segment, .. }) = input {
+                    counter.segment(now, link, segment, &mut effects);
+                }
+                counter.tick(now, &mut effects);
+            }
+        }
+        effects
+    }
+
+    fn next_wake(&self) -> Option<Micros> {
+        match self {
+            Machine::Sorting(sorting) => {
+                let pipes = sorting.links.values().filter_map(|(_, pipe)| pipe.due());
+                pipes.chain([sorting.core.next_wake(), sorting.beat_at]).min()
+            }
+            Machine::Counter(counter) => {
+                let pipe = counter.link.as_ref().and_then(|(_, _, pipe)| pipe.due());
+                pipe.into_iter().chain([counter.tendril.next()]).min()
+            }
+        }
+    }
+
+    fn put(disk: &mut Stored, write: Batch) {
+        write.apply(disk);
+    }
+}
--- /dev/null
+++ b/rigs/nursery/tests/contact/main.rs
@@ -0,0 +1,360 @@
+//! Counters and sorting machines under cuts, freezes and kills: nothing is served by that a majority has not confirmed
+//! after the counter asked, nothing is taken of a leader of the past, and what a counter says of its own freshness is
+//! true. Checked after every step.
+
+mod machines;
+mod pipe;
+
+use machines::{Call, Machine, Note};
+use magpieline_nursery::{address, Chaos, Fault, Micros, Net, Watch, World, MILLI, SECOND};
+use magpieline_rootstock::Term;
+use rstest::rstest;
+use std::collections::HashMap;
+
+/// A counter takes a leader at its word for so long after the report that it names.
+const FRESH: Micros = 2 * SECOND;
+
+struct Checks {
+    now: Micros,
+    sorting: usize,
+    /// When, which edition, by the leader of which term.
+    acknowledged: Vec<(Micros, u64, Term)>,
+    /// By counter and its edition in the life that runs.
+    terms: HashMap<usize, u64>,
+    editions: HashMap<usize, u64>,
+}
+
+impl Checks {
+    /// The newest edition that was acknowledged before.
+    fn newest(&self, before: Micros) -> u64 {
+        self.acknowledged
+            .iter()
+            .filter(|(at, ..)| *at < before)
+            .map(|(_, number, _)| *number)
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn restarted(&mut self, machine: usize) {
+        self.terms.remove(&machine);
+        self.editions.remove(&machine);
+    }
+}
+
+impl Watch<Machine> for Checks {
+    fn noted(&mut self, machine: usize, note: Note) {
+        match note {
+            Note::Acknowledged { number, term } => self.acknowledged.push((self.now, number, term)),
+            Note::Took { term } => {
+                let before = self.terms.insert(machine, term).unwrap_or(0);
+                assert!(term >= before, "counter {machine} took a word of term {term} after one of {before}");
+            }
+        }
+    }
+
+    fn stepped(&mut self, machine: usize, node: &Machine) {
+        let Some(counter) = node.counter() else { return };
+        let before = self.editions.insert(machine, counter.edition).unwrap_or(0);
+        assert!(
+            counter.edition >= before,
+            "counter {machine} went back from {before} to {}",
+            counter.edition
+        );
+        // Clocks run up to a thousandth too fast: that much longer ago is sure.
+        let ago = |at: Micros| self.now.saturating_sub(counter.now - at);
+        let confirmed = counter.tendril.confirmed_at();
+        if let Some(at) = confirmed {
+            let newest = self.newest(ago(at));
+            assert!(
+                counter.edition >= newest,
+                "counter {machine} has {} and calls itself up to date as of {} ms, when {newest} was acknowledged",
+                counter.edition,
+                ago(at) / MILLI
+            );
+        }
+        assert!(!counter.knows() || confirmed.is_some(), "counter {machine} serves by what nobody confirmed");
+        if counter.tendril.holds(counter.now) {
+            let (term, since) = (counter.tendril.term(), self.now.saturating_sub(FRESH + FRESH / 500));
+            let newer = self.acknowledged.iter().find(|(at, _, other)| *at < since && *other > term);
+            assert!(
+                newer.is_none(),
+                "counter {machine} holds the leader of {term} at {}: {newer:?}",
+                self.now
+            );
+        }
+    }
+}
+
+/// Sorting machines first, then counters.
+struct Hall {
+    world: World<Machine>,
+    checks: Checks,
+    next_edition: u64,
+}
+
+impl Hall {
+    fn open(seed: u64, sorting: usize, counters: usize) -> Hall {
+        let mut world = World::new(seed, Net::CALM);
+        let seeds: Vec<_> = (0..sorting).map(address).collect();
+        let checks = Checks {
+            now: 0,
+            sorting,
+            acknowledged: Vec::new(),
+            terms: HashMap::new(),
+            editions: HashMap::new(),
+        };
+        (0..sorting + counters).for_each(|_| _ = world.add(seeds.clone(), true));
+        let mut hall = Hall { world, checks, next_edition: 1 };
+        (0..sorting + counters).for_each(|machine| hall.start(machine));
+        hall.run_until(2 * SECOND, |hall| hall.leader().is_some());
+        hall.replace_until_acknowledged();
+        let end = hall.world.now() + 2 * SECOND;
+        assert!(hall.run_until(end, Hall::all_serve), "counters don't begin");
+        hall
+    }
+
+    fn all(&self) -> std::ops::Range<usize> {
+        0..self.world.machines()
+    }
+
+    fn counters(&self) -> std::ops::Range<usize> {
+        self.checks.sorting..self.world.machines()
+    }
+
+    fn start(&mut self, machine: usize) {
+        self.checks.now = self.world.now();
+        self.world.start(machine, &mut self.checks);
+    }
+
+    fn kill(&mut self, machine: usize) {
+        self.world.kill(machine);
+        self.checks.restarted(machine);
+    }
+
+    /// The newest leader that runs.
+    fn leader(&self) -> Option<usize> {
+        let leading = (0..self.checks.sorting).filter_map(|machine| {
+            let core = self.world.node(machine)?.core()?;
+            let now = self.world.clock(machine);
+            (core.leads(now) && !self.world.is_frozen(machine)).then_some((core.term(), machine))
+        });
+        leading.max().map(|(_, machine)| machine)
+    }
+
+    fn counter(&self, machine: usize) -> Option<&machines::Counter> {
+        self.world.node(machine)?.counter()
+    }
+
+    /// All counters hold a leader, and have the newest edition.
+    fn all_serve(&self) -> bool {
+        let newest = self.checks.newest(Micros::MAX);
+        self.counters().all(|machine| {
+            self.counter(machine).is_some_and(|counter| {
+                counter.knows()
+                    && counter.edition >= newest
+                    && counter.tendril.holds(self.world.clock(machine))
+            })
+        })
+    }
+
+    fn step(&mut self) {
+        self.checks.now = self.world.next_at().expect("beats never end");
+        self.world.step(&mut self.checks);
+    }
+
+    fn run_until(&mut self, end: Micros, done: impl Fn(&Hall) -> bool) -> bool {
+        while !done(self) {
+            if self.world.next_at().is_none_or(|at| at > end) {
+                return false;
+            }
+            self.step();
+        }
+        true
+    }
+
+    fn run_for(&mut self, span: Micros) {
+        let end = self.world.now() + span;
+        self.run_until(end, |_| false);
+    }
+
+    /// Sends a new edition to a machine; its number.
+    fn replace(&mut self, machine: usize) -> u64 {
+        self.next_edition += 1;
+        self.checks.now = self.world.now();
+        self.world.call(machine, Call::Replace(self.next_edition), &mut self.checks);
+        self.next_edition
+    }
+
+    fn is_acknowledged(&self, number: u64) -> bool {
+        self.checks.acknowledged.iter().any(|(_, acknowledged, _)| *acknowledged == number)
+    }
+
+    fn replace_until_acknowledged(&mut self) -> u64 {
+        for _ in 0..100 {
+            let Some(leader) = self.leader() else {
+                self.run_for(50 * MILLI);
+                continue;
+            };
+            let number = self.replace(leader);
+            let end = self.world.now() + 500 * MILLI;
+            if self.run_until(end, |hall| hall.is_acknowledged(number)) {
+                return number;
+            }
+        }
+        panic!("nothing is acknowledged")
+    }
+
+    /// Cuts a sorting machine off from the other ones.
+    fn cut_off(&mut self, machine: usize, deaf: bool, mute: bool) {
+        for other in (0..self.checks.sorting).filter(|other| *other != machine) {
+            if deaf {
+                self.world.cut(other, machine);
+            }
+            if mute {
+                self.world.cut(machine, other);
+            }
+        }
+    }
+
+    fn join_all(&mut self) {
+        for one in self.all() {
+            self.all().for_each(|other| self.world.join(one, other));
+        }
+    }
+}
+
+/// Guards against a counter that starts while it reaches just a machine that is cut off, and serves by what that knows;
+/// against one that stays with such a machine, and an order that it confirms.
+#[rstest]
+#[case::silent(true, true)]
+#[case::deaf(true, false)]
+#[case::mute(false, true)]
+fn a_leader_cut_off_for_twenty_seconds(
+    #[case] deaf: bool,
+    #[case] mute: bool,
+    #[values(3, 5)] sorting: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut hall = Hall::open(seed, sorting, 4);
+    let old = hall.leader().expect("one");
+    hall.cut_off(old, deaf, mute);
+    // The last two reach nobody but the old leader; the very last starts anew.
+    let (stuck, anew) = (sorting + 2, sorting + 3);
+    hall.kill(anew);
+    for other in (0..sorting).filter(|other| *other != old) {
+        for counter in [stuck, anew] {
+            hall.world.cut(counter, other);
+            hall.world.cut(other, counter);
+        }
+    }
+    // Just before anybody has noticed.
+    let refused = hall.replace(old);
+    hall.start(anew);
+    hall.run_for(2 * SECOND);
+    let newest = hall.replace_until_acknowledged();
+    for _ in 0..18 {
+        hall.run_for(SECOND);
+        let counter = hall.counter(anew).expect("it runs");
+        assert!(!counter.knows() && counter.edition == 0, "it serves by edition {}", counter.edition);
+        let now = hall.world.clock(stuck);
+        assert!(!hall.counter(stuck).expect("it runs").tendril.holds(now), "it holds a leader of the past");
+        assert!(!hall.is_acknowledged(refused) || hall.checks.newest(Micros::MAX) >= newest);
+    }
+    assert!((sorting..sorting + 2).all(|c| hall.counter(c).is_some_and(|c| c.edition >= newest)));
+    hall.join_all();
+    let end = hall.world.now() + 2 * SECOND;
+    assert!(hall.run_until(end, Hall::all_serve), "they don't come back");
+}
+
+/// Guards against a leader that was frozen and goes on telling counters, and against what still waits in its links.
+#[rstest]
+fn a_frozen_leader_thaws(#[values(350, 900, 20_000)] span: u64, #[values(1, 2, 3)] seed: u64) {
+    let mut hall = Hall::open(seed, 3, 4);
+    let old = hall.leader().expect("one");
+    hall.world.freeze(old);
+    if span >= 900 {
+        hall.run_for(span.min(2_000) * MILLI);
+        hall.replace_until_acknowledged();
+        hall.run_for(span.saturating_sub(2_000) * MILLI);
+    } else {
+        hall.run_for(span * MILLI);
+    }
+    hall.checks.now = hall.world.now();
+    hall.world.thaw(old, &mut hall.checks);
+    hall.replace_until_acknowledged();
+    let end = hall.world.now() + 3 * SECOND;
+    assert!(hall.run_until(end, Hall::all_serve), "they don't come back");
+}
+
+/// Guards against a start that takes long after all power was lost: counters serve again, by what was acknowledged, soon
+/// after there is a leader.
+#[rstest]
+fn all_lose_power(#[values(3, 5)] sorting: usize, #[values(1, 2, 3)] seed: u64) {
+    let mut hall = Hall::open(seed, sorting, 6);
+    hall.replace_until_acknowledged();
+    hall.all().for_each(|machine| hall.kill(machine));
+    hall.run_for(SECOND);
+    hall.all().for_each(|machine| hall.start(machine));
+    let end = hall.world.now() + 1_300 * MILLI;
+    assert!(hall.run_until(end, |hall| hall.leader().is_some()), "no leader");
+    // Each asks again within 80 ms.
+    let end = hall.world.now() + 150 * MILLI;
+    assert!(hall.run_until(end, Hall::all_serve), "counters don't begin");
+}
+
+fn endure(seed: u64, sorting: usize, steps: u64) {
+    let mut hall = Hall::open(seed, sorting, 4);
+    let mut chaos = Chaos::new(seed, hall.world.now(), [SECOND, 4 * SECOND][(seed % 2) as usize], Net::CALM);
+    let mut call_at = 0;
+    while hall.world.steps() < steps {
+        let next = chaos.next_at().min(call_at);
+        if hall.world.next_at().is_some_and(|at| at <= next) {
+            hall.step();
+            continue;
+        }
+        hall.world.pass(next);
+        hall.checks.now = next;
+        match chaos.act(&mut hall.world, &mut hall.checks) {
+            None | Some(Fault::Wipe(_) | Fault::Add) => {}
+            Some(fault) => {
+                match fault {
+                    Fault::Kill(machine) => hall.checks.restarted(machine),
+                    Fault::KillAll => hall.all().for_each(|machine| hall.checks.restarted(machine)),
+                    _ => {}
+                }
+                chaos.break_it(&mut hall.world, fault);
+            }
+        }
+        if next >= call_at {
+            call_at = next + 150 * MILLI;
+            // All that think they lead are asked.
+            let leads = |machine: &usize| {
+                let core = hall.world.node(*machine).and_then(Machine::core);
+                core.is_some_and(|core| core.role() == magpieline_rootstock::Role::Leader)
+            };
+            let asked: Vec<usize> = (0..sorting).filter(leads).collect();
+            asked.into_iter().for_each(|machine| _ = hall.replace(machine));
+        }
+    }
+    hall.checks.now = hall.world.now();
+    chaos.end(&mut hall.world, &mut hall.checks);
+    for machine in hall.all() {
+        hall.start(machine);
+        hall.world.thaw(machine, &mut hall.checks);
+    }
+    let end = hall.world.now() + 12 * SECOND;
+    assert!(hall.run_until(end, |hall| hall.leader().is_some()), "no leader");
+    hall.replace_until_acknowledged();
+    let end = hall.world.now() + 4 * SECOND;
+    assert!(hall.run_until(end, Hall::all_serve), "counters don't come back");
+}
+
+/// Guards all of it under whatever comes. `CONTACT_SEEDS` plays more.
+#[rstest]
+fn whatever_breaks(#[values(3, 5)] sorting: usize, #[values(0, 1, 2, 3)] part: u64) {
+    let seeds = std::env::var("CONTACT_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(5);
+    for seed in part * seeds..(part + 1) * seeds {
+        println!("seed {seed}, {sorting} sorting machines");
+        endure(seed, sorting, 10_000);
+    }
+}
