Control: where a call is answered is decided in one place, and a cut order isn't refused for good

Cause: a machine that named a leader whose control address it can't tell, or whose address is no header, answered by itself; a body that was cut on its way got a 413, which ends an operator's call.

Change: sorting/way.rs says where a call is answered, without I/O: here only under the lease, else at who was heard to lead within a second (307), else nowhere (503), at once where nobody has led for 2 s and within 0.8 s otherwise. A broken body gets a 408.

--- a/keeping/trellis/tests/narrow_links.rs
+++ b/keeping/trellis/tests/narrow_links.rs
@@ -7,11 +7,12 @@
 use magpieline_trellis::feed::{Action, Event, Feeds, WINDOW, WINDOW_OF_ALL};
 use magpieline_trellis::intake::{Intake, Taken};
 use magpieline_trellis::records::Kept;
-use magpieline_trellis::words::{frame, unframe, Down};
+use magpieline_trellis::words::{frame, unframe, Down, Fenced, Piece};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
 
+const TERM: u64 = 1;
 const COUNTERS: usize = 88;
 /// Microseconds.
 const S: u64 = 1_000_000;
@@ -213,13 +214,10 @@
     /// As editions were sent before: what has changed took twice the bytes that it takes now, a whole one its length.
     fn fifo(&mut self, link: u64, from: Option<&Kept>, edition: &Kept) {
         let told = from.map(|f| 2 * magpieline_trellis::delta::diff(&f.text, &edition.text).len());
-        let down = Down::Elsewhere {
-            leader: None,
-            core: Vec::new(),
-            edition: Some(edition.clone()),
-            services: Vec::new(),
-            listing: None,
-        };
+        let bytes = magpieline_trellis::delta::diff("", &edition.text);
+        let (number, length) = (edition.number, bytes.len() as u32);
+        let word = Down::Piece(Piece { number, from: 0, length, at: 0, bytes });
+        let down = Fenced { term: TERM, word };
         self.say(link, frame(&down).into(), told.unwrap_or(edition.text.len()));
     }
 
@@ -245,7 +243,10 @@
                 }
             }
             Then::Beat => {
-                let beat = Bytes::from(frame(&Down::Beat { counters: 88 }));
+                let beat = Bytes::from(frame(&Fenced {
+                    term: TERM,
+                    word: Down::Beat { counters: 88, asked: 0, edition: 0 },
+                }));
                 let links: Vec<u64> = self.links.keys().copied().collect();
                 links.into_iter().for_each(|link| self.say(link, beat.clone(), beat.len()));
                 self.feed(Event::Tick);
@@ -324,8 +325,8 @@
                 if self.way == Way::Feeds && self.waiting[to] > WINDOW + 4096 {
                     self.broken.push(format!("{} bytes wait for counter {to}", self.waiting[to]));
                 }
-                let down = unframe::<Down>(&mut frame.to_vec()).expect("ours").expect("whole");
-                self.hears(to, link, down);
+                let told = unframe::<Fenced<Down>>(&mut frame.to_vec()).expect("ours").expect("whole");
+                self.hears(to, link, told.word);
             }
             Then::Holds(counter, link, kept) if self.counters[counter].link == link => {
                 let (number, this) = (kept.number, &mut self.counters[counter]);
@@ -359,7 +360,6 @@
                 }
                 Taken::Unfit => return self.at(self.now + 1000, Then::Held(link, 0)),
             },
-            Down::Elsewhere { edition: Some(kept), .. } => kept,
             _ => return,
         };
         let read = kept.text.len() as u64 / 1024 * READ_KB;
--- a/programs/orchard/src/sorting/control.rs
+++ b/programs/orchard/src/sorting/control.rs
@@ -1,11 +1,12 @@
 //! The operators' calls.
 
 use super::council::Refusal;
+use super::way::{way, Way};
 use super::Sorting;
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Wire};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
 use hyper::service::service_fn;
@@ -23,10 +24,6 @@
 const LONGEST: usize = 32 << 20;
 /// Callers go to another machine after a second of silence; until then a leader may be found.
 const PATIENCE: Micros = 800_000;
-/// Twice the time that an election takes at most after a leader was lost.
-const LONG: Micros = 2_000_000;
-/// Who waits for a leader looks this often whether its lease runs.
-const LOOK: Micros = 20_000;
 
 type Reply = Response<Full<Bytes>>;
 
@@ -86,10 +83,14 @@
         return plain(StatusCode::METHOD_NOT_ALLOWED, "method", head.method.as_str(), "POST");
     }
     let query = head.uri.query().unwrap_or("").to_owned();
-    let Ok(body) = Limited::new(body, LONGEST).collect().await else {
-        return plain(StatusCode::PAYLOAD_TOO_LARGE, "body", "more, or not all", "at most 32 MB, whole");
+    let body = match Limited::new(body, LONGEST).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "body", "more", "at most 32 MB");
+        }
+        // It may have been cut on its way: an order that is to be sent again is not refused for good.
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body", "a part", "all of it; send it again"),
     };
-    let body = body.to_bytes();
     let again = format!("/v1/rpc?{query}");
     match asked(&query, "call") {
         Some("config.replace") => replace(sorting, &body, &again).await,
@@ -103,25 +104,27 @@
     }
 }
 
+fn nobody() -> Reply {
+    plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "none", "one; ask again")
+}
+
 /// Sends a caller to the leader, or asks it to come back.
 async fn elsewhere(sorting: &Sorting, path: &str, until: Micros) -> Option<Reply> {
     loop {
-        if sorting.council.leads() {
-            return None;
-        }
-        let leader = sorting.council.leader().filter(|l| *l != sorting.inner());
-        if let Some(control) = leader.and_then(|l| sorting.control_of(l)) {
-            let mut moved = reply(StatusCode::TEMPORARY_REDIRECT, "{}");
-            let location = HeaderValue::from_str(&format!("http://{control}{path}")).ok()?;
-            moved.headers_mut().insert(LOCATION, location);
-            return Some(moved);
-        }
-        // Where nobody has led for long this machine is likely cut off: others are better asked at once.
-        let long = sorting.council.leaderless_since().is_some_and(|since| now() >= since + LONG);
-        if long || now() >= until {
-            return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "none", "one; ask again"));
+        match way(&sorting.council.sight(), now(), until) {
+            Way::Here => return None,
+            Way::There(leader) => {
+                let control = sorting.control_of(leader).map(|control| format!("http://{control}{path}"));
+                let location = control.and_then(|to| HeaderValue::from_str(&to).ok());
+                return Some(location.map_or_else(nobody, |location| {
+                    let mut moved = reply(StatusCode::TEMPORARY_REDIRECT, "{}");
+                    moved.headers_mut().insert(LOCATION, location);
+                    moved
+                }));
+            }
+            Way::Nobody => return Some(nobody()),
+            Way::Wait(then) => sorting.council.changed(then).await,
         }
-        sorting.council.changed(now() + LOOK).await;
     }
 }
 
--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -1,6 +1,7 @@
 //! The agreement among the sorting machines, driven: its core gets events from links, the disk and the clock, and its
 //! actions are carried out. One task owns the core; others ask it by messages.
 
+use super::way::Sight;
 use super::Sorting;
 use crate::clock::{self, now, Micros};
 use crate::net;
@@ -150,8 +151,7 @@
 
     /// The term in which this machine leads while nobody else can: its lease runs.
     pub fn leads_in(&self) -> Option<u64> {
-        let view = self.view_now();
-        view.leading().filter(|_| view.lease.is_some_and(|until| now() < until))
+        self.leading().filter(|_| self.sight().leads)
     }
 
     /// Whether this machine leads and nobody else can at this moment.
@@ -159,9 +159,12 @@
         self.leads_in().is_some()
     }
 
-    /// Since when nobody is known to lead.
-    pub fn leaderless_since(&self) -> Option<Micros> {
-        self.view_now().leaderless_since
+    /// What is known here of who leads.
+    pub fn sight(&self) -> Sight {
+        let view = self.view_now();
+        let leads = view.leading().is_some() && view.lease.is_some_and(|until| now() < until);
+        let other = view.leader.filter(|leader| *leader != view.me.address);
+        Sight { leads, other, leaderless_since: view.leaderless_since }
     }
 
     /// Waits until it may be known anew who leads, or until then.
--- a/programs/orchard/src/sorting/counters.rs
+++ b/programs/orchard/src/sorting/counters.rs
@@ -1,6 +1,7 @@
 //! Links from other agents: counters that hold on to the leader, and other sorting machines.
 
 use super::mouth::Queue;
+use super::way::{way, Way};
 use super::Sorting;
 use crate::clock::{now, span, Micros};
 use crate::net::{self, Frames};
@@ -22,8 +23,6 @@
 const BEAT: Micros = 300_000;
 /// A counter that asks while nobody leads is answered when somebody does, or after this; it waits a second itself.
 const HELD_BACK: Micros = 300_000;
-/// Where nobody has led for so long, elections come to nothing, and another machine is better asked at once.
-const LONG: Micros = 2_000_000;
 
 pub async fn run(sorting: Arc<Sorting>, inner: TcpListener) {
     tokio::spawn(beat(sorting.clone()));
@@ -68,9 +67,11 @@
 /// The term in which a majority has confirmed, after this was asked, that this machine leads. While nobody is known to
 /// lead, and lately somebody was, it waits a moment for who will.
 async fn confirmed(sorting: &Sorting) -> Option<u64> {
-    let since = sorting.council.leaderless_since();
     let until = now() + HELD_BACK;
-    while sorting.council.leader().is_none() && now() < until && since.is_some_and(|at| now() < at + LONG) {
+    while let Way::Wait(_) = way(&sorting.council.sight(), now(), until) {
+        if sorting.council.leading().is_some() {
+            break; // the read waits for a majority by itself
+        }
         sorting.council.changed(until).await;
     }
     let term = sorting.council.leading()?;
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -7,6 +7,7 @@
 pub mod lives;
 mod mouth;
 mod steward;
+pub mod way;
 
 use crate::carrier::Reading;
 use crate::clock::now;
