--- a/rigs/nursery/tests/contact/main.rs
+++ b/rigs/nursery/tests/contact/main.rs
@@ -1,6 +1,6 @@
 //! Counters and sorting machines under cuts, freezes and kills: nothing is served by that a majority has not confirmed
 //! after the counter asked, nothing is taken of a leader of the past, and what a counter says of its own freshness is
-//! true. Checked after every step.
+//! true; no two leases run at once. Checked after every step.
 
 mod machines;
 mod pipe;
@@ -160,6 +160,13 @@
     fn step(&mut self) {
         self.checks.now = self.world.next_at().expect("beats never end");
         self.world.step(&mut self.checks);
+        // Frozen ones count: they go on with what they looked at before.
+        let lease = |machine: &usize| {
+            let core = self.world.node(*machine).and_then(Machine::core);
+            core.is_some_and(|core| core.leads(self.world.clock(*machine)))
+        };
+        let leads: Vec<usize> = (0..self.checks.sorting).filter(lease).collect();
+        assert!(leads.len() < 2, "the leases of {leads:?} run at once");
     }
 
     fn run_until(&mut self, end: Micros, done: impl Fn(&Hall) -> bool) -> bool {
