--- /dev/null
+++ b/carrying/furrow/fuzz/checks.rs
@@ -0,0 +1,148 @@
+//! What holds for any bytes, for the fuzz targets and for the test that replays their corpus. The first byte of an input says
+//! how the others are cut into the pieces that come.
+
+#![allow(dead_code)] // each target uses one of them
+
+use magpieline_furrow::framing::doorway::{Bounds, Doorway, Requests, Stand, Step};
+use magpieline_furrow::framing::echo::{Echo, Fault};
+use magpieline_furrow::framing::Wrong;
+
+const BOUNDS: Bounds = Bounds { head_bytes: 600, head: 3_000, idle: 15_000, rest: 15_000 };
+
+/// Cuts bytes into pieces: 0 not at all, 1 into single ones.
+fn pieces(cut: u8, mut bytes: &[u8]) -> Vec<&[u8]> {
+    let (mut pieces, mut state) = (Vec::new(), u64::from(cut) + 1);
+    while !bytes.is_empty() {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let len = match cut {
+            0 => bytes.len(),
+            1 => 1,
+            _ => 1 + (state >> 33) as usize % 40,
+        };
+        let (piece, rest) = bytes.split_at(len.min(bytes.len()));
+        pieces.push(piece);
+        bytes = rest;
+    }
+    pieces
+}
+
+/// Where whole requests end in what a server was shown of one.
+fn whole(bytes: &[u8]) -> bool {
+    let (mut requests, mut at) = (Requests::default(), 0);
+    loop {
+        match requests.next(&bytes[at..], usize::MAX) {
+            Step::More | Step::Wrong(_) => return false,
+            Step::Blank(passed) => at += passed,
+            Step::Head(asked) => {
+                at += asked.len;
+                if asked.body.is_none() {
+                    assert_eq!(at, bytes.len(), "nothing is shown behind a request");
+                    return true;
+                }
+            }
+            Step::Body { passed, whole } => {
+                at += passed;
+                if whole {
+                    assert_eq!(at, bytes.len(), "nothing is shown behind a request");
+                    return true;
+                }
+            }
+        }
+    }
+}
+
+/// What a server is shown of a stream, request by request, and what is wrong with the stream.
+fn shown(cut: u8, stream: &[u8]) -> (Vec<Vec<u8>>, Option<Wrong>) {
+    let (mut door, mut requests) = (Doorway::new(0), Vec::<(u64, Vec<u8>)>::new());
+    for mut piece in pieces(cut, stream) {
+        while !piece.is_empty() {
+            let room = door.room(&BOUNDS).min(piece.len());
+            if room == 0 {
+                break; // its client is held up
+            }
+            door.feed(0, &BOUNDS, &piece[..room]);
+            piece = &piece[room..];
+            while let Some((number, _)) = door.work() {
+                let bytes = door.shown().to_vec();
+                door.took(0, bytes.len());
+                match requests.last_mut().filter(|(n, _)| *n == number) {
+                    Some((_, all)) => all.extend(bytes),
+                    None => {
+                        assert!(requests.last().is_none_or(|(n, _)| *n + 1 == number), "in their order");
+                        requests.push((number, bytes));
+                    }
+                }
+                if !whole(&requests[requests.len() - 1].1) {
+                    break;
+                }
+                door.answered();
+                door.settle(0, &BOUNDS);
+            }
+        }
+    }
+    let wrong = if let Stand::Answer(wrong) = door.stand() { Some(wrong) } else { door.fault() };
+    if door.fault().is_some() {
+        requests.pop(); // how much of it was shown depends on the pieces
+    }
+    (requests.into_iter().map(|(_, bytes)| bytes).collect(), wrong)
+}
+
+/// A client's stream: each request is shown whole, by itself and in its order; nothing of one that is unsound; the same
+/// however the stream is cut.
+pub fn doorway(input: &[u8]) {
+    let Some((cut, stream)) = input.split_first() else { return };
+    let (requests, wrong) = shown(0, stream);
+    let unfinished = requests.last().is_some_and(|last| !whole(last));
+    for request in &requests[..requests.len() - usize::from(unfinished)] {
+        assert!(whole(request), "only the last may be unfinished");
+    }
+    for cut in [1, *cut] {
+        assert_eq!((&requests, wrong), (&shown(cut, stream).0, shown(cut, stream).1));
+    }
+}
+
+/// What is shown of the bytes that come for a request, and how the connection stands.
+fn heard(cut: u8, stream: &[u8], head: bool) -> (Vec<u8>, Option<Fault>, bool) {
+    let (mut echo, mut shown) = (Echo::default(), Vec::new());
+    assert!(echo.ask(b"t1", head));
+    echo.written();
+    assert!(!echo.call_off(), "it is written");
+    for piece in pieces(cut, stream) {
+        echo.feed(piece);
+        shown.extend_from_slice(echo.shown());
+        let some = echo.shown().len();
+        echo.took(some);
+        assert!(echo.fault().is_none() || !echo.usable());
+    }
+    (shown, echo.fault(), echo.usable())
+}
+
+/// An appliance's stream: nothing but the one answer with the id that is due is shown; the connection is usable only if
+/// nothing came behind it; the same however the stream is cut. Nothing at all is shown of what was not asked for, and
+/// nothing is written once it was called off.
+pub fn echo(input: &[u8]) {
+    let Some((cut, stream)) = input.split_first() else { return };
+    for head in [false, true] {
+        let (shown, fault, usable) = heard(0, stream, head);
+        for cut in [1, *cut] {
+            assert_eq!((&shown, fault, usable), {
+                let (s, f, u) = &heard(cut, stream, head);
+                (&s.clone(), *f, *u)
+            });
+        }
+        if !shown.is_empty() {
+            let end = shown.windows(4).position(|w| w == b"\r\n\r\n").expect("a head is shown whole") + 4;
+            let text = String::from_utf8_lossy(&shown[..end]).to_lowercase();
+            let ids = text.split("\r\n").filter_map(|line| line.strip_prefix("try-id:"));
+            assert_eq!(ids.map(str::trim).collect::<Vec<_>>(), ["t1"]);
+            assert!(text.starts_with("http/1.") && !text[9..].starts_with('1'), "no interim answer");
+        }
+        assert!(!usable || !shown.is_empty(), "it owes an answer");
+    }
+    let mut quiet = Echo::default();
+    assert!(quiet.ask(b"t1", false));
+    quiet.feed(stream);
+    assert!(quiet.shown().is_empty());
+    assert!(quiet.call_off() && !quiet.usable() && quiet.fault().is_some());
+    assert!(!quiet.ask(b"t2", false));
+}
