--- a/programs/orchard/src/counter/mod.rs
+++ b/programs/orchard/src/counter/mod.rs
@@ -23,7 +23,6 @@
 use magpieline_almanac::machine::Machine;
 use magpieline_furrow::orders::Orders;
 use magpieline_scion::trial::Trial;
-use magpieline_trellis::delta;
 use magpieline_trellis::records::{Kept, Phase, Standing};
 use magpieline_trellis::words::{Evidence, Listing, Opening, Stage, State as ListState};
 use magpieline_windrow::budget::Budget;
@@ -200,10 +199,7 @@
 
     /// Waits until there are a configuration and a list, for so long at most; whether there are.
     async fn knowing(&self, most: Micros) -> bool {
-        let knows = || {
-            let state = self.state();
-            state.edition.is_some() && state.listed_at.is_some()
-        };
+        let knows = || self.state().knows();
         if knows() {
             return true;
         }
@@ -222,8 +218,13 @@
 
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
-        let state = self.state();
-        !self.leaving() && state.edition.is_some() && state.listed_at.is_some()
+        !self.leaving() && self.state().knows()
+    }
+
+    /// A leader that a majority has confirmed since this counter asked has told it all.
+    pub fn confirmed(&self) {
+        self.state().confirmed = true;
+        self.knows.notify_waiters();
     }
 
     /// Takes a configuration into force if it is newer than what is.
@@ -250,22 +251,9 @@
         }
     }
 
-    /// Takes a configuration into force that is told as what has changed. `false`: it does not fit what is held here,
-    /// and the whole is needed.
-    pub fn amend(&self, from: u64, number: u64, pieces: &[delta::Piece], digest: u64) -> bool {
-        let held = self.state().kept.clone();
-        let Some(held) = held else { return false };
-        if held.number >= number {
-            return true; // newer already
-        }
-        let text = Some(held).filter(|h| h.number == from).and_then(|h| delta::apply(&h.text, pieces));
-        match text.filter(|t| delta::digest(t) == digest) {
-            Some(text) => {
-                self.take_edition(&Kept { number, text: text.into() });
-                true
-            }
-            None => false,
-        }
+    /// The configuration in force, as it was sent.
+    pub fn kept(&self) -> Option<Kept> {
+        self.state().kept.clone()
     }
 
     pub fn edition_number(&self) -> u64 {
@@ -421,6 +409,12 @@
 }
 
 impl State {
+    /// Whether there is enough to serve by: a configuration and a list, and all that was in force when this counter first
+    /// asked.
+    fn knows(&self) -> bool {
+        self.confirmed && self.edition.is_some() && self.listed_at.is_some()
+    }
+
     /// Whether a version of a service may get ordinary requests.
     pub fn carries(standing: Option<&Standing>, version: &str) -> bool {
         let Some(standing) = standing else { return true };
