--- a/deciding/scion/src/jury.rs
+++ b/deciding/scion/src/jury.rs
@@ -33,7 +33,8 @@
 const LITTLE_COUNTS: f64 = 0.7;
 /// Of the share that is allowed so much is used: retries and requests that arrive later count, too.
 const OF_SHARE: f64 = 0.65;
-/// A guarded stage lasts so long from the first outcomes on; then orders may go to the trial build.
+/// A guarded stage lasts so long from the first outcomes on; then orders may go to the trial build. Twice that is the
+/// most, also if no outcome comes at all: some services have no request that may run again.
 const GUARDED: Micros = 1_500_000;
 const GUARDED_OUTCOMES: u32 = 8;
 /// Before a build is voted on it has been seen warm for so long, or in so many pulls (which are warm ones), with so many
@@ -87,6 +88,10 @@
     share: f64,
     stage: Stage,
     duel: Duel,
+    /// Since when counters have been told of a stage, and outcomes of the trial build have come in.
+    told: Option<Micros>,
+    /// The guarded stage is over; it doesn't come again.
+    open: bool,
     first_outcome: Option<Micros>,
     moving_since: Option<Micros>,
     /// What was weighed already, by route; none: all of them together.
@@ -115,6 +120,8 @@
             share,
             stage: Stage::default(),
             duel: Duel::new(ROUTES, rate),
+            told: None,
+            open: false,
             first_outcome: None,
             moving_since: None,
             weighed: BTreeMap::new(),
@@ -243,12 +250,15 @@
         if look.listed == 0 {
             return Step::None;
         }
+        let told = *self.told.get_or_insert(now);
         let guarded = match self.first_outcome {
-            None => true,
+            _ if self.open => false,
+            None => now < told + 2 * GUARDED,
             Some(first) => {
                 now < first + GUARDED || (outcomes < GUARDED_OUTCOMES && now < first + 2 * GUARDED)
             }
         };
+        self.open = !guarded;
         let stage = Stage { share: OF_SHARE * self.share, guarded, focus: 0 };
         if stage != self.stage {
             self.stage = stage;
--- a/rigs/espalier/src/lib.rs
+++ b/rigs/espalier/src/lib.rs
@@ -46,8 +46,8 @@
 }
 
 /// Gives the shape to the deployment. Both are TOML texts; so is what comes back. `home` is the folder of the deployment's
-/// file: other files that it names beside itself are then named by their path. `days` are TOML texts with `[[day]]`
-/// entries; if there are any, they are the deployment's days, and no others.
+/// file: other files that it names beside itself are then named by their path. `days` are TOML texts, each with `[[day]]`
+/// entries or the fields of one; if there are any, they are the deployment's days, and no others.
 pub fn train(deployment: &str, shape: &str, home: &Path, days: &[String]) -> Result<String, Misfit> {
     let mut deployment = read("deployment", deployment)?;
     let shape = read("shape", shape)?;
@@ -55,7 +55,10 @@
         let mut own = Vec::new();
         for day in days {
             let day = read("day", day)?;
-            own.extend_from_slice(list("day", day.get("day").ok_or_else(|| odd("day", "a list"))?)?);
+            match day.get("day") {
+                Some(days) => own.extend_from_slice(list("day", days)?),
+                None => own.push(Value::Table(day)),
+            }
         }
         deployment.insert("day".to_owned(), Value::Array(own));
     }
