--- a/rigs/nursery/src/history.rs
+++ b/rigs/nursery/src/history.rs
@@ -21,7 +21,8 @@
     type Asked: Debug;
     type Answer: Debug;
     fn start(&self) -> Self::State;
-    /// The state after a call that is answered so; None where it can't be. Without an answer: after it is done.
+    /// The state after a call that is answered so; None where it can't be. Without an answer: after it is done, which it
+    /// can be once only: a second time changes nothing.
     fn step(
         &self,
         state: &Self::State,
@@ -47,7 +48,7 @@
 struct Search<'a, M: Model> {
     model: &'a M,
     calls: &'a [Seen<M::Asked, M::Answer>],
-    /// Calls done, and the state: looked at before.
+    /// Answered calls that are done, and the state: looked at before.
     known: HashSet<(Vec<u64>, M::State)>,
     looks: usize,
     /// The most calls that could be put in an order, and the state there.
@@ -137,8 +138,9 @@
                     .is_some_and(|(_, answer)| self.model.explains(asked, other, answer, open.contains(j)))
             });
             let next = if wanted { self.model.step(&state, asked, None) } else { None };
+            // Done again it changes nothing, so it need not be remembered as done: the state tells.
             if let Some(next) = next.filter(|next| *next != state) {
-                if self.explain(order, with(done.clone(), i), next, count) {
+                if self.explain(order, done.clone(), next, count) {
                     return true;
                 }
             }
