--- a/rigs/nursery/src/season.rs
+++ b/rigs/nursery/src/season.rs
@@ -241,9 +241,10 @@
 
     fn start(boot: &Boot, now: Micros, disk: &Vault) -> (Keeper, Vec<Effect<Keeper>>) {
         let (stored, aside) = disk.start();
-        let Boot { me, seeds, first_run, seed, .. } = boot.clone();
+        let Boot { me, seeds, first_run, seed, withstand, catch_up, .. } = boot.clone();
         let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5ea5);
-        let (core, actions) = Core::start(now, Start { me, seeds, first_run, seed }, stored);
+        let (core, actions) =
+            Core::start(now, Start { me, seeds, first_run, seed, withstand, catch_up }, stored);
         let mut keeper = Keeper { core, records: Records::default(), index: 0, rng };
         let mut effects = Vec::new();
         if aside {
--- a/rigs/nursery/tests/contact/machines.rs
+++ b/rigs/nursery/tests/contact/machines.rs
@@ -422,10 +422,11 @@
     type Note = Note;
 
     fn start(boot: &Boot, now: Micros, disk: &Stored) -> (Machine, Effects) {
-        let Boot { me, seeds, first_run, seed, .. } = boot.clone();
+        let Boot { me, seeds, first_run, seed, withstand, catch_up, .. } = boot.clone();
         let mut effects = Vec::new();
         if seeds.contains(&me) {
-            let (core, actions) = Core::start(now, Start { me, seeds, first_run, seed }, disk.clone());
+            let (core, actions) =
+                Core::start(now, Start { me, seeds, first_run, seed, withstand, catch_up }, disk.clone());
             let mut sorting = Sorting {
                 me,
                 core,
