--- a/rigs/scale/src/main.rs
+++ b/rigs/scale/src/main.rs
@@ -10,7 +10,7 @@
 use magpieline_trellis::intake::{Intake, Taken};
 use magpieline_trellis::records::{Command, Kept};
 use magpieline_trellis::roster::Roster;
-use magpieline_trellis::words::{frame, unframe, Down, Hello, Listing, Report};
+use magpieline_trellis::words::{frame, unframe, Down, Fenced, Hello, Listing, Report};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -84,7 +84,9 @@
             let Action::Send { link, frame } = action else { continue };
             spread.frames += 1;
             spread.bytes += frame.len();
-            let Ok(Some(Down::Piece(piece))) = unframe(&mut frame.to_vec()) else {
+            let Ok(Some(Fenced { word: Down::Piece(piece), .. })) =
+                unframe::<Fenced<Down>>(&mut frame.to_vec())
+            else {
                 panic!("a piece was sent")
             };
             next.push_back(match intakes[link as usize].take(held, &piece) {
@@ -108,6 +110,10 @@
     told("  each counter: bytes", spread.bytes as f64 / counters as f64, "bytes");
 }
 
+fn fenced(listing: Listing) -> Fenced<Down> {
+    Fenced { term: 1, word: Down::Listing(listing) }
+}
+
 fn main() {
     let asked = Asked::parse_args_default_or_exit();
     let texts = texts::Texts::new(asked.services);
@@ -156,11 +162,11 @@
 
     println!("\nthe list of {} appliances", asked.appliances);
     let list = texts.list(asked.appliances);
-    let whole = Down::Listing(Listing { whole: true, entries: list.clone() });
+    let whole = fenced(Listing { whole: true, entries: list.clone() });
     let said = timed("  leader: the whole as a frame, once for all", 5, || frame(&whole));
     told("  each counter: bytes of the whole", said.len() as f64 / 1e3, "KB");
-    timed("  each counter: reads the whole", 5, || unframe::<Down>(&mut said.clone()).expect("ours"));
-    let some = Down::Listing(Listing { whole: false, entries: list[..list.len().min(20)].to_vec() });
+    timed("  each counter: reads the whole", 5, || unframe::<Fenced<Down>>(&mut said.clone()).expect("ours"));
+    let some = fenced(Listing { whole: false, entries: list[..list.len().min(20)].to_vec() });
     let said = timed("  leader: twenty that have changed, as a frame", 9, || frame(&some));
     told("  each counter: bytes of twenty that have changed", said.len() as f64, "bytes");
 
@@ -168,16 +174,16 @@
     let mut roster = Roster::default();
     roster.leads_in(Some(1));
     for link in 0..asked.counters as u64 {
-        let node = format!("counter-{link}");
-        let hello = Hello { node, zone: "zone".into(), life: 1, edition: 1, term: 0, at: 0 };
-        roster.hello(0, link, 1, &hello);
+        let (node, zone) = (format!("counter-{link}"), "zone".to_owned());
+        roster.hello(0, link, 1, &Hello { node, zone, life: 1, edition: 1, term: 1, at: 0 });
     }
     timed("  leader: a report of each counter (each sends two a second)", 9, || {
-        (0..asked.counters as u64).for_each(|link| {
-            roster.report(1, link, Report { edition: 2, term: 1, ..Report::default() });
-        });
+        for link in 0..asked.counters as u64 {
+            roster.report(1, link, Report { edition: 2, evidence: Vec::new(), term: 1, at: 1 });
+        }
     });
-    let beat = frame(&Down::Beat { counters: asked.counters as u32, asked: 0, edition: 2 });
+    let word = Down::Beat { counters: asked.counters as u32, asked: 1 << 40, edition: 2 };
+    let beat = frame(&Fenced { term: 1, word });
     told(
         "  leader: bytes of signs of life, a second",
         beat.len() as f64 * asked.counters as f64 / 0.3 / 1e3,
