--- a/keeping/trellis/src/records.rs
+++ b/keeping/trellis/src/records.rs
@@ -3,6 +3,7 @@
 //! machine: the same commands in the same order give the same state everywhere. What an operator is told is what
 //! applying the command did ([`Effect`]), never that it was agreed on.
 
+use crate::form::{self, Form, Unreadable};
 use crate::orders::Digest;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -248,33 +249,43 @@
 
     /// All of it in bytes, for a snapshot.
     pub fn pack(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data can be written")
+        form::pack(self)
     }
 
-    /// Reads what [`Records::pack`] wrote, here or in the first release.
-    pub fn unpack(bytes: &[u8]) -> Option<Records> {
-        postcard::from_bytes(bytes).ok().or_else(|| Records::unpack_first(bytes))
+    /// Reads what [`Records::pack`] wrote, in this release or an earlier one.
+    pub fn unpack(bytes: &[u8]) -> Result<Records, Unreadable> {
+        match form::open(STATE, bytes)? {
+            Form::First(value) => form::whole::<FirstRecords>(STATE, value).map(Records::from),
+            Form::Known(value) => form::whole(STATE, &value),
+        }
     }
+}
 
-    /// The first release's form: an edition and services, and nothing after them. What it had acknowledged under lower
-    /// numbers is not known.
-    fn unpack_first(bytes: &[u8]) -> Option<Records> {
-        type First = (Option<Kept>, BTreeMap<String, Standing>);
-        let ((edition, services), rest) = postcard::take_from_bytes::<First>(bytes).ok()?;
-        if !rest.is_empty() {
-            return None;
-        }
-        let mut records = Records { edition, services, ..Records::default() };
+/// What can't be read, in the words of a complaint.
+const STATE: &str = "snapshot's state";
+const COMMAND: &str = "command";
+
+/// What was agreed on, as the first release wrote it.
+#[derive(Deserialize)]
+struct FirstRecords {
+    edition: Option<Kept>,
+    services: BTreeMap<String, Standing>,
+}
+
+impl From<FirstRecords> for Records {
+    /// What the first release had acknowledged under lower numbers is not known.
+    fn from(first: FirstRecords) -> Records {
+        let mut records = Records { edition: first.edition, services: first.services, ..Records::default() };
         if let Some(held) = &records.edition {
             records.documents.insert(held.number, Digest::of(&held.text));
             records.known_from = held.number;
         }
         for (service, standing) in &records.services {
-            let newest = standing.rollout.iter();
-            let taken = newest.map(|r| Taken { to: r.to.clone(), within: r.within, order: r.order, at: 0 });
-            records.orders.insert(service.clone(), taken.collect());
+            if let Some(Rollout { to, within, order, .. }) = standing.rollout.clone() {
+                records.orders.insert(service.clone(), vec![Taken { to, within, order, at: 0 }]);
+            }
         }
-        Some(records)
+        records
     }
 }
 
@@ -283,10 +294,15 @@
 
 impl Command {
     pub fn pack(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data can be written")
+        form::pack(self)
     }
 
-    pub fn unpack(bytes: &[u8]) -> Option<Command> {
-        postcard::from_bytes(bytes).ok()
+    /// Reads what [`Command::pack`] wrote, in this release or an earlier one.
+    pub fn unpack(bytes: &[u8]) -> Result<Command, Unreadable> {
+        match form::open(COMMAND, bytes)? {
+            // The first release's commands are the first of this one's.
+            Form::First(value) => form::whole(COMMAND, value),
+            Form::Known(value) => form::whole(COMMAND, &value),
+        }
     }
 }
--- a/keeping/trellis/tests/records.rs
+++ b/keeping/trellis/tests/records.rs
@@ -38,7 +38,7 @@
         applied(&[replace(7, "a"), replace(5, "b"), replace(7, "c"), replace(9, "d"), replace(7, "a")]);
     assert_eq!(effects, [Effect::Edition, Effect::Idle, other("a"), Effect::Edition, Effect::Again]);
     assert_eq!(records.edition.as_ref().map(|k| &*k.text), Some("d"));
-    assert_eq!(Records::unpack(&records.pack()), Some(records));
+    assert_eq!(Records::unpack(&records.pack()), Ok(records));
 }
 
 /// Guards against two documents confirmed under a lower number: one that was in force, and one that was overtaken before
@@ -197,7 +197,7 @@
     assert_eq!(read.apply(7, &order("v2", 0)), Effect::Again);
     records.apply(8, &order("v3", 0));
     let whole = records.pack();
-    assert!((1..whole.len()).filter_map(|n| Records::unpack(&whole[..n])).all(|r| r.documents.len() == 1));
+    assert!((1..whole.len()).all(|n| Records::unpack(&whole[..n]).is_err()), "a part of it is none");
 }
 
 /// Guards against orders of the first release's log that are no longer read, or read as something else.
@@ -205,7 +205,7 @@
 fn an_order_of_the_first_release_is_read() {
     let begin = Command::Begin { service: "s".into(), to: "v2".into(), within: 12_000_000 };
     let stored = [&[1, 1, b's', 2, b'v', b'2'][..], &[128, 182, 220, 5]].concat();
-    assert_eq!(Command::unpack(&stored), Some(begin.clone()));
+    assert_eq!(Command::unpack(&stored), Ok(begin.clone()));
     let (records, effects) = applied(&[begin.clone(), begin.clone(), advance(1, Phase::Returned), begin]);
     assert_eq!(effects, [Effect::Service, Effect::Again, Effect::Service, Effect::Service], "as it did");
     assert_eq!(records.services["s"].rollout.as_ref().map(|r| r.order), Some(4));
--- a/programs/orchard/src/sorting/control.rs
+++ b/programs/orchard/src/sorting/control.rs
@@ -10,7 +10,6 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use magpieline_almanac::edition::Edition;
 use magpieline_almanac::place::Complaint;
 use magpieline_almanac::times;
 use magpieline_trellis::orders::Digest;
@@ -24,6 +23,10 @@
 const LONGEST: usize = 32 << 20;
 /// Callers go to another machine after a second of silence; until then a leader may be found.
 const PATIENCE: Micros = 800_000;
+/// Twice the time that an election takes at most after a leader was lost.
+const LONG: Micros = 2_000_000;
+/// Who waits for a leader looks this often whether its lease runs.
+const LOOK: Micros = 20_000;
 /// Between two tries to have a command agreed on, where nothing was done at the first.
 const AGAIN: Micros = 20_000;
 
@@ -115,10 +118,12 @@
             moved.headers_mut().insert(LOCATION, location);
             return Some(moved);
         }
-        if now() >= until {
+        // Where nobody has led for long this machine is likely cut off: others are better asked at once.
+        let long = sorting.council.leaderless_since().is_some_and(|since| now() >= since + LONG);
+        if long || now() >= until {
             return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "none", "one; ask again"));
         }
-        tokio::time::sleep(span(20_000)).await;
+        sorting.council.changed(now() + LOOK).await;
     }
 }
 
@@ -159,7 +164,7 @@
     let Ok(text) = std::str::from_utf8(body) else {
         return plain(StatusCode::BAD_REQUEST, "document", "bytes that are no text", "JSON, whole");
     };
-    let edition = match Edition::read(text) {
+    let edition = match sorting.sound(text) {
         Ok(edition) => edition,
         Err(wrong) => {
             tracing::warn!(target: "control", "A configuration was refused: {}.", wrong[0]);
--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -5,16 +5,17 @@
 use crate::clock::{self, now, Micros};
 use crate::net;
 use magpieline_almanac::machine::Machine;
-use magpieline_granary::{Error, Granary};
+use magpieline_granary::{self as granary, Granary, Remedy};
 use magpieline_rootstock::{Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start};
+use magpieline_trellis::form::Unreadable;
 use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::words::{self, Opening};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::{mpsc as threads, Arc, Mutex, MutexGuard};
 use tokio::io::AsyncWriteExt;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 
 /// Events that may wait for the core; what is beyond is refused, or lost as on a network.
 const MOST_WAITING: usize = 1024;
@@ -25,6 +26,10 @@
 /// After a link that did not come up nothing is tried for so long.
 const LINK_AGAIN: Micros = 100_000;
 
+/// Who was heard to lead is named to others for so long: a voter looks for another one by then, a machine that does not
+/// vote has nothing else to go by.
+const LEADER_KNOWN: Micros = 1_000_000;
+
 /// Why a command was not agreed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -48,12 +53,26 @@
     pub durable: u64,
     pub disk_troubled: bool,
     pub contacts: Vec<Contact>,
-    /// It leads, and a majority has said so lately.
-    leads: bool,
-    seen_at: Micros,
+    /// It leads, and nobody else can before this time.
+    lease: Option<Micros>,
+    /// Since when nobody is known to lead.
+    leaderless_since: Option<Micros>,
+}
+
+/// Why the agreement goes on no further on this machine.
+#[derive(Debug)]
+pub enum Stop {
+    /// Nobody is left who asks.
+    Over,
+    /// The store does not add up any more.
+    Store(granary::Error),
+    /// What is in force at this place of the log can't be read here. To go on without it would be to go on as another
+    /// state machine than the others.
+    Unreadable(u64, Unreadable),
 }
 
 enum Asked {
+    Broken(granary::Error),
     Event(Event),
     Propose(Vec<u8>, oneshot::Sender<Told>),
     Read(oneshot::Sender<Told>),
@@ -66,6 +85,8 @@
 pub struct Council {
     ask: mpsc::Sender<Asked>,
     view: Mutex<View>,
+    /// Told when another machine leads, or none, or this one.
+    changed: Notify,
 }
 
 /// What drives the agreement; becomes a task.
@@ -76,18 +97,13 @@
     write: threads::Sender<(u64, Batch)>,
 }
 
-/// A leadership seen this long ago says nothing any more: the core is stepped at least at each beat.
-const FRESH: Micros = 400_000;
-
 impl Council {
     /// Reads the store and makes ready; nothing runs before the driver does.
-    pub fn open(machine: &Machine, seed: u64) -> std::io::Result<(Council, Driver)> {
-        let Some(store) = &machine.store else {
-            return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
-        };
-        let broken = |e: Error| std::io::Error::other(format!("{store}: {e:?}"));
-        let mut granary = Granary::open(Path::new(store)).map_err(broken)?;
-        let stored = granary.load().map_err(broken)?;
+    pub fn open(machine: &Machine, store: &Path, seed: u64) -> Result<(Council, Driver), granary::Error> {
+        let mut granary = Granary::open(store)?;
+        let stored = granary.load()?;
+        // A machine whose store was set aside has been here before, even if its settings are those of its first start.
+        let first_run = machine.first_run && !granary::is_aside(&granary::Folder::at(store))?;
         let inner = machine.inner_ports.0;
         let me = SocketAddrV4::new(machine.ip, inner);
         let seeds = machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
@@ -97,7 +113,7 @@
             stored.entries.len(),
             if stored.hard.is_none() { ", empty" } else { "" }
         );
-        let start = Start { me, seeds, first_run: machine.first_run, seed };
+        let start = Start { me, seeds, first_run, seed };
         let (core, first) = Core::start(now(), start, stored);
         let (ask, asked) = mpsc::channel(MOST_WAITING);
         let (write, writes) = threads::channel::<(u64, Batch)>();
@@ -106,19 +122,20 @@
         std::thread::spawn(move || {
             while let Ok((serial, batch)) = writes.recv() {
                 let event = match granary.write(&batch) {
-                    Ok(()) => Event::Synced { serial },
-                    Err(e) => {
-                        tracing::warn!(target: "council", "The disk refused a write: {e:?}.");
-                        Event::Refused { serial }
+                    Ok(()) => Asked::Event(Event::Synced { serial }),
+                    Err(e) if e.remedy() == Remedy::Wait => {
+                        tracing::warn!(target: "council", "The disk refused a write: {e}.");
+                        Asked::Event(Event::Refused { serial })
                     }
+                    Err(e) => Asked::Broken(e),
                 };
-                if synced.blocking_send(Asked::Event(event)).is_err() {
+                if synced.blocking_send(event).is_err() {
                     return;
                 }
             }
         });
         let view = Mutex::new(View::of(&core));
-        Ok((Council { ask, view }, Driver { core, first, asked, write }))
+        Ok((Council { ask, view, changed: Notify::new() }, Driver { core, first, asked, write }))
     }
 
     fn view_now(&self) -> MutexGuard<'_, View> {
@@ -129,10 +146,31 @@
         self.view_now().clone()
     }
 
-    /// Whether this machine leads and was said to by a majority just now.
-    pub fn leads(&self) -> bool {
+    /// The term in which this machine leads, whether a majority has said so lately or not.
+    pub fn leading(&self) -> Option<u64> {
+        self.view_now().leading()
+    }
+
+    /// The term in which this machine leads while nobody else can: its lease runs.
+    pub fn leads_in(&self) -> Option<u64> {
         let view = self.view_now();
-        view.leads && now() < view.seen_at + FRESH
+        view.leading().filter(|_| view.lease.is_some_and(|until| now() < until))
+    }
+
+    /// Whether this machine leads and nobody else can at this moment.
+    pub fn leads(&self) -> bool {
+        self.leads_in().is_some()
+    }
+
+    /// Since when nobody is known to lead.
+    pub fn leaderless_since(&self) -> Option<Micros> {
+        self.view_now().leaderless_since
+    }
+
+    /// Waits until it may be known anew who leads, or until then.
+    pub async fn changed(&self, until: Micros) {
+        let left = clock::span(until.saturating_sub(now()));
+        let _ = tokio::time::timeout(left, self.changed.notified()).await;
     }
 
     /// Who leads, as far as known here.
@@ -187,13 +225,19 @@
 }
 
 impl View {
+    /// The term in which this machine leads.
+    fn leading(&self) -> Option<u64> {
+        (self.role == Role::Leader).then_some(self.term)
+    }
+
     fn of(core: &Core) -> View {
         let now = now();
+        let leader = core.leader().filter(|_| core.knows_leader(now, LEADER_KNOWN));
         View {
             me: core.me(),
             role: core.role(),
             term: core.term(),
-            leader: core.leader(),
+            leader,
             voters: core.voters().to_vec(),
             learners: core.learners(),
             commit: core.commit(),
@@ -201,20 +245,25 @@
             durable: core.durable(),
             disk_troubled: core.is_disk_troubled(),
             contacts: core.contacts(),
-            leads: core.leads(now),
-            seen_at: now,
+            lease: core.lease(),
+            leaderless_since: leader.is_none().then_some(now),
         }
     }
 }
 
 impl Driver {
-    /// Drives the core for as long as the process lives.
-    pub async fn run(mut self, sorting: Arc<Sorting>) {
+    /// Drives the core until it can't go on. What it was told of an entry that can't be read reaches nobody: nothing of
+    /// that step is carried out, so that a leader never says that such an entry is in force.
+    pub async fn run(mut self, sorting: Arc<Sorting>) -> Stop {
         let mut links: HashMap<SocketAddrV4, mpsc::Sender<Envelope>> = HashMap::new();
         let mut tickets: HashMap<u64, oneshot::Sender<Told>> = HashMap::new();
         let mut next_ticket = 0;
         let mut actions = std::mem::take(&mut self.first);
         loop {
+            let mut read = match Read::all(&actions) {
+                Ok(read) => read,
+                Err(stop) => return stop,
+            };
             // By place in the log. A proposal is answered in the same step as it is applied in.
             let mut effects: HashMap<u64, Effect> = HashMap::new();
             for action in actions {
@@ -232,16 +281,16 @@
                         // The thread ends with the process only.
                         let _ = self.write.send((serial, batch));
                     }
-                    Action::Apply { index, command } => match Command::unpack(&command) {
-                        Some(command) => {
+                    Action::Apply { index, .. } => {
+                        if let Some(Read::Command(command)) = read.pop_front() {
                             effects.insert(index, sorting.applied(index, &command));
                         }
-                        None => tracing::error!(target: "council", "Command {index} can't be read."),
-                    },
-                    Action::Restore { index, state } => match Records::unpack(&state) {
-                        Some(records) => sorting.restored(records),
-                        None => tracing::error!(target: "council", "Snapshot {index} can't be read."),
-                    },
+                    }
+                    Action::Restore { .. } => {
+                        if let Some(Read::Records(records)) = read.pop_front() {
+                            sorting.restored(records);
+                        }
+                    }
                     Action::Done { ticket, outcome } => {
                         if let Some(tell) = tickets.remove(&ticket) {
                             let effect = match outcome {
@@ -253,14 +302,15 @@
                     }
                 }
             }
-            self.show(&sorting.council);
+            self.show(&sorting);
             let wake = self.core.next_wake();
             let event = if self.core.wants_compact() {
                 Event::Compact { index: self.core.applied(), state: sorting.state().records.pack() }
             } else {
                 tokio::select! {
                     asked = self.asked.recv() => match asked {
-                        None => return,
+                        None => return Stop::Over,
+                        Some(Asked::Broken(error)) => return Stop::Store(error),
                         Some(Asked::Event(event)) => event,
                         Some(Asked::Propose(command, tell)) => {
                             next_ticket += 1;
@@ -280,17 +330,52 @@
         }
     }
 
-    fn show(&self, council: &Council) {
-        let view = View::of(&self.core);
-        let mut shown = council.view_now();
-        if (shown.role, shown.term, shown.leader) != (view.role, view.term, view.leader) {
+    fn show(&self, sorting: &Sorting) {
+        let mut view = View::of(&self.core);
+        let mut shown = sorting.council.view_now();
+        let changed = (shown.role, shown.term, shown.leader) != (view.role, view.term, view.leader);
+        if changed {
             let leader = view.leader.map_or("nobody".to_owned(), |l| l.to_string());
             tracing::info!(target: "council", "{:?} in term {}, led by {leader}.", view.role, view.term);
         }
         if shown.voters != view.voters {
             tracing::info!(target: "council", "{} machines vote.", view.voters.len());
         }
+        if view.leader.is_none() {
+            view.leaderless_since = shown.leaderless_since.or(view.leaderless_since);
+        }
+        let leading = view.leading();
         *shown = view;
+        drop(shown);
+        if changed {
+            // Before anybody can act on it: what was said under another leadership ends here.
+            sorting.leads_in(leading);
+            sorting.council.changed.notify_waiters();
+        }
+    }
+}
+
+/// What actions hand to the state machine.
+pub enum Read {
+    Command(Command),
+    Records(Records),
+}
+
+impl Read {
+    /// Of all the actions that hand something on, in their order.
+    pub fn all(actions: &[Action]) -> Result<VecDeque<Read>, Stop> {
+        let read = |action: &Action| match action {
+            Action::Apply { index, command } => {
+                let command = Command::unpack(command).map_err(|wrong| Stop::Unreadable(*index, wrong));
+                Some(command.map(Read::Command))
+            }
+            Action::Restore { index, state } => {
+                let records = Records::unpack(state).map_err(|wrong| Stop::Unreadable(*index, wrong));
+                Some(records.map(Read::Records))
+            }
+            Action::Send(_) | Action::Write { .. } | Action::Done { .. } => None,
+        };
+        actions.iter().filter_map(read).collect()
     }
 }
 
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -1,32 +1,32 @@
 //! The sorting machine: keeps what is agreed on, and while it leads tells the counters.
 
 mod control;
-mod council;
+pub mod council;
 mod counters;
 mod lister;
+pub mod lives;
+mod mouth;
 mod steward;
 
 use crate::carrier::Reading;
 use crate::clock::{self, now};
 use crate::net;
 use crate::settings::Held;
-use bytes::Bytes;
 use council::Council;
 use jzon::JsonValue as Json;
+use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_almanac::place::Complaint;
 use magpieline_rootstock::Seat;
-use magpieline_trellis::delta;
+use magpieline_trellis::feed::Feeds;
 use magpieline_trellis::orders::Witness;
-use magpieline_trellis::records::{Command, Effect, Kept, Records};
+use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing, Stage};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
-use tokio::sync::mpsc;
-
-/// Frames that may wait for one counter; one that takes no more is let go, and comes again.
-const MOST_WAITING: usize = 512;
 
 /// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
 const GIVE_WAY: crate::clock::Micros = 300_000;
@@ -39,6 +39,8 @@
     pub settings: Held,
     state: Mutex<State>,
     pub council: Council,
+    /// The last sound configuration that an operator sent here: the next one is read after it.
+    sent: Mutex<Option<Arc<Edition>>>,
 }
 
 /// What a sorting machine knows.
@@ -47,9 +49,10 @@
     /// For how long this process has known of the orders in `records`.
     pub witness: Witness,
     pub roster: Roster,
-    /// Counters' links, while this machine leads.
-    links: HashMap<u64, mpsc::Sender<Bytes>>,
-    next_link: u64,
+    /// What counters that hold on to this machine are told.
+    mouth: mouth::Mouth,
+    /// How editions go out to them.
+    feeds: Feeds,
     /// How far trials are open, by service: the order and its stage.
     stages: BTreeMap<String, (u64, Stage)>,
     /// The list as last read under this leadership.
@@ -62,8 +65,8 @@
             records: Records::default(),
             witness,
             roster: Roster::default(),
-            links: HashMap::new(),
-            next_link: 0,
+            mouth: mouth::Mouth::default(),
+            feeds: Feeds::default(),
             stages: BTreeMap::new(),
             list: None,
         }
@@ -75,11 +78,29 @@
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Reads and checks a configuration that an operator sends.
+    pub fn sound(&self, text: &str) -> Result<Arc<Edition>, Vec<Complaint>> {
+        let mut sent = self.sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let edition = Arc::new(Edition::read_after(&text.into(), sent.as_deref())?);
+        *sent = Some(edition.clone());
+        Ok(edition)
+    }
+
     /// The address of agents among themselves.
     pub fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
     }
 
+    /// The inner addresses of the other sorting machines that are known here.
+    fn others(&self) -> Vec<SocketAddrV4> {
+        let seeds = self.machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), self.machine.inner_ports.0));
+        let mut others: Vec<SocketAddrV4> = self.council.members().into_iter().chain(seeds).collect();
+        others.retain(|other| *other != self.inner());
+        others.sort();
+        others.dedup();
+        others
+    }
+
     /// Where operators call the machine that has this inner address: ports are alike on all machines.
     pub fn control_of(&self, inner: SocketAddrV4) -> Option<SocketAddrV4> {
         let own = self.machine.posts.get("control")?;
@@ -133,23 +154,35 @@
             log: jzon::object! { in_force: view.commit, applied: view.applied, on_disk: view.durable,
                 disk_troubled: view.disk_troubled },
             edition: state.records.edition.as_ref().map(|k| k.number),
+            telling: state.telling(),
             appliances: state.list.as_ref().map(|l| l.list.len()),
             services: services,
             counters: counters
         }
     }
 
+    /// This machine leads in this term from now on, or no longer. Links of before end; whoever leads now hears from the
+    /// counters anew.
+    pub fn leads_in(&self, term: Option<u64>) {
+        let mut state = self.state();
+        if state.roster.leads_in(term) {
+            state.hang_up(term);
+            state.stages.clear();
+            state.list = None;
+        }
+    }
+
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
         let state = &mut *self.state();
         state.records = records;
         state.witness.applied(now(), &state.records);
+        state.feed_newest();
     }
 
     /// A command has been agreed on; what it did.
     pub fn applied(&self, index: u64, command: &Command) -> Effect {
         let state = &mut *self.state();
-        let before = state.records.edition.clone();
         let effect = state.records.apply(index, command);
         let service = match command {
             Command::Replace(_) => None,
@@ -160,7 +193,10 @@
             Command::Advance { service, .. } | Command::Stands { service, .. } => Some(service),
         };
         let down = match &effect {
-            Effect::Edition => state.records.edition.clone().map(|kept| amended(before, kept)),
+            Effect::Edition => {
+                state.feed_newest();
+                None
+            }
             Effect::Service => service.and_then(|service| {
                 let standing = state.records.services.get(service).cloned();
                 standing.map(|s| Down::Services(vec![(service.clone(), s)]))
@@ -178,41 +214,10 @@
     }
 }
 
-/// A new edition as counters that hold the one before are told it: as what has changed, where that is shorter.
-fn amended(before: Option<Kept>, kept: Kept) -> Down {
-    let Some(before) = before else { return Down::Edition(kept) };
-    let pieces = delta::diff(&before.text, &kept.text);
-    let amend =
-        Down::Amend { from: before.number, number: kept.number, pieces, digest: delta::digest(&kept.text) };
-    if words::frame(&amend).len() < kept.text.len() {
-        amend
-    } else {
-        Down::Edition(kept)
-    }
-}
-
 impl State {
-    /// Tells all counters. One that takes no more is let go.
-    pub fn tell_all(&mut self, down: &Down) {
-        if self.links.is_empty() {
-            return;
-        }
-        let frame = Bytes::from(words::frame(down));
-        let roster = &mut self.roster;
-        self.links.retain(|link, to| {
-            let kept = to.try_send(frame.clone()).is_ok();
-            if !kept {
-                roster.closed(*link);
-            }
-            kept
-        });
-    }
-
-    /// All that a counter has to know that holds this edition, in the order in which it is to take it in.
-    fn all(&self, held: u64) -> Vec<Down> {
-        let mut all = Vec::new();
-        all.extend(self.records.edition.clone().filter(|kept| kept.number != held).map(Down::Edition));
-        all.push(Down::Services(self.records.services.clone().into_iter().collect()));
+    /// All that a counter has to know besides the edition, in the order in which it is to take it in.
+    fn all(&self) -> Vec<Down> {
+        let mut all = vec![Down::Services(self.records.services.clone().into_iter().collect())];
         all.extend(
             self.stages.iter().map(|(s, (order, stage))| Down::Stage(s.as_str().into(), *order, *stage)),
         );
@@ -232,26 +237,53 @@
     }
 }
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM, in more than one life where its store can't be read.
 pub async fn run(settings: Held, life: u64) -> std::io::Result<()> {
+    let mut life = life;
+    while live(settings.clone(), life).await? {
+        life = rand::random::<u64>().max(1);
+    }
+    Ok(())
+}
+
+/// One life. True: another one is to follow.
+async fn live(settings: Held, life: u64) -> std::io::Result<bool> {
     let machine = Machine::clone(&settings.borrow());
     let Some(control) = machine.posts.get("control").copied() else {
         return Err(std::io::Error::other("network.posts: expected control"));
     };
+    let Some(store) = machine.store.clone().map(PathBuf::from) else {
+        return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
+    };
     let inner = SocketAddrV4::new(machine.ip, machine.inner_ports.0);
+    // Nobody is kept waiting at a door behind which nothing runs yet.
+    let Some((council, driver)) = lives::open(&machine, &store, life).await else { return Ok(false) };
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let (council, driver) = Council::open(&machine, life)?;
     let state = State::new(Witness::new(now(), clock::day()));
-    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(state), council });
-    tokio::spawn(driver.run(sorting.clone()));
-    tokio::spawn(counters::run(sorting.clone(), inner));
-    tokio::spawn(control::run(sorting.clone(), door));
-    tokio::spawn(lister::run(sorting.clone()));
-    tokio::spawn(steward::run(sorting.clone()));
-    crate::signals::terminated().await;
+    let sorting =
+        Arc::new(Sorting { machine, settings, state: Mutex::new(state), council, sent: Mutex::default() });
+    let mut driving = tokio::spawn(driver.run(sorting.clone()));
+    let others = [
+        tokio::spawn(counters::run(sorting.clone(), inner)),
+        tokio::spawn(control::run(sorting.clone(), door)),
+        tokio::spawn(lister::run(sorting.clone())),
+        tokio::spawn(steward::run(sorting.clone())),
+    ];
+    tokio::select! {
+        () = crate::signals::terminated() => {}
+        stop = &mut driving => {
+            for other in others {
+                other.abort();
+                let _ = other.await; // its door is free again, for the next life
+            }
+            let stop = stop.map_err(|broken| std::io::Error::other(format!("the agreement broke: {broken}")))?;
+            let others = sorting.others();
+            return Ok(lives::begin_anew(&stop, &store, &others).await);
+        }
+    }
     tracing::info!(target: "sorting", "Leaving.");
     sorting.council.give_way().await;
     tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
-    Ok(())
+    Ok(false)
 }
