--- a/rigs/nursery/src/lib.rs
+++ b/rigs/nursery/src/lib.rs
@@ -11,6 +11,7 @@
 mod desk;
 mod grove;
 pub mod history;
+mod losses;
 mod operators;
 mod season;
 mod world;
