--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -9,7 +9,7 @@
 mod steward;
 
 use crate::carrier::Reading;
-use crate::clock::now;
+use crate::clock::{self, now};
 use crate::net;
 use crate::settings::Held;
 use council::Council;
@@ -17,7 +17,8 @@
 use magpieline_almanac::machine::Machine;
 use magpieline_rootstock::Seat;
 use magpieline_trellis::feed::Feeds;
-use magpieline_trellis::records::{Effect, Records};
+use magpieline_trellis::orders::Witness;
+use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing, Stage};
 use std::collections::BTreeMap;
@@ -39,9 +40,10 @@
 }
 
 /// What a sorting machine knows.
-#[derive(Default)]
 pub struct State {
     pub records: Records,
+    /// For how long this process has known of the orders in `records`.
+    pub witness: Witness,
     pub roster: Roster,
     /// What counters that hold on to this machine are told.
     mouth: mouth::Mouth,
@@ -53,6 +55,20 @@
     pub list: Option<Reading>,
 }
 
+impl State {
+    fn new(witness: Witness) -> State {
+        State {
+            records: Records::default(),
+            witness,
+            roster: Roster::default(),
+            mouth: mouth::Mouth::default(),
+            feeds: Feeds::default(),
+            stages: BTreeMap::new(),
+            list: None,
+        }
+    }
+}
+
 impl Sorting {
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -146,36 +162,43 @@
 
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
-        let mut state = self.state();
+        let state = &mut *self.state();
         state.records = records;
+        state.witness.applied(now(), &state.records);
         state.feed_newest();
     }
 
-    /// A command has been agreed on.
-    pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
-        let mut state = self.state();
+    /// A command has been agreed on; what it did.
+    pub fn applied(&self, index: u64, command: &Command) -> Effect {
+        let state = &mut *self.state();
         let effect = state.records.apply(index, command);
-        let down = match effect {
+        let service = match command {
+            Command::Replace(_) => None,
+            Command::Begin { service, .. } | Command::Order { service, .. } => {
+                state.witness.applied(now(), &state.records);
+                Some(service)
+            }
+            Command::Advance { service, .. } | Command::Stands { service, .. } => Some(service),
+        };
+        let down = match &effect {
             Effect::Edition => {
                 state.feed_newest();
                 None
             }
-            Effect::Service => {
-                use magpieline_trellis::records::Command;
-                let (Command::Begin { service, .. }
-                | Command::Advance { service, .. }
-                | Command::Stands { service, .. }) = command
-                else {
-                    return;
-                };
+            Effect::Service => service.and_then(|service| {
                 let standing = state.records.services.get(service).cloned();
                 standing.map(|s| Down::Services(vec![(service.clone(), s)]))
-            }
-            Effect::None => None,
+            }),
+            Effect::Again
+            | Effect::Idle
+            | Effect::OtherDocument(_)
+            | Effect::OtherRollout(_)
+            | Effect::None => None,
         };
         if let Some(down) = down {
             state.tell_all(&down);
         }
+        effect
     }
 }
 
@@ -225,7 +248,8 @@
     let Some((council, driver)) = lives::open(&machine, &store, life).await else { return Ok(false) };
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(State::default()), council });
+    let state = State::new(Witness::new(now(), clock::day()));
+    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(state), council });
     let mut driving = tokio::spawn(driver.run(sorting.clone()));
     let others = [
         tokio::spawn(counters::run(sorting.clone(), inner)),
