--- a/keeping/trellis/tests/narrow_links.rs
+++ b/keeping/trellis/tests/narrow_links.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
 
+const TERM: u64 = 1;
 const COUNTERS: usize = 88;
 /// Microseconds.
 const S: u64 = 1_000_000;
@@ -157,6 +158,9 @@
             let (at, counter) = (day.chance.gen_range(5 * S..11 * S), day.chance.gen_range(0..COUNTERS));
             day.at(at, Then::Restarts(counter));
         }
+        // A zone is cut off while the large edition is on its way.
+        let (at, until) = (day.chance.gen_range(7 * S..7 * S + 100_000), day.chance.gen_range(8 * S..12 * S));
+        (0..29).for_each(|i| day.at(at, Then::Cut(3 * i, until)));
         let leads = day.chance.gen_range(7 * S..11 * S);
         day.at(leads, Then::Leads);
         day
@@ -214,9 +218,9 @@
     fn fifo(&mut self, link: u64, from: Option<&Kept>, edition: &Kept) {
         let told = from.map(|f| 2 * magpieline_trellis::delta::diff(&f.text, &edition.text).len());
         let bytes = magpieline_trellis::delta::diff("", &edition.text);
-        let length = bytes.len() as u32;
-        let word = Down::Piece(Piece { number: edition.number, from: 0, length, at: 0, bytes });
-        let down = Fenced { term: 0, word };
+        let (number, length) = (edition.number, bytes.len() as u32);
+        let word = Down::Piece(Piece { number, from: 0, length, at: 0, bytes });
+        let down = Fenced { term: TERM, word };
         self.say(link, frame(&down).into(), told.unwrap_or(edition.text.len()));
     }
 
@@ -243,7 +247,7 @@
             }
             Then::Beat => {
                 let beat = Bytes::from(frame(&Fenced {
-                    term: 0,
+                    term: TERM,
                     word: Down::Beat { counters: 88, asked: 0, edition: 0 },
                 }));
                 let links: Vec<u64> = self.links.keys().copied().collect();
@@ -324,8 +328,8 @@
                 if self.way == Way::Feeds && self.waiting[to] > WINDOW + 4096 {
                     self.broken.push(format!("{} bytes wait for counter {to}", self.waiting[to]));
                 }
-                let down = unframe::<Fenced<Down>>(&mut frame.to_vec()).expect("ours").expect("whole").word;
-                self.hears(to, link, down);
+                let told = unframe::<Fenced<Down>>(&mut frame.to_vec()).expect("ours").expect("whole");
+                self.hears(to, link, told.word);
             }
             Then::Holds(counter, link, kept) if self.counters[counter].link == link => {
                 let (number, this) = (kept.number, &mut self.counters[counter]);
@@ -365,9 +369,11 @@
         self.at(self.now + read, Then::Holds(counter, link, kept));
     }
 
-    /// A link has ended: the leader hears of it at once, or never, and the counter comes again.
+    /// A link has ended: the leader hears of it at once, or not before it says something there, and the counter comes
+    /// again.
     fn reopen(&mut self, counter: usize, link: u64) {
-        if link != 0 && self.chance.gen_bool(0.7) {
+        let hears = self.counters[counter].cut_until <= self.now && self.chance.gen_bool(0.7);
+        if link != 0 && hears {
             self.links.remove(&link);
             self.feed(Event::Closed { link });
         }
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -7,14 +7,17 @@
 pub mod lives;
 mod mouth;
 mod steward;
+pub mod way;
 
 use crate::carrier::Reading;
-use crate::clock::{self, now};
+use crate::clock::{self, now, Micros};
 use crate::net;
 use crate::settings::Held;
 use council::Council;
 use jzon::JsonValue as Json;
+use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_almanac::place::Complaint;
 use magpieline_rootstock::Seat;
 use magpieline_trellis::feed::Feeds;
 use magpieline_trellis::orders::Witness;
@@ -26,8 +29,11 @@
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
-const GIVE_WAY: crate::clock::Micros = 300_000;
+/// After the last word of the agreement calls in hand are answered for so long: those that wait for a leader find one
+/// within it.
+const GIVE_WAY: Micros = 100_000;
+/// So much of `grace` is left for that and for the end of the process: less on a machine short of processor time.
+const GRACE_LEFT: Micros = 1_000_000;
 
 /// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
 pub struct Sorting {
@@ -37,6 +43,8 @@
     pub settings: Held,
     state: Mutex<State>,
     pub council: Council,
+    /// The last sound configuration that an operator sent here: the next one is read after it.
+    sent: Mutex<Option<Arc<Edition>>>,
 }
 
 /// What a sorting machine knows.
@@ -74,6 +82,14 @@
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Reads and checks a configuration that an operator sends.
+    pub fn sound(&self, text: &str) -> Result<Arc<Edition>, Vec<Complaint>> {
+        let mut sent = self.sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let edition = Arc::new(Edition::read_after(&text.into(), sent.as_deref())?);
+        *sent = Some(edition.clone());
+        Ok(edition)
+    }
+
     /// The address of agents among themselves.
     pub fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
@@ -249,7 +265,8 @@
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
     let state = State::new(Witness::new(now(), clock::day()));
-    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(state), council });
+    let sorting =
+        Arc::new(Sorting { machine, settings, state: Mutex::new(state), council, sent: Mutex::default() });
     let mut driving = tokio::spawn(driver.run(sorting.clone()));
     let others = [
         tokio::spawn(counters::run(sorting.clone(), inner)),
@@ -269,8 +286,12 @@
             return Ok(lives::begin_anew(&stop, &store, &others).await);
         }
     }
+    let begun = now();
     tracing::info!(target: "sorting", "Leaving.");
-    sorting.council.give_way().await;
+    sorting.council.leave(begun + sorting.machine.terms.grace.saturating_sub(GRACE_LEFT)).await;
     tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
+    let handed_on = sorting.council.view().left;
+    tracing::info!(target: "sorting", "Left after {} ms{}.", (now() - begun) / 1000,
+        if handed_on { "" } else { ", still needed" });
     Ok(false)
 }
--- a/rigs/nursery/src/world.rs
+++ b/rigs/nursery/src/world.rs
@@ -14,6 +14,11 @@
     pub first_run: bool,
     /// Different at every start.
     pub seed: u64,
+    /// The machine's time of day at the start, microseconds since 1970.
+    pub day: Micros,
+    /// How many machines may be lost at once, and how long after its return a machine still counts as lost.
+    pub withstand: usize,
+    pub catch_up: Micros,
 }
 
 /// What happens to a node.
@@ -102,6 +107,10 @@
 
 const SYNC: Micros = 2 * MILLI;
 const SLOW_FACTOR: Micros = 30;
+/// Times of day on two machines differ by less than this.
+const DAYS_DIFFER: Micros = 900 * MILLI;
+/// The time of day when a world begins.
+const BEGINNING: Micros = 1_790_000_000_000_000;
 /// Timers fire up to so much late.
 const LATE: Micros = 2 * MILLI;
 
@@ -146,6 +155,9 @@
     cuts: BTreeSet<(usize, usize)>,
     messages: u64,
     steps: u64,
+    /// What all machines are told.
+    pub withstand: usize,
+    pub catch_up: Micros,
 }
 
 /// Where a machine is.
@@ -166,12 +178,16 @@
             cuts: BTreeSet::new(),
             messages: 0,
             steps: 0,
+            withstand: 1,
+            catch_up: 4 * SECOND,
         }
     }
 
     /// Puts a machine up, not yet started.
     pub fn add(&mut self, seeds: Vec<SocketAddrV4>, first_run: bool) -> usize {
-        let boot = Boot { me: address(self.machines.len()), seeds, first_run, seed: 0 };
+        let (withstand, catch_up) = (self.withstand, self.catch_up);
+        let me = address(self.machines.len());
+        let boot = Boot { me, seeds, first_run, seed: 0, day: 0, withstand, catch_up };
         // Clocks began at any time and differ by up to a thousandth.
         let clock = (self.rng.gen_range(0..1_000_000_000), self.rng.gen_range(0..1000));
         self.machines.push(Machine {
@@ -245,6 +261,12 @@
         start + self.now + (u128::from(self.now) * u128::from(fast) / 1_000_000) as u64
     }
 
+    /// What the machine shows as the time of day, microseconds since 1970: true to half of [`DAYS_DIFFER`].
+    pub fn day(&self, machine: usize) -> Micros {
+        let (start, _) = self.machines[machine].clock;
+        BEGINNING + start % DAYS_DIFFER + self.now
+    }
+
     fn plan(&mut self, at: Micros, what: Happening<N>) {
         self.order += 1;
         self.ahead.insert((at.max(self.now), self.order), what);
@@ -257,9 +279,10 @@
         }
         let now = self.clock(machine);
         let seed = self.rng.gen();
+        let day = self.day(machine);
         let this = &mut self.machines[machine];
         this.starts += 1;
-        this.boot.seed = seed;
+        (this.boot.seed, this.boot.day) = (seed, day);
         let (node, effects) = N::start(&this.boot, now, &this.disk);
         this.node = Some(node);
         self.carry_out(machine, effects, watch);
