--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -27,6 +27,8 @@
 /// After a link that did not come up nothing is tried for so long.
 const LINK_AGAIN: Micros = 100_000;
 
+/// How often a process that stops looks whether it may: a small part of the shortest stop (some 100 ms).
+const LOOK: Micros = 20_000;
 /// Who was heard to lead is named to others for so long: a voter looks for another one by then, a machine that does not
 /// vote has nothing else to go by.
 const LEADER_KNOWN: Micros = 1_000_000;
@@ -54,6 +56,8 @@
     pub durable: u64,
     pub disk_troubled: bool,
     pub contacts: Vec<Contact>,
+    /// It was told to leave, and is needed no more.
+    pub left: bool,
     /// It leads, and nobody else can before this time.
     lease: Option<Micros>,
     /// Since when nobody is known to lead.
@@ -114,7 +118,8 @@
             stored.entries.len(),
             if stored.hard.is_none() { ", empty" } else { "" }
         );
-        let start = Start { me, seeds, first_run, seed };
+        let (withstand, catch_up) = (machine.withstand as usize, machine.terms.catch_up);
+        let start = Start { me, seeds, first_run, seed, withstand, catch_up };
         let (core, first) = Core::start(now(), start, stored);
         let (ask, asked) = mpsc::channel(MOST_WAITING);
         let (write, writes) = threads::channel::<(u64, Batch)>();
@@ -213,9 +218,12 @@
         let _ = self.ask.try_send(Asked::Event(Event::Receive(envelope)));
     }
 
-    /// This machine is about to stop: if it leads, another one should at once.
-    pub async fn give_way(&self) {
-        let _ = self.ask.send(Asked::Event(Event::GiveWay)).await;
+    /// This machine is about to stop: returns once it is needed no more, or at `until`.
+    pub async fn leave(&self, until: Micros) {
+        let _ = self.ask.send(Asked::Event(Event::Leave)).await;
+        while !self.view_now().left && now() < until {
+            tokio::time::sleep(clock::span(LOOK)).await;
+        }
     }
 }
 
@@ -248,6 +256,7 @@
             durable: core.durable(),
             disk_troubled: core.is_disk_troubled(),
             contacts: core.contacts(),
+            left: core.has_left(),
             lease: core.lease(),
             leaderless_since: leader.is_none().then_some(now),
         }
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -10,7 +10,7 @@
 pub mod way;
 
 use crate::carrier::Reading;
-use crate::clock::{self, now};
+use crate::clock::{self, now, Micros};
 use crate::net;
 use crate::settings::Held;
 use council::Council;
@@ -29,8 +29,11 @@
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
-const GIVE_WAY: crate::clock::Micros = 300_000;
+/// After the last word of the agreement calls in hand are answered for so long: those that wait for a leader find one
+/// within it.
+const GIVE_WAY: Micros = 100_000;
+/// So much of `grace` is left for that and for the end of the process: less on a machine short of processor time.
+const GRACE_LEFT: Micros = 1_000_000;
 
 /// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
 pub struct Sorting {
@@ -283,8 +286,12 @@
             return Ok(lives::begin_anew(&stop, &store, &others).await);
         }
     }
+    let begun = now();
     tracing::info!(target: "sorting", "Leaving.");
-    sorting.council.give_way().await;
+    sorting.council.leave(begun + sorting.machine.terms.grace.saturating_sub(GRACE_LEFT)).await;
     tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
+    let handed_on = sorting.council.view().left;
+    tracing::info!(target: "sorting", "Left after {} ms{}.", (now() - begun) / 1000,
+        if handed_on { "" } else { ", still needed" });
     Ok(false)
 }
--- a/rigs/nursery/src/main.rs
+++ b/rigs/nursery/src/main.rs
@@ -2,9 +2,10 @@
 
 use gumdrop::Options;
 use magpieline_nursery::{
-    Grove, Harvest, Micros, Net, Planting, Played, Season, Sowing, Trouble, MILLI, SECOND,
+    Called, Grove, Harvest, Micros, Net, Office, Planting, Played, Season, Sowing, Trouble, MILLI, SECOND,
 };
 use std::collections::BTreeMap;
+use std::fmt::Debug;
 use std::ops::Range;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
@@ -24,6 +25,8 @@
 enum Command {
     #[options(help = "break things by chance, check after every step")]
     Run(Run),
+    #[options(help = "operators call while things break, and what they saw is checked as a history")]
+    Operators(Run),
     #[options(help = "how long it takes until a leader stands, a wiped machine votes; what idling costs")]
     Measure(Measure),
     #[options(
@@ -93,6 +96,7 @@
             seasons(&line);
             ExitCode::SUCCESS
         }
+        Some(Command::Operators(run)) => call(&run),
         Some(Command::Measure(measure)) => {
             show(&measure);
             ExitCode::SUCCESS
@@ -138,9 +142,29 @@
 }
 
 fn play(run: &Run) -> ExitCode {
+    let total = Mutex::new(Played::default());
+    let failed = each_seed(run, "run", |seed| {
+        let planting = Planting { seed, machines: run.machines, net: Net::CALM };
+        let mut grove = Grove::plant(planting);
+        grove.endure(seed, run.steps);
+        total.lock().expect("not poisoned").add(&grove.played());
+    });
+    ended(run, failed, &total.into_inner().expect("not poisoned"))
+}
+
+fn call(run: &Run) -> ExitCode {
+    let total = Mutex::new(Called::default());
+    let failed = each_seed(run, "operators", |seed| {
+        let called = Office::open(seed, run.machines).play(run.steps);
+        total.lock().expect("not poisoned").add(&called);
+    });
+    ended(run, failed, &total.into_inner().expect("not poisoned"))
+}
+
+/// Plays each seed on all processors; how many failed.
+fn each_seed(run: &Run, command: &str, play: impl Fn(u64) + Sync) -> u64 {
     let next = AtomicU64::new(run.seeds.start);
     let failed = AtomicU64::new(0);
-    let total = Mutex::new(Played::default());
     let threads = thread::available_parallelism().map_or(1, |count| count.get());
     thread::scope(|scope| {
         for _ in 0..threads {
@@ -149,27 +173,21 @@
                 if seed >= run.seeds.end {
                     return;
                 }
-                let endure = || {
-                    let planting = Planting { seed, machines: run.machines, net: Net::CALM };
-                    let mut grove = Grove::plant(planting);
-                    grove.endure(seed, run.steps);
-                    grove.played()
-                };
-                if let Ok(played) = catch_unwind(AssertUnwindSafe(endure)) {
-                    total.lock().expect("not poisoned").add(&played);
-                } else {
+                if catch_unwind(AssertUnwindSafe(|| play(seed))).is_err() {
                     failed.fetch_add(1, Ordering::Relaxed);
                     let (machines, steps) = (run.machines, run.steps);
                     println!(
-                        "seed {seed} failed; again with: nursery run --seeds {seed}..{} --machines {machines} --steps {steps}",
+                        "seed {seed} failed; again with: nursery {command} --seeds {seed}..{} --machines {machines} --steps {steps}",
                         seed + 1
                     );
                 }
             });
         }
     });
-    let failed = failed.into_inner();
-    let total = total.into_inner().expect("not poisoned");
+    failed.into_inner()
+}
+
+fn ended(run: &Run, failed: u64, total: &dyn Debug) -> ExitCode {
     println!(
         "{} seeds of {} machines, {failed} failed; {total:?}",
         run.seeds.end - run.seeds.start,
