Agreement: machines that have all just restarted elect at once

Change: a machine that has heard no leader since its start answers a pre-vote with yes, if every voter has restarted as it has. Where all have, none leads, and no lease can run; the vote names the start it holds for. With one of them gone, or up since before, all is as it was.

--- a/keeping/rootstock/src/election.rs
+++ b/keeping/rootstock/src/election.rs
@@ -16,6 +16,9 @@
 const RETRY_SPREAD: Micros = 200_000;
 /// At the very first start there is no leader that could live: founders try from here on.
 const FOUNDING: Micros = 50_000;
+/// A machine that has restarted asks the others this often whether they all have, and a little later by chance: that
+/// costs some ten messages in all, and a vote takes some 10 ms.
+const PROBE: Micros = 40_000;
 /// A leader that has not heard more than half of the voters for so long steps down: five beats unanswered, before its
 /// followers have found another one in most cases.
 const QUORUM_PATIENCE: Micros = 500_000;
@@ -25,9 +28,13 @@
         least + self.rng.gen_range(0..spread)
     }
 
-    pub(crate) fn set_first_timeout(&mut self, founds: bool) {
+    pub(crate) fn set_first_timeout(&mut self, fresh: bool, founds: bool) {
         let wait = self.draw(if founds { FOUNDING } else { ELECTION_MIN }, ELECTION_SPREAD);
         self.election_due = self.now + wait;
+        if !fresh {
+            self.restarted = Some(self.election_due);
+            self.election_due = self.now + self.draw(PROBE, PROBE);
+        }
     }
 
     /// Enters `term` if it is newer, and follows whoever leads it.
@@ -72,6 +79,7 @@
             self.disk.hard_changed();
         }
         self.heard_at = Some(self.now);
+        self.restarted = None;
         self.asking.silent_since = Some(self.now);
         self.tries = 0;
         self.election_due = self.now + self.draw(ELECTION_MIN, ELECTION_SPREAD);
@@ -87,16 +95,23 @@
         if self.now < self.election_due || !self.is_voter() {
             return;
         }
-        let factor = if self.tries < 3 { 1 } else { 2 };
-        self.election_due = self.now + factor * self.draw(RETRY, RETRY_SPREAD);
+        match self.restarted.filter(|until| self.now < *until) {
+            Some(until) => self.election_due = until.min(self.now + self.draw(PROBE, PROBE)),
+            None => {
+                self.restarted = None;
+                let factor = if self.tries < 3 { 1 } else { 2 };
+                self.election_due = self.now + factor * self.draw(RETRY, RETRY_SPREAD);
+                self.tries += 1;
+            }
+        }
         if !self.is_disk_fit() {
             return;
         }
-        self.tries += 1;
         self.role = Role::PreCandidate;
         self.leader = None;
         self.following = Following::default();
         self.granted = [self.me].into();
+        self.if_all = [(self.me, self.start)].into();
         self.ask_voters(Message::PreVote { last: self.log.last(), last_term: self.log.last_term() });
     }
 
@@ -109,7 +124,8 @@
     }
 
     /// Stands for election in a new term. The requests, and its own vote, wait for the disk.
-    fn stand(&mut self, handed_over: bool) {
+    fn stand(&mut self, handed_over: bool, restarted: bool) {
+        self.restarted = None;
         self.term += 1;
         self.vote = Some(self.me);
         self.disk.hard_changed();
@@ -119,7 +135,12 @@
         self.granted = [self.me].into();
         self.election_due = self.now + self.draw(RETRY, RETRY_SPREAD);
         let (last, last_term) = (self.log.last(), self.log.last_term());
-        self.ask_voters(Message::Vote { last, last_term, handed_over });
+        for seat in self.roll.in_force(self.commit) {
+            if seat != self.me {
+                let restarted = self.if_all.get(&seat).copied().filter(|_| restarted);
+                self.send(seat, Message::Vote { last, last_term, handed_over, restarted });
+            }
+        }
     }
 
     /// Goes on with an election that has enough votes.
@@ -128,8 +149,15 @@
             return;
         }
         let won = self.roll.majority(self.commit, |seat| self.granted.contains(seat));
-        if self.role == Role::PreCandidate && won {
-            self.stand(false);
+        if self.role == Role::PreCandidate && self.restarted.is_some() {
+            // Its own vote may be what an earlier leader's lease rests on. Where every voter has restarted nobody leads, as
+            // leaders are voters and who restarts does not lead.
+            let all = self.roll.in_force(self.commit);
+            if all.iter().all(|seat| self.if_all.contains_key(seat) || self.granted.contains(seat)) {
+                self.stand(false, true);
+            }
+        } else if self.role == Role::PreCandidate && won {
+            self.stand(false, false);
         }
         let won = self.roll.majority(self.commit, |seat| self.granted.contains(seat));
         if self.role == Role::Candidate && won && self.disk.is_hard_durable() {
@@ -153,10 +181,13 @@
 
     /// Says yes only if a vote would be given. Says no only to hand on a newer term; silence costs less.
     pub(crate) fn on_pre_vote(&mut self, from: Seat, term: Term, last: Index, last_term: Term) {
+        let granted = term >= self.term && self.is_up_to_date(last, last_term);
         if self.has_live_leader() {
+            if granted && self.restarted.is_some() {
+                self.send(from, Message::PreVoteIfAll { next_term: term + 1, start: self.start });
+            }
             return;
         }
-        let granted = term >= self.term && self.is_up_to_date(last, last_term);
         if granted || term < self.term {
             self.send(from, Message::PreVoteReply { next_term: term + 1, granted });
         }
@@ -173,16 +204,24 @@
         }
     }
 
+    pub(crate) fn on_pre_vote_if_all(&mut self, from: Seat, next_term: Term, start: u64) {
+        if self.role == Role::PreCandidate && next_term == self.term + 1 {
+            self.if_all.insert(from, start);
+        }
+    }
+
     /// A vote counts for this seat and is given by it, whatever list this machine has: the candidate knows a list with it.
     pub(crate) fn on_vote(
         &mut self,
         from: Seat,
         term: Term,
-        last: Index,
-        last_term: Term,
+        (last, last_term): (Index, Term),
         handed_over: bool,
+        restarted: Option<u64>,
     ) {
-        if self.has_live_leader() && !handed_over {
+        let all_restarted = self.restarted.is_some() && restarted == Some(self.start);
+        let released = handed_over || all_restarted;
+        if self.has_live_leader() && !released {
             return;
         }
         if term > self.term {
@@ -196,6 +235,7 @@
                 self.vote = Some(from);
                 self.disk.hard_changed();
             }
+            self.restarted = None;
             self.election_due = self.now + self.draw(ELECTION_MIN, ELECTION_SPREAD);
         }
         if granted || term < self.term {
@@ -243,7 +283,7 @@
 
     pub(crate) fn on_hand_over(&mut self, from: Seat) {
         if self.leader == Some(from) && self.is_voter() && self.is_disk_fit() && self.role == Role::Follower {
-            self.stand(true);
+            self.stand(true, false);
         }
     }
 }
--- a/keeping/rootstock/src/lib.rs
+++ b/keeping/rootstock/src/lib.rs
@@ -71,7 +71,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// A time on the machine's steady clock, in microseconds.
@@ -202,10 +202,17 @@
     /// When the leader was last heard; also set at a restart, as one may have been heard just before.
     heard_at: Option<Micros>,
     election_due: Micros,
+    /// This process began on a store that was not empty, and has heard no leader since, nor led or voted: until when it
+    /// keeps to what it may have promised one before.
+    restarted: Option<Micros>,
     /// Elections tried since a leader was heard.
     tries: u32,
     /// Who said yes in the running pre-vote or vote.
     granted: BTreeSet<Seat>,
+    /// Who said yes if all have restarted, and at which start.
+    if_all: BTreeMap<Seat, u64>,
+    /// Different at each start.
+    start: u64,
     log: Log,
     roll: Roll,
     commit: Index,
@@ -241,8 +248,11 @@
             leader: None,
             heard_at: (!fresh).then_some(now),
             election_due: now,
+            restarted: None,
             tries: 0,
             granted: BTreeSet::new(),
+            if_all: BTreeMap::new(),
+            start: start.seed,
             roll: Roll::of(&log),
             commit,
             applied: 0,
@@ -253,7 +263,7 @@
             asking: asking::Asking::default(),
             out: Vec::new(),
         };
-        core.set_first_timeout(founds);
+        core.set_first_timeout(fresh, founds);
         core.restore_snapshot();
         let actions = core.settle();
         (core, actions)
@@ -324,11 +334,12 @@
         }
         match message {
             Message::PreVote { last, last_term } => self.on_pre_vote(from, term, last, last_term),
+            Message::PreVoteIfAll { next_term, start } => self.on_pre_vote_if_all(from, next_term, start),
             Message::PreVoteReply { next_term, granted } => {
                 self.on_pre_vote_reply(from, term, next_term, granted)
             }
-            Message::Vote { last, last_term, handed_over } => {
-                self.on_vote(from, term, last, last_term, handed_over)
+            Message::Vote { last, last_term, handed_over, restarted } => {
+                self.on_vote(from, term, (last, last_term), handed_over, restarted)
             }
             message => {
                 if term > self.term {
@@ -366,6 +377,7 @@
             // Taken before.
             Message::PreVote { .. }
             | Message::PreVoteReply { .. }
+            | Message::PreVoteIfAll { .. }
             | Message::Vote { .. }
             | Message::Ask { .. }
             | Message::Point { .. } => {}
--- a/keeping/rootstock/src/message.rs
+++ b/keeping/rootstock/src/message.rs
@@ -29,11 +29,20 @@
         next_term: Term,
         granted: bool,
     },
-    /// Vote for me in this term. `handed_over`: the old leader asked me to.
+    /// The answer of one that has heard no leader since it started a moment ago, and keeps to what it may have promised
+    /// one before: yes, if every voter has restarted as it has.
+    /// `start` is different at each start.
+    PreVoteIfAll {
+        next_term: Term,
+        start: u64,
+    },
+    /// Vote for me in this term. `handed_over`: the old leader asked me to. `restarted`: all voters have, the receiver at
+    /// this start, and none leads.
     Vote {
         last: Index,
         last_term: Term,
         handed_over: bool,
+        restarted: Option<u64>,
     },
     VoteReply {
         granted: bool,
