--- a/rigs/turnstile/src/play.rs
+++ b/rigs/turnstile/src/play.rs
@@ -260,6 +260,7 @@
     for (place, service) in [(1, "s"), (2, "s"), (3, "t"), (4, "t")] {
         tell(&counter, &book, &format!("i-{place}"), service, place, Some(State::Ready));
     }
+    counter.confirmed();
     counter.heard_counters(1);
     let mut beside = vec![tokio::spawn(swept(counter.clone()))];
     if plot.lists {
