Turnstile: a counter that is confirmed, and services that move between versions

Since the counter serves only what a leader has confirmed, the rig's plays served nothing: its counter is confirmed now, as loopback's is. A second set of plays moves services between versions under way. Tests of the echo that is called off, of connections used without an id, of what comes behind an early answer, of the longest rest and of two Try-Ids.

--- a/carrying/furrow/src/framing/tests.rs
+++ b/carrying/furrow/src/framing/tests.rs
@@ -154,6 +154,7 @@
 #[case("GET /a HTTP/1.1\r\nHost: a\r\nX: b\rContent-Length: 9\r\n\r\n", Wrong::Control)]
 #[case("GET /a HTTP/1.1\r\n\r\n", Wrong::Host)]
 #[case("GET /a HTTP/1.1\r\nHost: a\r\nhost: a\r\n\r\n", Wrong::Host)]
+#[case("GET /a HTTP/1.1\r\nHost: a\r\nTry-Id: x\r\ntry-id: x\r\n\r\n", Wrong::Field)]
 #[case("GET /a HTTP/1.1\r\nHost: a b\r\n\r\n", Wrong::Host)]
 #[case("GET /a HTTP/1.1\r\nHost: a/b\r\n\r\n", Wrong::Host)]
 #[case("GET http://b/a HTTP/1.1\r\nHost: a\r\n\r\n", Wrong::Host)]
@@ -548,3 +549,47 @@
     assert_eq!((echo.shown(), echo.fault()), (&b""[..], Some(Fault::Unasked)));
     assert!(!echo.ask(b"t2", false));
 }
+
+/// Guards against a request sent again that was written after all, and against one given up that may have run.
+#[test]
+fn what_is_called_off_was_never_written_and_never_will_be() {
+    let mut echo = Echo::default();
+    assert!(echo.ask(b"t1", false) && echo.call_off());
+    assert_eq!((echo.fault(), echo.usable(), echo.ask(b"t2", false)), (Some(Fault::CalledOff), false, false));
+    let mut written = Echo::default();
+    assert!(written.ask(b"t1", false));
+    written.written();
+    assert!(!written.call_off() && written.fault().is_none());
+}
+
+/// Guards against a late answer without an id taken for the one that is due: such a connection is used once.
+#[test]
+fn a_connection_used_without_an_id_is_not_used_again() {
+    let mut echo = Echo::default();
+    assert!(echo.ask(b"", false));
+    echo.written();
+    echo.feed(b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n");
+    assert!(!echo.shown().is_empty() && echo.fault().is_none() && !echo.usable());
+}
+
+/// Guards against a connection that breaks off, its answer with it, because a body goes on behind the answer.
+#[test]
+fn what_comes_behind_an_early_answer_is_passed_over() {
+    let mut door = door(&["POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\nabc"]);
+    door.answered();
+    door.settle(0, &BOUNDS);
+    door.feed(0, &BOUNDS, &[b'x'; 500]);
+    assert_eq!((door.stand(), door.shown(), door.work()), (Stand::Over, &b""[..], None));
+}
+
+/// Guards against ending a connection whose client goes by the bounds that held when it came to rest.
+#[test]
+fn the_longest_rest_holds() {
+    let mut door = door(&[]);
+    door.tick(1_000, &BOUNDS);
+    let shorter = Bounds { rest: 4_000, ..BOUNDS };
+    door.tick(14_999, &shorter);
+    assert_eq!(door.stand(), Stand::Open);
+    door.tick(15_000, &shorter);
+    assert_eq!(door.stand(), Stand::Idle);
+}
--- a/rigs/turnstile/src/book.rs
+++ b/rigs/turnstile/src/book.rs
@@ -10,6 +10,9 @@
 /// A time since a play began, in microseconds.
 pub type Micros = u64;
 
+/// What is looked at at the moment of writing is written within this: the connection's task comes to its turn.
+const AT_ONCE: Micros = 2_000;
+
 /// A request of which at least one byte was written to an appliance.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -51,6 +54,7 @@
 pub struct Listing {
     pub id: String,
     pub service: String,
+    pub version: String,
     pub open: bool,
 }
 
@@ -67,6 +71,8 @@
     pub arrivals: Vec<Arrival>,
     pub sent: BTreeMap<String, Vec<Sent>>,
     pub listed: HashMap<SocketAddrV4, Listing>,
+    /// The version of a service that stands, where one does, and since when.
+    pub stands: HashMap<String, (String, Micros)>,
     /// Which appliance is at an address, told or not.
     pub there: HashMap<SocketAddrV4, String>,
     pub editions: Vec<InForce>,
@@ -157,6 +163,8 @@
             self.book.wrong(format!("{id} for {addressee} on a connection to {}", self.listed.id));
         }
         let mut pages = self.book.open();
+        let Listing { service, version, .. } = &self.listed;
+        let old = pages.stands.get(service).is_some_and(|(v, since)| v != version && at > since + AT_ONCE);
         let closed = pages.listed.get(&self.address).is_none_or(|l| l.id != self.listed.id || !l.open);
         pages.arrivals.push(Arrival {
             id: id.clone(),
@@ -169,6 +177,11 @@
             cleared: None,
         });
         drop(pages);
+        if old {
+            let stands = self.book.open().stands.clone();
+            self.book
+                .wrong(format!("{id} to {:?}, of a version that does not stand: {stands:?}", self.listed));
+        }
         if closed {
             self.book.wrong(format!("{id} to {}, which closes or is gone", self.listed.id));
         }
--- a/rigs/turnstile/src/lib.rs
+++ b/rigs/turnstile/src/lib.rs
@@ -13,7 +13,7 @@
 mod play;
 mod stream;
 
-pub use play::{play, Played};
+pub use play::{play, play_with_versions, Played};
 
 /// Chance, from a seed.
 pub type Dice = rand_chacha::ChaCha8Rng;
--- a/rigs/turnstile/src/play.rs
+++ b/rigs/turnstile/src/play.rs
@@ -7,7 +7,7 @@
 use magpieline_almanac::machine::Machine;
 use magpieline_orchard::counter::dial::{Dial, Stream};
 use magpieline_orchard::counter::{front, swept, Counter};
-use magpieline_trellis::records::Kept;
+use magpieline_trellis::records::{Kept, Standing};
 use magpieline_trellis::words::{Entry, Listing as Told, State};
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -137,12 +137,17 @@
     book.open().editions.push(InForce { at, number, to: to.into() });
 }
 
+/// An appliance's version, by its place.
+fn version(address: SocketAddrV4) -> &'static str {
+    ["v2", "v1"][address.ip().octets()[3] as usize % 2]
+}
+
 fn entry(service: &str, address: SocketAddrV4, state: State) -> Entry {
     Entry {
         service: service.into(),
         address,
         zone: "a".into(),
-        version: "v1".into(),
+        version: version(address).into(),
         berths: 30,
         state,
         cold: 0,
@@ -162,7 +167,8 @@
         if open {
             pages.there.insert(address(place), id.into());
         }
-        let new = Listing { id: id.into(), service: service.into(), open };
+        let new =
+            Listing { id: id.into(), service: service.into(), version: version(address(place)).into(), open };
         match pages.listed.get_mut(&address(place)) {
             Some(old) if old.id == id => *old = new,
             Some(_) if !open => {}
@@ -242,13 +248,38 @@
     })
 }
 
+/// Services move from one version to another and back.
+async fn moves(counter: Arc<Counter>, book: Book, mut dice: Dice) {
+    loop {
+        sleep(Duration::from_millis(dice.gen_range(1..300))).await;
+        let service = if dice.gen() { "s" } else { "t" };
+        let to = if dice.gen() { "v1" } else { "v2" };
+        let since = book.now();
+        book.open().stands.insert(service.into(), (to.into(), since));
+        counter.take_standings(vec![(
+            service.into(),
+            Standing { version: Some(to.into()), ..Standing::default() },
+        )]);
+        book.met("version changed");
+    }
+}
+
 /// Plays a seed.
 pub fn play(seed: u64) -> Played {
+    played_by(seed, false)
+}
+
+/// Plays a seed in which the services move between versions, too.
+pub fn play_with_versions(seed: u64) -> Played {
+    played_by(seed, true)
+}
+
+fn played_by(seed: u64, versions: bool) -> Played {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    runtime.expect("a runtime").block_on(played(seed))
+    runtime.expect("a runtime").block_on(played(seed, versions))
 }
 
-async fn played(seed: u64) -> Played {
+async fn played(seed: u64, versions: bool) -> Played {
     let mut chance = dice(seed);
     let plot = plot(&mut chance);
     let book = Book::new();
@@ -261,7 +292,11 @@
         tell(&counter, &book, &format!("i-{place}"), service, place, Some(State::Ready));
     }
     counter.heard_counters(1);
+    counter.confirmed();
     let mut beside = vec![tokio::spawn(swept(counter.clone()))];
+    if versions && !plot.calm {
+        beside.push(tokio::spawn(moves(counter.clone(), book.clone(), dice(!seed))));
+    }
     if plot.lists {
         beside.push(tokio::spawn(lists(counter.clone(), book.clone(), dice(chance.gen()))));
     }
--- a/rigs/turnstile/tests/plays.rs
+++ b/rigs/turnstile/tests/plays.rs
@@ -1,7 +1,7 @@
 //! Seeded plays of the counter's real path. The same verdict every time: chance comes from the seed, time from tokio's paused
 //! clock.
 
-use magpieline_turnstile::play;
+use magpieline_turnstile::{play, play_with_versions};
 
 /// Guards against all that the rig looks for: an answer under another request than its own, what may run once only sent
 /// where an earlier one may have run, promises that are none, requests passed on late, by an old edition or to an
@@ -51,3 +51,15 @@
         assert!(met.get(what).is_some_and(|times| *times > 20), "{what}: {:?}", met.get(what));
     }
 }
+
+/// Guards against a request written to a version that its service has left while the connection came up.
+#[test]
+fn what_a_service_has_left_gets_nothing_more() {
+    let mut moved = 0;
+    for seed in 0..300 {
+        let played = play_with_versions(seed);
+        assert!(played.wrong.is_empty(), "seed {seed}: {:#?}", played.wrong);
+        moved += played.met.get("version changed").copied().unwrap_or(0);
+    }
+    assert!(moved > 1_000, "{moved}");
+}
