--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -7,17 +7,21 @@
 pub mod lives;
 mod mouth;
 mod steward;
+pub mod way;
 
 use crate::carrier::Reading;
-use crate::clock::now;
+use crate::clock::{self, now, Micros};
 use crate::net;
 use crate::settings::Held;
 use council::Council;
 use jzon::JsonValue as Json;
+use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_almanac::place::Complaint;
 use magpieline_rootstock::Seat;
 use magpieline_trellis::feed::Feeds;
-use magpieline_trellis::records::{Effect, Records};
+use magpieline_trellis::orders::Witness;
+use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing, Stage};
 use std::collections::BTreeMap;
@@ -25,8 +29,11 @@
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// A leader that stops in order waits so long for another to stand; calls in hand are answered meanwhile.
-const GIVE_WAY: crate::clock::Micros = 300_000;
+/// After the last word of the agreement calls in hand are answered for so long: those that wait for a leader find one
+/// within it.
+const GIVE_WAY: Micros = 100_000;
+/// So much of `grace` is left for that and for the end of the process: less on a machine short of processor time.
+const GRACE_LEFT: Micros = 1_000_000;
 
 /// What all parts of a sorting machine share. Locks are held for a few microseconds, never across a wait.
 pub struct Sorting {
@@ -36,12 +43,15 @@
     pub settings: Held,
     state: Mutex<State>,
     pub council: Council,
+    /// The last sound configuration that an operator sent here: the next one is read after it.
+    sent: Mutex<Option<Arc<Edition>>>,
 }
 
 /// What a sorting machine knows.
-#[derive(Default)]
 pub struct State {
     pub records: Records,
+    /// For how long this process has known of the orders in `records`.
+    pub witness: Witness,
     pub roster: Roster,
     /// What counters that hold on to this machine are told.
     mouth: mouth::Mouth,
@@ -53,11 +63,33 @@
     pub list: Option<Reading>,
 }
 
+impl State {
+    fn new(witness: Witness) -> State {
+        State {
+            records: Records::default(),
+            witness,
+            roster: Roster::default(),
+            mouth: mouth::Mouth::default(),
+            feeds: Feeds::default(),
+            stages: BTreeMap::new(),
+            list: None,
+        }
+    }
+}
+
 impl Sorting {
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Reads and checks a configuration that an operator sends.
+    pub fn sound(&self, text: &str) -> Result<Arc<Edition>, Vec<Complaint>> {
+        let mut sent = self.sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let edition = Arc::new(Edition::read_after(&text.into(), sent.as_deref())?);
+        *sent = Some(edition.clone());
+        Ok(edition)
+    }
+
     /// The address of agents among themselves.
     pub fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
@@ -146,36 +178,43 @@
 
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
-        let mut state = self.state();
+        let state = &mut *self.state();
         state.records = records;
+        state.witness.applied(now(), &state.records);
         state.feed_newest();
     }
 
-    /// A command has been agreed on.
-    pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
-        let mut state = self.state();
+    /// A command has been agreed on; what it did.
+    pub fn applied(&self, index: u64, command: &Command) -> Effect {
+        let state = &mut *self.state();
         let effect = state.records.apply(index, command);
-        let down = match effect {
+        let service = match command {
+            Command::Replace(_) => None,
+            Command::Begin { service, .. } | Command::Order { service, .. } => {
+                state.witness.applied(now(), &state.records);
+                Some(service)
+            }
+            Command::Advance { service, .. } | Command::Stands { service, .. } => Some(service),
+        };
+        let down = match &effect {
             Effect::Edition => {
                 state.feed_newest();
                 None
             }
-            Effect::Service => {
-                use magpieline_trellis::records::Command;
-                let (Command::Begin { service, .. }
-                | Command::Advance { service, .. }
-                | Command::Stands { service, .. }) = command
-                else {
-                    return;
-                };
+            Effect::Service => service.and_then(|service| {
                 let standing = state.records.services.get(service).cloned();
                 standing.map(|s| Down::Services(vec![(service.clone(), s)]))
-            }
-            Effect::None => None,
+            }),
+            Effect::Again
+            | Effect::Idle
+            | Effect::OtherDocument(_)
+            | Effect::OtherRollout(_)
+            | Effect::None => None,
         };
         if let Some(down) = down {
             state.tell_all(&down);
         }
+        effect
     }
 }
 
@@ -225,7 +264,9 @@
     let Some((council, driver)) = lives::open(&machine, &store, life).await else { return Ok(false) };
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(State::default()), council });
+    let state = State::new(Witness::new(now(), clock::day()));
+    let sorting =
+        Arc::new(Sorting { machine, settings, state: Mutex::new(state), council, sent: Mutex::default() });
     let mut driving = tokio::spawn(driver.run(sorting.clone()));
     let others = [
         tokio::spawn(counters::run(sorting.clone(), inner)),
@@ -236,14 +277,21 @@
     tokio::select! {
         () = crate::signals::terminated() => {}
         stop = &mut driving => {
-            others.iter().for_each(tokio::task::JoinHandle::abort);
+            for other in others {
+                other.abort();
+                let _ = other.await; // its door is free again, for the next life
+            }
             let stop = stop.map_err(|broken| std::io::Error::other(format!("the agreement broke: {broken}")))?;
             let others = sorting.others();
             return Ok(lives::begin_anew(&stop, &store, &others).await);
         }
     }
+    let begun = now();
     tracing::info!(target: "sorting", "Leaving.");
-    sorting.council.give_way().await;
+    sorting.council.leave(begun + sorting.machine.terms.grace.saturating_sub(GRACE_LEFT)).await;
     tokio::time::sleep(crate::clock::span(GIVE_WAY)).await;
+    let handed_on = sorting.council.view().left;
+    tracing::info!(target: "sorting", "Left after {} ms{}.", (now() - begun) / 1000,
+        if handed_on { "" } else { ", still needed" });
     Ok(false)
 }
--- a/programs/orchard/tests/lives.rs
+++ b/programs/orchard/tests/lives.rs
@@ -49,7 +49,7 @@
 #[test]
 fn a_store_is_given_up_only_where_that_helps_and_others_hold_it() {
     let newer = |mut bytes: Vec<u8>| {
-        bytes[0] += 1;
+        bytes[0] += 2;
         bytes
     };
     let Err(stop) = Read::all(&[apply(4, newer(command()))]) else { panic!("a newer command was read") };
--- a/rigs/nursery/src/world.rs
+++ b/rigs/nursery/src/world.rs
@@ -1,6 +1,6 @@
 //! Machines, their links, disks and clocks.
 
-use crate::{Micros, MILLI};
+use crate::{Micros, MILLI, SECOND};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +14,11 @@
     pub first_run: bool,
     /// Different at every start.
     pub seed: u64,
+    /// The machine's time of day at the start, microseconds since 1970.
+    pub day: Micros,
+    /// How many machines may be lost at once, and how long after its return a machine still counts as lost.
+    pub withstand: usize,
+    pub catch_up: Micros,
 }
 
 /// What happens to a node.
@@ -57,6 +62,11 @@
     fn step(&mut self, now: Micros, input: Input<Self>) -> Vec<Effect<Self>>;
     fn next_wake(&self) -> Option<Micros>;
     fn put(disk: &mut Self::Disk, write: Self::Write);
+
+    /// Bytes of a message on a link, where links are narrow.
+    fn weight(_message: &Self::Message) -> usize {
+        0
+    }
 }
 
 /// Who looks on; panics when something is wrong.
@@ -97,6 +107,10 @@
 
 const SYNC: Micros = 2 * MILLI;
 const SLOW_FACTOR: Micros = 30;
+/// Times of day on two machines differ by less than this.
+const DAYS_DIFFER: Micros = 900 * MILLI;
+/// The time of day when a world begins.
+const BEGINNING: Micros = 1_790_000_000_000_000;
 /// Timers fire up to so much late.
 const LATE: Micros = 2 * MILLI;
 
@@ -111,6 +125,8 @@
     trouble: Trouble,
     writing: Option<(u64, N::Write)>,
     wake_at: Option<Micros>,
+    /// When its link has sent all that was given to it.
+    sent_at: Micros,
     /// Steps in a row after which it wanted to be woken at once.
     overdue: u32,
     /// What is added to the delay of every message, up to: a machine short of processor time.
@@ -133,10 +149,15 @@
     ahead: BTreeMap<(Micros, u64), Happening<N>>,
     order: u64,
     pub net: Net,
+    /// Bytes that a machine can send in a second, to all others together; None: any number.
+    pub rate: Option<u64>,
     /// From, to: nothing passes.
     cuts: BTreeSet<(usize, usize)>,
     messages: u64,
     steps: u64,
+    /// What all machines are told.
+    pub withstand: usize,
+    pub catch_up: Micros,
 }
 
 /// Where a machine is.
@@ -153,15 +174,20 @@
             ahead: BTreeMap::new(),
             order: 0,
             net,
+            rate: None,
             cuts: BTreeSet::new(),
             messages: 0,
             steps: 0,
+            withstand: 1,
+            catch_up: 4 * SECOND,
         }
     }
 
     /// Puts a machine up, not yet started.
     pub fn add(&mut self, seeds: Vec<SocketAddrV4>, first_run: bool) -> usize {
-        let boot = Boot { me: address(self.machines.len()), seeds, first_run, seed: 0 };
+        let (withstand, catch_up) = (self.withstand, self.catch_up);
+        let me = address(self.machines.len());
+        let boot = Boot { me, seeds, first_run, seed: 0, day: 0, withstand, catch_up };
         // Clocks began at any time and differ by up to a thousandth.
         let clock = (self.rng.gen_range(0..1_000_000_000), self.rng.gen_range(0..1000));
         self.machines.push(Machine {
@@ -173,6 +199,7 @@
             trouble: Trouble::None,
             writing: None,
             wake_at: None,
+            sent_at: 0,
             overdue: 0,
             lag: 0,
             clock,
@@ -234,6 +261,12 @@
         start + self.now + (u128::from(self.now) * u128::from(fast) / 1_000_000) as u64
     }
 
+    /// What the machine shows as the time of day, microseconds since 1970: true to half of [`DAYS_DIFFER`].
+    pub fn day(&self, machine: usize) -> Micros {
+        let (start, _) = self.machines[machine].clock;
+        BEGINNING + start % DAYS_DIFFER + self.now
+    }
+
     fn plan(&mut self, at: Micros, what: Happening<N>) {
         self.order += 1;
         self.ahead.insert((at.max(self.now), self.order), what);
@@ -246,9 +279,10 @@
         }
         let now = self.clock(machine);
         let seed = self.rng.gen();
+        let day = self.day(machine);
         let this = &mut self.machines[machine];
         this.starts += 1;
-        this.boot.seed = seed;
+        (this.boot.seed, this.boot.day) = (seed, day);
         let (node, effects) = N::start(&this.boot, now, &this.disk);
         this.node = Some(node);
         self.carry_out(machine, effects, watch);
@@ -432,11 +466,19 @@
         if self.cuts.contains(&(from, to)) || self.rng.gen_ratio(self.net.lost, 1000) {
             return;
         }
+        let mut queued = 0;
+        if let Some(rate) = self.rate {
+            let sent_at = &mut self.machines[from].sent_at;
+            *sent_at = self.now.max(*sent_at) + N::weight(&message) as u64 * SECOND / rate;
+            queued = *sent_at - self.now;
+        }
         let copies = if self.rng.gen_ratio(self.net.doubled, 1000) { 2 } else { 1 };
         for _ in 0..copies {
             let lag = self.machines[from].lag + self.machines[to].lag;
-            let delay =
-                self.net.delay + self.rng.gen_range(0..=self.net.jitter) + self.rng.gen_range(0..=lag);
+            let delay = queued
+                + self.net.delay
+                + self.rng.gen_range(0..=self.net.jitter)
+                + self.rng.gen_range(0..=lag);
             self.plan(self.now + delay, Happening::Deliver { from, to, message: message.clone() });
         }
     }
