--- a/keeping/trellis/src/words.rs
+++ b/keeping/trellis/src/words.rs
@@ -1,13 +1,10 @@
 //! What counters and sorting machines say to each other. One message is one frame: its length in four bytes, the
-//! least significant first, then its form's number and its bytes; the length's highest bit says that these are squeezed
-//! ([`delta::squeeze`]).
+//! least significant first, then its form: a number and the message's bytes, squeezed where that is worth it ([`form`]).
 
-use crate::delta;
-use crate::form::{self, Unreadable};
+use crate::form::{self, Form, Unreadable};
 use crate::records::Standing;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
-use std::borrow::Cow;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -219,19 +216,14 @@
     View,
 }
 
-/// In a frame's length: the bytes are squeezed.
-const SQUEEZED: u32 = 1 << 31;
-/// The number of the form in which agents of this release talk.
-const FORMAT: u8 = 16;
 /// What can't be read, in the words of a complaint.
 const FRAME: &str = "frame";
 
 /// A message as a frame.
 pub fn frame<T: Serialize>(message: &T) -> Vec<u8> {
-    let bytes = form::pack(FORMAT, message);
-    let (bytes, mark) = delta::squeeze(&bytes).map_or((bytes, 0), |squeezed| (squeezed, SQUEEZED));
+    let bytes = form::pack(message);
     let mut frame = Vec::with_capacity(4 + bytes.len());
-    frame.extend((bytes.len() as u32 | mark).to_le_bytes());
+    frame.extend((bytes.len() as u32).to_le_bytes());
     frame.extend(bytes);
     frame
 }
@@ -240,20 +232,15 @@
 /// what came is no message, and nothing after it can be read.
 pub fn unframe<T: for<'a> Deserialize<'a>>(bytes: &mut Vec<u8>) -> Result<Option<T>, Unreadable> {
     let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
-    let head = u32::from_le_bytes(*head);
-    let length = (head & !SQUEEZED) as usize;
+    let length = u32::from_le_bytes(*head) as usize;
     if length > LONGEST {
         let (found, expected) = (format!("{length} bytes"), format!("at most {LONGEST}"));
         return Err(Unreadable::of(FRAME, found, expected));
     }
     let Some(told) = bytes.get(4..4 + length) else { return Ok(None) };
-    let whole = match head & SQUEEZED {
-        0 => Cow::Borrowed(told),
-        _ => Cow::Owned(delta::unsqueeze(told, LONGEST).ok_or_else(|| form::unsound(FRAME))?),
-    };
-    let message = match form::split(FRAME, &whole)? {
-        (Some(FORMAT), value) => form::whole(FRAME, value)?,
-        (number, _) => return Err(form::unknown(FRAME, number, FORMAT)),
+    let message = match form::open(FRAME, told)? {
+        Form::First(_) => return Err(form::unnumbered(FRAME)),
+        Form::Known(value) => form::whole(FRAME, &value)?,
     };
     bytes.drain(..4 + length);
     Ok(Some(message))
--- a/programs/orchard/src/sorting/control.rs
+++ b/programs/orchard/src/sorting/control.rs
@@ -1,18 +1,20 @@
 //! The operators' calls.
 
 use super::council::Refusal;
+use super::way::{way, Way};
 use super::Sorting;
-use crate::clock::{now, span, Micros};
+use crate::clock::{day, now, span, Micros};
 use crate::net::{self, Wire};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use magpieline_almanac::place::Complaint;
 use magpieline_almanac::times;
-use magpieline_trellis::records::{Command, Kept, Phase};
+use magpieline_trellis::orders::Digest;
+use magpieline_trellis::records::{Command, Effect, Kept, Phase};
 use std::convert::Infallible;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -22,10 +24,8 @@
 const LONGEST: usize = 32 << 20;
 /// Callers go to another machine after a second of silence; until then a leader may be found.
 const PATIENCE: Micros = 800_000;
-/// Twice the time that an election takes at most after a leader was lost.
-const LONG: Micros = 2_000_000;
-/// Who waits for a leader looks this often whether its lease runs.
-const LOOK: Micros = 20_000;
+/// Between two tries to have a command agreed on, where nothing was done at the first.
+const AGAIN: Micros = 20_000;
 
 type Reply = Response<Full<Bytes>>;
 
@@ -85,10 +85,14 @@
         return plain(StatusCode::METHOD_NOT_ALLOWED, "method", head.method.as_str(), "POST");
     }
     let query = head.uri.query().unwrap_or("").to_owned();
-    let Ok(body) = Limited::new(body, LONGEST).collect().await else {
-        return plain(StatusCode::PAYLOAD_TOO_LARGE, "body", "more, or not all", "at most 32 MB, whole");
+    let body = match Limited::new(body, LONGEST).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "body", "more", "at most 32 MB");
+        }
+        // It may have been cut on its way: an order that is to be sent again is not refused for good.
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body", "a part", "all of it; send it again"),
     };
-    let body = body.to_bytes();
     let again = format!("/v1/rpc?{query}");
     match asked(&query, "call") {
         Some("config.replace") => replace(sorting, &body, &again).await,
@@ -102,42 +106,58 @@
     }
 }
 
+fn nobody() -> Reply {
+    plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "none", "one; ask again")
+}
+
 /// Sends a caller to the leader, or asks it to come back.
 async fn elsewhere(sorting: &Sorting, path: &str, until: Micros) -> Option<Reply> {
     loop {
-        if sorting.council.leads() {
-            return None;
-        }
-        let leader = sorting.council.leader().filter(|l| *l != sorting.inner());
-        if let Some(control) = leader.and_then(|l| sorting.control_of(l)) {
-            let mut moved = reply(StatusCode::TEMPORARY_REDIRECT, "{}");
-            let location = HeaderValue::from_str(&format!("http://{control}{path}")).ok()?;
-            moved.headers_mut().insert(LOCATION, location);
-            return Some(moved);
-        }
-        // Where nobody has led for long this machine is likely cut off: others are better asked at once.
-        let long = sorting.council.leaderless_since().is_some_and(|since| now() >= since + LONG);
-        if long || now() >= until {
-            return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "none", "one; ask again"));
+        match way(&sorting.council.sight(), now(), until) {
+            Way::Here => return None,
+            Way::There(leader) => {
+                let control = sorting.control_of(leader).map(|control| format!("http://{control}{path}"));
+                let location = control.and_then(|to| HeaderValue::from_str(&to).ok());
+                return Some(location.map_or_else(nobody, |location| {
+                    let mut moved = reply(StatusCode::TEMPORARY_REDIRECT, "{}");
+                    moved.headers_mut().insert(LOCATION, location);
+                    moved
+                }));
+            }
+            Way::Nobody => return Some(nobody()),
+            Way::Wait(then) => sorting.council.changed(then).await,
         }
-        sorting.council.changed(now() + LOOK).await;
     }
 }
 
-/// Proposes a command; the answer unless it was agreed on.
-async fn agree(sorting: &Sorting, command: &Command, path: &str) -> Option<Reply> {
+/// What has to be done for an order, as far as the leader knows now.
+enum Look {
+    /// It was taken, or refused, before; that stays so.
+    Settled(Effect),
+    Propose(Command),
+}
+
+/// What became of an order: what applying its command did, at its own place in the log, or what is settled, once a
+/// majority has said that this machine still leads. Otherwise the answer for a call whose order may be in force or not.
+async fn decide(sorting: &Sorting, path: &str, look: impl Fn(&Sorting) -> Look) -> Result<Effect, Reply> {
     let until = now() + PATIENCE;
     loop {
         if let Some(reply) = elsewhere(sorting, path, until).await {
-            return Some(reply);
+            return Err(reply);
         }
         let left = span(until.saturating_sub(now()));
-        match timeout(left, sorting.council.propose(command)).await {
-            Ok(Ok(())) => return None,
-            // Who leads now is asked again; until then it is not in force by this call.
-            Ok(Err(Refusal::NotNow)) if now() < until => continue,
+        let decided = async {
+            match look(sorting) {
+                Look::Settled(effect) => sorting.council.barrier().await.map(|()| effect),
+                Look::Propose(command) => sorting.council.propose(&command).await,
+            }
+        };
+        match timeout(left, decided).await {
+            Ok(Ok(effect)) => return Ok(effect),
+            // Nothing was done. Who leads now is asked again.
+            Ok(Err(Refusal::NotNow)) if now() + AGAIN < until => tokio::time::sleep(span(AGAIN)).await,
             Ok(Err(_)) | Err(_) => {
-                return Some(plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "none in time", "ask again"))
+                return Err(plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "none in time", "ask again"))
             }
         }
     }
@@ -154,16 +174,29 @@
             return fault(StatusCode::BAD_REQUEST, &wrong);
         }
     };
-    let held = sorting.state().records.edition.as_ref().map_or(0, |k| k.number);
-    // What is agreed on already is never lost: an older version changes nothing, whoever leads.
-    if held < edition.number {
-        let kept = Kept { number: edition.number, text: text.into() };
-        if let Some(reply) = agree(sorting, &Command::Replace(kept), path).await {
-            return reply;
+    let (number, text) = (edition.number, Arc::<str>::from(text));
+    let digest = Digest::of(&text);
+    let look = |sorting: &Sorting| match sorting.state().records.settled(number, &digest) {
+        Some(effect) => Look::Settled(effect),
+        None => Look::Propose(Command::Replace(Kept { number, text: text.clone() })),
+    };
+    let effect = match decide(sorting, path, look).await {
+        Ok(effect) => effect,
+        Err(reply) => return reply,
+    };
+    match &effect {
+        Effect::OtherDocument(known) => {
+            tracing::warn!(target: "control", "Edition {number} was refused: another document has its number.");
+            let found = format!("{number} for a document of sha256 {digest}");
+            let expected = format!("the one of sha256 {known} under this number, or a higher number");
+            plain(StatusCode::CONFLICT, "edition", &found, &expected)
+        }
+        taken if taken.is_taken() => {
+            tracing::info!(target: "control", "Edition {number} was acknowledged: {taken:?}.");
+            reply(StatusCode::OK, jzon::object! { edition: number }.dump())
         }
-        tracing::info!(target: "control", "Edition {} was acknowledged.", edition.number);
+        _ => plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "nothing known of it", "ask again"),
     }
-    reply(StatusCode::OK, jzon::object! { edition: edition.number }.dump())
 }
 
 async fn read(sorting: &Sorting, path: &str) -> Reply {
@@ -209,20 +242,27 @@
         let found = order["within"].dump();
         return plain(StatusCode::BAD_REQUEST, "within", &found, "a time above 0 such as 12s");
     };
-    let command = Command::Begin { service: service.to_owned(), to: to.to_owned(), within };
-    if let Some(reply) = agree(sorting, &command, path).await {
-        return reply;
-    }
-    let standing = sorting.state().records.services.get(service).cloned().unwrap_or_default();
-    match standing.rollout {
-        Some(rollout) if rollout.to != to && matches!(rollout.phase, Phase::Trial | Phase::Moving) => {
-            let found = format!("a rollout to {} under way", rollout.to);
-            plain(StatusCode::CONFLICT, "service", &found, "none, or the same again")
+    // Copies are told from new orders by when they came, not by how long an agreement took.
+    let (came, receipt) = ((now(), day()), sorting.settings.borrow().terms.receipt);
+    let look = |sorting: &Sorting| {
+        let state = sorting.state();
+        let proposal = state.witness.look(&state.records, came, (service, to, within), receipt);
+        proposal.map_or(Look::Settled(Effect::Again), Look::Propose)
+    };
+    let effect = match decide(sorting, path, look).await {
+        Ok(effect) => effect,
+        Err(reply) => return reply,
+    };
+    match &effect {
+        Effect::OtherRollout(other) => {
+            let found = format!("a rollout to {} within {} under way", other.to, times::write(other.within));
+            plain(StatusCode::CONFLICT, "service", &found, "none, or the same order again")
         }
-        _ => {
-            tracing::info!(target: "control", "Rollout of {service} to {to} was ordered.");
+        taken if taken.is_taken() => {
+            tracing::info!(target: "control", "Rollout of {service} to {to} was acknowledged: {taken:?}.");
             reply(StatusCode::OK, "{}")
         }
+        _ => plain(StatusCode::SERVICE_UNAVAILABLE, "agreement", "nothing known of it", "ask again"),
     }
 }
 
--- a/rigs/scale/src/main.rs
+++ b/rigs/scale/src/main.rs
@@ -172,6 +172,7 @@
 
     println!("\nreports");
     let mut roster = Roster::default();
+    roster.leads_in(Some(1));
     for link in 0..asked.counters as u64 {
         let (node, zone) = (format!("counter-{link}"), "zone".to_owned());
         roster.hello(0, link, 1, &Hello { node, zone, life: 1, edition: 1, term: 1, at: 0 });
--- a/rigs/turnstile/src/book.rs
+++ b/rigs/turnstile/src/book.rs
@@ -10,6 +10,9 @@
 /// A time since a play began, in microseconds.
 pub type Micros = u64;
 
+/// What is looked at at the moment of writing is written within this: the connection's task comes to its turn.
+const AT_ONCE: Micros = 2_000;
+
 /// A request of which at least one byte was written to an appliance.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -23,7 +26,7 @@
     /// The appliance has begun to work on it.
     pub ran: bool,
     /// The appliance has written whole that it did not and will not.
-    pub cleared: bool,
+    pub cleared: Option<Micros>,
 }
 
 /// A request as its client knows it.
@@ -34,10 +37,14 @@
     pub first: Micros,
     pub last: Option<Micros>,
     pub due: Micros,
+    /// How long it may be held, from when its head was read.
+    pub span: Micros,
     /// The status of its answer, and whether it was one of the gateway's own.
     pub answer: Option<(u16, bool)>,
     /// Its client left, or never meant to wait.
     pub left: bool,
+    /// It was sent behind an answer that closed the connection.
+    pub unread: bool,
     /// The same id was sent before.
     pub again: bool,
 }
@@ -47,6 +54,7 @@
 pub struct Listing {
     pub id: String,
     pub service: String,
+    pub version: String,
     pub open: bool,
 }
 
@@ -56,7 +64,6 @@
     pub at: Micros,
     pub number: u64,
     pub to: BTreeMap<String, String>,
-    pub idle: Micros,
 }
 
 #[derive(Default)]
@@ -64,9 +71,13 @@
     pub arrivals: Vec<Arrival>,
     pub sent: BTreeMap<String, Vec<Sent>>,
     pub listed: HashMap<SocketAddrV4, Listing>,
+    /// The version of a service that stands, where one does, and since when.
+    pub stands: HashMap<String, (String, Micros)>,
     /// Which appliance is at an address, told or not.
     pub there: HashMap<SocketAddrV4, String>,
     pub editions: Vec<InForce>,
+    /// How long connections may rest, as clients know.
+    pub idle: Micros,
     pub wrong: Vec<String>,
     /// Further tallies, to show that a play met what it is about.
     pub met: BTreeMap<&'static str, u64>,
@@ -152,6 +163,8 @@
             self.book.wrong(format!("{id} for {addressee} on a connection to {}", self.listed.id));
         }
         let mut pages = self.book.open();
+        let Listing { service, version, .. } = &self.listed;
+        let old = pages.stands.get(service).is_some_and(|(v, since)| v != version && at > since + AT_ONCE);
         let closed = pages.listed.get(&self.address).is_none_or(|l| l.id != self.listed.id || !l.open);
         pages.arrivals.push(Arrival {
             id: id.clone(),
@@ -161,9 +174,14 @@
             connection: self.connection,
             at,
             ran: false,
-            cleared: false,
+            cleared: None,
         });
         drop(pages);
+        if old {
+            let stands = self.book.open().stands.clone();
+            self.book
+                .wrong(format!("{id} to {:?}, of a version that does not stand: {stands:?}", self.listed));
+        }
         if closed {
             self.book.wrong(format!("{id} to {}, which closes or is gone", self.listed.id));
         }
