--- a/deciding/almanac/tests/reread.rs
+++ b/deciding/almanac/tests/reread.rs
@@ -72,3 +72,38 @@
     }
     assert!(sound > 1000 && wrong > 500, "{sound} sound, {wrong} wrong");
 }
+
+/// Guards against routes that are taken for others': a name that stands twice, or is written with escapes, and what only
+/// looks like a list once the routes are out of it.
+#[test]
+fn odd_texts_are_read_as_a_whole() {
+    let route = |service: &str| {
+        format!(
+            r#"{{"name":"{service}","sort":"safe","sorting":{{"lane_prefix":"/x/"}},"dispatch":{{"service":"{service}","give_up":"1s"}}}}"#
+        )
+    };
+    let whole = |inner: &str| -> Arc<str> {
+        format!(r#"{{"edition":1,{inner},"fleets":[{{"name":"a"}},{{"name":"b"}}]}}"#).into()
+    };
+    let (a, b) = (route("a"), route("b"));
+    let wickets =
+        |name: &str, routes: &str| format!(r#""{name}":[{{"depot":"h","regulations":[{routes}]}}]"#);
+    let before = Edition::read_after(&whole(&wickets("wickets", &format!("{a},{b}"))), None).expect("sound");
+    for inner in [
+        format!("{},{}", wickets("wickets", &a), wickets("wickets", &b)),
+        format!("{},{}", wickets("wickets", &a), wickets("wi\\u0063kets", &b)),
+        format!("{},{}", wickets("wi\\u0063kets", &b), wickets("wickets", &a)),
+        format!(r#""wickets":[{{"depot":"h","regulations":[{a}],"regulations":[{b}]}}]"#),
+        format!(r#""wickets":[{{"depot":"h","regulations":[{a}],"regul\u0061tions":[{b}]}}]"#),
+        wickets("wickets", &format!("{a}{b}")),
+        wickets("wickets", &format!("{a}0")),
+        wickets("wickets", &format!("0{a}")),
+        wickets("wickets", &format!("{a}.5")),
+        wickets("wickets", &format!("-{a}")),
+    ] {
+        let text = whole(&inner);
+        for before in [None, Some(&before)] {
+            assert_eq!(Edition::read_after(&text, before), Edition::read(&text), "{text}");
+        }
+    }
+}
