--- a/keeping/trellis/src/feed.rs
+++ b/keeping/trellis/src/feed.rs
@@ -22,7 +22,7 @@
 const PIECE: usize = 8 << 10;
 /// Bytes of pieces on their way to one counter, unacknowledged. On 2 Mbit/s what is more urgent waits a tenth of a
 /// second behind them, and with a round trip of 40 ms between regions 600 KB/s get through.
-pub const WINDOW: usize = 2 * PIECE;
+pub const WINDOW: usize = 3 * PIECE;
 /// Bytes of pieces on their way to all counters: 80 ms on a link of 51 Mbit/s, which leaves room for a sign of life
 /// every 100 ms to followers that wait 400 ms; enough for twenty counters at a time, which take it as fast as that.
 pub const WINDOW_OF_ALL: usize = 512 << 10;
