--- a/rigs/nursery/src/operators.rs
+++ b/rigs/nursery/src/operators.rs
@@ -462,6 +462,7 @@
             if let Err(wrong) = history::check(&Rollouts, &self.rollouts(service)) {
                 panic!("rollouts of {service}: {wrong}\n{}", self.report());
             }
+            self.one_at_a_time(service);
             self.count_runs(service);
         }
     }
@@ -564,6 +565,26 @@
         calls
     }
 
+    /// One rollout of a service at a time, and each ends before the next begins.
+    fn one_at_a_time(&self, of: &str) {
+        let mut under_way = None;
+        for (index, (command, effect, _)) in &self.checks.log {
+            match command {
+                Command::Order { service, .. } if service == of && *effect == Effect::Service => {
+                    assert_eq!(under_way, None, "{of}: another rollout began at {index}\n{}", self.report());
+                    under_way = Some(*index);
+                }
+                Command::Advance { service, order, phase: Phase::Delivered | Phase::Returned }
+                    if service == of && *effect == Effect::Service =>
+                {
+                    assert_eq!(under_way, Some(*order), "{of}: the step at {index}\n{}", self.report());
+                    under_way = None;
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// No order ran twice, and none that was acknowledged was passed over: of each content, as many rollouts began by any
     /// moment as orders were sent by then at most; and for each acknowledged order there is an entry of its own time that
     /// took it.
