--- a/keeping/rootstock/src/message.rs
+++ b/keeping/rootstock/src/message.rs
@@ -29,11 +29,20 @@
         next_term: Term,
         granted: bool,
     },
-    /// Vote for me in this term. `handed_over`: the old leader asked me to.
+    /// The answer of one that has heard no leader since it started a moment ago, and keeps to what it may have promised
+    /// one before: yes, if every voter has restarted as it has.
+    /// `start` is different at each start.
+    PreVoteIfAll {
+        next_term: Term,
+        start: u64,
+    },
+    /// Vote for me in this term. `handed_over`: the old leader asked me to. `restarted`: all voters have, the receiver at
+    /// this start, and none leads.
     Vote {
         last: Index,
         last_term: Term,
         handed_over: bool,
+        restarted: Option<u64>,
     },
     VoteReply {
         granted: bool,
@@ -79,6 +88,16 @@
         leader: Option<SocketAddrV4>,
         members: Vec<SocketAddrV4>,
     },
+    /// To the leader: this machine stops. `token` is drawn anew whenever a process begins to leave.
+    /// `waiting`: machines that wait for a seat, if the sender led until now.
+    Leave {
+        token: u64,
+        waiting: Option<Vec<Seat>>,
+    },
+    /// The leader's answer to a `Leave`: the sender is not needed any more.
+    Left {
+        token: u64,
+    },
 }
 
 impl Message {
--- a/keeping/rootstock/tests/compaction.rs
+++ b/keeping/rootstock/tests/compaction.rs
@@ -12,7 +12,8 @@
 impl Alone {
     fn founded() -> Alone {
         let me = "10.0.0.1:7720".parse().expect("an address");
-        let start = Start { me, seeds: vec![me], first_run: true, seed: 1 };
+        let start =
+            Start { me, seeds: vec![me], first_run: true, seed: 1, withstand: 0, catch_up: 4_000_000 };
         let (core, actions) = Core::start(0, start, Stored::default());
         let mut alone = Alone { now: 0, core, state: Vec::new() };
         alone.carry_out(actions, true);
--- a/keeping/trellis/tests/feed.rs
+++ b/keeping/trellis/tests/feed.rs
@@ -3,7 +3,7 @@
 use magpieline_trellis::feed::{Action, Event, Feeds};
 use magpieline_trellis::intake::{Intake, Taken};
 use magpieline_trellis::records::Kept;
-use magpieline_trellis::words::{unframe, Down, Piece};
+use magpieline_trellis::words::{unframe, Down, Fenced, Piece};
 
 /// An edition of some 30 KB squeezed, so that it takes more than a window; each differs from the one before a little.
 fn edition(number: u64) -> Kept {
@@ -21,8 +21,8 @@
     let (mut pieces, mut current) = (Vec::new(), false);
     for action in feeds.step(0, event) {
         match action {
-            Action::Send { frame, .. } => match unframe(&mut frame.to_vec()) {
-                Ok(Some(Down::Piece(piece))) => pieces.push(piece),
+            Action::Send { frame, .. } => match unframe::<Fenced<Down>>(&mut frame.to_vec()) {
+                Ok(Some(Fenced { word: Down::Piece(piece), .. })) => pieces.push(piece),
                 other => panic!("{other:?}"),
             },
             Action::Current { .. } => current = true,
--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -1,12 +1,15 @@
 //! The agreement among the sorting machines, driven: its core gets events from links, the disk and the clock, and its
 //! actions are carried out. One task owns the core; others ask it by messages.
 
+use super::way::Sight;
 use super::Sorting;
 use crate::clock::{self, now, Micros};
 use crate::net;
 use magpieline_almanac::machine::Machine;
 use magpieline_granary::{self as granary, Granary, Remedy};
-use magpieline_rootstock::{Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start};
+use magpieline_rootstock::{
+    Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start, MAX_VOTERS,
+};
 use magpieline_trellis::form::Unreadable;
 use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::words::{self, Opening};
@@ -26,6 +29,8 @@
 /// After a link that did not come up nothing is tried for so long.
 const LINK_AGAIN: Micros = 100_000;
 
+/// How often a process that stops looks whether it may: a small part of the shortest stop (some 100 ms).
+const LOOK: Micros = 20_000;
 /// Who was heard to lead is named to others for so long: a voter looks for another one by then, a machine that does not
 /// vote has nothing else to go by.
 const LEADER_KNOWN: Micros = 1_000_000;
@@ -53,6 +58,8 @@
     pub durable: u64,
     pub disk_troubled: bool,
     pub contacts: Vec<Contact>,
+    /// It was told to leave, and is needed no more.
+    pub left: bool,
     /// It leads, and nobody else can before this time.
     lease: Option<Micros>,
     /// Since when nobody is known to lead.
@@ -113,7 +120,10 @@
             stored.entries.len(),
             if stored.hard.is_none() { ", empty" } else { "" }
         );
-        let start = Start { me, seeds, first_run, seed };
+        // How many stand in a zone isn't known here: then as many vote as can.
+        let withstand = if machine.withstand_areas > 0 { MAX_VOTERS / 2 } else { machine.withstand as usize };
+        let catch_up = machine.terms.catch_up;
+        let start = Start { me, seeds, first_run, seed, withstand, catch_up };
         let (core, first) = Core::start(now(), start, stored);
         let (ask, asked) = mpsc::channel(MOST_WAITING);
         let (write, writes) = threads::channel::<(u64, Batch)>();
@@ -153,8 +163,7 @@
 
     /// The term in which this machine leads while nobody else can: its lease runs.
     pub fn leads_in(&self) -> Option<u64> {
-        let view = self.view_now();
-        view.leading().filter(|_| view.lease.is_some_and(|until| now() < until))
+        self.leading().filter(|_| self.sight().leads)
     }
 
     /// Whether this machine leads and nobody else can at this moment.
@@ -162,9 +171,12 @@
         self.leads_in().is_some()
     }
 
-    /// Since when nobody is known to lead.
-    pub fn leaderless_since(&self) -> Option<Micros> {
-        self.view_now().leaderless_since
+    /// What is known here of who leads.
+    pub fn sight(&self) -> Sight {
+        let view = self.view_now();
+        let leads = view.leading().is_some() && view.lease.is_some_and(|until| now() < until);
+        let other = view.leader.filter(|leader| *leader != view.me.address);
+        Sight { leads, other, leaderless_since: view.leaderless_since }
     }
 
     /// Waits until it may be known anew who leads, or until then.
@@ -210,9 +222,12 @@
         let _ = self.ask.try_send(Asked::Event(Event::Receive(envelope)));
     }
 
-    /// This machine is about to stop: if it leads, another one should at once.
-    pub async fn give_way(&self) {
-        let _ = self.ask.send(Asked::Event(Event::GiveWay)).await;
+    /// This machine is about to stop: returns once it is needed no more, or at `until`.
+    pub async fn leave(&self, until: Micros) {
+        let _ = self.ask.send(Asked::Event(Event::Leave)).await;
+        while !self.view_now().left && now() < until {
+            tokio::time::sleep(clock::span(LOOK)).await;
+        }
     }
 }
 
@@ -245,6 +260,7 @@
             durable: core.durable(),
             disk_troubled: core.is_disk_troubled(),
             contacts: core.contacts(),
+            left: core.has_left(),
             lease: core.lease(),
             leaderless_since: leader.is_none().then_some(now),
         }
--- a/rigs/nursery/src/desk.rs
+++ b/rigs/nursery/src/desk.rs
@@ -218,8 +218,9 @@
     type Note = Note;
 
     fn start(boot: &Boot, now: Micros, disk: &Stored) -> (Desk, Vec<Effect<Desk>>) {
-        let Boot { me, seeds, first_run, seed, day } = boot.clone();
-        let (core, actions) = Core::start(now, Start { me, seeds, first_run, seed }, disk.clone());
+        let Boot { me, seeds, first_run, seed, day, withstand, catch_up } = boot.clone();
+        let (core, actions) =
+            Core::start(now, Start { me, seeds, first_run, seed, withstand, catch_up }, disk.clone());
         let mut desk = Desk {
             core,
             records: Records::default(),
--- a/rigs/nursery/src/lib.rs
+++ b/rigs/nursery/src/lib.rs
@@ -3,14 +3,15 @@
 //!
 //! [`World`] knows nothing of what runs on it: anything that is a [`Node`] does, and a [`Watch`] sees all that it sends
 //! and does. [`Chaos`] breaks things by chance and mends them. [`Grove`] is the agreement of the sorting machines on it,
-//! with its clients and the checks after every step. [`Office`] is the sorting machines as operators call them, with a
-//! check of what these saw ([`history`]). [`Season`] is the whole of a sorting machine below its sockets, with the state that
-//! it agrees on and the real store, over hundreds of large changes.
+//! with its clients and the checks after every step. [`Season`] is the whole of a sorting machine below its sockets, with the
+//! state that it agrees on and the real store, over hundreds of large changes. [`Office`] is the sorting machines as
+//! operators call them, with a check of what these saw ([`history`]).
 
 mod chaos;
 mod desk;
 mod grove;
 pub mod history;
+mod losses;
 mod operators;
 mod season;
 mod world;
