--- a/programs/orchard/src/sorting/council.rs
+++ b/programs/orchard/src/sorting/council.rs
@@ -1,17 +1,19 @@
 //! The agreement among the sorting machines, driven: its core gets events from links, the disk and the clock, and its
 //! actions are carried out. One task owns the core; others ask it by messages.
 
+use super::way::Sight;
 use super::Sorting;
 use crate::clock::{self, now, Micros};
 use crate::net;
 use magpieline_almanac::machine::Machine;
-use magpieline_granary::{Error, Granary};
+use magpieline_granary::{self as granary, Granary, Remedy};
 use magpieline_rootstock::{
     Action, Batch, Contact, Core, Envelope, Event, Outcome, Role, Seat, Start, MAX_VOTERS,
 };
-use magpieline_trellis::records::{Command, Records};
+use magpieline_trellis::form::Unreadable;
+use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::words::{self, Opening};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::{mpsc as threads, Arc, Mutex, MutexGuard};
@@ -64,12 +66,28 @@
     leaderless_since: Option<Micros>,
 }
 
+/// Why the agreement goes on no further on this machine.
+#[derive(Debug)]
+pub enum Stop {
+    /// Nobody is left who asks.
+    Over,
+    /// The store does not add up any more.
+    Store(granary::Error),
+    /// What is in force at this place of the log can't be read here. To go on without it would be to go on as another
+    /// state machine than the others.
+    Unreadable(u64, Unreadable),
+}
+
 enum Asked {
+    Broken(granary::Error),
     Event(Event),
-    Propose(Vec<u8>, oneshot::Sender<Outcome>),
-    Read(oneshot::Sender<Outcome>),
+    Propose(Vec<u8>, oneshot::Sender<Told>),
+    Read(oneshot::Sender<Told>),
 }
 
+/// What came of a question; for a proposal also what its command did when it was applied at its own place.
+type Told = (Outcome, Option<Effect>);
+
 /// The agreement as the rest of the program sees it.
 pub struct Council {
     ask: mpsc::Sender<Asked>,
@@ -88,13 +106,11 @@
 
 impl Council {
     /// Reads the store and makes ready; nothing runs before the driver does.
-    pub fn open(machine: &Machine, seed: u64) -> std::io::Result<(Council, Driver)> {
-        let Some(store) = &machine.store else {
-            return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
-        };
-        let broken = |e: Error| std::io::Error::other(format!("{store}: {e:?}"));
-        let mut granary = Granary::open(Path::new(store)).map_err(broken)?;
-        let stored = granary.load().map_err(broken)?;
+    pub fn open(machine: &Machine, store: &Path, seed: u64) -> Result<(Council, Driver), granary::Error> {
+        let mut granary = Granary::open(store)?;
+        let stored = granary.load()?;
+        // A machine whose store was set aside has been here before, even if its settings are those of its first start.
+        let first_run = machine.first_run && !granary::is_aside(&granary::Folder::at(store))?;
         let inner = machine.inner_ports.0;
         let me = SocketAddrV4::new(machine.ip, inner);
         let seeds = machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), inner)).collect();
@@ -107,7 +123,7 @@
         // How many stand in a zone isn't known here: then as many vote as can.
         let withstand = if machine.withstand_areas > 0 { MAX_VOTERS / 2 } else { machine.withstand as usize };
         let catch_up = machine.terms.catch_up;
-        let start = Start { me, seeds, first_run: machine.first_run, seed, withstand, catch_up };
+        let start = Start { me, seeds, first_run, seed, withstand, catch_up };
         let (core, first) = Core::start(now(), start, stored);
         let (ask, asked) = mpsc::channel(MOST_WAITING);
         let (write, writes) = threads::channel::<(u64, Batch)>();
@@ -116,13 +132,14 @@
         std::thread::spawn(move || {
             while let Ok((serial, batch)) = writes.recv() {
                 let event = match granary.write(&batch) {
-                    Ok(()) => Event::Synced { serial },
-                    Err(e) => {
-                        tracing::warn!(target: "council", "The disk refused a write: {e:?}.");
-                        Event::Refused { serial }
+                    Ok(()) => Asked::Event(Event::Synced { serial }),
+                    Err(e) if e.remedy() == Remedy::Wait => {
+                        tracing::warn!(target: "council", "The disk refused a write: {e}.");
+                        Asked::Event(Event::Refused { serial })
                     }
+                    Err(e) => Asked::Broken(e),
                 };
-                if synced.blocking_send(Asked::Event(event)).is_err() {
+                if synced.blocking_send(event).is_err() {
                     return;
                 }
             }
@@ -146,8 +163,7 @@
 
     /// The term in which this machine leads while nobody else can: its lease runs.
     pub fn leads_in(&self) -> Option<u64> {
-        let view = self.view_now();
-        view.leading().filter(|_| view.lease.is_some_and(|until| now() < until))
+        self.leading().filter(|_| self.sight().leads)
     }
 
     /// Whether this machine leads and nobody else can at this moment.
@@ -155,9 +171,12 @@
         self.leads_in().is_some()
     }
 
-    /// Since when nobody is known to lead.
-    pub fn leaderless_since(&self) -> Option<Micros> {
-        self.view_now().leaderless_since
+    /// What is known here of who leads.
+    pub fn sight(&self) -> Sight {
+        let view = self.view_now();
+        let leads = view.leading().is_some() && view.lease.is_some_and(|until| now() < until);
+        let other = view.leader.filter(|leader| *leader != view.me.address);
+        Sight { leads, other, leaderless_since: view.leaderless_since }
     }
 
     /// Waits until it may be known anew who leads, or until then.
@@ -180,18 +199,22 @@
         self.view_now().voters.iter().map(|s| s.address).collect()
     }
 
-    /// Has a command agreed on: `Ok` once it is in force for ever and applied here.
-    pub async fn propose(&self, command: &Command) -> Result<(), Refusal> {
+    /// Has a command agreed on: what it did, once it stands in the log for ever and is applied here.
+    pub async fn propose(&self, command: &Command) -> Result<Effect, Refusal> {
         let (tell, told) = oneshot::channel();
         self.ask.try_send(Asked::Propose(command.pack(), tell)).map_err(|_| Refusal::NotNow)?;
-        outcome(told).await
+        match told.await {
+            // Agreed on and not known what it did: that is no answer.
+            Ok((outcome, effect)) => agreed(outcome).and_then(|()| effect.ok_or(Refusal::Unknown)),
+            Err(_) => Err(Refusal::Unknown),
+        }
     }
 
     /// Waits until all that was acknowledged before now is applied here; only the leader can tell.
     pub async fn barrier(&self) -> Result<(), Refusal> {
         let (tell, told) = oneshot::channel();
         self.ask.try_send(Asked::Read(tell)).map_err(|_| Refusal::NotNow)?;
-        outcome(told).await
+        told.await.map_err(|_| Refusal::Unknown).and_then(|(outcome, _)| agreed(outcome))
     }
 
     /// A message from another sorting machine; lost where too much waits.
@@ -208,11 +231,11 @@
     }
 }
 
-async fn outcome(told: oneshot::Receiver<Outcome>) -> Result<(), Refusal> {
-    match told.await {
-        Ok(Outcome::Committed { .. }) => Ok(()),
-        Ok(Outcome::NotLeader { .. } | Outcome::Overloaded) => Err(Refusal::NotNow),
-        Ok(Outcome::Lost) | Err(_) => Err(Refusal::Unknown),
+fn agreed(outcome: Outcome) -> Result<(), Refusal> {
+    match outcome {
+        Outcome::Committed { .. } => Ok(()),
+        Outcome::NotLeader { .. } | Outcome::Overloaded => Err(Refusal::NotNow),
+        Outcome::Lost => Err(Refusal::Unknown),
     }
 }
 
@@ -245,13 +268,20 @@
 }
 
 impl Driver {
-    /// Drives the core for as long as the process lives.
-    pub async fn run(mut self, sorting: Arc<Sorting>) {
+    /// Drives the core until it can't go on. What it was told of an entry that can't be read reaches nobody: nothing of
+    /// that step is carried out, so that a leader never says that such an entry is in force.
+    pub async fn run(mut self, sorting: Arc<Sorting>) -> Stop {
         let mut links: HashMap<SocketAddrV4, mpsc::Sender<Envelope>> = HashMap::new();
-        let mut tickets: HashMap<u64, oneshot::Sender<Outcome>> = HashMap::new();
+        let mut tickets: HashMap<u64, oneshot::Sender<Told>> = HashMap::new();
         let mut next_ticket = 0;
         let mut actions = std::mem::take(&mut self.first);
         loop {
+            let mut read = match Read::all(&actions) {
+                Ok(read) => read,
+                Err(stop) => return stop,
+            };
+            // By place in the log. A proposal is answered in the same step as it is applied in.
+            let mut effects: HashMap<u64, Effect> = HashMap::new();
             for action in actions {
                 match action {
                     Action::Send(envelope) => {
@@ -267,17 +297,23 @@
                         // The thread ends with the process only.
                         let _ = self.write.send((serial, batch));
                     }
-                    Action::Apply { index, command } => match Command::unpack(&command) {
-                        Some(command) => sorting.applied(index, &command),
-                        None => tracing::error!(target: "council", "Command {index} can't be read."),
-                    },
-                    Action::Restore { index, state } => match Records::unpack(&state) {
-                        Some(records) => sorting.restored(records),
-                        None => tracing::error!(target: "council", "Snapshot {index} can't be read."),
-                    },
+                    Action::Apply { index, .. } => {
+                        if let Some(Read::Command(command)) = read.pop_front() {
+                            effects.insert(index, sorting.applied(index, &command));
+                        }
+                    }
+                    Action::Restore { .. } => {
+                        if let Some(Read::Records(records)) = read.pop_front() {
+                            sorting.restored(records);
+                        }
+                    }
                     Action::Done { ticket, outcome } => {
                         if let Some(tell) = tickets.remove(&ticket) {
-                            let _ = tell.send(outcome);
+                            let effect = match outcome {
+                                Outcome::Committed { index } => effects.get(&index).cloned(),
+                                _ => None,
+                            };
+                            let _ = tell.send((outcome, effect));
                         }
                     }
                 }
@@ -289,7 +325,8 @@
             } else {
                 tokio::select! {
                     asked = self.asked.recv() => match asked {
-                        None => return,
+                        None => return Stop::Over,
+                        Some(Asked::Broken(error)) => return Stop::Store(error),
                         Some(Asked::Event(event)) => event,
                         Some(Asked::Propose(command, tell)) => {
                             next_ticket += 1;
@@ -334,6 +371,30 @@
     }
 }
 
+/// What actions hand to the state machine.
+pub enum Read {
+    Command(Command),
+    Records(Records),
+}
+
+impl Read {
+    /// Of all the actions that hand something on, in their order.
+    pub fn all(actions: &[Action]) -> Result<VecDeque<Read>, Stop> {
+        let read = |action: &Action| match action {
+            Action::Apply { index, command } => {
+                let command = Command::unpack(command).map_err(|wrong| Stop::Unreadable(*index, wrong));
+                Some(command.map(Read::Command))
+            }
+            Action::Restore { index, state } => {
+                let records = Records::unpack(state).map_err(|wrong| Stop::Unreadable(*index, wrong));
+                Some(records.map(Read::Records))
+            }
+            Action::Send(_) | Action::Write { .. } | Action::Done { .. } => None,
+        };
+        actions.iter().filter_map(read).collect()
+    }
+}
+
 /// Sends messages to one other machine; what can't be sent is lost.
 async fn send(own: SocketAddrV4, to: SocketAddrV4, mut messages: mpsc::Receiver<Envelope>) {
     loop {
--- a/programs/orchard/src/sorting/mod.rs
+++ b/programs/orchard/src/sorting/mod.rs
@@ -1,26 +1,32 @@
 //! The sorting machine: keeps what is agreed on, and while it leads tells the counters.
 
 mod control;
-mod council;
+pub mod council;
 mod counters;
 mod lister;
+pub mod lives;
 mod mouth;
 mod steward;
+pub mod way;
 
 use crate::carrier::Reading;
-use crate::clock::{now, Micros};
+use crate::clock::{self, now, Micros};
 use crate::net;
 use crate::settings::Held;
 use council::Council;
 use jzon::JsonValue as Json;
+use magpieline_almanac::edition::Edition;
 use magpieline_almanac::machine::Machine;
+use magpieline_almanac::place::Complaint;
 use magpieline_rootstock::Seat;
 use magpieline_trellis::feed::Feeds;
-use magpieline_trellis::records::{Effect, Records};
+use magpieline_trellis::orders::Witness;
+use magpieline_trellis::records::{Command, Effect, Records};
 use magpieline_trellis::roster::Roster;
 use magpieline_trellis::words::{self, Down, Listing, Stage};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// After the last word of the agreement calls in hand are answered for so long: those that wait for a leader find one
@@ -37,12 +43,15 @@
     pub settings: Held,
     state: Mutex<State>,
     pub council: Council,
+    /// The last sound configuration that an operator sent here: the next one is read after it.
+    sent: Mutex<Option<Arc<Edition>>>,
 }
 
 /// What a sorting machine knows.
-#[derive(Default)]
 pub struct State {
     pub records: Records,
+    /// For how long this process has known of the orders in `records`.
+    pub witness: Witness,
     pub roster: Roster,
     /// What counters that hold on to this machine are told.
     mouth: mouth::Mouth,
@@ -54,16 +63,48 @@
     pub list: Option<Reading>,
 }
 
+impl State {
+    fn new(witness: Witness) -> State {
+        State {
+            records: Records::default(),
+            witness,
+            roster: Roster::default(),
+            mouth: mouth::Mouth::default(),
+            feeds: Feeds::default(),
+            stages: BTreeMap::new(),
+            list: None,
+        }
+    }
+}
+
 impl Sorting {
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Reads and checks a configuration that an operator sends.
+    pub fn sound(&self, text: &str) -> Result<Arc<Edition>, Vec<Complaint>> {
+        let mut sent = self.sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let edition = Arc::new(Edition::read_after(&text.into(), sent.as_deref())?);
+        *sent = Some(edition.clone());
+        Ok(edition)
+    }
+
     /// The address of agents among themselves.
     pub fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.machine.ip, self.machine.inner_ports.0)
     }
 
+    /// The inner addresses of the other sorting machines that are known here.
+    fn others(&self) -> Vec<SocketAddrV4> {
+        let seeds = self.machine.seeds.iter().map(|s| SocketAddrV4::new(*s.ip(), self.machine.inner_ports.0));
+        let mut others: Vec<SocketAddrV4> = self.council.members().into_iter().chain(seeds).collect();
+        others.retain(|other| *other != self.inner());
+        others.sort();
+        others.dedup();
+        others
+    }
+
     /// Where operators call the machine that has this inner address: ports are alike on all machines.
     pub fn control_of(&self, inner: SocketAddrV4) -> Option<SocketAddrV4> {
         let own = self.machine.posts.get("control")?;
@@ -137,36 +178,43 @@
 
     /// The agreement's state was read from disk, or sent by the leader.
     pub fn restored(&self, records: Records) {
-        let mut state = self.state();
+        let state = &mut *self.state();
         state.records = records;
+        state.witness.applied(now(), &state.records);
         state.feed_newest();
     }
 
-    /// A command has been agreed on.
-    pub fn applied(&self, index: u64, command: &magpieline_trellis::records::Command) {
-        let mut state = self.state();
+    /// A command has been agreed on; what it did.
+    pub fn applied(&self, index: u64, command: &Command) -> Effect {
+        let state = &mut *self.state();
         let effect = state.records.apply(index, command);
-        let down = match effect {
+        let service = match command {
+            Command::Replace(_) => None,
+            Command::Begin { service, .. } | Command::Order { service, .. } => {
+                state.witness.applied(now(), &state.records);
+                Some(service)
+            }
+            Command::Advance { service, .. } | Command::Stands { service, .. } => Some(service),
+        };
+        let down = match &effect {
             Effect::Edition => {
                 state.feed_newest();
                 None
             }
-            Effect::Service => {
-                use magpieline_trellis::records::Command;
-                let (Command::Begin { service, .. }
-                | Command::Advance { service, .. }
-                | Command::Stands { service, .. }) = command
-                else {
-                    return;
-                };
+            Effect::Service => service.and_then(|service| {
                 let standing = state.records.services.get(service).cloned();
                 standing.map(|s| Down::Services(vec![(service.clone(), s)]))
-            }
-            Effect::None => None,
+            }),
+            Effect::Again
+            | Effect::Idle
+            | Effect::OtherDocument(_)
+            | Effect::OtherRollout(_)
+            | Effect::None => None,
         };
         if let Some(down) = down {
             state.tell_all(&down);
         }
+        effect
     }
 }
 
@@ -193,23 +241,51 @@
     }
 }
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM, in more than one life where its store can't be read.
 pub async fn run(settings: Held, life: u64) -> std::io::Result<()> {
+    let mut life = life;
+    while live(settings.clone(), life).await? {
+        life = rand::random::<u64>().max(1);
+    }
+    Ok(())
+}
+
+/// One life. True: another one is to follow.
+async fn live(settings: Held, life: u64) -> std::io::Result<bool> {
     let machine = Machine::clone(&settings.borrow());
     let Some(control) = machine.posts.get("control").copied() else {
         return Err(std::io::Error::other("network.posts: expected control"));
     };
+    let Some(store) = machine.store.clone().map(PathBuf::from) else {
+        return Err(std::io::Error::other("self.store_dir: expected a folder for what is agreed on"));
+    };
     let inner = SocketAddrV4::new(machine.ip, machine.inner_ports.0);
+    // Nobody is kept waiting at a door behind which nothing runs yet.
+    let Some((council, driver)) = lives::open(&machine, &store, life).await else { return Ok(false) };
     let door = net::listen(control)?;
     let inner = net::listen(inner)?;
-    let (council, driver) = Council::open(&machine, life)?;
-    let sorting = Arc::new(Sorting { machine, settings, state: Mutex::new(State::default()), council });
-    tokio::spawn(driver.run(sorting.clone()));
-    tokio::spawn(counters::run(sorting.clone(), inner));
-    tokio::spawn(control::run(sorting.clone(), door));
-    tokio::spawn(lister::run(sorting.clone()));
-    tokio::spawn(steward::run(sorting.clone()));
-    crate::signals::terminated().await;
+    let state = State::new(Witness::new(now(), clock::day()));
+    let sorting =
+        Arc::new(Sorting { machine, settings, state: Mutex::new(state), council, sent: Mutex::default() });
+    let mut driving = tokio::spawn(driver.run(sorting.clone()));
+    let others = [
+        tokio::spawn(counters::run(sorting.clone(), inner)),
+        tokio::spawn(control::run(sorting.clone(), door)),
+        tokio::spawn(lister::run(sorting.clone())),
+        tokio::spawn(steward::run(sorting.clone())),
+    ];
+    tokio::select! {
+        () = crate::signals::terminated() => {}
+        stop = &mut driving => {
+            for other in others {
+                other.abort();
+                let _ = other.await; // its door is free again, for the next life
+            }
+            let stop = stop.map_err(|broken| std::io::Error::other(format!("the agreement broke: {broken}")))?;
+            let others = sorting.others();
+            return Ok(lives::begin_anew(&stop, &store, &others).await);
+        }
+    }
     let begun = now();
     tracing::info!(target: "sorting", "Leaving.");
     sorting.council.leave(begun + sorting.machine.terms.grace.saturating_sub(GRACE_LEFT)).await;
@@ -217,5 +293,5 @@
     let handed_on = sorting.council.view().left;
     tracing::info!(target: "sorting", "Left after {} ms{}.", (now() - begun) / 1000,
         if handed_on { "" } else { ", still needed" });
-    Ok(())
+    Ok(false)
 }
