--- a/keeping/rootstock/src/election.rs
+++ b/keeping/rootstock/src/election.rs
@@ -21,7 +21,7 @@
 const PROBE: Micros = 40_000;
 /// A leader that has not heard more than half of the voters for so long steps down: five beats unanswered, before its
 /// followers have found another one in most cases.
-const QUORUM_PATIENCE: Micros = 500_000;
+pub(crate) const QUORUM_PATIENCE: Micros = 500_000;
 
 impl Core {
     fn draw(&mut self, least: Micros, spread: Micros) -> Micros {
@@ -92,7 +92,7 @@
     }
 
     pub(crate) fn check_election(&mut self) {
-        if self.now < self.election_due || !self.is_voter() {
+        if self.now < self.election_due || !self.may_lead() {
             return;
         }
         match self.restarted.filter(|until| self.now < *until) {
@@ -151,9 +151,11 @@
         let won = self.roll.majority(self.commit, |seat| self.granted.contains(seat));
         if self.role == Role::PreCandidate && self.restarted.is_some() {
             // Its own vote may be what an earlier leader's lease rests on. Where every voter has restarted nobody leads, as
-            // leaders are voters and who restarts does not lead.
+            // leaders are voters, but for what a change of voters leaves behind, and who restarts does not lead.
             let all = self.roll.in_force(self.commit);
-            if all.iter().all(|seat| self.if_all.contains_key(seat) || self.granted.contains(seat)) {
+            let settled = self.roll.unfinished(self.commit).is_none();
+            if settled && all.iter().all(|seat| self.if_all.contains_key(seat) || self.granted.contains(seat))
+            {
                 self.stand(false, true);
             }
         } else if self.role == Role::PreCandidate && won {
@@ -282,7 +284,7 @@
     }
 
     pub(crate) fn on_hand_over(&mut self, from: Seat) {
-        if self.leader == Some(from) && self.is_voter() && self.is_disk_fit() && self.role == Role::Follower {
+        if self.leader == Some(from) && self.may_lead() && self.is_disk_fit() && self.role == Role::Follower {
             self.stand(true, false);
         }
     }
--- a/programs/orchard/src/commands/store.rs
+++ b/programs/orchard/src/commands/store.rs
@@ -96,7 +96,7 @@
 fn command_shown(command: &Command) -> (&'static str, String) {
     match command {
         Command::Replace(kept) => ("replace", format!("edition {}, {} bytes", kept.number, kept.text.len())),
-        Command::Begin { service, to, within } => {
+        Command::Begin { service, to, within } | Command::Order { service, to, within, .. } => {
             ("begin", format!("{service} to {to} within {}", times::write(*within)))
         }
         Command::Advance { service, order, phase } => {
@@ -128,6 +128,7 @@
         let (kind, about) = match &entry.payload {
             Payload::Noop => ("noop", "a new leader's first".into()),
             Payload::Members(members) => ("members", seats(&members.voters)),
+            Payload::JointEnd => ("joint-end", "the list before counts no more".into()),
             Payload::Command { more: true, bytes } => {
                 pieces.extend_from_slice(bytes);
                 ("piece", format!("{} bytes", bytes.len()))
