--- a/rigs/nursery/src/main.rs
+++ b/rigs/nursery/src/main.rs
@@ -69,6 +69,12 @@
     machines: usize,
     #[options(help = "steps of a seed (20000)", default = "20000")]
     steps: u64,
+    #[options(help = "no more lost at once than is promised, and then always a leader within 5 s")]
+    losses: bool,
+    #[options(help = "how long a machine counts as lost after its return, in ms (4000)", default = "4000")]
+    catch_up: u64,
+    #[options(help = "threads (one for each processor)")]
+    threads: Option<usize>,
 }
 
 #[derive(Options)]
@@ -145,8 +151,12 @@
     let total = Mutex::new(Played::default());
     let failed = each_seed(run, "run", |seed| {
         let planting = Planting { seed, machines: run.machines, net: Net::CALM };
-        let mut grove = Grove::plant(planting);
-        grove.endure(seed, run.steps);
+        let mut grove = Grove::plant_for(planting, (run.machines - 1) / 2, run.catch_up * MILLI);
+        if run.losses {
+            grove.endure_losses(seed, run.steps);
+        } else {
+            grove.endure(seed, run.steps);
+        }
         total.lock().expect("not poisoned").add(&grove.played());
     });
     ended(run, failed, &total.into_inner().expect("not poisoned"))
@@ -165,7 +175,8 @@
 fn each_seed(run: &Run, command: &str, play: impl Fn(u64) + Sync) -> u64 {
     let next = AtomicU64::new(run.seeds.start);
     let failed = AtomicU64::new(0);
-    let threads = thread::available_parallelism().map_or(1, |count| count.get());
+    let threads =
+        run.threads.unwrap_or_else(|| thread::available_parallelism().map_or(1, |count| count.get()));
     thread::scope(|scope| {
         for _ in 0..threads {
             scope.spawn(|| loop {
@@ -176,8 +187,9 @@
                 if catch_unwind(AssertUnwindSafe(|| play(seed))).is_err() {
                     failed.fetch_add(1, Ordering::Relaxed);
                     let (machines, steps) = (run.machines, run.steps);
+                    let losses = if run.losses { " --losses" } else { "" };
                     println!(
-                        "seed {seed} failed; again with: nursery {command} --seeds {seed}..{} --machines {machines} --steps {steps}",
+                        "seed {seed} failed; again with: nursery {command} --seeds {seed}..{} --machines {machines} --steps {steps}{losses}",
                         seed + 1
                     );
                 }
