--- a/programs/orchard/tests/contact.rs
+++ b/programs/orchard/tests/contact.rs
@@ -217,6 +217,11 @@
     for _ in 0..3 {
         let next = EDITION.replace("\"edition\":7", "\"edition\":9");
         assert_eq!(call(leader, "config.replace", &next), Some(503));
+        assert_eq!(call(leader, "config.replace", EDITION), Some(503), "not even what it holds");
+        assert_eq!(
+            call(leader, "config.replace", &EDITION.replace("\"edition\":7", "\"edition\":3")),
+            Some(503)
+        );
         assert_eq!(call(leader, "config.read", ""), Some(503));
         assert_eq!(call(leader, "editions.read&of=s", ""), Some(503));
         let order = r#"{"service":"s","to_edition":"v2","within":"12s"}"#;
--- a/rigs/nursery/tests/contact/main.rs
+++ b/rigs/nursery/tests/contact/main.rs
@@ -273,6 +273,24 @@
     assert!(hall.run_until(end, Hall::all_serve), "they don't come back");
 }
 
+/// Guards against a beat that is said after the lease: the first thing that the next leader acknowledges is not older than
+/// what a counter of the old one believes to know all of.
+#[rstest]
+fn a_leader_says_that_it_leads_under_its_lease_only(#[values(true, false)] mute: bool) {
+    for seed in 0..10 * seeds() {
+        println!("seed {seed}");
+        let mut hall = Hall::open(seed, 3, 8);
+        let old = hall.leader().expect("one");
+        hall.cut_off(old, true, mute);
+        let end = hall.world.now() + 2 * SECOND;
+        assert!(hall.run_until(end, |hall| hall.leader().is_some_and(|leader| leader != old)));
+        let new = hall.leader().expect("just seen");
+        let number = hall.replace(new);
+        assert!(hall.run_until(end, |hall| hall.is_acknowledged(number)));
+        hall.run_for(500 * MILLI);
+    }
+}
+
 /// Guards against a leader that was frozen and goes on telling counters, and against what still waits in its links.
 #[rstest]
 fn a_frozen_leader_thaws(#[values(350, 900, 20_000)] span: u64, #[values(1, 2, 3)] seed: u64) {
@@ -309,6 +327,11 @@
     assert!(hall.run_until(end, Hall::all_serve), "counters don't begin");
 }
 
+/// How many seeds are played of what goes by chance.
+fn seeds() -> u64 {
+    std::env::var("CONTACT_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(5)
+}
+
 fn endure(seed: u64, sorting: usize, steps: u64) {
     let mut hall = Hall::open(seed, sorting, 4);
     let mut chaos = Chaos::new(seed, hall.world.now(), [SECOND, 4 * SECOND][(seed % 2) as usize], Net::CALM);
@@ -359,7 +382,7 @@
 /// Guards all of it under whatever comes. `CONTACT_SEEDS` plays more.
 #[rstest]
 fn whatever_breaks(#[values(3, 5)] sorting: usize, #[values(0, 1, 2, 3)] part: u64) {
-    let seeds = std::env::var("CONTACT_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(5);
+    let seeds = seeds();
     for seed in part * seeds..(part + 1) * seeds {
         println!("seed {seed}, {sorting} sorting machines");
         endure(seed, sorting, 10_000);
