--- a/keeping/rootstock/src/election.rs
+++ b/keeping/rootstock/src/election.rs
@@ -151,11 +151,10 @@
         let won = self.roll.majority(self.commit, |seat| self.granted.contains(seat));
         if self.role == Role::PreCandidate && self.restarted.is_some() {
             // Its own vote may be what an earlier leader's lease rests on. Where every voter has restarted nobody leads, as
-            // leaders are voters, but for what a change of voters leaves behind, and who restarts does not lead.
-            let all = self.roll.in_force(self.commit);
-            let settled = self.roll.unfinished(self.commit).is_none();
-            if settled && all.iter().all(|seat| self.if_all.contains_key(seat) || self.granted.contains(seat))
-            {
+            // leaders are voters and who restarts does not lead. One of the list before leads until the change is over.
+            let mut all = self.roll.in_force(self.commit);
+            all.extend(self.roll.unfinished(self.commit).into_iter().flat_map(|before| &before.voters));
+            if all.iter().all(|seat| self.if_all.contains_key(seat) || self.granted.contains(seat)) {
                 self.stand(false, true);
             }
         } else if self.role == Role::PreCandidate && won {
--- a/keeping/rootstock/tests/three.rs
+++ b/keeping/rootstock/tests/three.rs
@@ -153,14 +153,8 @@
 fn who_restarts_stands_early_only_where_all_have() {
     let founded = Three::founded();
     let start = |i: usize, seed| {
-        let start = Start {
-            me: address(i),
-            seeds: Vec::new(),
-            first_run: false,
-            seed,
-            withstand: 1,
-            catch_up: 4_000_000,
-        };
+        let (me, seeds) = (address(i), Vec::new());
+        let start = Start { me, seeds, first_run: false, seed, withstand: 1, catch_up: 4_000_000 };
         Core::start(0, start, founded.stored[i].clone()).0
     };
     let probed = |core: &mut Core| {
