--- a/rigs/nursery/src/main.rs
+++ b/rigs/nursery/src/main.rs
@@ -25,6 +25,8 @@
 enum Command {
     #[options(help = "break things by chance, check after every step")]
     Run(Run),
+    #[options(help = "lose no more at once than is promised, and always have a leader within five seconds")]
+    Losses(Run),
     #[options(help = "operators call while things break, and what they saw is checked as a history")]
     Operators(Run),
     #[options(help = "how long it takes until a leader stands, a wiped machine votes; what idling costs")]
@@ -69,8 +71,6 @@
     machines: usize,
     #[options(help = "steps of a seed (20000)", default = "20000")]
     steps: u64,
-    #[options(help = "no more lost at once than is promised, and then always a leader within 5 s")]
-    losses: bool,
     #[options(help = "how long a machine counts as lost after its return, in ms (4000)", default = "4000")]
     catch_up: u64,
     #[options(help = "threads (one for each processor)")]
@@ -98,6 +98,7 @@
     let line = Line::parse_args_default_or_exit();
     match line.command {
         Some(Command::Run(run)) => play(&run),
+        Some(Command::Losses(run)) => lose(&run),
         Some(Command::Season(line)) => {
             seasons(&line);
             ExitCode::SUCCESS
@@ -152,11 +153,18 @@
     let failed = each_seed(run, "run", |seed| {
         let planting = Planting { seed, machines: run.machines, net: Net::CALM };
         let mut grove = Grove::plant_for(planting, (run.machines - 1) / 2, run.catch_up * MILLI);
-        if run.losses {
-            grove.endure_losses(seed, run.steps);
-        } else {
-            grove.endure(seed, run.steps);
-        }
+        grove.endure(seed, run.steps);
+        total.lock().expect("not poisoned").add(&grove.played());
+    });
+    ended(run, failed, &total.into_inner().expect("not poisoned"))
+}
+
+fn lose(run: &Run) -> ExitCode {
+    let total = Mutex::new(Played::default());
+    let failed = each_seed(run, "losses", |seed| {
+        let planting = Planting { seed, machines: run.machines, net: Net::CALM };
+        let mut grove = Grove::plant_for(planting, (run.machines - 1) / 2, run.catch_up * MILLI);
+        grove.endure_losses(seed, run.steps);
         total.lock().expect("not poisoned").add(&grove.played());
     });
     ended(run, failed, &total.into_inner().expect("not poisoned"))
@@ -187,9 +195,8 @@
                 if catch_unwind(AssertUnwindSafe(|| play(seed))).is_err() {
                     failed.fetch_add(1, Ordering::Relaxed);
                     let (machines, steps) = (run.machines, run.steps);
-                    let losses = if run.losses { " --losses" } else { "" };
                     println!(
-                        "seed {seed} failed; again with: nursery {command} --seeds {seed}..{} --machines {machines} --steps {steps}{losses}",
+                        "seed {seed} failed; again with: nursery {command} --seeds {seed}..{} --machines {machines} --steps {steps}",
                         seed + 1
                     );
                 }
