Orders: only a machine that led when an order came takes it

A copy of an order may lie in a frozen machine until long after its time. A machine that thaws has no lease; so one that does not lead when an order comes sends it on, or says 503.

--- a/programs/orchard/src/sorting/control.rs
+++ b/programs/orchard/src/sorting/control.rs
@@ -242,6 +242,13 @@
         let found = order["within"].dump();
         return plain(StatusCode::BAD_REQUEST, "within", &found, "a time above 0 such as 12s");
     };
+    // An order may have lain in a frozen machine until long after its time, and one that thaws doesn't lead: so only a
+    // machine that leads when it comes takes it.
+    if !sorting.council.leads() {
+        let moved = elsewhere(sorting, path, now() + PATIENCE).await;
+        return moved
+            .unwrap_or_else(|| plain(StatusCode::SERVICE_UNAVAILABLE, "leader", "a new one", "ask again"));
+    }
     // Copies are told from new orders by when they came, not by how long an agreement took.
     let (came, receipt) = ((now(), day()), sorting.settings.borrow().terms.receipt);
     let look = |sorting: &Sorting| {
--- a/rigs/nursery/src/desk.rs
+++ b/rigs/nursery/src/desk.rs
@@ -66,6 +66,8 @@
     ticket: Option<u64>,
     settled: Option<records::Effect>,
     again_at: Micros,
+    /// Whether this machine led when it came.
+    led: bool,
 }
 
 /// One of them.
@@ -167,6 +169,9 @@
             let over = now >= call.came.0 + PATIENCE;
             let answer = match elsewhere {
                 _ if call.ticket.is_some() => Answer::Unclear,
+                _ if matches!(call.asked, Asked::Begin { .. }) && !call.led && self.core.leads(now) => {
+                    Answer::Unclear
+                }
                 _ if !over && self.core.leads(now) => {
                     self.ask(now, id, effects);
                     continue;
@@ -244,7 +249,14 @@
             Input::Refused(serial) => Event::Refused { serial },
             Input::Call(Call::Propose(command)) => Event::Propose { ticket: 0, command: command.pack() },
             Input::Call(Call::Ask { id, asked, day }) => {
-                let call = InHand { asked, came: (now, day), ticket: None, settled: None, again_at: now };
+                let call = InHand {
+                    asked,
+                    came: (now, day),
+                    ticket: None,
+                    settled: None,
+                    again_at: now,
+                    led: self.core.leads(now),
+                };
                 self.calls.insert(id, call);
                 Event::Tick
             }
