--- a/rigs/nursery/tests/seeds.rs
+++ b/rigs/nursery/tests/seeds.rs
@@ -22,7 +22,7 @@
     #[values(4_000, 6_000)] catch_up: u64,
 ) {
     for seed in 0..12 {
-        // A failure says its seed: nursery run --seeds SEED..SEED+1 --machines MACHINES --losses --catch-up CATCH_UP
+        // A failure says its seed: nursery losses --seeds SEED..SEED+1 --machines MACHINES --catch-up CATCH_UP
         println!("seed {seed}, {machines} machines, {catch_up} ms");
         let planting = Planting { seed, machines, net: Net::CALM };
         Grove::plant_for(planting, (machines - 1) / 2, catch_up * MILLI).endure_losses(seed, 20_000);
