--- a/rigs/nursery/src/season.rs
+++ b/rigs/nursery/src/season.rs
@@ -380,9 +380,11 @@
     Disk(Trouble),
     /// The leader, while a machine that lost its disk is being filled.
     LeaderWhileFilled,
+    /// Nothing reaches it for a moment while it is being filled: all that is on its way is lost.
+    CutWhileFilled,
 }
 
-const TRIALS: [Trial; 9] = [
+const TRIALS: [Trial; 10] = [
     Trial::Restart,
     Trial::Wipe,
     Trial::Spoil,
@@ -392,6 +394,7 @@
     Trial::Disk(Trouble::Hangs),
     Trial::Disk(Trouble::Full),
     Trial::LeaderWhileFilled,
+    Trial::CutWhileFilled,
 ];
 
 /// What came of a season.
@@ -544,8 +547,12 @@
         let down = self.rng.gen_range(50 * MILLI..2 * SECOND);
         let all = self.world.machines();
         match trial {
-            Trial::Restart | Trial::Wipe | Trial::Spoil | Trial::LeaderWhileFilled => {
-                if matches!(trial, Trial::Wipe | Trial::LeaderWhileFilled) {
+            Trial::Restart
+            | Trial::Wipe
+            | Trial::Spoil
+            | Trial::LeaderWhileFilled
+            | Trial::CutWhileFilled => {
+                if !matches!(trial, Trial::Restart | Trial::Spoil) {
                     self.world.wipe(machine);
                 } else {
                     self.world.kill(machine);
@@ -555,6 +562,15 @@
                 }
                 self.run_until(down, |_| false);
                 self.world.start(machine, &mut self.checks);
+                if trial == Trial::CutWhileFilled {
+                    let soon = self.rng.gen_range(MILLI..100 * MILLI);
+                    self.run_until(soon, |_| false);
+                    (0..all)
+                        .filter(|other| *other != machine)
+                        .for_each(|other| self.world.cut(other, machine));
+                    self.run_until(300 * MILLI, |_| false);
+                    (0..all).for_each(|other| self.world.join(other, machine));
+                }
                 if trial == Trial::LeaderWhileFilled {
                     // Its filling starts over with another leader. Nobody is lost: leadership is handed on.
                     let soon = self.rng.gen_range(MILLI..500 * MILLI);
@@ -636,7 +652,9 @@
             match self.world.node(machine) {
             None => format!("{machine}: down"),
             Some(Keeper { core, records, .. }) => format!(
-                "{machine}: {:?} term {} last {} commit {} applied {} durable {} edition {:?} voters {:?} contacts {:?}",
+                "{machine}: backlog {} us, {:?} term {} last {} commit {} applied {} durable {} edition {:?} voters {:?} \
+                contacts {:?}",
+                self.world.backlog(machine),
                 core.role(),
                 core.term(),
                 core.last(),
--- a/rigs/nursery/src/world.rs
+++ b/rigs/nursery/src/world.rs
@@ -255,6 +255,11 @@
         }))
     }
 
+    /// How long its link is still busy with what was given to it.
+    pub fn backlog(&self, machine: usize) -> Micros {
+        self.machines[machine].sent_at.saturating_sub(self.now)
+    }
+
     /// What the machine's steady clock shows.
     pub fn clock(&self, machine: usize) -> Micros {
         let (start, fast) = self.machines[machine].clock;
