Season: a machine is up once the list that seats it is in force

A second machine was wiped while the list that seated the first one anew was written but not in force: two of three were lost at once. The model took the first one for up by the leader's newest list. Change: the check also asks that no list before it counts any more, which is stricter on how soon a machine is up.

--- a/rigs/nursery/src/season.rs
+++ b/rigs/nursery/src/season.rs
@@ -485,7 +485,8 @@
             return false;
         };
         let held = |keeper: &Keeper| keeper.records.edition.as_ref().map_or(0, |kept| kept.number);
-        let votes = led.core.voters().contains(&keeper.core.me());
+        // A seat counts once the list that has it is in force: until then the machine is one of those that are lost.
+        let votes = led.core.voters().contains(&keeper.core.me()) && led.core.voters_before().is_none();
         votes && !self.world.is_frozen(machine) && held(keeper) + 1 >= held(led)
     }
 
