--- a/crates/gateway/src/controller/endpoint_discovery.rs
+++ b/crates/gateway/src/controller/endpoint_discovery.rs
@@ -2,6 +2,7 @@
 
 use super::Controller;
 use crate::clock::{now, sleep, Micros};
+use crate::metrics::ReadResult;
 use crate::platform_client::{EndpointMap, EndpointSnapshot, ListError, PlatformClient};
 use magpieline_control_plane::messages::{ControllerMessage, Endpoint, EndpointUpdate};
 use magpieline_control_plane::state_machine::Command;
@@ -44,6 +45,7 @@
 /// Reads the list once, and sends what has changed. Returns the pause before the next read.
 async fn read_once(controller: &Controller, platform: &mut PlatformClient, term: u64) -> Micros {
     let started_at = now();
+    let reads = &controller.metrics.list_reads;
     match platform.list().await {
         Ok(endpoints) => {
             // While the list was read this process may have been suspended, and another controller may lead.
@@ -51,10 +53,14 @@
             if is_recent && controller.raft.lease_term() == Some(term) {
                 set_versions(controller, &endpoints).await;
                 send_changes(controller, term, endpoints);
+                reads.on_read(started_at, ReadResult::Applied);
+            } else {
+                reads.on_read(started_at, ReadResult::Outdated);
             }
             READ_INTERVAL
         }
         Err(error) => {
+            reads.on_read(started_at, ReadResult::from(&error));
             tracing::warn!(target: "endpoints", "The list of endpoints could not be read: {error}.");
             match error {
                 ListError::Status(TOO_MANY_REQUESTS) => READ_INTERVAL,
@@ -122,7 +128,6 @@
         if let ([version], false) = (&seen[..], is_known) {
             let (service, version) = (service.to_owned(), (*version).to_owned());
             let _ = controller
-                .raft
                 .propose(&Command::SetVersion { service, version })
                 .await;
         }
--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -9,9 +9,11 @@
 //! | `proxy_sessions`, `proxy_outbox` | sessions of proxies, and what is sent to them |
 //! | `endpoint_discovery` | the leader reads the platform's list of endpoints |
 //! | `rollout_controller` | the leader moves rollouts on |
+//! | `metrics` | what is counted for operators |
 
 mod endpoint_discovery;
 pub mod leader_redirect;
+mod metrics;
 mod operator_api;
 mod proxy_outbox;
 mod proxy_sessions;
@@ -34,6 +36,7 @@
 use magpieline_control_plane::proxy_registry::ProxyRegistry;
 use magpieline_control_plane::state_machine::{Command, ControlState, Effect, ServiceState};
 use magpieline_raft::{NodeId, PeerStatus};
+use metrics::ControllerMetrics;
 use proxy_outbox::ProxyOutbox;
 use raft_driver::{RaftDriver, RaftHandle, RaftStatus};
 use std::collections::BTreeMap;
@@ -60,6 +63,7 @@
     state: Mutex<ControllerState>,
     /// The last valid configuration that an operator sent here: the next one is parsed after it.
     last_valid_config: Mutex<Option<Arc<GatewayConfig>>>,
+    metrics: ControllerMetrics,
 }
 
 /// What a controller knows.
@@ -208,6 +212,7 @@
     pub fn set_leadership(&self, term: Option<u64>) {
         let mut state = self.state();
         if state.proxies.set_leadership(term) {
+            self.metrics.on_sessions_over(state.outbox.session_count());
             state.close_all_sessions(term);
             state.stages.clear();
             state.endpoints = None;
@@ -363,6 +368,7 @@
         raft,
         state: Mutex::new(ControllerState::new(acceptance_clock)),
         last_valid_config: Mutex::default(),
+        metrics: ControllerMetrics::new(),
     });
     serve(controller, driver, operator_address, store_dir).await
 }
--- a/crates/gateway/src/controller/operator_api.rs
+++ b/crates/gateway/src/controller/operator_api.rs
@@ -4,6 +4,7 @@
 use super::raft_driver::RequestError;
 use super::Controller;
 use crate::clock::{duration, now, sleep, time_of_day, Micros};
+use crate::metrics;
 use crate::net::{self, HyperIo};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -112,6 +113,9 @@
 /// Answers one call.
 async fn answer(controller: &Controller, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
+    if head.uri.path() == metrics::PATH {
+        return metrics::response(controller.metrics_registry());
+    }
     if head.uri.path() != PATH {
         return refuse(StatusCode::NOT_FOUND, "path", head.uri.path(), PATH);
     }
@@ -227,7 +231,7 @@
 async fn carry_out(controller: &Controller, plan: Plan) -> Result<Effect, RequestError> {
     match plan {
         Plan::Known(effect) => controller.raft.read_barrier().await.map(|()| effect),
-        Plan::Propose(command) => controller.raft.propose(&command).await,
+        Plan::Propose(command) => controller.propose(&command).await,
     }
 }
 
--- a/crates/gateway/src/controller/proxy_outbox.rs
+++ b/crates/gateway/src/controller/proxy_outbox.rs
@@ -31,6 +31,18 @@
     _open: oneshot::Sender<()>,
 }
 
+impl ProxyOutbox {
+    /// Returns how many sessions there are.
+    pub(super) fn session_count(&self) -> u64 {
+        self.sessions.len() as u64
+    }
+
+    /// Returns the bytes queued so far: chunks of configurations, and everything else.
+    pub(super) fn queued_bytes(&self) -> (u64, u64) {
+        (self.config_bytes, self.other_bytes)
+    }
+}
+
 /// The frames that wait to be written to a proxy.
 pub struct SessionQueue {
     /// The frames.
--- a/crates/gateway/src/controller/proxy_sessions.rs
+++ b/crates/gateway/src/controller/proxy_sessions.rs
@@ -1,6 +1,7 @@
 //! Connections from other agents: sessions of proxies, and consensus messages of other controllers.
 
 use super::leader_redirect::{target, Target};
+use super::metrics::SessionEvent;
 use super::proxy_outbox::SessionQueue;
 use super::Controller;
 use crate::clock::{duration, now, sleep, Micros};
@@ -133,6 +134,7 @@
     };
     let node = hello.node;
     tracing::debug!(target: "session", "Proxy {node} registered, session {session}.");
+    controller.metrics.on_session(SessionEvent::Opened);
     tokio::select! {
         biased;
         _ = queue.closed => {}
@@ -142,8 +144,11 @@
                     break;
                 }
             }
+            controller.metrics.on_session(SessionEvent::Ended);
         } => {}
-        () = read_messages(&controller, &node, session, &mut reader) => {}
+        () = read_messages(&controller, &node, session, &mut reader) => {
+            controller.metrics.on_session(SessionEvent::Ended);
+        }
     }
     // What the system still holds for it is not to arrive either.
     let _ = SockRef::from(reader.stream().as_ref()).set_linger(Some(Duration::ZERO));
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request sent to one endpoint, and how that ended.
 
+use super::metrics::WithheldReason;
 use super::responses::ProxyResponse;
 use super::state::{is_serving_version, ProxyState};
 use super::upstream_connection::{CancelHandle, SendError, UpstreamConnection};
@@ -166,9 +167,12 @@
         let Some(mut connection) = connection else {
             return AttemptResult::without_response(AttemptOutcome::NotSent);
         };
-        let sent = match is_still_allowed(proxy, attempt, request) {
-            true => request.for_endpoint(&attempt.id),
-            false => None,
+        let sent = match withheld_reason(proxy, attempt, request) {
+            None => request.for_endpoint(&attempt.id),
+            Some(reason) => {
+                proxy.metrics.on_withheld(reason);
+                None
+            }
         };
         let Some(sent) = sent else {
             progress.was_withheld = true;
@@ -211,16 +215,29 @@
     (listed.id == attempt.id).then_some(listed)
 }
 
-/// Whether a request may still be written to the endpoint that was chosen for it: what was known then may have changed while
-/// the connection came up.
-fn is_still_allowed(proxy: &Proxy, attempt: &Attempt, request: &UpstreamRequest) -> bool {
-    let state = proxy.state();
+/// Returns why a request may not be written any more to the endpoint that was chosen for it: what was known then may have
+/// changed while the connection came up. None: it may.
+fn withheld_reason(
+    proxy: &Proxy,
+    attempt: &Attempt,
+    request: &UpstreamRequest,
+) -> Option<WithheldReason> {
+    let (state, now) = (proxy.state(), now());
     let Some(listed) = listed(&state, attempt).filter(|listed| !listed.is_draining) else {
-        return false;
+        return Some(WithheldReason::EndpointLeft);
     };
-    is_version_allowed(&state, attempt, &listed.version)
-        && is_route_current(&state, attempt, request)
-        && now() < request.deadline
+    if !is_version_allowed(&state, attempt, &listed.version) {
+        return Some(WithheldReason::VersionLeft);
+    }
+    if !is_route_current(&state, attempt, request) {
+        return Some(WithheldReason::RouteChanged);
+    }
+    if now >= request.deadline {
+        return Some(WithheldReason::DeadlinePassed);
+    }
+    let list_age = now.saturating_sub(state.endpoints_updated_at.unwrap_or(0));
+    proxy.metrics.on_attempt(list_age);
+    None
 }
 
 fn is_version_allowed(state: &ProxyState, attempt: &Attempt, version: &str) -> bool {
--- a/crates/gateway/src/proxy/controller_session.rs
+++ b/crates/gateway/src/proxy/controller_session.rs
@@ -1,5 +1,6 @@
 //! The session with the leading controller: connections for [`ControllerClient`], and what it accepts put in force.
 
+use super::metrics::{EndpointSource, SessionEvent};
 use super::Proxy;
 use crate::clock::{self, now, Micros};
 use crate::net::{self, FrameReader};
@@ -84,12 +85,12 @@
     async fn perform(&mut self, action: Action) -> Vec<Action> {
         match action {
             Action::Connect(address) => {
-                self.connection = None;
+                self.close();
                 self.connecting = Some(tokio::spawn(connect(address)));
                 Vec::new()
             }
             Action::Disconnect => {
-                self.connection = None;
+                self.close();
                 self.connecting = None;
                 Vec::new()
             }
@@ -132,10 +133,17 @@
         {
             return Vec::new();
         }
-        self.connection = None;
+        self.close();
         self.client.step(now(), Event::Disconnected)
     }
 
+    /// Closes the connection, if there is one.
+    fn close(&mut self) {
+        if self.connection.take().is_some() {
+            self.proxy.metrics.on_session(SessionEvent::Ended);
+        }
+    }
+
     /// Puts what was received last in force. Returns what is to be said in return.
     fn accept(&mut self) -> Option<ProxyMessage> {
         let (Some(connection), Some(message)) = (&mut self.connection, self.received.take()) else {
@@ -146,6 +154,7 @@
         match message {
             ControllerMessage::Welcome { .. } => {
                 tracing::info!(target: "session", "Following the leader of term {}.", self.client.term());
+                proxy.metrics.on_session(SessionEvent::Following);
                 proxy.on_confirmed();
             }
             ControllerMessage::ConfigChunk(chunk) => {
@@ -156,7 +165,9 @@
                 ));
             }
             ControllerMessage::Services(services) => proxy.apply_services(services),
-            ControllerMessage::Endpoints(update) => proxy.apply_endpoints(&update),
+            ControllerMessage::Endpoints(update) => {
+                proxy.apply_endpoints(EndpointSource::Leader, &update)
+            }
             ControllerMessage::Stage(service, rollout_id, stage) => {
                 proxy.enter_stage(&service, rollout_id, stage);
             }
@@ -185,6 +196,7 @@
             Wake::Connected(Ok(connection)) => {
                 self.connecting = None;
                 self.connection = Some(connection);
+                self.proxy.metrics.on_session(SessionEvent::Connected);
                 self.client.step(now(), Event::Connected)
             }
             Wake::Connected(Err(_)) => {
@@ -197,7 +209,7 @@
                 actions
             }
             Wake::Received(Ok(None) | Err(_)) => {
-                self.connection = None;
+                self.close();
                 self.client.step(now(), Event::Disconnected)
             }
             Wake::ReportDue => {
--- a/crates/gateway/src/proxy/fallback_discovery.rs
+++ b/crates/gateway/src/proxy/fallback_discovery.rs
@@ -1,7 +1,9 @@
 //! Reads the platform's list of endpoints while no leader tells this proxy of changes.
 
+use super::metrics::EndpointSource;
 use super::Proxy;
 use crate::clock::{self, now, Micros};
+use crate::metrics::ReadResult;
 use crate::platform_client::PlatformClient;
 use magpieline_control_plane::messages::EndpointUpdate;
 use rand::Rng;
@@ -24,18 +26,23 @@
         if proxy.is_shutting_down() || !is_uninformed(&proxy) {
             continue;
         }
+        let started_at = now();
+        let reads = &proxy.metrics.list_reads;
         match platform.list().await {
             Ok(endpoints) if !proxy.state().is_following => {
                 let endpoints = endpoints.into_iter();
-                proxy.apply_endpoints(&EndpointUpdate {
+                let update = EndpointUpdate {
                     is_full: true,
                     endpoints: endpoints
                         .map(|(id, endpoint)| (id, Some(endpoint)))
                         .collect(),
-                });
+                };
+                proxy.apply_endpoints(EndpointSource::Platform, &update);
+                reads.on_read(started_at, ReadResult::Applied);
             }
-            Ok(_) => {}
+            Ok(_) => reads.on_read(started_at, ReadResult::Outdated),
             Err(error) => {
+                reads.on_read(started_at, ReadResult::from(&error));
                 tracing::warn!(target: "endpoints", "The list of endpoints could not be read: {error}.");
             }
         }
--- /dev/null
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -0,0 +1,262 @@
+//! What a proxy counts, for operators.
+
+use super::Proxy;
+use crate::clock::{now, Micros};
+use crate::metrics::{seconds, seconds_histogram, ListReadMetrics};
+use magpieline_control_plane::messages::{EndpointState, EndpointUpdate};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Where an update of the endpoints comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum EndpointSource {
+    /// The leading controller.
+    Leader,
+    /// The platform's list, read by this proxy.
+    Platform,
+}
+
+/// Why a request was not written to the endpoint that was chosen for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(super) enum WithheldReason {
+    /// The endpoint is no longer listed, or draining.
+    EndpointLeft,
+    /// Its version gets no such requests any more.
+    VersionLeft,
+    /// The configuration in force sends the request elsewhere.
+    RouteChanged,
+    /// The request's deadline has passed.
+    DeadlinePassed,
+}
+
+/// What happened to a session with the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(super) enum SessionEvent {
+    /// A connection to a controller came up.
+    Connected,
+    /// The leader was accepted.
+    Following,
+    /// The connection ended, or was closed.
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SourceLabels {
+    source: EndpointSource,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: WithheldReason,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SessionLabels {
+    event: SessionEvent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabels {
+    status: u16,
+}
+
+/// Figures that are set when they are read.
+struct ProxyGauges {
+    config_version: Gauge,
+    is_following: Gauge,
+    endpoint_list_age: Gauge<f64, AtomicU64>,
+    endpoints_ready: Gauge,
+    endpoints_draining: Gauge,
+    requests_in_progress: Gauge,
+    attempts_in_flight: Gauge,
+}
+
+/// What a proxy counts.
+pub(super) struct ProxyMetrics {
+    registry: Registry,
+    pub(super) list_reads: ListReadMetrics,
+    updates: Family<SourceLabels, Counter>,
+    reversals: Family<SourceLabels, Counter>,
+    withheld: Family<ReasonLabels, Counter>,
+    sessions: Family<SessionLabels, Counter>,
+    responses: Family<StatusLabels, Counter>,
+    list_age_at_attempt: Histogram,
+    gauges: ProxyGauges,
+}
+
+impl ProxyMetrics {
+    pub(super) fn new() -> ProxyMetrics {
+        let mut registry = Registry::with_prefix("magpieline_proxy");
+        let list_reads = ListReadMetrics::register(&mut registry);
+        let metrics = ProxyMetrics {
+            list_reads,
+            updates: Family::default(),
+            reversals: Family::default(),
+            withheld: Family::default(),
+            sessions: Family::default(),
+            responses: Family::default(),
+            list_age_at_attempt: seconds_histogram(),
+            gauges: ProxyGauges::register(&mut registry),
+            registry: Registry::default(),
+        };
+        registry.register(
+            "endpoint_updates",
+            "Updates of the endpoints that were taken over",
+            metrics.updates.clone(),
+        );
+        registry.register(
+            "endpoint_reversals",
+            "Endpoints that an update said to be ready after they had been draining",
+            metrics.reversals.clone(),
+        );
+        registry.register(
+            "attempts_withheld",
+            "Attempts that were not written to the endpoint chosen for them",
+            metrics.withheld.clone(),
+        );
+        registry.register(
+            "session_events",
+            "What happened to sessions with controllers",
+            metrics.sessions.clone(),
+        );
+        registry.register(
+            "responses",
+            "Responses to clients",
+            metrics.responses.clone(),
+        );
+        registry.register(
+            "endpoint_list_age_at_attempt_seconds",
+            "Age of the endpoint list when an attempt was written",
+            metrics.list_age_at_attempt.clone(),
+        );
+        ProxyMetrics {
+            registry,
+            ..metrics
+        }
+    }
+
+    pub(super) fn on_endpoint_update(&self, source: EndpointSource, reversals: u64) {
+        let labels = SourceLabels { source };
+        self.updates.get_or_create(&labels).inc();
+        if reversals > 0 {
+            self.reversals.get_or_create(&labels).inc_by(reversals);
+        }
+    }
+
+    pub(super) fn on_withheld(&self, reason: WithheldReason) {
+        self.withheld.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    pub(super) fn on_session(&self, event: SessionEvent) {
+        self.sessions.get_or_create(&SessionLabels { event }).inc();
+    }
+
+    pub(super) fn on_response(&self, status: u16) {
+        self.responses.get_or_create(&StatusLabels { status }).inc();
+    }
+
+    /// Takes note of how old the endpoint list is by which an attempt is written.
+    pub(super) fn on_attempt(&self, list_age: Micros) {
+        self.list_age_at_attempt.observe(seconds(list_age));
+    }
+}
+
+impl ProxyGauges {
+    fn register(registry: &mut Registry) -> ProxyGauges {
+        let gauges = ProxyGauges {
+            config_version: Gauge::default(),
+            is_following: Gauge::default(),
+            endpoint_list_age: Gauge::default(),
+            endpoints_ready: Gauge::default(),
+            endpoints_draining: Gauge::default(),
+            requests_in_progress: Gauge::default(),
+            attempts_in_flight: Gauge::default(),
+        };
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            gauges.config_version.clone(),
+        );
+        registry.register(
+            "following",
+            "1 while a leader is followed",
+            gauges.is_following.clone(),
+        );
+        registry.register(
+            "endpoint_list_age_seconds",
+            "Age of the endpoint list",
+            gauges.endpoint_list_age.clone(),
+        );
+        registry.register(
+            "endpoints_ready",
+            "Endpoints that are listed and get requests",
+            gauges.endpoints_ready.clone(),
+        );
+        registry.register(
+            "endpoints_draining",
+            "Endpoints that are listed and draining",
+            gauges.endpoints_draining.clone(),
+        );
+        registry.register(
+            "requests_in_progress",
+            "Requests in progress",
+            gauges.requests_in_progress.clone(),
+        );
+        registry.register(
+            "attempts_in_flight",
+            "Attempts in flight",
+            gauges.attempts_in_flight.clone(),
+        );
+        gauges
+    }
+
+    fn set(&self, proxy: &Proxy) {
+        let state = proxy.state();
+        let age = state
+            .endpoints_updated_at
+            .map_or(f64::INFINITY, |at| seconds(now().saturating_sub(at)));
+        let (ready, draining) = state.load_balancer.endpoint_counts();
+        self.config_version.set(state.config_version() as i64);
+        self.is_following.set(i64::from(state.is_following));
+        self.endpoint_list_age.set(age);
+        self.endpoints_ready.set(ready as i64);
+        self.endpoints_draining.set(draining as i64);
+        let in_progress = proxy.requests_in_progress.load(Ordering::Relaxed);
+        self.requests_in_progress.set(in_progress as i64);
+        let in_flight = proxy.attempts_in_flight.load(Ordering::Relaxed);
+        self.attempts_in_flight.set(in_flight as i64);
+    }
+}
+
+impl Proxy {
+    /// Returns this proxy's figures, as of now.
+    pub(super) fn metrics_registry(&self) -> &Registry {
+        self.metrics.gauges.set(self);
+        &self.metrics.registry
+    }
+
+    /// Counts an update of the endpoints, and logs the endpoints that it takes from draining back to ready: that is a view of
+    /// the past.
+    pub(super) fn note_endpoint_update(&self, source: EndpointSource, update: &EndpointUpdate) {
+        let mut reversals = 0;
+        let state = self.state();
+        for (id, endpoint) in &update.endpoints {
+            let known = state.load_balancer.find(id);
+            let known = known.and_then(|handle| state.load_balancer.get(handle));
+            let is_listed_ready = endpoint
+                .as_ref()
+                .is_some_and(|endpoint| endpoint.state == EndpointState::Ready);
+            if is_listed_ready && known.is_some_and(|known| known.is_draining) {
+                reversals += 1;
+                tracing::warn!(target: "endpoints", "Endpoint {id} was draining and is ready by an update of the {source:?}.");
+            }
+        }
+        drop(state);
+        self.metrics.on_endpoint_update(source, reversals);
+    }
+}
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 mod fallback_discovery;
 mod forwarding;
 pub mod listener;
+mod metrics;
 mod readiness;
 mod request_handler;
 mod responses;
@@ -33,12 +34,15 @@
 use magpieline_control_plane::messages::{EndpointUpdate, TrialEvidence, TrialStage};
 use magpieline_control_plane::state_machine::{ServiceState, StoredConfig};
 use magpieline_http1::deduplication::SeenRequests;
+use metrics::ProxyMetrics;
 use state::ProxyState;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
+pub use metrics::EndpointSource;
+
 /// How often idle connections are looked through.
 const SWEEP_INTERVAL: Micros = 1_000_000;
 
@@ -69,6 +73,7 @@
     /// Notified when this proxy may have learnt enough to serve.
     initialized: Notify,
     connector: Connector,
+    metrics: ProxyMetrics,
 }
 
 impl Proxy {
@@ -91,6 +96,7 @@
             report_due: Notify::new(),
             initialized: Notify::new(),
             connector,
+            metrics: ProxyMetrics::new(),
         }
     }
 
@@ -211,7 +217,8 @@
     }
 
     /// Takes over how the endpoints have changed, or all of them.
-    pub fn apply_endpoints(&self, update: &EndpointUpdate) {
+    pub fn apply_endpoints(&self, source: EndpointSource, update: &EndpointUpdate) {
+        self.note_endpoint_update(source, update);
         let unusable = self.state().apply_endpoints(now(), update);
         self.initialized.notify_waiters();
         let mut pool = self.pool();
--- a/crates/gateway/src/proxy/readiness.rs
+++ b/crates/gateway/src/proxy/readiness.rs
@@ -1,12 +1,14 @@
-//! Answers the platform's question whether new clients may come.
+//! Answers the platform's question whether new clients may come, and operators' for the proxy's figures.
 
 use super::Proxy;
 use crate::clock::Micros;
+use crate::metrics;
 use crate::net::{self, HyperIo};
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use std::convert::Infallible;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
@@ -24,8 +26,11 @@
 
 async fn serve(proxy: Arc<Proxy>, stream: TcpStream) {
     let _ = net::configure_stream(&stream);
-    let service = service_fn(move |_| {
-        let response = response(proxy.is_ready());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = match request.uri().path() {
+            metrics::PATH => metrics::response(proxy.metrics_registry()),
+            _ => response(proxy.is_ready()),
+        };
         async move { Ok::<_, Infallible>(response) }
     });
     let _ = hyper::server::conn::http1::Builder::new()
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -68,6 +68,7 @@
     if !has_early && proxy.is_shutting_down() {
         response = responses::closing(response);
     }
+    proxy.metrics.on_response(response.status().as_u16());
     response
 }
 
--- a/crates/gateway/tests/proxy_loopback.rs
+++ b/crates/gateway/tests/proxy_loopback.rs
@@ -3,7 +3,7 @@
 use magpieline_config::node_settings::NodeSettings;
 use magpieline_control_plane::messages::{Endpoint, EndpointState, EndpointUpdate};
 use magpieline_control_plane::state_machine::StoredConfig;
-use magpieline_gateway::proxy::{connector, listener, Proxy};
+use magpieline_gateway::proxy::{connector, listener, EndpointSource, Proxy};
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -138,10 +138,13 @@
             state: EndpointState::Ready,
             warmup_left: 0,
         };
-        proxy.apply_endpoints(&EndpointUpdate {
-            is_full: true,
-            endpoints: vec![("i-1".into(), Some(endpoint))],
-        });
+        proxy.apply_endpoints(
+            EndpointSource::Leader,
+            &EndpointUpdate {
+                is_full: true,
+                endpoints: vec![("i-1".into(), Some(endpoint))],
+            },
+        );
         proxy.on_confirmed();
         let (near, clients) = local().await;
         tokio::spawn(listener::run(proxy.clone(), near));
--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -157,6 +157,15 @@
         self.by_id.keys()
     }
 
+    /// Returns how many endpoints get requests, and how many are draining.
+    pub fn endpoint_counts(&self) -> (usize, usize) {
+        let draining = self.endpoints.iter();
+        let draining = draining
+            .filter(|(_, endpoint)| endpoint.listed.is_draining)
+            .count();
+        (self.endpoints.len() - draining, draining)
+    }
+
     fn endpoints_of(&self, service: &str) -> impl Iterator<Item = &EndpointState> {
         let handles = self.services.get(service).map_or(&[][..], |s| &s.endpoints);
         handles.iter().map(|handle| &self.endpoints[*handle])
--- a/tools/proxy-simulation/src/environment.rs
+++ b/tools/proxy-simulation/src/environment.rs
@@ -8,7 +8,7 @@
 use magpieline_control_plane::messages::{Endpoint, EndpointState, EndpointUpdate};
 use magpieline_control_plane::state_machine::{ServiceState, StoredConfig};
 use magpieline_gateway::proxy::connector::{Connector, Stream};
-use magpieline_gateway::proxy::Proxy;
+use magpieline_gateway::proxy::{EndpointSource, Proxy};
 use rand::Rng;
 use std::io::ErrorKind;
 use std::net::SocketAddrV4;
@@ -110,10 +110,13 @@
             state,
             warmup_left: 0,
         });
-        proxy.apply_endpoints(&EndpointUpdate {
-            is_full: false,
-            endpoints: vec![(self.id.as_str().into(), endpoint)],
-        });
+        proxy.apply_endpoints(
+            EndpointSource::Leader,
+            &EndpointUpdate {
+                is_full: false,
+                endpoints: vec![(self.id.as_str().into(), endpoint)],
+            },
+        );
     }
 
     fn record(&self, recorder: &Recorder, is_ready: bool) {
