--- a/crates/gateway/src/controller/endpoint_discovery.rs
+++ b/crates/gateway/src/controller/endpoint_discovery.rs
@@ -6,7 +6,7 @@
 use super::Controller;
 use crate::clock::{now, sleep, Micros};
 use crate::metrics::ReadResult;
-use crate::platform_client::{ListError, PlatformClient};
+use crate::platform_client::PlatformClient;
 use magpieline_control_plane::endpoint_list::{EndpointMap, FirstVersion};
 use magpieline_control_plane::messages::ControllerMessage;
 use magpieline_control_plane::state_machine::Command;
@@ -22,8 +22,9 @@
 const CHECK_INTERVAL: Micros = 50_000;
 /// A list whose read began so long ago is not sent any more: pages take a few milliseconds each.
 const MAX_READ_TIME: Micros = 2_000_000;
-/// Too many requests.
-const TOO_MANY_REQUESTS: u16 = 429;
+/// For so long calls that the platform turns away are made again: all proxies depend on this reading, and the others that read the
+/// list give way (`fallback_discovery`).
+const THROTTLE_PATIENCE: Micros = 1_500_000;
 
 /// Reads the list while this controller leads, until the task is aborted.
 pub(super) async fn run(controller: Arc<Controller>) {
@@ -56,7 +57,7 @@
     // What a proxy has reported by now was sent before the reading began.
     let reported: Vec<(u64, Micros)> = controller.state().proxies.report_times().collect();
     let reads = &controller.metrics.list_reads;
-    match platform.list().await {
+    match platform.list(THROTTLE_PATIENCE).await {
         Ok(endpoints) => {
             // While the list was read this process may have been suspended, and another controller may lead.
             let is_recent = now() < started_at + MAX_READ_TIME;
@@ -70,10 +71,7 @@
         Err(error) => {
             reads.on_read(started_at, ReadResult::from(&error));
             tracing::warn!(target: "endpoints", "The list of endpoints could not be read: {error}.");
-            match error {
-                ListError::Status(TOO_MANY_REQUESTS) => READ_INTERVAL,
-                _ => RETRY_INTERVAL,
-            }
+            RETRY_INTERVAL
         }
     }
 }
--- a/crates/gateway/src/controller/operator_api.rs
+++ b/crates/gateway/src/controller/operator_api.rs
@@ -111,7 +111,7 @@
 }
 
 /// Answers one call.
-async fn answer(controller: &Controller, request: Request<Incoming>) -> Reply {
+async fn answer(controller: &Arc<Controller>, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     if head.uri.path() == metrics::PATH {
         return metrics::response(controller.metrics_registry());
@@ -135,7 +135,7 @@
     // Where the leader is to be asked instead.
     let path = format!("{PATH}?{query}");
     match query_value(&query, "call") {
-        Some("config.replace") => replace_config(controller, &body, &path).await,
+        Some("config.replace") => replace_config(controller, body, &path).await,
         Some("config.read") => read_config(controller, &path).await,
         Some("editions.begin") => begin_rollout(controller, &body, &path).await,
         Some("editions.read") => {
@@ -235,19 +235,61 @@
     }
 }
 
-async fn replace_config(controller: &Controller, body: &Bytes, path: &str) -> Reply {
-    let Ok(text) = std::str::from_utf8(body) else {
-        return bad_request("document", "bytes that are no text", "JSON, whole");
-    };
-    let config = match controller.validate(text) {
-        Ok(config) => config,
-        Err(diagnostics) => {
+/// A configuration that was found valid.
+struct ValidConfig {
+    version: u64,
+    text: Arc<str>,
+    digest: Digest,
+}
+
+impl ValidConfig {
+    fn parse(controller: &Controller, body: &[u8]) -> Result<ValidConfig, Vec<Diagnostic>> {
+        let text = std::str::from_utf8(body);
+        let not_text = |_| {
+            vec![Diagnostic::new(
+                "document",
+                "bytes that are no text",
+                "JSON, whole",
+            )]
+        };
+        let text = text.map_err(not_text)?;
+        let config = controller.validate(text)?;
+        Ok(ValidConfig {
+            version: config.version,
+            text: text.into(),
+            digest: Digest::of(text),
+        })
+    }
+}
+
+/// Parses and checks a configuration on a thread of its own: a long one takes longer than followers wait for their leader's next
+/// heartbeat.
+///
+/// # Errors
+///
+/// The reply to a call whose configuration is invalid, or could not be checked.
+async fn validate(controller: &Arc<Controller>, body: Bytes) -> Result<ValidConfig, Reply> {
+    let controller = controller.clone();
+    let parsed = tokio::task::spawn_blocking(move || ValidConfig::parse(&controller, &body)).await;
+    match parsed {
+        Ok(Ok(config)) => Ok(config),
+        Ok(Err(diagnostics)) => {
             tracing::warn!(target: "operator_api", "A configuration was refused: {}.", diagnostics[0]);
-            return refusal(StatusCode::BAD_REQUEST, &diagnostics);
+            Err(refusal(StatusCode::BAD_REQUEST, &diagnostics))
         }
+        Err(_) => Err(outcome_unknown()),
+    }
+}
+
+async fn replace_config(controller: &Arc<Controller>, body: Bytes, path: &str) -> Reply {
+    let ValidConfig {
+        version,
+        text,
+        digest,
+    } = match validate(controller, body).await {
+        Ok(config) => config,
+        Err(reply) => return reply,
     };
-    let (version, text) = (config.version, Arc::<str>::from(text));
-    let digest = Digest::of(&text);
     let plan = |controller: &Controller| match controller
         .state()
         .control
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,9 +60,9 @@
 
 impl From<&ListError> for ReadResult {
     fn from(error: &ListError) -> ReadResult {
-        match error {
-            ListError::Status(429) => ReadResult::Throttled,
-            _ => ReadResult::Failed,
+        match error.is_throttled() {
+            true => ReadResult::Throttled,
+            false => ReadResult::Failed,
         }
     }
 }
--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -1,6 +1,6 @@
 //! The platform's list of endpoints: calls to it, and what its answers say.
 
-use crate::clock::{duration, Micros};
+use crate::clock::{duration, now, sleep, Micros};
 use crate::net::{self, HyperIo};
 use crate::settings::SettingsWatch;
 use bytes::Bytes;
@@ -16,8 +16,14 @@
 
 /// A call takes a few milliseconds; the list is wanted every second.
 const CALL_TIMEOUT: Micros = 800_000;
+/// Before a call that was turned away is made again, at least.
+const MIN_THROTTLE_PAUSE: Micros = 20_000;
+/// Too many requests.
+const TOO_MANY_REQUESTS: u16 = 429;
 /// Longest page that is read, in bytes.
 const MAX_PAGE_BYTES: usize = 4 << 20;
+/// Endpoints on one page, until a reading has shown how many there are: the pages of the protocol's examples.
+const USUAL_PAGE_LENGTH: usize = 50;
 /// Pages of one list; more than a million endpoints are not meant.
 const MAX_PAGES: u32 = 20_000;
 
@@ -32,6 +38,13 @@
     Malformed(&'static str),
 }
 
+impl ListError {
+    /// Whether the platform turned a call away as there were too many.
+    pub fn is_throttled(&self) -> bool {
+        *self == ListError::Status(TOO_MANY_REQUESTS)
+    }
+}
+
 impl fmt::Display for ListError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -49,7 +62,8 @@
     address: SocketAddrV4,
     settings: SettingsWatch,
     connection: Option<SendRequest<Empty<Bytes>>>,
-    pages: u32,
+    /// Calls that the last complete reading took; none before the first.
+    calls_per_reading: Option<u32>,
 }
 
 impl PlatformClient {
@@ -60,29 +74,33 @@
             address,
             settings: settings.clone(),
             connection: None,
-            pages: 1,
+            calls_per_reading: None,
         })
     }
 
-    /// Returns how many calls the last complete reading took; 1 before the first.
-    pub fn calls_per_reading(&self) -> u32 {
-        self.pages
+    /// Returns how many calls a reading of a list of `endpoints` takes: as many as the last one took, or else what pages of
+    /// the usual length make.
+    pub fn calls_per_reading(&self, endpoints: usize) -> u32 {
+        let estimate = endpoints.div_ceil(USUAL_PAGE_LENGTH).max(1) as u32;
+        self.calls_per_reading.unwrap_or(estimate)
     }
 
-    /// Reads the complete list, all its pages.
+    /// Reads the complete list, all its pages. Where the platform turns a call away as there are too many, the call is made again,
+    /// until `patience` has passed since the first one; without patience the reading ends there.
     ///
     /// # Errors
     ///
     /// If a page can't be read.
-    pub async fn list(&mut self) -> Result<EndpointMap, ListError> {
+    pub async fn list(&mut self, patience: Micros) -> Result<EndpointMap, ListError> {
         self.follow_settings();
+        let until = now() + patience;
         let mut endpoints = EndpointMap::new();
         let mut page = None;
         for number in 1..=MAX_PAGES {
-            let text = self.page(page.as_deref()).await?;
+            let text = self.unthrottled_page(page.as_deref(), until).await?;
             page = parse_page(&text, &mut endpoints)?;
             if page.is_none() {
-                self.pages = number;
+                self.calls_per_reading = Some(number);
                 return Ok(endpoints);
             }
         }
@@ -97,6 +115,29 @@
         }
     }
 
+    /// Reads a page, again and again while the platform turns the call away, until `until`.
+    async fn unthrottled_page(
+        &mut self,
+        page: Option<&str>,
+        until: Micros,
+    ) -> Result<String, ListError> {
+        loop {
+            let answer = self.page(page).await;
+            let pause = self.throttle_pause();
+            match answer {
+                Err(error) if error.is_throttled() && now() + pause < until => sleep(pause).await,
+                answer => return answer,
+            }
+        }
+    }
+
+    /// Returns the time in which the platform takes another call from somebody.
+    fn throttle_pause(&self) -> Micros {
+        let calls_per_second = self.settings.borrow().platform.calls_per_second;
+        let pause = (1e6 / calls_per_second.max(1.0)) as Micros;
+        pause.max(MIN_THROTTLE_PAUSE)
+    }
+
     async fn page(&mut self, page: Option<&str>) -> Result<String, ListError> {
         let path = match page {
             None => "/appliances".to_owned(),
@@ -104,7 +145,7 @@
         };
         let answer = tokio::time::timeout(duration(CALL_TIMEOUT), self.call(&path)).await;
         let answer = answer.unwrap_or(Err(ListError::NoAnswer));
-        if answer.is_err() {
+        if answer.as_ref().is_err_and(|error| !error.is_throttled()) {
             self.connection = None;
         }
         answer
--- a/crates/gateway/src/proxy/controller_session.rs
+++ b/crates/gateway/src/proxy/controller_session.rs
@@ -36,6 +36,7 @@
 enum Wake {
     Connected(io::Result<Connection>),
     Received(io::Result<Option<Fenced<ControllerMessage>>>),
+    ConfigApplied,
     ReportDue,
     Tick,
 }
@@ -48,6 +49,9 @@
     connecting: Option<JoinHandle<io::Result<Connection>>>,
     /// What was received last, until it is accepted or rejected.
     received: Option<ControllerMessage>,
+    /// A configuration that is being put in force, on a thread of its own: a long one takes longer than requests, and news of
+    /// endpoints, may wait.
+    applying: Option<JoinHandle<()>>,
 }
 
 /// Keeps a session with the leader, for ever.
@@ -79,6 +83,7 @@
             connection: None,
             connecting: None,
             received: None,
+            applying: None,
         }
     }
 
@@ -140,6 +145,8 @@
 
     /// Closes the connection, if there is one.
     fn close(&mut self) {
+        // It is put in force all the same; nobody waits for the answer.
+        self.applying = None;
         if self.connection.take().is_some() {
             self.proxy.metrics.on_session(SessionEvent::Ended);
         }
@@ -150,7 +157,7 @@
         let (Some(connection), Some(message)) = (&mut self.connection, self.received.take()) else {
             return None;
         };
-        let proxy = &self.proxy;
+        let proxy = self.proxy.clone();
         let mut reply = None;
         match message {
             ControllerMessage::Welcome { .. } => {
@@ -159,11 +166,10 @@
                 proxy.on_confirmed();
             }
             ControllerMessage::ConfigChunk(chunk) => {
-                reply = Some(receive_config(
-                    proxy,
-                    &mut connection.config_receiver,
-                    &chunk,
-                ));
+                let received = connection
+                    .config_receiver
+                    .receive(proxy.stored_config().as_ref(), &chunk);
+                reply = self.on_config(&chunk, received);
             }
             ControllerMessage::Services(services) => proxy.apply_services(services),
             ControllerMessage::Endpoints(update) => {
@@ -181,6 +187,34 @@
         reply
     }
 
+    /// Begins to put a configuration in force once it is complete. Returns what is to be said of its chunk at once.
+    fn on_config(&mut self, chunk: &ConfigChunk, received: Received) -> Option<ProxyMessage> {
+        match received {
+            Received::Incomplete(received) => Some(ProxyMessage::ChunkReceived {
+                version: chunk.version,
+                received,
+            }),
+            Received::Complete(config) => {
+                let proxy = self.proxy.clone();
+                let apply = move || proxy.apply_config(&config);
+                self.applying = Some(tokio::task::spawn_blocking(apply));
+                None
+            }
+            Received::Stale => Some(self.config_applied()),
+            Received::BaseMismatch => {
+                tracing::warn!(target: "config", "A difference does not apply to the configuration here; all of it is asked for.");
+                Some(ProxyMessage::ConfigApplied { version: 0 })
+            }
+        }
+    }
+
+    /// Returns what is said to the leader once a transfer is over.
+    fn config_applied(&self) -> ProxyMessage {
+        ProxyMessage::ConfigApplied {
+            version: self.proxy.config_version(),
+        }
+    }
+
     /// Takes over what has changed on either side since it waited last.
     fn refresh(&mut self) {
         if self.settings.has_changed().unwrap_or(false) {
@@ -216,6 +250,11 @@
                 self.close();
                 self.client.step(now(), Event::Disconnected)
             }
+            Wake::ConfigApplied => {
+                self.applying = None;
+                self.client.set_config_version(self.proxy.config_version());
+                self.send(self.config_applied()).await
+            }
             Wake::ReportDue => {
                 self.client.report_by(now());
                 self.client.step(now(), Event::Tick)
@@ -230,6 +269,7 @@
             client,
             connection,
             connecting,
+            applying,
             ..
         } = self;
         tokio::select! {
@@ -239,6 +279,7 @@
             received = async { connection.as_mut().expect("guarded").reader.next().await }, if connection.is_some() => {
                 Wake::Received(received)
             }
+            _ = async { applying.as_mut().expect("guarded").await }, if applying.is_some() => Wake::ConfigApplied,
             () = proxy.report_due.notified() => Wake::ReportDue,
             () = clock::sleep_until(client.next_wake()) => Wake::Tick,
         }
@@ -260,30 +301,3 @@
         config_receiver: ConfigReceiver::default(),
     })
 }
-
-/// Takes a chunk of a configuration, and puts the configuration in force once it is complete.
-fn receive_config(
-    proxy: &Proxy,
-    receiver: &mut ConfigReceiver,
-    chunk: &ConfigChunk,
-) -> ProxyMessage {
-    match receiver.receive(proxy.stored_config().as_ref(), chunk) {
-        Received::Incomplete(received) => ProxyMessage::ChunkReceived {
-            version: chunk.version,
-            received,
-        },
-        Received::Complete(config) => {
-            proxy.apply_config(&config);
-            ProxyMessage::ConfigApplied {
-                version: proxy.config_version(),
-            }
-        }
-        Received::Stale => ProxyMessage::ConfigApplied {
-            version: proxy.config_version(),
-        },
-        Received::BaseMismatch => {
-            tracing::warn!(target: "config", "A difference does not apply to the configuration here; all of it is asked for.");
-            ProxyMessage::ConfigApplied { version: 0 }
-        }
-    }
-}
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -178,7 +178,7 @@
 
     /// Takes note that a leader which a majority has confirmed since this proxy asked has told it all.
     pub fn on_confirmed(&self) {
-        self.state().is_confirmed = true;
+        self.state().confirmed_at.get_or_insert_with(now);
         self.initialized.notify_waiters();
     }
 
--- a/crates/gateway/src/proxy/state.rs
+++ b/crates/gateway/src/proxy/state.rs
@@ -88,8 +88,8 @@
     pub(super) endpoint_view: EndpointView,
     /// Whether any endpoints were heard of.
     has_endpoints: bool,
-    /// Whether the leader has confirmed what is in force, once since the start.
-    pub(super) is_confirmed: bool,
+    /// When the leader confirmed for the first time since the start what is in force.
+    pub(super) confirmed_at: Option<Micros>,
     /// Whether a leader is followed now.
     pub(super) is_following: bool,
     /// How many proxies there are, as last told; 0: not known.
@@ -109,7 +109,7 @@
             request_rates: HashMap::new(),
             endpoint_view: EndpointView::default(),
             has_endpoints: false,
-            is_confirmed: false,
+            confirmed_at: None,
             is_following: false,
             proxies: 0,
         }
@@ -118,7 +118,7 @@
     /// Whether there is enough to serve by: a configuration and endpoints, and all that was in force when this proxy first
     /// asked.
     pub(super) fn is_initialized(&self) -> bool {
-        self.is_confirmed && self.config.is_some() && self.has_endpoints
+        self.confirmed_at.is_some() && self.config.is_some() && self.has_endpoints
     }
 
     pub(super) fn stored_config(&self) -> Option<&StoredConfig> {
--- a/crates/gateway/src/proxy/status.rs
+++ b/crates/gateway/src/proxy/status.rs
@@ -48,7 +48,7 @@
     jzon::object! {
         node: proxy.settings_at_start.node.as_str(),
         edition: state.stored_config().map(|stored| stored.version),
-        confirmed: state.is_confirmed,
+        confirmed: state.confirmed_at.is_some(),
         leader_held: state.is_following,
         counters: state.proxies,
         list_ms_ago: state.endpoint_view.as_of().map(age_ms),
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -38,6 +38,10 @@
             bytes,
         }),
     );
+    // A leader waits until it is in force, or the connection has ended.
+    let applied = connection.next::<ProxyMessage>();
+    let expected = ProxyMessage::ConfigApplied { version: number };
+    assert!(applied.is_none_or(|applied| applied == expected));
     connection.send(
         term,
         ControllerMessage::Welcome {
--- a/crates/gateway/tests/endpoint_views.rs
+++ b/crates/gateway/tests/endpoint_views.rs
@@ -1,5 +1,5 @@
-//! What a proxy takes for the state of an endpoint when its leader and the platform's list tell it in turn: a real process on
-//! loopback, between a leader, a platform and an endpoint that the tests play.
+//! What a proxy takes for the state of an endpoint when its leader and the platform's list tell it in turn, and how a leader reads
+//! the list: real processes on loopback, between a leader, a platform and an endpoint that the tests play.
 
 #[path = "common/agents.rs"]
 mod agents;
@@ -33,9 +33,54 @@
 }
 
 /// A call for the platform's list that waits for its answer.
-struct ListCall(TcpStream);
+struct ListCall {
+    stream: TcpStream,
+    /// The first line of the request.
+    request: String,
+}
 
 impl ListCall {
+    /// Returns a call that has come, if one has.
+    fn accept(platform: &TcpListener) -> Option<ListCall> {
+        let stream = match platform.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+            Err(error) => panic!("no call can be accepted: {error}"),
+        };
+        stream.set_nonblocking(false).expect("set");
+        stream.set_read_timeout(Some(TIMEOUT)).expect("set");
+        Some(ListCall::read(stream))
+    }
+
+    /// Reads the next call of a connection.
+    fn read(mut stream: TcpStream) -> ListCall {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("a head");
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8(head).expect("text");
+        let request = head.lines().next().expect("a line").to_owned();
+        ListCall { stream, request }
+    }
+
+    /// Turns the call away. Returns its connection.
+    fn throttle(mut self) -> TcpStream {
+        let answer = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
+        self.stream.write_all(answer.as_bytes()).expect("taken");
+        self.stream
+    }
+
+    /// Answers with a first page after which another one comes. Returns the connection.
+    fn answer_first_page(mut self) -> TcpStream {
+        let body = r#"{"appliances":{},"next":"p-1"}"#;
+        let length = body.len();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+        self.stream.write_all(answer.as_bytes()).expect("taken");
+        self.stream
+    }
+
     /// Answers with a list that names the endpoint in a state.
     fn answer(mut self, endpoint: SocketAddr, state: &str) {
         let body = format!(
@@ -43,7 +88,7 @@
         );
         let length = body.len();
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
-        self.0.write_all(answer.as_bytes()).expect("taken");
+        self.stream.write_all(answer.as_bytes()).expect("taken");
     }
 }
 
@@ -96,20 +141,16 @@
 
     /// Returns a call for the list that has come, if one has.
     fn list_call(&self) -> Option<ListCall> {
-        let mut stream = match self.platform.accept() {
-            Ok((stream, _)) => stream,
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
-            Err(error) => panic!("no call can be accepted: {error}"),
-        };
-        stream.set_nonblocking(false).expect("set");
-        stream.set_read_timeout(Some(TIMEOUT)).expect("set");
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            stream.read_exact(&mut byte).expect("a head");
-            head.push(byte[0]);
-        }
-        Some(ListCall(stream))
+        ListCall::accept(&self.platform)
+    }
+
+    /// Welcomes the proxy, with the endpoint ready, and ends the session.
+    fn lose_the_leader(&self) {
+        let (mut connection, hello) = accept(&self.leader);
+        connection.send(TERM, ControllerMessage::Services(Vec::new()));
+        connection.send(TERM, self.update(true, EndpointState::Ready));
+        send_config(&mut connection);
+        send_welcome(&mut connection, &hello);
     }
 
     /// Sends the proxy elsewhere until it reads the list itself. Returns its call, and the connection on which it has asked
@@ -190,6 +231,11 @@
     assert_eq!(connection.next::<ProxyMessage>(), Some(applied));
 }
 
+/// Waits until all that was sent before has been taken in, by a chunk of the configuration that is in force.
+fn wait_until_taken_in(connection: &mut Connection) {
+    send_config(connection);
+}
+
 fn send_welcome(connection: &mut Connection, hello: &Hello) {
     let welcome = ControllerMessage::Welcome {
         controllers: Vec::new(),
@@ -205,11 +251,12 @@
 #[test]
 fn an_own_reading_that_is_older_than_the_leaders_news_makes_no_draining_endpoint_ready() {
     let fixture = Fixture::new("older-reading", 72);
+    fixture.lose_the_leader();
     let (call, mut connection, hello) = fixture.wait_for_list_call();
     connection.send(TERM, ControllerMessage::Services(Vec::new()));
     connection.send(TERM, fixture.update(true, EndpointState::Ready));
     connection.send(TERM, fixture.update(false, EndpointState::Draining));
-    send_config(&mut connection);
+    wait_until_taken_in(&mut connection);
     call.answer(fixture.endpoint_address(), "ready");
     fixture.wait_for_reading();
     send_welcome(&mut connection, &hello);
@@ -221,12 +268,13 @@
 #[test]
 fn a_leaders_list_that_is_older_than_an_own_reading_makes_no_draining_endpoint_ready() {
     let fixture = Fixture::new("older-list", 73);
+    fixture.lose_the_leader();
     let (call, mut connection, hello) = fixture.wait_for_list_call();
     call.answer(fixture.endpoint_address(), "closing_out");
     fixture.wait_for_reading();
     connection.send(TERM, ControllerMessage::Services(Vec::new()));
     connection.send(TERM, fixture.update(true, EndpointState::Ready));
-    send_config(&mut connection);
+    wait_until_taken_in(&mut connection);
     send_welcome(&mut connection, &hello);
     assert_eq!(fixture.client_status(), NO_ENDPOINT);
 }
@@ -260,3 +308,42 @@
     }
     panic!("the list is never read");
 }
+
+/// Guards against a leader that begins anew, a second later, whenever the platform turns one of its calls away: all proxies wait for
+/// what it reads.
+#[test]
+fn a_leader_reads_on_where_the_platform_turns_a_call_away() {
+    let net = format!("127.75.{}", std::process::id() % 250);
+    let platform = TcpListener::bind(format!("{net}.1:7090")).expect("free");
+    let settings = format!(
+        r#"
+[self]
+node = "sorting-1"
+machine_class = "sorting"
+ip = "{net}.1"
+zone = "a"
+region = "r"
+store_dir = "STORE"
+first_run = true
+[network]
+inner_ports = [7720, 7735]
+seed_depots = ["{net}.1:7080"]
+[network.posts]
+control = "{net}.1:7080"
+[carrier.carrier_api]
+address = "{net}.1:7090"
+per_s = 20.0
+"#
+    );
+    let _controller = Process::start("controller", "reader", &settings);
+    let call = ListCall::accept(&platform).expect("it blocks until one comes");
+    assert_eq!(call.request, "GET /appliances HTTP/1.1");
+    let mut stream = call.answer_first_page();
+    for _ in 0..3 {
+        let call = ListCall::read(stream);
+        assert_eq!(call.request, "GET /appliances?page=p-1 HTTP/1.1");
+        stream = call.throttle();
+    }
+    let call = ListCall::read(stream);
+    assert_eq!(call.request, "GET /appliances?page=p-1 HTTP/1.1");
+}
