Sight: how late heartbeats are sent, and a line where a proxy reads the list itself

Cause: what holds up a controller's thread showed only in lost sessions; a proxy's own readings were not logged. Change: heartbeat_delay_seconds, and an info line with the age of the view.

--- a/crates/gateway/src/controller/metrics.rs
+++ b/crates/gateway/src/controller/metrics.rs
@@ -64,6 +64,7 @@
     proposals: Family<ProposalLabels, Counter>,
     proposal_duration: Histogram,
     sessions: Family<SessionLabels, Counter>,
+    heartbeat_delay: Histogram,
     gauges: ControllerGauges,
 }
 
@@ -89,6 +90,12 @@
             "What happened to sessions of proxies",
             sessions.clone(),
         );
+        let heartbeat_delay = seconds_histogram();
+        registry.register(
+            "heartbeat_delay_seconds",
+            "How late heartbeats to proxies were sent: how long other work has held up this thread",
+            heartbeat_delay.clone(),
+        );
         let gauges = ControllerGauges::register(&mut registry);
         ControllerMetrics {
             registry,
@@ -96,6 +103,7 @@
             proposals,
             proposal_duration,
             sessions,
+            heartbeat_delay,
             gauges,
         }
     }
@@ -113,6 +121,11 @@
             .observe(seconds(now().saturating_sub(started_at)));
     }
 
+    /// Takes note of how late heartbeats to proxies are sent.
+    pub(super) fn on_heartbeat(&self, delay: Micros) {
+        self.heartbeat_delay.observe(seconds(delay));
+    }
+
     pub(super) fn on_session(&self, event: SessionEvent) {
         self.sessions.get_or_create(&SessionLabels { event }).inc();
     }
--- a/crates/gateway/src/controller/proxy_sessions.rs
+++ b/crates/gateway/src/controller/proxy_sessions.rs
@@ -43,7 +43,9 @@
 /// Tells each proxy that this controller leads, only while nobody else can.
 async fn send_heartbeats(controller: Arc<Controller>) {
     loop {
+        let due = now() + HEARTBEAT_INTERVAL;
         sleep(HEARTBEAT_INTERVAL).await;
+        controller.metrics.on_heartbeat(now().saturating_sub(due));
         if controller.raft.holds_lease() {
             let mut state = controller.state();
             state.send_heartbeats();
--- a/crates/gateway/src/proxy/fallback_discovery.rs
+++ b/crates/gateway/src/proxy/fallback_discovery.rs
@@ -62,6 +62,9 @@
 /// Reads the list once, and takes it over.
 async fn read_once(proxy: &Proxy, platform: &mut PlatformClient) {
     let started_at = now();
+    let as_of = proxy.state().endpoint_view.as_of();
+    let age_ms = as_of.map_or(0, |as_of| (started_at - as_of) / 1000);
+    tracing::info!(target: "endpoints", "What is known of the endpoints is {age_ms} ms old; the list is read here.");
     let result = match platform.list(NO_PATIENCE).await {
         Ok(endpoints) => apply(proxy, started_at, endpoints),
         Err(error) => on_error(&error),
