--- a/crates/gateway/src/controller/metrics.rs
+++ b/crates/gateway/src/controller/metrics.rs
@@ -3,9 +3,8 @@
 use super::raft_driver::RequestError;
 use super::{Command, Controller, Effect};
 use crate::clock::{now, Micros};
-use crate::metrics::{seconds, seconds_histogram, ListReadMetrics};
+use crate::metrics::{seconds, seconds_histogram, EventCount, ListReadMetrics};
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
-use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
@@ -61,9 +60,9 @@
 pub(super) struct ControllerMetrics {
     registry: Registry,
     pub(super) list_reads: ListReadMetrics,
-    proposals: Family<ProposalLabels, Counter>,
+    proposals: Family<ProposalLabels, EventCount>,
     proposal_duration: Histogram,
-    sessions: Family<SessionLabels, Counter>,
+    sessions: Family<SessionLabels, EventCount>,
     heartbeat_delay: Histogram,
     gauges: ControllerGauges,
 }
@@ -72,7 +71,7 @@
     pub(super) fn new() -> ControllerMetrics {
         let mut registry = Registry::with_prefix("magpieline_controller");
         let list_reads = ListReadMetrics::register(&mut registry);
-        let proposals = Family::<ProposalLabels, Counter>::default();
+        let proposals = Family::<ProposalLabels, EventCount>::default();
         registry.register(
             "proposals",
             "Commands proposed for the replicated log",
@@ -84,7 +83,7 @@
             "Time from a proposal to its end",
             proposal_duration.clone(),
         );
-        let sessions = Family::<SessionLabels, Counter>::default();
+        let sessions = Family::<SessionLabels, EventCount>::default();
         registry.register(
             "session_events",
             "What happened to sessions of proxies",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,7 +11,6 @@
 use hyper::Response;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
-use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
@@ -24,6 +23,9 @@
 /// 3 s.
 pub(crate) const SECONDS_BUCKETS: [f64; 10] = [0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0];
 
+/// Counts events from the start of the process on.
+pub(crate) type EventCount = prometheus_client::metrics::counter::Counter;
+
 /// Converts microseconds to seconds.
 pub(crate) fn seconds(micros: Micros) -> f64 {
     micros as f64 / 1e6
@@ -75,7 +77,7 @@
 /// Readings of the platform's list of endpoints.
 #[derive(Clone, Debug)]
 pub(crate) struct ListReadMetrics {
-    reads: Family<ReadLabels, Counter>,
+    reads: Family<ReadLabels, EventCount>,
     duration: Histogram,
 }
 
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -2,10 +2,9 @@
 
 use super::Proxy;
 use crate::clock::{now, Micros};
-use crate::metrics::{seconds, seconds_histogram, ListReadMetrics};
+use crate::metrics::{seconds, seconds_histogram, EventCount, ListReadMetrics};
 use magpieline_control_plane::endpoint_view::UpdateSource;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
-use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
@@ -87,11 +86,11 @@
 pub(super) struct ProxyMetrics {
     registry: Registry,
     pub(super) list_reads: ListReadMetrics,
-    updates: Family<SourceLabels, Counter>,
-    reversals: Family<SourceLabels, Counter>,
-    withheld: Family<ReasonLabels, Counter>,
-    sessions: Family<SessionLabels, Counter>,
-    responses: Family<StatusLabels, Counter>,
+    updates: Family<SourceLabels, EventCount>,
+    reversals: Family<SourceLabels, EventCount>,
+    withheld: Family<ReasonLabels, EventCount>,
+    sessions: Family<SessionLabels, EventCount>,
+    responses: Family<StatusLabels, EventCount>,
     list_age_at_attempt: Histogram,
     gauges: ProxyGauges,
 }
--- a/tests/terminology.rs
+++ b/tests/terminology.rs
@@ -29,6 +29,9 @@
     "seat", "season",
 ];
 
+/// A library's type with a name that one of ours had. It stands in full where it gets another name, and nowhere else.
+const LIBRARY_COUNTER: &str = "prometheus_client::metrics::counter::Counter";
+
 /// Crates and tools that are finished: `docs/ROADMAP.md`. `operator-config` is not in this list, since its journal and its
 /// messages name a state `Kept`.
 const FINISHED: [&str; 13] = [
@@ -75,7 +78,9 @@
     for path in files {
         let text = fs::read_to_string(path).expect("text");
         for (number, line) in text.lines().enumerate() {
-            if let Some(name) = identifiers(line).find(|name| is_withdrawn(name)) {
+            let line = line.replace(LIBRARY_COUNTER, "");
+            let found = identifiers(&line).find(|name| is_withdrawn(name));
+            if let Some(name) = found {
                 lines.push(format!("{}:{}: {name}", path.display(), number + 1));
             }
         }
