A configuration is acknowledged once it is in force at the proxies

Cause: with the leader's thread free, long configurations were acknowledged seconds before the leader's link had carried them to 88 proxies; the time for which requests may go by the one before counts from there. Before, lost sessions had hidden that. Change: after the commit the leader waits until the proxies that answer have the version, for half of the time within which the order is to be acknowledged; under a new leader not before proxies have had a second to come, and one that no longer leads says 503. A document that is sent again is not parsed again. The new test in tests/contact.rs fails without the wait.

--- a/crates/config/src/route_table.rs
+++ b/crates/config/src/route_table.rs
@@ -93,6 +93,11 @@
         None
     }
 
+    /// Returns how many routes there are.
+    pub fn count(&self) -> usize {
+        self.hosts.values().map(HashMap::len).sum()
+    }
+
     /// Returns all routes with their hosts, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &Arc<Route>)> {
         self.hosts
--- a/crates/control-plane/src/config_sender.rs
+++ b/crates/control-plane/src/config_sender.rs
@@ -272,6 +272,19 @@
             .count()
     }
 
+    /// Whether a version, or a newer one, is in force at all proxies with a session that can have it: those that don't acknowledge
+    /// what they are sent, or could not apply it, are not waited for.
+    pub fn is_distributed(&self, version: u64) -> bool {
+        let has_or_cannot = |session: &Session| {
+            let is_stalled = session
+                .transfer
+                .as_ref()
+                .is_some_and(|transfer| transfer.is_stalled);
+            session.version >= version || session.refused_version >= version || is_stalled
+        };
+        self.sessions.values().all(has_or_cannot)
+    }
+
     fn on_new_config(&mut self, now: Micros, config: StoredConfig) {
         if self
             .newest
--- a/crates/control-plane/tests/config_sender.rs
+++ b/crates/control-plane/tests/config_sender.rs
@@ -219,3 +219,25 @@
         assert_eq!(received, expected);
     }
 }
+
+/// Guards against a configuration that counts as distributed while a proxy goes by the one before, and against one that waits for
+/// a proxy that does not answer.
+#[test]
+fn a_configuration_is_distributed_once_the_proxies_that_answer_have_it() {
+    let mut sender = ConfigSender::default();
+    sender.step(0, Event::LeadershipChanged { term: Some(1) });
+    assert!(sender.is_distributed(1), "there is no proxy");
+    for session in [1, 2] {
+        let version = 0;
+        sender.step(0, Event::Opened { session, version });
+    }
+    sender.step(0, Event::NewConfig(config(1)));
+    assert!(!sender.is_distributed(1));
+    let applied = |session, version| Event::ConfigApplied { session, version };
+    sender.step(1, applied(1, 1));
+    assert!(!sender.is_distributed(1), "one proxy does not have it");
+    // The other one acknowledges nothing for a second.
+    sender.step(1_000_000, Event::Tick);
+    assert!(sender.is_distributed(1));
+    assert!(!sender.is_distributed(2), "the first one does not have it");
+}
--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -31,6 +31,7 @@
 use magpieline_config::node_settings::NodeSettings;
 use magpieline_control_plane::config_sender::ConfigSender;
 use magpieline_control_plane::deduplication::AcceptanceClock;
+use magpieline_control_plane::digest::Digest;
 use magpieline_control_plane::endpoint_list::EndpointList;
 use magpieline_control_plane::messages::{ControllerMessage, TrialStage};
 use magpieline_control_plane::proxy_registry::ProxyRegistry;
@@ -44,14 +45,27 @@
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 /// After the node has left the cluster, pending calls are answered for so long: those that wait for a leader find one within
 /// it.
 const ANSWER_PENDING_CALLS: Micros = 100_000;
+/// Under a new leader proxies come within this: what it knows of all of them says nothing before.
+const SETTLE_TIME: Micros = 1_000_000;
 /// So much of `grace` is left for that and for the end of the process: less on a machine short of processor time.
 const GRACE_RESERVE: Micros = 1_000_000;
 
+/// A configuration that was found valid.
+pub struct ValidConfig {
+    /// As it was sent.
+    pub text: Arc<str>,
+    /// The digest of the text.
+    pub digest: Digest,
+    /// What it says.
+    pub config: GatewayConfig,
+}
+
 /// What all parts of a controller share. Locks are held for a few microseconds, never across an await.
 pub struct Controller {
     /// The settings at the start.
@@ -62,7 +76,7 @@
     pub raft: RaftHandle,
     state: Mutex<ControllerState>,
     /// The last valid configuration that an operator sent here: the next one is parsed after it.
-    last_valid_config: Mutex<Option<Arc<GatewayConfig>>>,
+    last_valid_config: Mutex<Option<Arc<ValidConfig>>>,
     metrics: ControllerMetrics,
 }
 
@@ -80,6 +94,10 @@
     outbox: ProxyOutbox,
     /// The configurations in flight to proxies.
     config_sender: ConfigSender,
+    /// Since when this controller leads, or no longer does.
+    led_since: Micros,
+    /// Notified when configurations have come further on their way to proxies.
+    config_progress: Arc<Notify>,
     /// The stages of trials, by service: the rollout's id and its stage.
     stages: BTreeMap<String, (u64, TrialStage)>,
 }
@@ -93,6 +111,8 @@
             endpoints: EndpointList::default(),
             outbox: ProxyOutbox::default(),
             config_sender: ConfigSender::default(),
+            led_since: 0,
+            config_progress: Arc::default(),
             stages: BTreeMap::new(),
         }
     }
@@ -148,19 +168,28 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Parses and checks a configuration that an operator sends.
+    /// Parses and checks a configuration that an operator sends. One that is sent again is not parsed again.
     ///
     /// # Errors
     ///
     /// What is wrong with it.
-    pub fn validate(&self, text: &str) -> Result<Arc<GatewayConfig>, Vec<Diagnostic>> {
+    pub fn validate(&self, text: &str) -> Result<Arc<ValidConfig>, Vec<Diagnostic>> {
         let mut last = self
             .last_valid_config
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let config = Arc::new(GatewayConfig::parse_after(&text.into(), last.as_deref())?);
-        *last = Some(config.clone());
-        Ok(config)
+        if let Some(known) = last.as_ref().filter(|known| *known.text == *text) {
+            return Ok(known.clone());
+        }
+        let text: Arc<str> = text.into();
+        let before = last.as_ref().map(|before| &before.config);
+        let valid = Arc::new(ValidConfig {
+            config: GatewayConfig::parse_after(&text, before)?,
+            digest: Digest::of(&text),
+            text,
+        });
+        *last = Some(valid.clone());
+        Ok(valid)
     }
 
     /// Returns this controller's address among agents.
@@ -194,6 +223,7 @@
         let mut state = self.state();
         if state.proxies.set_leadership(term) {
             self.metrics.on_sessions_over(state.outbox.session_count());
+            state.led_since = now();
             state.close_all_sessions(term);
             state.stages.clear();
             state.endpoints.clear();
--- a/crates/gateway/src/controller/operator_api.rs
+++ b/crates/gateway/src/controller/operator_api.rs
@@ -2,7 +2,7 @@
 
 use super::leader_redirect::{target, Target};
 use super::raft_driver::RequestError;
-use super::Controller;
+use super::{Controller, ValidConfig, SETTLE_TIME};
 use crate::clock::{duration, now, sleep, time_of_day, Micros};
 use crate::metrics;
 use crate::net::{self, HyperIo};
@@ -15,8 +15,8 @@
 use jzon::JsonValue as Json;
 use magpieline_config::diagnostic::Diagnostic;
 use magpieline_config::durations;
+use magpieline_config::gateway_config::GatewayConfig;
 use magpieline_control_plane::deduplication::{Arrival, OrderContent};
-use magpieline_control_plane::digest::Digest;
 use magpieline_control_plane::state_machine::{Command, Effect, Phase, StoredConfig};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -33,6 +33,8 @@
 const CONFIRM_INTERVAL: Micros = 5_000;
 /// After a connection that could not be accepted.
 const ACCEPT_RETRY_INTERVAL: Micros = 20_000;
+/// The time within which a configuration is to be acknowledged grows by this with each of its routes.
+const RECEIPT_PER_ROUTE: Micros = 3_000;
 /// The path of all calls.
 const PATH: &str = "/v1/rpc";
 
@@ -235,43 +237,22 @@
     }
 }
 
-/// A configuration that was found valid.
-struct ValidConfig {
-    version: u64,
-    text: Arc<str>,
-    digest: Digest,
-}
-
-impl ValidConfig {
-    fn parse(controller: &Controller, body: &[u8]) -> Result<ValidConfig, Vec<Diagnostic>> {
-        let text = std::str::from_utf8(body);
-        let not_text = |_| {
-            vec![Diagnostic::new(
-                "document",
-                "bytes that are no text",
-                "JSON, whole",
-            )]
-        };
-        let text = text.map_err(not_text)?;
-        let config = controller.validate(text)?;
-        Ok(ValidConfig {
-            version: config.version,
-            text: text.into(),
-            digest: Digest::of(text),
-        })
-    }
-}
-
 /// Parses and checks a configuration on a thread of its own: a long one takes longer than followers wait for their leader's next
 /// heartbeat.
 ///
 /// # Errors
 ///
 /// The reply to a call whose configuration is invalid, or could not be checked.
-async fn validate(controller: &Arc<Controller>, body: Bytes) -> Result<ValidConfig, Reply> {
+async fn validate(controller: &Arc<Controller>, body: Bytes) -> Result<Arc<ValidConfig>, Reply> {
     let controller = controller.clone();
-    let parsed = tokio::task::spawn_blocking(move || ValidConfig::parse(&controller, &body)).await;
-    match parsed {
+    let parse = move || {
+        let text = std::str::from_utf8(&body).map_err(|_| {
+            let found = "bytes that are no text";
+            vec![Diagnostic::new("document", found, "JSON, whole")]
+        })?;
+        controller.validate(text)
+    };
+    match tokio::task::spawn_blocking(parse).await {
         Ok(Ok(config)) => Ok(config),
         Ok(Err(diagnostics)) => {
             tracing::warn!(target: "operator_api", "A configuration was refused: {}.", diagnostics[0]);
@@ -281,15 +262,47 @@
     }
 }
 
+/// Waits until a committed configuration is in force at the proxies, for half of the time within which an order is to be acknowledged:
+/// how long requests may go by the one before counts from the acknowledgement, and the links carry a long one for seconds. Returns
+/// false if this controller no longer leads: what proxies have is not known here then.
+async fn wait_until_distributed(controller: &Controller, config: &GatewayConfig) -> bool {
+    let receipt = controller.settings.borrow().guarantees.receipt;
+    let patience = (receipt + RECEIPT_PER_ROUTE * config.routes().count() as Micros) / 2;
+    let deadline = now() + patience;
+    let (term, progress) = {
+        let state = controller.state();
+        (state.proxies.term(), state.config_progress.clone())
+    };
+    loop {
+        let changed = progress.notified();
+        let settled_at = {
+            let state = controller.state();
+            if term.is_none() || state.proxies.term() != term {
+                return false;
+            }
+            let settled_at = state.led_since + SETTLE_TIME;
+            let is_distributed = state.config_sender.is_distributed(config.version);
+            if now() >= deadline || (is_distributed && now() >= settled_at) {
+                return true;
+            }
+            settled_at
+        };
+        let until = if now() < settled_at {
+            settled_at
+        } else {
+            deadline
+        };
+        let left = duration(until.min(deadline).saturating_sub(now()));
+        let _ = timeout(left, changed).await;
+    }
+}
+
 async fn replace_config(controller: &Arc<Controller>, body: Bytes, path: &str) -> Reply {
-    let ValidConfig {
-        version,
-        text,
-        digest,
-    } = match validate(controller, body).await {
-        Ok(config) => config,
+    let valid = match validate(controller, body).await {
+        Ok(valid) => valid,
         Err(reply) => return reply,
     };
+    let (version, digest) = (valid.config.version, valid.digest);
     let plan = |controller: &Controller| match controller
         .state()
         .control
@@ -298,7 +311,7 @@
         Some(effect) => Plan::Known(effect),
         None => Plan::Propose(Command::ReplaceConfig(StoredConfig {
             version,
-            text: text.clone(),
+            text: valid.text.clone(),
         })),
     };
     let effect = match commit(controller, path, plan).await {
@@ -317,6 +330,9 @@
             refuse(StatusCode::CONFLICT, "edition", &found, &expected)
         }
         accepted if accepted.is_accepted() => {
+            if !wait_until_distributed(controller, &valid.config).await {
+                return outcome_unknown();
+            }
             tracing::info!(target: "operator_api", "Configuration {version} acknowledged: {accepted:?}.");
             reply(StatusCode::OK, jzon::object! { edition: version }.dump())
         }
--- a/crates/gateway/src/controller/proxy_outbox.rs
+++ b/crates/gateway/src/controller/proxy_outbox.rs
@@ -191,6 +191,7 @@
                 }
             }
         }
+        self.config_progress.notify_waiters();
     }
 
     fn send_welcome(&mut self, session: u64) {
--- a/crates/gateway/src/controller/rollout_controller.rs
+++ b/crates/gateway/src/controller/rollout_controller.rs
@@ -1,6 +1,6 @@
 //! The leader moves rollouts on: it pools what the proxies have seen, has it analysed, and carries out the decision.
 
-use super::{Controller, ControllerState};
+use super::{Controller, ControllerState, SETTLE_TIME};
 use crate::clock::{now, sleep, Micros};
 use crate::view::phase_name;
 use magpieline_control_plane::messages::{ControllerMessage, EndpointState, TrialStage};
@@ -11,8 +11,6 @@
 
 /// How often rollouts are analysed; proxies report twice a second, and at once when something is new to them.
 const ANALYSIS_INTERVAL: Micros = 150_000;
-/// Under a new leader proxies come within a second; nothing is decided before they have.
-const SETTLE_TIME: Micros = 1_000_000;
 
 /// A rollout that is under way.
 struct ActiveRollout {
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -254,3 +254,73 @@
         );
     }
 }
+
+/// Guards against a configuration that is acknowledged while a proxy that answers still goes by the one before: how long it may do
+/// so counts from the acknowledgement.
+#[test]
+fn a_configuration_is_acknowledged_once_it_is_in_force_at_the_proxies() {
+    let net = format!("127.76.{}", std::process::id() % 250);
+    let settings = format!(
+        r#"
+[self]
+node = "sorting-1"
+machine_class = "sorting"
+ip = "{net}.1"
+zone = "a"
+region = "r"
+store_dir = "STORE"
+first_run = true
+[network]
+inner_ports = [7720, 7735]
+seed_depots = ["{net}.1:7080"]
+[network.posts]
+control = "{net}.1:7080"
+"#
+    );
+    let _controller = Process::start("controller", "acknowledging", &settings);
+    let control: SocketAddr = format!("{net}.1:7080").parse().expect("an address");
+    let send = move |edition: &str| status(control, "POST /v1/rpc?call=config.replace", edition);
+    let until = Instant::now() + TIMEOUT;
+    while send(EDITION) != Some(200) {
+        assert!(Instant::now() < until, "the controller does not lead");
+    }
+    let inner = format!("{net}.1:7720");
+    let mut proxy = Connection::new(TcpStream::connect(inner).expect("it listens"));
+    let hello = Hello {
+        node: "counter-1".into(),
+        zone: "a".into(),
+        incarnation: 5,
+        config_version: 7,
+        ..Hello::default()
+    };
+    let purpose = encode_frame(&ConnectionPurpose::ProxySession);
+    proxy.stream.write_all(&purpose).expect("taken");
+    let hello = encode_frame(&ProxyMessage::Hello(hello));
+    proxy.stream.write_all(&hello).expect("taken");
+    next_of(&mut proxy, |message| {
+        matches!(message, ControllerMessage::Welcome { .. })
+    });
+    let next = EDITION.replace("\"edition\":7", "\"edition\":9");
+    let call = std::thread::spawn(move || send(&next));
+    next_of(&mut proxy, |message| {
+        matches!(message, ControllerMessage::ConfigChunk(_))
+    });
+    next_of(&mut proxy, |message| {
+        matches!(message, ControllerMessage::Heartbeat { .. })
+    });
+    assert!(!call.is_finished(), "acknowledged before it is in force");
+    let applied = encode_frame(&ProxyMessage::ConfigApplied { version: 9 });
+    proxy.stream.write_all(&applied).expect("taken");
+    assert_eq!(call.join().expect("answered"), Some(200));
+}
+
+/// Reads on until a message comes that is looked for.
+fn next_of(connection: &mut Connection, is_wanted: impl Fn(&ControllerMessage) -> bool) {
+    loop {
+        let message = connection.next::<Fenced<ControllerMessage>>();
+        let message = message.expect("the connection stands").message;
+        if is_wanted(&message) {
+            return;
+        }
+    }
+}
