When a proxy reads the list is decided without I/O; rollouts are not judged by an old list

Cause: fallback_discovery decided and did I/O, and its claim on the platform's calls had no test; the rollout's leader judged a version's endpoints by a list of any age. Change: control-plane reading_schedule holds the decision as it was; EndpointList::recent gives nothing of a list that was read more than 3 s ago.

--- a/crates/control-plane/src/endpoint_list.rs
+++ b/crates/control-plane/src/endpoint_list.rs
@@ -46,10 +46,19 @@
         self.0.as_ref().map(|snapshot| snapshot.read_at)
     }
 
-    /// Returns the endpoints as last read.
-    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        let endpoints = self.0.iter();
-        endpoints.flat_map(|snapshot| snapshot.endpoints.values())
+    /// Returns the endpoints as last read, each with when it will have warmed up; none where that was more than `max_age` ago:
+    /// nothing is to be decided by a view of the past.
+    pub fn recent(
+        &self,
+        now: Micros,
+        max_age: Micros,
+    ) -> impl Iterator<Item = (&Endpoint, Micros)> {
+        let is_recent = |snapshot: &&Snapshot| now <= snapshot.read_at + max_age;
+        let snapshot = self.0.iter().filter(is_recent);
+        snapshot.flat_map(|snapshot| {
+            let endpoints = snapshot.endpoints.values();
+            endpoints.map(|endpoint| (endpoint, snapshot.read_at + endpoint.warmup_left))
+        })
     }
 
     /// Takes over a list that was read just now. Returns what proxies with a session are to be sent, if anything has changed.
@@ -95,7 +104,8 @@
     /// Returns the services that are seen with one version alone and whose version is not known yet.
     pub fn first_versions(&self, is_known: impl Fn(&str) -> bool) -> Vec<FirstVersion> {
         let mut versions: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-        for endpoint in self.iter() {
+        let endpoints = self.0.iter();
+        for endpoint in endpoints.flat_map(|snapshot| snapshot.endpoints.values()) {
             let seen = versions.entry(&endpoint.service).or_default();
             if !seen.contains(&&*endpoint.version) {
                 seen.push(&endpoint.version);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`endpoint_list`] | the leader's copy of the platform's list, and what proxies are sent of it |
 //! | [`endpoint_view`] | what a proxy knows of the endpoints, merged from all that it hears |
 //! | [`controller_client`] | a proxy's session with the leader, found through seeds that may be out of date |
+//! | [`reading_schedule`] | when a proxy reads the platform's list itself |
 //! | [`proxy_registry`] | the leader's view of the proxies |
 //!
 //! No I/O and no clock: events and the time go in, actions come out.
@@ -30,6 +31,7 @@
 pub mod endpoint_view;
 pub mod messages;
 pub mod proxy_registry;
+pub mod reading_schedule;
 pub mod state_machine;
 
 /// An instant on the monotonic clock of the machine that runs the code, or a span of time, in microseconds.
--- a/crates/control-plane/tests/endpoint_list.rs
+++ b/crates/control-plane/tests/endpoint_list.rs
@@ -90,3 +90,17 @@
         [expected]
     );
 }
+
+/// Guards against a rollout that is judged by endpoints that were listed long ago.
+#[test]
+fn an_old_list_holds_no_endpoints_to_decide_by() {
+    let mut known = EndpointList::default();
+    let cold = Endpoint {
+        warmup_left: 2 * S,
+        ..ready()
+    };
+    known.replace(S, list([("a", cold.clone()), ("b", ready())]));
+    let recent: Vec<_> = known.recent(4 * S, 3 * S).collect();
+    assert_eq!(recent, [(&cold, 3 * S), (&ready(), S)]);
+    assert_eq!(known.recent(4 * S + 1, 3 * S).count(), 0);
+}
--- a/crates/gateway/src/controller/rollout_controller.rs
+++ b/crates/gateway/src/controller/rollout_controller.rs
@@ -12,6 +12,9 @@
 /// How often rollouts are analysed; proxies report twice a second, and at once when something is new to them.
 const ANALYSIS_INTERVAL: Micros = 150_000;
 
+/// The endpoints of a version say nothing of it if the list was read so long ago: three readings have failed.
+const MAX_LIST_AGE: Micros = 3_000_000;
+
 /// A rollout that is under way.
 struct ActiveRollout {
     id: u64,
@@ -182,13 +185,12 @@
             ready: 0,
             warming_up: 0,
         };
-        let read_at = state.endpoints.read_at().unwrap_or(0);
-        for endpoint in state.endpoints.iter() {
+        for (endpoint, warm_at) in state.endpoints.recent(now, MAX_LIST_AGE) {
             let is_of_version =
                 &*endpoint.service == service && *endpoint.version == *rollout.target_version;
             if is_of_version && endpoint.state == EndpointState::Ready {
                 counts.ready += 1;
-                counts.warming_up += usize::from(read_at + endpoint.warmup_left > now);
+                counts.warming_up += usize::from(warm_at > now);
             }
         }
         counts
--- a/crates/gateway/src/proxy/fallback_discovery.rs
+++ b/crates/gateway/src/proxy/fallback_discovery.rs
@@ -1,10 +1,6 @@
 //! Reads the platform's list of endpoints where what this proxy knows of them has become old: no leader is followed, or the leader
-//! that is followed has no news of the list.
-//!
-//! How old the view is, is known: [`EndpointView`](magpieline_control_plane::endpoint_view::EndpointView) has the moment as of which
-//! it is complete. Proxies that are cut off together spread their readings by chance, and all together use a part of the calls that
-//! the platform takes: the leader's reading serves them all and must not be turned away for theirs. A proxy that was told of nothing
-//! yet does not read the list: it could not serve by it, and does not know with how many others it shares the calls.
+//! that is followed has no news of the list. When that is says
+//! [`ReadingSchedule`](magpieline_control_plane::reading_schedule::ReadingSchedule).
 
 use super::Proxy;
 use crate::clock::{self, now, Micros};
@@ -13,52 +9,50 @@
 use magpieline_control_plane::endpoint_list::EndpointMap;
 use magpieline_control_plane::endpoint_view::UpdateSource;
 use magpieline_control_plane::messages::EndpointUpdate;
+use magpieline_control_plane::reading_schedule::{ReadingConditions, ReadingSchedule};
 use rand::Rng;
 use std::sync::Arc;
 
-/// Without a leader the list is read once the view is this old.
-const MAX_AGE_WITHOUT_LEADER: Micros = 1_000_000;
-/// With a leader, once it is as old as this part of the time for which draining endpoints may still be sent to. A leader's
-/// confirmation is 1.5 s old at most where nothing is wrong: a report each 0.5 s, a reading each 0.9 s, and the way.
-const MAX_AGE_WITH_LEADER: f64 = 0.7;
 /// A call that the platform turns away ends the reading: others need it more.
 const NO_PATIENCE: Micros = 0;
-/// Between two readings, at least.
-const MIN_INTERVAL: Micros = 500_000;
-/// Of the calls that the platform takes from all together so much may go to proxies that read the list themselves.
-const SHARE_OF_CALLS: f64 = 0.5;
-/// A proxy that was told of nothing yet looks this often whether it was.
-const CHECK_INTERVAL: Micros = 500_000;
 
 /// Reads the list whenever the view has become old, until the proxy shuts down.
 pub(super) async fn run(proxy: Arc<Proxy>) {
     let Some(mut platform) = PlatformClient::new(&proxy.settings) else {
         return;
     };
-    let mut not_before = now();
-    // Where in the interval this proxy reads: those that are cut off together must not read in step.
-    let mut place = draw_place();
+    let mut schedule = ReadingSchedule::new(draw());
     while !proxy.is_shutting_down() {
-        let interval = interval(&proxy, &platform);
-        let spread = (place * interval as f64) as Micros;
-        let due = match stale_at(&proxy) {
-            Some(stale_at) => (stale_at + spread).max(not_before),
-            None => now() + CHECK_INTERVAL,
-        };
+        let conditions = conditions(&proxy, &platform);
+        let due = schedule.due(now(), &conditions);
         if now() < due {
             clock::sleep_until(due).await;
             continue;
         }
-        not_before = now() + interval;
+        schedule.on_reading(now(), &conditions, draw());
         read_once(&proxy, &mut platform).await;
-        place = draw_place();
     }
 }
 
-fn draw_place() -> f64 {
+fn draw() -> f64 {
     rand::thread_rng().gen_range(0.0..1.0)
 }
 
+fn conditions(proxy: &Proxy, platform: &PlatformClient) -> ReadingConditions {
+    let settings = proxy.settings.borrow();
+    let state = proxy.state();
+    let (ready, draining) = state.load_balancer.endpoint_counts();
+    ReadingConditions {
+        confirmed_at: state.confirmed_at,
+        as_of: state.endpoint_view.as_of(),
+        is_following: state.is_following,
+        drain: settings.guarantees.drain,
+        proxies: state.proxies,
+        calls_per_reading: platform.calls_per_reading(ready + draining),
+        calls_per_second: settings.platform.calls_per_second,
+    }
+}
+
 /// Reads the list once, and takes it over.
 async fn read_once(proxy: &Proxy, platform: &mut PlatformClient) {
     let started_at = now();
@@ -90,29 +84,3 @@
     tracing::warn!(target: "endpoints", "The list of endpoints could not be read: {error}.");
     ReadResult::from(error)
 }
-
-/// Returns when the view becomes too old, unless it is confirmed anew before; none while this proxy was told of nothing.
-fn stale_at(proxy: &Proxy) -> Option<Micros> {
-    let drain = proxy.settings.borrow().guarantees.drain;
-    let state = proxy.state();
-    let max_age = match state.is_following {
-        true => (MAX_AGE_WITH_LEADER * drain as f64) as Micros,
-        false => MAX_AGE_WITHOUT_LEADER,
-    };
-    let as_of = state.endpoint_view.as_of();
-    let confirmed_at = state.confirmed_at?;
-    Some(as_of.unwrap_or(confirmed_at) + max_age)
-}
-
-/// Returns the time between two readings of one proxy at which all proxies together stay within their share of calls.
-fn interval(proxy: &Proxy, platform: &PlatformClient) -> Micros {
-    let (proxies, endpoints) = {
-        let state = proxy.state();
-        let (ready, draining) = state.load_balancer.endpoint_counts();
-        (f64::from(state.proxies.max(1)), ready + draining)
-    };
-    let calls = f64::from(platform.calls_per_reading(endpoints));
-    let calls_per_second = proxy.settings.borrow().platform.calls_per_second.max(1.0);
-    let fair = (proxies * calls / (SHARE_OF_CALLS * calls_per_second) * 1e6) as Micros;
-    MIN_INTERVAL.max(fair)
-}
