--- a/crates/control-plane/src/endpoint_list.rs
+++ b/crates/control-plane/src/endpoint_list.rs
@@ -53,7 +53,7 @@
         now: Micros,
         max_age: Micros,
     ) -> impl Iterator<Item = (&Endpoint, Micros)> {
-        let is_recent = |snapshot: &&Snapshot| now <= snapshot.read_at + max_age;
+        let is_recent = move |snapshot: &&Snapshot| now <= snapshot.read_at + max_age;
         let snapshot = self.0.iter().filter(is_recent);
         snapshot.flat_map(|snapshot| {
             let endpoints = snapshot.endpoints.values();
