--- a/crates/gateway/tests/common/agents.rs
+++ b/crates/gateway/tests/common/agents.rs
@@ -133,3 +133,46 @@
         }
     }
 }
+
+/// Returns the settings of a proxy at `{net}.9` that asks a controller at `{net}.1`; `more` is added at the end.
+pub fn proxy_settings(net: &str, more: &str) -> String {
+    format!(
+        r#"
+[self]
+node = "counter-1"
+machine_class = "counter"
+ip = "{net}.9"
+zone = "a"
+region = "r"
+[network]
+inner_ports = [7720, 7735]
+seed_depots = ["{net}.1:7080"]
+[network.posts]
+front = "{net}.9:7000"
+ready = "{net}.9:7001"
+{more}"#
+    )
+}
+
+/// Returns the settings of the `number`th of `count` controllers, from `{net}.1` on; `more` is added at the end.
+pub fn controller_settings(net: &str, number: usize, count: usize, more: &str) -> String {
+    let seeds: Vec<String> = (1..=count).map(|i| format!("\"{net}.{i}:7080\"")).collect();
+    let seeds = seeds.join(", ");
+    format!(
+        r#"
+[self]
+node = "sorting-{number}"
+machine_class = "sorting"
+ip = "{net}.{number}"
+zone = "a"
+region = "r"
+store_dir = "STORE"
+first_run = true
+[network]
+inner_ports = [7720, 7735]
+seed_depots = [{seeds}]
+[network.posts]
+control = "{net}.{number}:7080"
+{more}"#
+    )
+}
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -3,7 +3,10 @@
 #[path = "common/agents.rs"]
 mod agents;
 
-use agents::{accept, reported_version, status, Connection, Process, TIMEOUT};
+use agents::{
+    accept, controller_settings, proxy_settings, reported_version, status, Connection, Process,
+    TIMEOUT,
+};
 use magpieline_control_plane::delta;
 use magpieline_control_plane::messages::{
     encode_frame, ConfigChunk, ConnectionPurpose, ControllerMessage, EndpointUpdate, Fenced, Hello,
@@ -58,22 +61,7 @@
 fn a_proxy_is_ready_by_a_leaders_message_only_and_by_none_of_the_past() {
     let net = format!("127.70.{}", std::process::id() % 250);
     let inner = TcpListener::bind(format!("{net}.1:7720")).expect("free");
-    let settings = format!(
-        r#"
-[self]
-node = "counter-1"
-machine_class = "counter"
-ip = "{net}.9"
-zone = "a"
-region = "r"
-[network]
-inner_ports = [7720, 7735]
-seed_depots = ["{net}.1:7080"]
-[network.posts]
-front = "{net}.9:7000"
-ready = "{net}.9:7001"
-"#
-    );
+    let settings = proxy_settings(&net, "");
     let _proxy = Process::start("proxy", "proxy", &settings);
     let ready = || {
         status(
@@ -167,24 +155,8 @@
 #[test]
 fn a_partitioned_controller_hands_out_and_accepts_nothing() {
     let net = format!("127.71.{}", std::process::id() % 250);
-    let start = |i: u8| {
-        let settings = format!(
-            r#"
-[self]
-node = "sorting-{i}"
-machine_class = "sorting"
-ip = "{net}.{i}"
-zone = "a"
-region = "r"
-store_dir = "STORE"
-first_run = true
-[network]
-inner_ports = [7720, 7735]
-seed_depots = ["{net}.1:7080", "{net}.2:7080", "{net}.3:7080"]
-[network.posts]
-control = "{net}.{i}:7080"
-"#
-        );
+    let start = |i: usize| {
+        let settings = controller_settings(&net, i, 3, "");
         Process::start("controller", &format!("sorting-{i}"), &settings)
     };
     let mut machines: Vec<Option<Process>> = (1..=3).map(|i| Some(start(i))).collect();
@@ -260,23 +232,7 @@
 #[test]
 fn a_configuration_is_acknowledged_once_it_is_in_force_at_the_proxies() {
     let net = format!("127.76.{}", std::process::id() % 250);
-    let settings = format!(
-        r#"
-[self]
-node = "sorting-1"
-machine_class = "sorting"
-ip = "{net}.1"
-zone = "a"
-region = "r"
-store_dir = "STORE"
-first_run = true
-[network]
-inner_ports = [7720, 7735]
-seed_depots = ["{net}.1:7080"]
-[network.posts]
-control = "{net}.1:7080"
-"#
-    );
+    let settings = controller_settings(&net, 1, 1, "");
     let _controller = Process::start("controller", "acknowledging", &settings);
     let control: SocketAddr = format!("{net}.1:7080").parse().expect("an address");
     let send = move |edition: &str| status(control, "POST /v1/rpc?call=config.replace", edition);
--- a/crates/gateway/tests/endpoint_views.rs
+++ b/crates/gateway/tests/endpoint_views.rs
@@ -4,7 +4,10 @@
 #[path = "common/agents.rs"]
 mod agents;
 
-use agents::{accept, reported_version, status, Connection, Process, TIMEOUT};
+use agents::{
+    accept, controller_settings, proxy_settings, reported_version, status, Connection, Process,
+    TIMEOUT,
+};
 use magpieline_control_plane::delta;
 use magpieline_control_plane::messages::{
     ConfigChunk, ControllerMessage, Endpoint, EndpointState, EndpointUpdate, Hello, ProxyMessage,
@@ -97,27 +100,11 @@
         let net = format!("127.{network}.{}", std::process::id() % 250);
         let listen = |port: u16| TcpListener::bind(format!("{net}.1:{port}")).expect("free");
         let (leader, platform, endpoint) = (listen(7720), listen(7090), listen(7100));
-        let settings = format!(
-            r#"
-[self]
-node = "counter-1"
-machine_class = "counter"
-ip = "{net}.9"
-zone = "a"
-region = "r"
-[network]
-inner_ports = [7720, 7735]
-seed_depots = ["{net}.1:7080"]
-[network.posts]
-front = "{net}.9:7000"
-ready = "{net}.9:7001"
-[carrier.carrier_api]
-address = "{net}.1:7090"
-per_s = 100.0
-[provisions.guarantees]
-drain = "3s"
-"#
+        let platform_settings = format!(
+            "[carrier.carrier_api]\naddress = \"{net}.1:7090\"\nper_s = 100.0\n\
+             [provisions.guarantees]\ndrain = \"3s\"\n"
         );
+        let settings = proxy_settings(&net, &platform_settings);
         let proxy = Process::start("proxy", name, &settings);
         platform.set_nonblocking(true).expect("set");
         Fixture {
@@ -315,26 +302,9 @@
 fn a_leader_reads_on_where_the_platform_turns_a_call_away() {
     let net = format!("127.75.{}", std::process::id() % 250);
     let platform = TcpListener::bind(format!("{net}.1:7090")).expect("free");
-    let settings = format!(
-        r#"
-[self]
-node = "sorting-1"
-machine_class = "sorting"
-ip = "{net}.1"
-zone = "a"
-region = "r"
-store_dir = "STORE"
-first_run = true
-[network]
-inner_ports = [7720, 7735]
-seed_depots = ["{net}.1:7080"]
-[network.posts]
-control = "{net}.1:7080"
-[carrier.carrier_api]
-address = "{net}.1:7090"
-per_s = 20.0
-"#
-    );
+    let platform_settings =
+        format!("[carrier.carrier_api]\naddress = \"{net}.1:7090\"\nper_s = 20.0\n");
+    let settings = controller_settings(&net, 1, 1, &platform_settings);
     let _controller = Process::start("controller", "reader", &settings);
     let call = ListCall::accept(&platform).expect("it blocks until one comes");
     assert_eq!(call.request, "GET /appliances HTTP/1.1");
