Review: sessions that end with a full queue are counted, in one place

Cause: the end of a session was counted in two of three branches, so one whose proxy accepted no more frames was missing, although the figure's doc names it; set() on figures and propose(command) on encoded bytes did not say what they do. Change: counted once after the branches, except where the leadership ends; refresh(), encoded_command. No decision, no timing.

--- a/crates/gateway/src/controller/metrics.rs
+++ b/crates/gateway/src/controller/metrics.rs
@@ -178,7 +178,8 @@
         gauges
     }
 
-    fn set(&self, controller: &Controller) {
+    /// Takes over the figures as they are now.
+    fn refresh(&self, controller: &Controller) {
         let status = controller.raft.status();
         self.is_leading
             .set(i64::from(controller.raft.holds_lease()));
@@ -203,7 +204,7 @@
 impl Controller {
     /// Returns this controller's figures, as of now.
     pub(super) fn metrics_registry(&self) -> &Registry {
-        self.metrics.gauges.set(self);
+        self.metrics.gauges.refresh(self);
         &self.metrics.registry
     }
 }
--- a/crates/gateway/src/controller/proxy_sessions.rs
+++ b/crates/gateway/src/controller/proxy_sessions.rs
@@ -146,11 +146,12 @@
                     break;
                 }
             }
-            controller.metrics.on_session(SessionEvent::Ended);
         } => {}
-        () = read_messages(&controller, &node, session, &mut reader) => {
-            controller.metrics.on_session(SessionEvent::Ended);
-        }
+        () = read_messages(&controller, &node, session, &mut reader) => {}
+    }
+    // Those that end with the leadership are counted where that ends.
+    if controller.state().proxies.term() == term {
+        controller.metrics.on_session(SessionEvent::Ended);
     }
     // What the system still holds for it is not to arrive either.
     let _ = SockRef::from(reader.stream().as_ref()).set_linger(Some(Duration::ZERO));
--- a/crates/gateway/src/controller/raft_driver.rs
+++ b/crates/gateway/src/controller/raft_driver.rs
@@ -311,9 +311,9 @@
     /// # Errors
     ///
     /// If it was not accepted, or what became of it is unknown.
-    pub async fn propose(&self, command: Vec<u8>) -> Result<Effect, RequestError> {
+    pub async fn propose(&self, encoded_command: Vec<u8>) -> Result<Effect, RequestError> {
         let completion = self
-            .request(|sender| Request::Propose(command, sender))
+            .request(|sender| Request::Propose(encoded_command, sender))
             .await?;
         // Committed, and what it did is unknown: that is no answer.
         completion.effect.ok_or(RequestError::OutcomeUnknown)
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -222,7 +222,8 @@
         gauges
     }
 
-    fn set(&self, proxy: &Proxy) {
+    /// Takes over the figures as they are now.
+    fn refresh(&self, proxy: &Proxy) {
         let state = proxy.state();
         let age = |as_of| seconds(now().saturating_sub(as_of));
         let age = state.endpoint_view.as_of().map_or(f64::INFINITY, age);
@@ -242,7 +243,7 @@
 impl Proxy {
     /// Returns this proxy's figures, as of now.
     pub(super) fn metrics_registry(&self) -> &Registry {
-        self.metrics.gauges.set(self);
+        self.metrics.gauges.refresh(self);
         &self.metrics.registry
     }
 }
