Sight for work that goes on after its client has left

Cause: neither logs nor metrics said what became of an attempt's requester, so the three hypotheses could not be told apart. No logic is changed.

--- a/crates/gateway/src/commands/serve.rs
+++ b/crates/gateway/src/commands/serve.rs
@@ -29,20 +29,27 @@
     log: String,
     #[options(help = "log lines as JSON")]
     json: bool,
+    #[options(
+        help = "the port at which figures are read beside the role's own addresses",
+        meta = "PORT"
+    )]
+    metrics_port: Option<u16>,
 }
 
 /// A role that runs.
 type Running = Pin<Box<dyn Future<Output = std::io::Result<()>>>>;
 
 pub(super) fn proxy(options: Options) -> Result<ExitStatus, String> {
-    start("proxy", options, |settings, incarnation| {
-        Box::pin(proxy::run(settings, incarnation))
+    let metrics_port = options.metrics_port;
+    start("proxy", options, move |settings, incarnation| {
+        Box::pin(proxy::run(settings, incarnation, metrics_port))
     })
 }
 
 pub(super) fn controller(options: Options) -> Result<ExitStatus, String> {
-    start("controller", options, |settings, incarnation| {
-        Box::pin(controller::run(settings, incarnation))
+    let metrics_port = options.metrics_port;
+    start("controller", options, move |settings, incarnation| {
+        Box::pin(controller::run(settings, incarnation, metrics_port))
     })
 }
 
--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -360,20 +360,31 @@
     Restart,
 }
 
-/// Serves until SIGTERM, as more than one incarnation where the store can't be used.
+/// Serves until SIGTERM, as more than one incarnation where the store can't be used. Its figures are read at `metrics_port`, too,
+/// if that is given.
 ///
 /// # Errors
 ///
 /// If the settings lack an address or the store's directory, or an address is not to be had.
-pub async fn run(settings: SettingsWatch, incarnation: u64) -> io::Result<()> {
+pub async fn run(
+    settings: SettingsWatch,
+    incarnation: u64,
+    metrics_port: Option<u16>,
+) -> io::Result<()> {
     let mut incarnation = incarnation;
-    while let IncarnationEnd::Restart = run_incarnation(settings.clone(), incarnation).await? {
-        incarnation = rand::random::<u64>().max(1);
+    loop {
+        match run_incarnation(settings.clone(), incarnation, metrics_port).await? {
+            IncarnationEnd::Restart => incarnation = rand::random::<u64>().max(1),
+            IncarnationEnd::Shutdown => return Ok(()),
+        }
     }
-    Ok(())
 }
 
-async fn run_incarnation(settings: SettingsWatch, incarnation: u64) -> io::Result<IncarnationEnd> {
+async fn run_incarnation(
+    settings: SettingsWatch,
+    incarnation: u64,
+    metrics_port: Option<u16>,
+) -> io::Result<IncarnationEnd> {
     let initial_settings = NodeSettings::clone(&settings.borrow());
     let Some(operator_address) = initial_settings.listen_addresses.get("control").copied() else {
         return Err(io::Error::other("network.posts: expected control"));
@@ -397,7 +408,19 @@
         last_valid_config: Mutex::default(),
         metrics: ControllerMetrics::new(),
     });
-    serve(controller, driver, operator_address, store_dir).await
+    let metrics_address =
+        metrics_port.map(|port| SocketAddrV4::new(controller.initial_settings.ip, port));
+    let serving_metrics = tokio::spawn(serve_metrics(controller.clone(), metrics_address));
+    let end = serve(controller, driver, operator_address, store_dir).await;
+    abort_all([serving_metrics]).await;
+    end
+}
+
+/// Answers requests for this controller's figures at an address of their own, if there is one.
+async fn serve_metrics(controller: Arc<Controller>, address: Option<SocketAddrV4>) {
+    let Some(address) = address else { return };
+    let figures = move || crate::metrics::response(controller.metrics_registry());
+    crate::metrics::serve(address, figures).await;
 }
 
 async fn serve(
@@ -430,7 +453,7 @@
 }
 
 /// Aborts tasks, and waits until they have released their addresses, for the next incarnation.
-async fn abort_all(tasks: [JoinHandle<()>; 4]) {
+async fn abort_all<const N: usize>(tasks: [JoinHandle<()>; N]) {
     for task in tasks {
         task.abort();
         let _ = task.await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,21 +4,27 @@
 //! and how the readings of the platform's list are counted.
 
 use crate::clock::{now, Micros};
+use crate::net::{self, HyperIo};
 use crate::platform_client::ListError;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
-use hyper::Response;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::convert::Infallible;
+use std::net::SocketAddrV4;
 
 /// Where the figures are read: beside the readiness probe at a proxy, beside the operators' calls at a controller.
 pub const PATH: &str = "/metrics";
 /// The media type of the format.
 const MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Between two tries to accept where the system has no descriptor left.
+const ACCEPT_BACKOFF: Micros = 1_000_000;
 /// Upper bounds of the buckets for ages and durations, in seconds. The bounds on draining of the deployments known are 2.5 s and
 /// 3 s.
 pub(crate) const SECONDS_BUCKETS: [f64; 10] = [0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0];
@@ -47,6 +53,41 @@
     response
 }
 
+/// Answers requests for the figures at an address of their own, for ever. An address that is not to be had is logged: figures are
+/// no reason to serve nobody.
+pub(crate) async fn serve<F>(address: SocketAddrV4, figures: F)
+where
+    F: Fn() -> Response<Full<Bytes>> + Clone + Send + 'static,
+{
+    let listener = match net::listen(address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::warn!(target: "metrics", "{error}.");
+            return;
+        }
+    };
+    loop {
+        let stream = net::accept(&listener, ACCEPT_BACKOFF).await;
+        let figures = figures.clone();
+        let service = service_fn(move |request: hyper::Request<_>| {
+            let response = match request.uri().path() {
+                PATH => figures(),
+                _ => not_found(),
+            };
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(HyperIo(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+fn not_found() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
+
 /// How a reading of the platform's list ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum ReadResult {
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,27 +1,32 @@
 //! One attempt: a request sent to one endpoint, and how that ended.
 
-use super::metrics::WithheldReason;
+use super::metrics::{Requester, WithheldReason};
 use super::responses::ProxyResponse;
 use super::state::{is_serving_version, ProxyState};
 use super::upstream_connection::{CancelHandle, SendError, UpstreamConnection};
 use super::upstream_request::UpstreamRequest;
 use super::{upstream_response, Proxy};
 use crate::clock::{duration, now, Micros};
-use magpieline_config::route_table::Route;
+use magpieline_config::route_table::{Idempotency, Route};
 use magpieline_http1::attempt_outcome::AttemptOutcome;
 use magpieline_load_balancer::endpoint_selection::{EndpointSignal, ListedEndpoint, ReportedLoad};
 use magpieline_rollout::trial::{self, stable_hash, AttemptEnd};
+use std::future::Future;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// An endpoint takes a connection within a few milliseconds; one that is dead or whose queue is full says nothing.
 const CONNECT_TIMEOUT: Micros = 250_000;
 /// A connection becomes free within a moment after a response, unless its endpoint has answered without reading all of the
 /// request and does not read the rest.
 const FREE_TIMEOUT: Micros = 1_000_000;
+/// An idempotent attempt that goes on for longer than this after its client has left is logged.
+const MAX_WORK_AFTER_CLIENT: Micros = 500_000;
 
 /// What an attempt is for, and by what it was decided on.
 pub(super) struct Attempt {
@@ -119,6 +124,7 @@
     attempt: Attempt,
     request: Arc<UpstreamRequest>,
     results: UnboundedSender<AttemptResult>,
+    client_left: CancellationToken,
 ) {
     let sent_at = now();
     let number = proxy
@@ -130,8 +136,10 @@
         let _in_flight = in_flight;
         let mut progress = Progress::default();
         let left = duration(request.deadline.saturating_sub(sent_at));
-        let result = timeout(left, run(&proxy, &attempt, &request, &mut progress)).await;
+        let work = timeout(left, run(&proxy, &attempt, &request, &mut progress));
+        let (result, client_left_at) = observe_client(work, &client_left).await;
         let result = result.unwrap_or_else(|_| progress.on_timeout());
+        report_requester(&proxy, &attempt, &results, client_left_at);
         {
             let mut state = proxy.state();
             let elapsed = now().saturating_sub(sent_at);
@@ -150,6 +158,47 @@
     });
 }
 
+/// Waits for the end of an attempt's work. Returns also when the client left, if it did before the end.
+async fn observe_client<T>(
+    work: impl Future<Output = T>,
+    client_left: &CancellationToken,
+) -> (T, Option<Micros>) {
+    let mut work = pin!(work);
+    let mut left_at = None;
+    loop {
+        tokio::select! {
+            biased;
+            result = &mut work => return (result, left_at),
+            () = client_left.cancelled(), if left_at.is_none() => left_at = Some(now()),
+        }
+    }
+}
+
+/// Counts who still waited for an attempt that has ended, and logs an idempotent one that went on for too long for nobody.
+fn report_requester(
+    proxy: &Proxy,
+    attempt: &Attempt,
+    results: &UnboundedSender<AttemptResult>,
+    client_left_at: Option<Micros>,
+) {
+    let Some(left_at) = client_left_at else {
+        let requester = match results.is_closed() {
+            true => Requester::Answered,
+            false => Requester::Waiting,
+        };
+        proxy.metrics.on_attempt_end(requester);
+        return;
+    };
+    let since = now().saturating_sub(left_at);
+    proxy.metrics.on_attempt_end(Requester::Gone);
+    proxy.metrics.on_work_after_client(since);
+    let is_idempotent = attempt.route.idempotency == Idempotency::Idempotent;
+    if is_idempotent && since > MAX_WORK_AFTER_CLIENT {
+        let (id, route, ms) = (&attempt.id, &attempt.route.name, since / 1_000);
+        tracing::info!(target: "attempt", "An attempt of {route} at {id} went on for {ms} ms after its client had left.");
+    }
+}
+
 /// Sends a request over a kept connection, or a new one if there is none, and reads the response.
 async fn run(
     proxy: &Arc<Proxy>,
--- a/crates/gateway/src/proxy/client_connection.rs
+++ b/crates/gateway/src/proxy/client_connection.rs
@@ -100,6 +100,8 @@
     written: usize,
     is_at_end: bool,
     read_error: Option<io::ErrorKind>,
+    /// When the end of the stream, or an error, was read.
+    ended_at: Option<Micros>,
     /// Nothing can be read for now; the stream wakes the task when there is.
     is_drained: bool,
     /// hyper wanted to read when there was nothing for it.
@@ -120,6 +122,7 @@
             written: 0,
             is_at_end: false,
             read_error: None,
+            ended_at: None,
             is_drained: false,
             is_reader_waiting: false,
             early: VecDeque::new(),
@@ -178,14 +181,15 @@
     }
 
     /// Serves the connection to its end. `shutdown` is done when the proxy shuts down; `start` starts a request early if it may
-    /// be.
+    /// be. Returns, if the client left with requests in progress, how long after the end of its stream was read these were
+    /// given up.
     pub(super) async fn run(
         &self,
         serving: impl Future,
         limits: impl Fn() -> RequestLimits,
         shutdown: impl Future<Output = ()>,
         mut start: impl FnMut(EarlyRequest<'_>) -> Option<EarlyResponse>,
-    ) {
+    ) -> Option<Micros> {
         let (mut serving, mut shutdown) = (pin!(serving), pin!(shutdown));
         let mut is_shutting_down = false;
         let mut timer = pin!(sleep(duration(REFRESH_INTERVAL)));
@@ -224,7 +228,9 @@
             ready!(timer.as_mut().poll(cx));
         })
         .await;
+        let given_up_after = self.inner().given_up_after();
         self.close(end).await;
+        given_up_after
     }
 
     /// Writes what is still to be said and ends the connection in order.
@@ -284,6 +290,13 @@
         self.end()
     }
 
+    /// Returns the time since the end of the stream was read, if requests are in progress.
+    fn given_up_after(&self) -> Option<Micros> {
+        let is_in_progress = self.framing.has_unanswered() || !self.early.is_empty();
+        let ended_at = self.ended_at.filter(|_| is_in_progress)?;
+        Some(now().saturating_sub(ended_at))
+    }
+
     fn end(&self) -> Option<ServeEnd> {
         match self.framing.status() {
             ConnectionStatus::Open => None,
@@ -309,9 +322,15 @@
                 framing.feed(*now, limits, bytes)
             }) {
                 Poll::Pending => self.is_drained = true,
-                Poll::Ready(Ok(0)) => self.is_at_end = true,
+                Poll::Ready(Ok(0)) => {
+                    self.is_at_end = true;
+                    self.ended_at = Some(self.now);
+                }
                 Poll::Ready(Ok(_)) => {}
-                Poll::Ready(Err(error)) => self.read_error = Some(error.kind()),
+                Poll::Ready(Err(error)) => {
+                    self.read_error = Some(error.kind());
+                    self.ended_at = Some(self.now);
+                }
             }
         }
     }
--- a/crates/gateway/src/proxy/forwarding.rs
+++ b/crates/gateway/src/proxy/forwarding.rs
@@ -14,6 +14,7 @@
 use std::fmt;
 use std::sync::Arc;
 use tokio::sync::mpsc;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// An idempotent request without a response after so many mean latencies gets a second attempt (a hedge): few are that slow
 /// by their own work, most have met a slow or silent endpoint.
@@ -90,6 +91,9 @@
     arrived: usize,
     results: mpsc::UnboundedReceiver<AttemptResult>,
     result_sender: mpsc::UnboundedSender<AttemptResult>,
+    client_left: CancellationToken,
+    /// Dropped before there is a response: the client has left.
+    client: DropGuard,
 }
 
 impl<'a> Forwarding<'a> {
@@ -103,6 +107,7 @@
         proxy.state().retry_budget.on_request(&service);
         let is_idempotent = route.idempotency == Idempotency::Idempotent;
         let (result_sender, results) = mpsc::unbounded_channel();
+        let client_left = CancellationToken::new();
         Forwarding {
             proxy,
             state: RequestState::new(is_idempotent, route.max_attempts, request.deadline),
@@ -114,11 +119,19 @@
             arrived: 0,
             results,
             result_sender,
+            client: client_left.clone().drop_guard(),
+            client_left,
         }
     }
 
-    /// Sends the request until it is over: an endpoint's response, or why there is none.
+    /// Sends the request until it is over: an endpoint's response, or why there is none. Dropped before, its client has left.
     async fn run(mut self) -> Result<ProxyResponse, NextStep> {
+        let result = self.send_until_answered().await;
+        self.client.disarm();
+        result
+    }
+
+    async fn send_until_answered(&mut self) -> Result<ProxyResponse, NextStep> {
         loop {
             if let Err(reason) = self.send(f64::INFINITY) {
                 tracing::debug!(target: "request", "Not sent to {}: {reason}.", self.service);
@@ -184,7 +197,8 @@
         self.state.on_sent();
         self.arrived += 1;
         let (proxy, request) = (self.proxy.clone(), self.request.clone());
-        attempt::start(proxy, attempt, request, self.result_sender.clone());
+        let results = self.result_sender.clone();
+        attempt::start(proxy, attempt, request, results, self.client_left.clone());
         Ok(())
     }
 
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -68,7 +68,7 @@
     builder.max_buf_size(MAX_HEAD_BYTES);
     let serving = builder.serve_connection(ClientIo(connection.clone()), service);
     let shutdown = proxy.wait_for_shutdown();
-    connection
+    let given_up_after = connection
         .run(
             serving,
             || limits(&proxy),
@@ -76,6 +76,9 @@
             |request| request_handler::start_early(&proxy, request),
         )
         .await;
+    if let Some(time) = given_up_after {
+        proxy.metrics.on_client_left(time);
+    }
 }
 
 fn limits(proxy: &Proxy) -> RequestLimits {
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -40,6 +40,17 @@
     DeadlinePassed,
 }
 
+/// Whether somebody waited for an attempt when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(super) enum Requester {
+    /// Its request waited for it.
+    Waiting,
+    /// Its request had been answered by another attempt.
+    Answered,
+    /// The client had left.
+    Gone,
+}
+
 /// What happened to a session with the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(super) enum SessionEvent {
@@ -61,6 +72,11 @@
     reason: WithheldReason,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequesterLabels {
+    requester: Requester,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SessionLabels {
     event: SessionEvent,
@@ -92,6 +108,10 @@
     sessions: Family<SessionLabels, EventCount>,
     responses: Family<StatusLabels, EventCount>,
     list_age_at_attempt: Histogram,
+    attempts_ended: Family<RequesterLabels, EventCount>,
+    work_after_client: Histogram,
+    clients_left: EventCount,
+    close_noticed: Histogram,
     gauges: ProxyGauges,
 }
 
@@ -107,6 +127,10 @@
             sessions: Family::default(),
             responses: Family::default(),
             list_age_at_attempt: seconds_histogram(),
+            attempts_ended: Family::default(),
+            work_after_client: seconds_histogram(),
+            clients_left: EventCount::default(),
+            close_noticed: seconds_histogram(),
             gauges: ProxyGauges::register(&mut registry),
             registry: Registry::default(),
         };
@@ -140,6 +164,26 @@
             "Age of the endpoint list when an attempt was written",
             metrics.list_age_at_attempt.clone(),
         );
+        registry.register(
+            "attempts_ended",
+            "Attempts that have ended, by whether somebody waited for them",
+            metrics.attempts_ended.clone(),
+        );
+        registry.register(
+            "attempt_after_client_left_seconds",
+            "Time from a client's leaving to the end of an attempt for it",
+            metrics.work_after_client.clone(),
+        );
+        registry.register(
+            "clients_left",
+            "Clients' connections that ended with requests in progress",
+            metrics.clients_left.clone(),
+        );
+        registry.register(
+            "client_close_noticed_seconds",
+            "Time from reading the end of a client's connection to giving its requests up",
+            metrics.close_noticed.clone(),
+        );
         ProxyMetrics {
             registry,
             ..metrics
@@ -167,6 +211,23 @@
         self.responses.get_or_create(&StatusLabels { status }).inc();
     }
 
+    /// Counts an attempt that has ended.
+    pub(super) fn on_attempt_end(&self, requester: Requester) {
+        let labels = RequesterLabels { requester };
+        self.attempts_ended.get_or_create(&labels).inc();
+    }
+
+    /// Takes note of how long an attempt went on after its client had left.
+    pub(super) fn on_work_after_client(&self, time: Micros) {
+        self.work_after_client.observe(seconds(time));
+    }
+
+    /// Counts a client that left with requests in progress, given up so long after the end of its connection was read.
+    pub(super) fn on_client_left(&self, noticed_after: Micros) {
+        self.clients_left.inc();
+        self.close_noticed.observe(seconds(noticed_after));
+    }
+
     /// Takes note of how old the endpoint list is by which an attempt is written.
     pub(super) fn on_attempt(&self, list_age: Micros) {
         self.list_age_at_attempt.observe(seconds(list_age));
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -308,17 +308,27 @@
     }
 }
 
-/// Runs a proxy until SIGTERM.
+/// Runs a proxy until SIGTERM. Its figures are read at `metrics_port`, too, if that is given.
 ///
 /// # Errors
 ///
 /// If an address is missing in the settings, or is not to be had.
-pub async fn run(settings: SettingsWatch, incarnation: u64) -> std::io::Result<()> {
+pub async fn run(
+    settings: SettingsWatch,
+    incarnation: u64,
+    metrics_port: Option<u16>,
+) -> std::io::Result<()> {
     let proxy = Arc::new(Proxy::new(settings, incarnation, connector::tcp()));
     let addresses = ListenAddresses::of(&proxy.settings_at_start)?;
     let clients = net::listen(addresses.clients)?;
     let probes = net::listen(addresses.readiness)?;
     let operators = net::listen(addresses.operators)?;
+    if let Some(port) = metrics_port {
+        let address = SocketAddrV4::new(proxy.settings_at_start.ip, port);
+        let proxy = proxy.clone();
+        let figures = move || crate::metrics::response(proxy.metrics_registry());
+        tokio::spawn(crate::metrics::serve(address, figures));
+    }
     tokio::spawn(status::run(proxy.clone(), operators));
     tokio::spawn(close_idle_connections(proxy.clone()));
     tokio::spawn(settings_reload::run(proxy.clone()));
--- a/crates/http1/src/framing/request_framing.rs
+++ b/crates/http1/src/framing/request_framing.rs
@@ -378,6 +378,11 @@
             .map(|current| (current.number, current.received_at))
     }
 
+    /// Whether the current request has no answer yet.
+    pub fn has_unanswered(&self) -> bool {
+        self.current.is_some_and(|current| !current.is_answered)
+    }
+
     /// Takes note that the current request has its answer.
     pub fn on_answered(&mut self) {
         if let Some(current) = &mut self.current {
