--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 
 /// Where an update of the endpoints comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -294,9 +294,9 @@
         self.endpoint_list_age.set(age);
         self.endpoints_ready.set(ready as i64);
         self.endpoints_draining.set(draining as i64);
-        let in_progress = proxy.requests_in_progress.load(Ordering::Relaxed);
+        let in_progress = proxy.requests_in_progress();
         self.requests_in_progress.set(in_progress as i64);
-        let in_flight = proxy.attempts_in_flight.load(Ordering::Relaxed);
+        let in_flight = proxy.attempts_in_flight();
         self.attempts_in_flight.set(in_flight as i64);
     }
 }
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Returns how many requests of clients are in progress.
+    pub fn requests_in_progress(&self) -> usize {
+        self.requests_in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many attempts are in flight.
+    pub fn attempts_in_flight(&self) -> usize {
+        self.attempts_in_flight.load(Ordering::Relaxed)
+    }
+
     /// Waits until all attempts have ended, also those whose client is gone: in the second half of the grace period nothing is
     /// waited for.
     pub async fn drained(&self) {
@@ -142,7 +152,7 @@
         let drained = async {
             loop {
                 let ended = self.attempt_ended.notified();
-                if self.attempts_in_flight.load(Ordering::Relaxed) == 0 {
+                if self.attempts_in_flight() == 0 {
                     return;
                 }
                 ended.await;
@@ -337,7 +347,7 @@
     tokio::spawn(fallback_discovery::run(proxy.clone()));
     let serving = tokio::spawn(listener::run(proxy.clone(), clients));
     crate::signals::terminated().await;
-    let in_progress = proxy.requests_in_progress.load(Ordering::Relaxed);
+    let in_progress = proxy.requests_in_progress();
     tracing::info!(target: "proxy", "Shutting down: {in_progress} requests in progress.");
     proxy.shut_down();
     let _ = serving.await;
--- a/crates/gateway/src/proxy/status.rs
+++ b/crates/gateway/src/proxy/status.rs
@@ -6,7 +6,6 @@
 use crate::view;
 use jzon::JsonValue as Json;
 use magpieline_control_plane::messages::ConnectionPurpose;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -52,7 +51,7 @@
         leader_held: state.is_following,
         counters: state.proxies,
         list_ms_ago: state.endpoint_view.as_of().map(age_ms),
-        in_hand: proxy.requests_in_progress.load(Ordering::Relaxed),
+        in_hand: proxy.requests_in_progress(),
         leaving: proxy.is_shutting_down(),
         services: services
     }
--- /dev/null
+++ b/crates/gateway/tests/proxy_loopback/main.rs
@@ -0,0 +1,5 @@
+//! A proxy between a client and an endpoint played by the tests. They wait for what is to come, for no time.
+
+mod client_leaving;
+mod fixture;
+mod requests;
--- a/tools/proxy-simulation/src/checks.rs
+++ b/tools/proxy-simulation/src/checks.rs
@@ -10,6 +10,10 @@
 /// A rejection that came so long before the deadline was known when the request was given up.
 const REJECTION_DELAY: Micros = 50_000;
 
+/// After its client has left, a request reaches no endpoint so much later, and no endpoint works on an idempotent one for so long:
+/// the bound of the rules.
+const MAX_WORK_AFTER_CLIENT: Micros = 500_000;
+
 /// Statuses that promise that a request never ran.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -39,6 +43,32 @@
     violations
 }
 
+/// Returns all that was done for clients that had left.
+pub(crate) fn work_for_nobody(recording: &Recording) -> Vec<String> {
+    let mut findings = Vec::new();
+    for arrival in &recording.arrivals {
+        let Some([sent]) = recording.sent.get(&arrival.id).map(Vec::as_slice) else {
+            continue;
+        };
+        let Some(left_at) = sent.client_left_at else {
+            continue;
+        };
+        let bound = left_at + MAX_WORK_AFTER_CLIENT;
+        if arrival.at > bound {
+            findings.push(format!(
+                "{arrival:?} was sent after its client had left at {left_at}"
+            ));
+        }
+        let has_stopped = arrival.stopped_at.is_some_and(|at| at <= bound);
+        if arrival.is_idempotent && arrival.has_run && !has_stopped {
+            findings.push(format!(
+                "{arrival:?} went on after its client had left at {left_at}"
+            ));
+        }
+    }
+    findings
+}
+
 /// Whether the gateway answered that the request may have run.
 fn may_have_run_by_response(sent: &SentRequest) -> bool {
     sent.response
--- a/tools/proxy-simulation/src/client.rs
+++ b/tools/proxy-simulation/src/client.rs
@@ -149,6 +149,7 @@
                 BatchEnd::Closed => return,
                 BatchEnd::Abandoned { by_reset } => {
                     self.may_repeat(&requests).await;
+                    self.record_leaving(&requests);
                     if by_reset {
                         stream.reset();
                     }
@@ -259,6 +260,13 @@
         }
     }
 
+    fn record_leaving(&self, requests: &[Request]) {
+        let now = self.world.recorder.now();
+        for request in requests {
+            self.update(request, |sent| sent.client_left_at = Some(now));
+        }
+    }
+
     /// Sends a request, now and then slowly. Returns false if the connection has ended.
     async fn send(&mut self, stream: &mut MemoryStream, request: &Request) -> bool {
         self.record_start(request);
--- a/tools/proxy-simulation/src/endpoint.rs
+++ b/tools/proxy-simulation/src/endpoint.rs
@@ -317,10 +317,14 @@
             self.check_interruption(stream, id, read);
         }
         self.recorder.lock().in_progress.remove(&self.connection);
+        let now = self.recorder.now();
+        self.recorder
+            .update_arrival(self.connection, |arrival| arrival.stopped_at = Some(now));
         read.is_none()
     }
 
-    /// Nothing may come on a connection whose request is at work, and it may not be closed while its client waits.
+    /// Nothing may come on a connection whose request is at work, and it may not be closed while its client waits. One that is not
+    /// idempotent is not cut off either way: its effect would be unknown for nothing.
     fn check_interruption(&self, stream: &MemoryStream, id: &str, read: Result<(), ReadError>) {
         if read.is_ok() {
             self.recorder.violation(format!(
@@ -336,9 +340,15 @@
             .get(id)
             .and_then(|sent| sent.first())
             .cloned();
-        let is_waited_for = sent
-            .as_ref()
-            .is_some_and(|sent| now + DEADLINE_MARGIN < sent.deadline);
+        let is_idempotent = |id: &str| {
+            let recording = self.recorder.lock();
+            let mut arrivals = recording.arrivals.iter();
+            arrivals.any(|arrival| arrival.id == id && arrival.is_idempotent)
+        };
+        let is_waited_for = sent.as_ref().is_some_and(|sent| {
+            let may_be_cancelled = sent.client_left_at.is_some() && is_idempotent(id);
+            now + DEADLINE_MARGIN < sent.deadline && !may_be_cancelled
+        });
         if is_waited_for && !self.has_sent_unsolicited && !stream.was_reset_by_network() {
             let (connection, previous) = (self.connection, &self.previous_id);
             self.recorder.violation(format!(
--- a/tools/proxy-simulation/src/recorder.rs
+++ b/tools/proxy-simulation/src/recorder.rs
@@ -23,6 +23,8 @@
     pub(crate) at: Micros,
     /// The endpoint has begun to work on it.
     pub(crate) has_run: bool,
+    /// When the endpoint stopped working on it; none: it is still at work, or has not begun.
+    pub(crate) stopped_at: Option<Micros>,
     /// When the endpoint had written completely that it did not run it and will not.
     pub(crate) rejected_at: Option<Micros>,
 }
@@ -47,6 +49,8 @@
     pub(crate) response: Option<SeenResponse>,
     /// Its client went away, or never meant to wait.
     pub(crate) is_abandoned: bool,
+    /// When its client closed its connection without waiting for the response.
+    pub(crate) client_left_at: Option<Micros>,
     /// It was sent behind a response that closed the connection.
     pub(crate) is_behind_close: bool,
 }
@@ -185,6 +189,7 @@
             connection: self.connection,
             at,
             has_run: false,
+            stopped_at: None,
             rejected_at: None,
         });
         drop(recording);
--- a/tools/proxy-simulation/src/simulation.rs
+++ b/tools/proxy-simulation/src/simulation.rs
@@ -87,6 +87,8 @@
 pub struct Summary {
     /// What was violated.
     pub violations: Vec<String>,
+    /// What was done for clients that had left.
+    pub work_for_nobody: Vec<String>,
     /// Requests that clients sent.
     pub requests: u64,
     /// Attempts that reached an endpoint.
@@ -256,6 +258,7 @@
 }
 
 fn summarize(recording: &mut Recording) -> Summary {
+    let work_for_nobody = checks::work_for_nobody(recording);
     let violations = checks::violations(recording);
     recording.violations.extend(violations);
     let responses = recording
@@ -264,6 +267,7 @@
         .flatten()
         .filter_map(|sent| sent.response);
     Summary {
+        work_for_nobody,
         requests: recording.sent.values().map(|sent| sent.len() as u64).sum(),
         arrivals: recording.arrivals.len() as u64,
         served: responses.filter(|response| response.status == 200).count() as u64,
--- a/tools/proxy-simulation/tests/seeds.rs
+++ b/tools/proxy-simulation/tests/seeds.rs
@@ -81,3 +81,19 @@
     }
     assert!(moved > 1_000, "{moved}");
 }
+
+/// Guards against work for clients that have left: half a second later no endpoint works on an idempotent request of theirs, and
+/// none of their requests reaches one.
+#[test]
+fn endpoints_stop_soon_after_a_client_has_left() {
+    let (mut findings, mut left) = (Vec::new(), 0);
+    for seed in 0..1_000 {
+        let summary = simulate(seed);
+        left += summary.counts.get("client left").copied().unwrap_or(0);
+        let of_seed = summary.work_for_nobody.into_iter();
+        findings.extend(of_seed.map(|finding| format!("seed {seed}: {finding}")));
+    }
+    assert!(left > 300, "{left} clients left");
+    let first = &findings[..findings.len().min(3)];
+    assert!(findings.is_empty(), "{}: {first:#?}", findings.len());
+}
