--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,19 +1,22 @@
 //! One attempt: a request sent to one endpoint, and how that ended.
 
+use super::cancellation::Cancellation;
 use super::metrics::{Requester, WithheldReason};
 use super::responses::ProxyResponse;
 use super::state::{is_serving_version, ProxyState};
 use super::upstream_connection::{CancelHandle, SendError, UpstreamConnection};
 use super::upstream_request::UpstreamRequest;
+use super::upstream_response::UpstreamResponse;
 use super::{upstream_response, Proxy};
 use crate::clock::{duration, now, Micros};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use magpieline_config::route_table::{Idempotency, Route};
 use magpieline_http1::attempt_outcome::AttemptOutcome;
 use magpieline_load_balancer::endpoint_selection::{EndpointSignal, ListedEndpoint, ReportedLoad};
 use magpieline_rollout::trial::{self, stable_hash, AttemptEnd};
-use std::future::Future;
 use std::net::SocketAddrV4;
-use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
@@ -85,6 +88,13 @@
         })
     }
 
+    /// The request is not written, for a reason that is none of the endpoint's.
+    fn withhold(&mut self, proxy: &Proxy, reason: WithheldReason) -> AttemptResult {
+        proxy.metrics.on_withheld(reason);
+        self.was_withheld = true;
+        AttemptResult::without_response(AttemptOutcome::NotSent)
+    }
+
     /// Returns what an outcome says of the endpoint.
     fn signal(&self, outcome: AttemptOutcome) -> EndpointSignal {
         match outcome {
@@ -96,6 +106,7 @@
             AttemptOutcome::ConnectionLost => EndpointSignal::ConnectionLost,
             AttemptOutcome::InvalidResponse => EndpointSignal::InvalidResponse,
             AttemptOutcome::TimedOut => EndpointSignal::TimedOut,
+            AttemptOutcome::Cancelled => EndpointSignal::Cancelled,
         }
     }
 }
@@ -117,8 +128,9 @@
     }
 }
 
-/// Starts an attempt; its result comes by `results`. It goes on even when nobody waits for it any more: an endpoint at work is
-/// not interrupted.
+/// Starts an attempt; its result comes by `results`. Once `client_left` is cancelled, an attempt that is not written yet never is,
+/// and an idempotent one is cut off unless it ends soon: HTTP/1.1 stops an endpoint only by closing its connection. One
+/// that is not idempotent goes on, as does one whose request another attempt has answered.
 pub(super) fn start(
     proxy: Arc<Proxy>,
     attempt: Attempt,
@@ -136,8 +148,9 @@
         let _in_flight = in_flight;
         let mut progress = Progress::default();
         let left = duration(request.deadline.saturating_sub(sent_at));
-        let work = timeout(left, run(&proxy, &attempt, &request, &mut progress));
-        let (result, client_left_at) = observe_client(work, &client_left).await;
+        let cancellation = Cancellation::new(&attempt.route, client_left);
+        let work = run(&proxy, &attempt, &request, &cancellation, &mut progress);
+        let (result, client_left_at) = cancellation.observe(timeout(left, work)).await;
         let result = result.unwrap_or_else(|_| progress.on_timeout());
         report_requester(&proxy, &attempt, &results, client_left_at);
         {
@@ -158,22 +171,6 @@
     });
 }
 
-/// Waits for the end of an attempt's work. Returns also when the client left, if it did before the end.
-async fn observe_client<T>(
-    work: impl Future<Output = T>,
-    client_left: &CancellationToken,
-) -> (T, Option<Micros>) {
-    let mut work = pin!(work);
-    let mut left_at = None;
-    loop {
-        tokio::select! {
-            biased;
-            result = &mut work => return (result, left_at),
-            () = client_left.cancelled(), if left_at.is_none() => left_at = Some(now()),
-        }
-    }
-}
-
 /// Counts who still waited for an attempt that has ended, and logs an idempotent one that went on for too long for nobody.
 fn report_requester(
     proxy: &Proxy,
@@ -204,6 +201,7 @@
     proxy: &Arc<Proxy>,
     attempt: &Attempt,
     request: &UpstreamRequest,
+    cancellation: &Cancellation,
     progress: &mut Progress,
 ) -> AttemptResult {
     loop {
@@ -211,26 +209,38 @@
         let is_new = kept.is_none();
         let connection = match kept {
             Some(connection) => Some(connection),
-            None => connect(proxy, attempt.address).await,
+            None => tokio::select! {
+                biased;
+                connection = connect(proxy, attempt.address) => connection,
+                () = cancellation.client_left() => {
+                    return progress.withhold(proxy, WithheldReason::ClientLeft);
+                }
+            },
         };
         let Some(mut connection) = connection else {
             return AttemptResult::without_response(AttemptOutcome::NotSent);
         };
-        let sent = match withheld_reason(proxy, attempt, request) {
-            None => request.for_endpoint(&attempt.id),
-            Some(reason) => {
-                proxy.metrics.on_withheld(reason);
-                None
-            }
-        };
-        let Some(sent) = sent else {
+        if let Some(reason) = withheld_reason(proxy, attempt, request, cancellation) {
+            return progress.withhold(proxy, reason);
+        }
+        let Some(sent) = request.for_endpoint(&attempt.id) else {
             progress.was_withheld = true;
             return AttemptResult::without_response(AttemptOutcome::NotSent);
         };
         progress.cancel_handle = Some(connection.cancel_handle());
-        let outcome = match connection.send(sent).await {
+        let cancelled = cancellation.of_sent(connection.cancel_handle());
+        let exchanged = tokio::select! {
+            biased;
+            exchanged = exchange(&mut connection, sent, request) => exchanged,
+            is_unsent = cancelled => {
+                return match is_unsent {
+                    true => progress.withhold(proxy, WithheldReason::ClientLeft),
+                    false => AttemptResult::without_response(AttemptOutcome::Cancelled),
+                };
+            }
+        };
+        let outcome = match exchanged {
             Ok(response) => {
-                let response = upstream_response::read(request, response).await;
                 progress.load = response.load;
                 if response.is_reusable {
                     progress.reusable = Some((connection, response.keep_alive));
@@ -253,6 +263,16 @@
     }
 }
 
+/// Sends a request over a connection and reads the response whole.
+async fn exchange(
+    connection: &mut UpstreamConnection,
+    sent: Request<Full<Bytes>>,
+    request: &UpstreamRequest,
+) -> Result<UpstreamResponse, SendError> {
+    let response = connection.send(sent).await?;
+    Ok(upstream_response::read(request, response).await)
+}
+
 async fn connect(proxy: &Proxy, address: SocketAddrV4) -> Option<UpstreamConnection> {
     let stream = (proxy.connector)(address, CONNECT_TIMEOUT).await.ok()?;
     UpstreamConnection::handshake(stream).await
@@ -270,7 +290,11 @@
     proxy: &Proxy,
     attempt: &Attempt,
     request: &UpstreamRequest,
+    cancellation: &Cancellation,
 ) -> Option<WithheldReason> {
+    if cancellation.has_client_left() {
+        return Some(WithheldReason::ClientLeft);
+    }
     let (state, now) = (proxy.state(), now());
     let Some(listed) = listed(&state, attempt).filter(|listed| !listed.is_draining) else {
         return Some(WithheldReason::EndpointLeft);
@@ -330,11 +354,14 @@
         AttemptOutcome::Answered { status } if status < 500 => AttemptEnd::Served,
         AttemptOutcome::Answered { .. } => AttemptEnd::Failed,
         AttemptOutcome::TimedOut => AttemptEnd::TimedOut,
+        // It was late already: a version that is slow must not seem fast because clients don't wait for it.
+        AttemptOutcome::Cancelled if elapsed > attempt.route.latency_target => AttemptEnd::TimedOut,
         // A crash, a cut or a garbled response is no version's doing.
         AttemptOutcome::Rejected
         | AttemptOutcome::NotSent
         | AttemptOutcome::ConnectionLost
-        | AttemptOutcome::InvalidResponse => AttemptEnd::Inconclusive,
+        | AttemptOutcome::InvalidResponse
+        | AttemptOutcome::Cancelled => AttemptEnd::Inconclusive,
     };
     part.trial.on_outcome(trial::AttemptOutcome {
         on_trial: *version == *part.target_version,
--- a/crates/gateway/src/proxy/client_connection.rs
+++ b/crates/gateway/src/proxy/client_connection.rs
@@ -36,7 +36,7 @@
 /// No more requests are started early while responses of so many bytes wait on a connection.
 const MAX_WAITING_BYTES: usize = 256 << 10;
 
-/// The response to a request that was started early. Dropped, the request is given up; what an endpoint works on goes on.
+/// The response to a request that was started early. Dropped, the request is given up, and its attempts are cancelled.
 pub(super) struct EarlyResponse {
     task: JoinHandle<ProxyResponse>,
     /// The response, once it was looked at.
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -38,6 +38,8 @@
     RouteChanged,
     /// The request's deadline has passed.
     DeadlinePassed,
+    /// The client has left.
+    ClientLeft,
 }
 
 /// Whether somebody waited for an attempt when it ended.
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! `controller_session` and is held in `state`.
 
 mod attempt;
+mod cancellation;
 mod client_connection;
 mod connection_pool;
 pub mod connector;
--- a/crates/http1/src/attempt_outcome.rs
+++ b/crates/http1/src/attempt_outcome.rs
@@ -23,6 +23,8 @@
     InvalidResponse,
     /// Nothing came in the time that there was; the request may have run.
     TimedOut,
+    /// It was cut off, as its client had left; the request may have run.
+    Cancelled,
 }
 
 /// What is to be done with a request after an attempt has ended.
@@ -121,7 +123,8 @@
             AttemptOutcome::Answered { .. }
             | AttemptOutcome::ConnectionLost
             | AttemptOutcome::InvalidResponse
-            | AttemptOutcome::TimedOut => self.may_have_run = true,
+            | AttemptOutcome::TimedOut
+            | AttemptOutcome::Cancelled => self.may_have_run = true,
         }
         let retries = may_retry && self.may_send() && now < self.deadline;
         let is_last = self.in_flight == 0;
--- a/crates/http1/tests/attempt_outcome.rs
+++ b/crates/http1/tests/attempt_outcome.rs
@@ -22,6 +22,7 @@
 #[case(AttemptOutcome::ConnectionLost, NextStep::BadGateway)]
 #[case(AttemptOutcome::InvalidResponse, NextStep::BadGateway)]
 #[case(AttemptOutcome::TimedOut, NextStep::BadGateway)]
+#[case(AttemptOutcome::Cancelled, NextStep::BadGateway)]
 fn what_is_not_idempotent(#[case] outcome: AttemptOutcome, #[case] next: NextStep) {
     assert_eq!(sent(false, 2).on_outcome(10, outcome, true), next);
     let without = if next == NextStep::Retry {
--- a/crates/load-balancer/src/endpoint.rs
+++ b/crates/load-balancer/src/endpoint.rs
@@ -34,6 +34,11 @@
 const MIN_LOG_LATENCY: f64 = -0.7;
 const MAX_LOG_LATENCY: f64 = 1.5;
 
+/// Returns how long an endpoint may owe an answer before it is suspected to be dead.
+fn patience(mean_latency: f64) -> Micros {
+    ((PATIENCE * mean_latency) as Micros).max(MIN_PATIENCE)
+}
+
 /// An endpoint as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedEndpoint {
@@ -72,7 +77,9 @@
     ConnectionLost,
     /// No answer in the time that there was.
     TimedOut,
-    /// Nothing is said of it: the request was never sent, or was cancelled.
+    /// It was given no more time, as the client had left: it has taken this long at least.
+    Cancelled,
+    /// Nothing is said of it: the request was never sent.
     Inconclusive,
 }
 
@@ -87,6 +94,7 @@
             | EndpointSignal::TimedOut => Some(1.0),
             EndpointSignal::Rejected
             | EndpointSignal::NoConnection
+            | EndpointSignal::Cancelled
             | EndpointSignal::Inconclusive => None,
         }
     }
@@ -125,6 +133,9 @@
     /// Logarithm of its latency over the mean of the service.
     log_latency: f64,
     answered_at: Micros,
+    /// How long cancelled attempts have waited in vain since the last answer, and until when that is counted.
+    silence: Micros,
+    silence_until: Micros,
     ejected_until: Micros,
     consecutive_failures: u32,
 }
@@ -140,6 +151,8 @@
             reported_at: now,
             log_latency: 0.0,
             answered_at: now,
+            silence: 0,
+            silence_until: 0,
             ejected_until: 0,
             consecutive_failures: 0,
         }
@@ -176,10 +189,10 @@
 
     /// Whether it may be dead: it owes an answer for too long, or it has failed and this request must not run twice.
     pub(crate) fn is_suspect(&self, mean_latency: f64, now: Micros, is_idempotent: bool) -> bool {
-        let patience = ((PATIENCE * mean_latency) as Micros).max(MIN_PATIENCE);
+        let patience = patience(mean_latency);
         let oldest = self.in_flight.iter().map(|attempt| attempt.sent_at).min();
-        let is_overdue =
-            oldest.is_some_and(|sent_at| now > sent_at.max(self.answered_at) + patience);
+        let is_overdue = oldest
+            .is_some_and(|sent_at| now + self.silence > sent_at.max(self.answered_at) + patience);
         let may_probe = is_idempotent && self.in_flight.is_empty();
         is_overdue || (self.consecutive_failures > 0 && !may_probe)
     }
@@ -224,8 +237,14 @@
         Some(latency)
     }
 
-    /// Takes note of how an attempt that was sent at `sent_at` ended.
-    pub(crate) fn on_signal(&mut self, now: Micros, sent_at: Micros, signal: EndpointSignal) {
+    /// Takes note of how an attempt that was sent at `sent_at` ended, by the mean latency of the service.
+    pub(crate) fn on_signal(
+        &mut self,
+        now: Micros,
+        sent_at: Micros,
+        signal: EndpointSignal,
+        mean_latency: f64,
+    ) {
         if let Some(error) = signal.error() {
             self.error_rate += ERROR_RATE_GAIN * (error - self.error_rate);
         }
@@ -237,6 +256,7 @@
             EndpointSignal::Failed | EndpointSignal::InvalidResponse => self.on_answer(now),
             EndpointSignal::Rejected => {
                 self.answered_at = now;
+                self.silence = 0;
                 self.ejected_until = now + REJECTION_BACKOFF;
             }
             EndpointSignal::NoConnection => self.eject(now),
@@ -251,12 +271,25 @@
                     self.eject(now);
                 }
             }
+            EndpointSignal::Cancelled => self.on_cancelled(now, sent_at, mean_latency),
             EndpointSignal::Inconclusive => {}
         }
     }
 
+    /// An endpoint that is dead must be found out although no attempt waits for long: what they waited is added up.
+    fn on_cancelled(&mut self, now: Micros, sent_at: Micros, mean_latency: f64) {
+        let since = sent_at.max(self.answered_at).max(self.silence_until);
+        self.silence += now.saturating_sub(since);
+        self.silence_until = now;
+        if self.silence > patience(mean_latency) {
+            self.silence = 0;
+            self.eject(now);
+        }
+    }
+
     fn on_answer(&mut self, now: Micros) {
         self.answered_at = now;
+        self.silence = 0;
         self.consecutive_failures /= 2;
     }
 
--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -308,14 +308,17 @@
             let others = endpoint.on_report(now, load);
             service.mean_others += OTHERS_GAIN * (others - service.mean_others);
         }
-        if signal == EndpointSignal::Served {
-            let latency = now.saturating_sub(sent_at);
+        let latency = now.saturating_sub(sent_at);
+        // A cancelled attempt would have taken longer still.
+        let is_slower = || latency as f64 > endpoint.latency(service.mean_latency, now);
+        if signal == EndpointSignal::Served || (signal == EndpointSignal::Cancelled && is_slower())
+        {
             if let Some(latency) = endpoint.on_latency(now, latency, service.mean_latency) {
                 service.mean_latency =
                     LATENCY_DECAY * service.mean_latency + (1.0 - LATENCY_DECAY) * latency;
             }
         }
-        endpoint.on_signal(now, sent_at, signal);
+        endpoint.on_signal(now, sent_at, signal, service.mean_latency);
     }
 }
 
--- a/crates/load-balancer/tests/endpoint_selection.rs
+++ b/crates/load-balancer/tests/endpoint_selection.rs
@@ -241,3 +241,63 @@
     (0..3).for_each(|_| _ = balancer.on_sent(0, x));
     assert_eq!(select(&mut balancer, 0, true).as_deref(), Ok("cold"));
 }
+
+/// Guards against a dead endpoint that is never found out, as no client waits long enough: what its cancelled attempts have
+/// waited for adds up, and an answer ends it.
+#[rstest]
+#[case::silent(false, "y")]
+#[case::answers(true, "x")]
+fn a_silent_endpoint_is_found_out_by_cancelled_attempts(
+    #[case] answers: bool,
+    #[case] chosen: &str,
+) {
+    let mut balancer = LoadBalancer::new("a", 3);
+    // The far one is taken only where the near one is ejected.
+    balancer.upsert(0, listed("x", "a", "v1"));
+    balancer.upsert(0, listed("y", "b", "v1"));
+    let x = balancer.find("x").expect("listed");
+    for i in 0..4 {
+        let sent_at = i * 200 * MS;
+        let attempt = balancer.on_sent(sent_at, x);
+        // Attempts that wait at the same time count once.
+        let beside = balancer.on_sent(sent_at, x);
+        if answers && i == 2 {
+            balancer.on_end(sent_at + 50 * MS, x, beside, EndpointSignal::Served, None);
+        }
+        let now = sent_at + 200 * MS;
+        balancer.on_end(now, x, attempt, EndpointSignal::Cancelled, None);
+        balancer.on_end(now, x, beside, EndpointSignal::Cancelled, None);
+        let chosen = select(&mut balancer, now, true);
+        assert!(i == 3 || chosen.as_deref() == Ok("x"), "too soon: {i}");
+    }
+    assert_eq!(select(&mut balancer, 801 * MS, true).as_deref(), Ok(chosen));
+}
+
+/// Guards against a slow endpoint that seems as fast as the others, as clients leave before it answers: a cancelled attempt would
+/// have taken longer still. One that was cancelled early says nothing.
+#[rstest]
+#[case::slow(450, "y")]
+#[case::early(40, "x")]
+fn a_cancelled_attempt_tells_that_an_endpoint_is_slow(
+    #[case] cancelled_after: u64,
+    #[case] chosen: &str,
+) {
+    let mut balancer = LoadBalancer::new("a", 3);
+    // The far one is taken only where the near one is slower.
+    balancer.upsert(0, listed("x", "a", "v1"));
+    balancer.upsert(0, listed("y", "b", "v1"));
+    let x = balancer.find("x").expect("listed");
+    for i in 0..8 {
+        let sent_at = i * 1000 * MS;
+        let cancelled = balancer.on_sent(sent_at, x);
+        let now = sent_at + cancelled_after * MS;
+        balancer.on_end(now, x, cancelled, EndpointSignal::Cancelled, None);
+        let answered = balancer.on_sent(now, x);
+        let now = now + 150 * MS;
+        balancer.on_end(now, x, answered, EndpointSignal::Rejected, None);
+    }
+    assert_eq!(
+        select(&mut balancer, 9000 * MS, true).as_deref(),
+        Ok(chosen)
+    );
+}
