Rolling restarts: a test that fails on the code as it is

Cause: after SIGTERM connections are accepted until none has come for 500 ms; with clients that never pause, until SIGKILL. Change: tests only; the fixture's settings name a grace period. Measured: it still serves after twice the grace period.

--- a/crates/gateway/tests/proxy_loopback/fixture.rs
+++ b/crates/gateway/tests/proxy_loopback/fixture.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 
 const SETTINGS: &str = r#"
 [self]
@@ -28,6 +29,7 @@
 address = "127.0.0.1:8169"
 [provisions.guarantees]
 edition_time = "200ms"
+grace = "3s"
 "#;
 
 pub const CONFIG: &str = r#"{"edition":1,"allowances":{"header_bytes":2000},"fleets":[{"name":"s"}],
@@ -138,6 +140,8 @@
     pub proxy: Arc<Proxy>,
     pub clients: SocketAddrV4,
     pub asked: mpsc::UnboundedReceiver<EndpointRequest>,
+    /// Ends once the proxy has shut down and serves no client any more.
+    pub serving: JoinHandle<()>,
 }
 
 async fn local() -> (TcpListener, SocketAddrV4) {
@@ -187,11 +191,12 @@
         );
         proxy.on_confirmed();
         let (near, clients) = local().await;
-        tokio::spawn(listener::run(proxy.clone(), near));
+        let serving = tokio::spawn(listener::run(proxy.clone(), near));
         Fixture {
             proxy,
             clients,
             asked,
+            serving,
         }
     }
 
--- a/crates/gateway/tests/proxy_loopback/main.rs
+++ b/crates/gateway/tests/proxy_loopback/main.rs
@@ -3,3 +3,4 @@
 mod client_leaving;
 mod fixture;
 mod requests;
+mod shutdown;
