Rolling restarts: SIGTERM fixes all deadlines of a shutdown

Cause: a proxy that shuts down accepted connections until none had come for 500 ms. Where too few proxies of a zone are ready, clients are sent to all of them: it accepted until it was killed, with the newest requests at work. A wait that each new event prolongs. Change: proxy/shutdown.rs. Connections are accepted for 2 s (a third of the grace period at most), requests are served as always for half of it, and later only if they are sure to end; others get 503 and a time to come back. A log line each second says what is open, the last one what was cut off.

--- a/crates/gateway/src/proxy/client_connection.rs
+++ b/crates/gateway/src/proxy/client_connection.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 /// At shutdown a client is told so by a response; one that sends nothing keeps the process no longer than this.
-pub(super) const IDLE_AT_SHUTDOWN: Micros = 500_000;
+const IDLE_AT_SHUTDOWN: Micros = 500_000;
 /// After the last response a connection is read until its client ends it or sends nothing for so long: bytes left unread
 /// would reset it, and the response might be lost with it. A client in the middle of a body may send on for a while,
 const LINGER_IDLE: Micros = 500_000;
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -1,18 +1,18 @@
 //! Accepts clients' connections and serves them.
 
-use super::client_connection::{ClientConnection, ClientIo, IDLE_AT_SHUTDOWN};
+use super::client_connection::{ClientConnection, ClientIo};
 use super::connector::Stream;
 use super::{request_handler, Proxy};
-use crate::clock::{self, duration, Micros};
+use crate::clock::{self, Micros};
 use crate::net;
 use hyper::service::service_fn;
 use magpieline_http1::framing::request_framing::RequestLimits;
 use std::convert::Infallible;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
-use tokio::time::timeout;
 
 /// hyper reads no longer heads than this; the framing refuses those beyond the configuration's limit, which may change while a
 /// connection lives.
@@ -22,9 +22,23 @@
 /// An idle connection is probed from here on, as its client may be gone.
 const KEEPALIVE_AFTER: Duration = Duration::from_secs(10);
 
-/// Accepts connections until the proxy shuts down, then waits until all have ended.
+/// Accepts connections until the proxy shuts down and some time beyond, then waits until all have ended, but not for longer than
+/// the shutdown lasts.
 pub async fn run(proxy: Arc<Proxy>, listener: TcpListener) {
     let mut connections = JoinSet::new();
+    tokio::select! {
+        () = accept(&proxy, &listener, &mut connections) => {}
+        () = accepting_ends(&proxy) => {}
+    }
+    drop(listener);
+    tokio::select! {
+        () = async { while connections.join_next().await.is_some() {} } => {}
+        () = proxy.shutdown_ends() => {}
+    }
+}
+
+/// Accepts connections, for ever.
+async fn accept(proxy: &Arc<Proxy>, listener: &TcpListener, connections: &mut JoinSet<()>) {
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -32,23 +46,41 @@
                 Err(_) => clock::sleep(ACCEPT_BACKOFF).await,
             },
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
-            () = proxy.shutdown.notified() => break,
         }
     }
-    // What the system has accepted already is served; then nobody comes any more.
-    while let Ok(Ok((stream, _))) = timeout(duration(IDLE_AT_SHUTDOWN), listener.accept()).await {
-        connections.spawn(serve_socket(proxy.clone(), stream));
+}
+
+/// Waits until nothing more is accepted.
+async fn accepting_ends(proxy: &Proxy) {
+    proxy.shutdown.begun().await;
+    if let Some(deadlines) = proxy.shutdown.deadlines() {
+        clock::sleep_until(deadlines.accept_until).await;
+    }
+}
+
+/// Counts a client's connection while it is served, however it ends.
+struct OpenConnection<'a>(&'a Proxy);
+
+impl OpenConnection<'_> {
+    fn new(proxy: &Proxy) -> OpenConnection<'_> {
+        proxy.client_connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(proxy)
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.0.client_connections.fetch_sub(1, Ordering::Relaxed);
     }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
 }
 
 async fn serve_socket(proxy: Arc<Proxy>, stream: TcpStream) {
+    let _open = OpenConnection::new(&proxy);
     if net::configure_stream(&stream).is_err() {
         return;
     }
     let _ = net::enable_keepalive(&stream, KEEPALIVE_AFTER);
-    serve_connection(proxy, stream).await;
+    serve_connection(proxy.clone(), stream).await;
 }
 
 /// Serves a client's connection to its end.
@@ -67,7 +99,7 @@
     // Its flushing of several responses at once stays off: it keeps a response back while bytes of a body are unread.
     builder.max_buf_size(MAX_HEAD_BYTES);
     let serving = builder.serve_connection(ClientIo(connection.clone()), service);
-    let shutdown = proxy.wait_for_shutdown();
+    let shutdown = proxy.shutdown.begun();
     let given_up_after = connection
         .run(
             serving,
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 mod request_handler;
 mod responses;
 mod settings_reload;
+pub mod shutdown;
 mod state;
 mod status;
 mod upstream_connection;
@@ -37,11 +38,13 @@
 use magpieline_control_plane::state_machine::{ServiceState, StoredConfig};
 use magpieline_http1::deduplication::SeenRequests;
 use metrics::ProxyMetrics;
+use shutdown::{Shutdown, Unfinished};
 use state::ProxyState;
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 /// How often idle connections are looked through.
 const SWEEP_INTERVAL: Micros = 1_000_000;
@@ -56,12 +59,9 @@
     pub incarnation: u64,
     state: Mutex<ProxyState>,
     pool: Mutex<ConnectionPool>,
-    /// SIGTERM has come: nothing new is taken, each response closes its connection.
-    is_shutting_down: AtomicBool,
-    /// When it came.
-    shutdown_at: AtomicU64,
-    /// Notified when it comes.
-    shutdown: Notify,
+    /// Once it has begun each response closes its connection.
+    shutdown: Shutdown,
+    client_connections: AtomicUsize,
     requests_in_progress: AtomicUsize,
     attempts_in_flight: AtomicUsize,
     /// Notified when an attempt has ended.
@@ -86,9 +86,8 @@
             settings,
             incarnation,
             pool: Mutex::default(),
-            is_shutting_down: AtomicBool::new(false),
-            shutdown_at: AtomicU64::new(0),
-            shutdown: Notify::new(),
+            shutdown: Shutdown::default(),
+            client_connections: AtomicUsize::new(0),
             requests_in_progress: AtomicUsize::new(0),
             attempts_in_flight: AtomicUsize::new(0),
             attempt_ended: Notify::new(),
@@ -115,23 +114,29 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes no new clients from now on; requests in progress are answered.
+    /// Is not ready from now on; what clients still send is served by [`shutdown::ShutdownDeadlines`].
     pub fn shut_down(&self) {
-        self.shutdown_at.store(now(), Ordering::Relaxed);
-        self.is_shutting_down.store(true, Ordering::Relaxed);
-        self.shutdown.notify_waiters();
+        let grace = self.settings.borrow().guarantees.grace;
+        self.shutdown.begin(grace);
     }
 
     /// Whether it shuts down.
     pub fn is_shutting_down(&self) -> bool {
-        self.is_shutting_down.load(Ordering::Relaxed)
+        self.shutdown.has_begun()
+    }
+
+    /// Whether a request may be served that must be answered by `deadline`.
+    fn admits(&self, deadline: Micros) -> bool {
+        let deadlines = self.shutdown.deadlines();
+        deadlines.is_none_or(|deadlines| deadlines.admits(now(), deadline))
     }
 
-    /// Waits until this proxy shuts down.
-    async fn wait_for_shutdown(&self) {
-        let shutdown = self.shutdown.notified();
-        if !self.is_shutting_down() {
-            shutdown.await;
+    /// Returns what clients and endpoints have not finished.
+    fn unfinished(&self) -> Unfinished {
+        Unfinished {
+            connections: self.client_connections.load(Ordering::Relaxed),
+            requests: self.requests_in_progress(),
+            attempts: self.attempts_in_flight(),
         }
     }
 
@@ -145,11 +150,8 @@
         self.attempts_in_flight.load(Ordering::Relaxed)
     }
 
-    /// Waits until all attempts have ended, also those whose client is gone: in the second half of the grace period nothing is
-    /// waited for.
+    /// Waits until all attempts have ended, also those of clients that have left, until the end of a shutdown at the latest.
     pub async fn drained(&self) {
-        let grace = self.settings.borrow().guarantees.grace;
-        let deadline = self.shutdown_at.load(Ordering::Relaxed) + grace / 2;
         let drained = async {
             loop {
                 let ended = self.attempt_ended.notified();
@@ -159,8 +161,19 @@
                 ended.await;
             }
         };
-        let left = deadline.saturating_sub(now());
-        let _ = tokio::time::timeout(clock::duration(left), drained).await;
+        tokio::select! {
+            () = drained => {}
+            () = self.shutdown_ends() => {}
+        }
+    }
+
+    /// Waits until nothing is waited for any more; for ever while it does not shut down.
+    async fn shutdown_ends(&self) {
+        self.shutdown.begun().await;
+        match self.shutdown.deadlines() {
+            Some(deadlines) => clock::sleep_until(deadlines.end_at).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Waits until it has a configuration and endpoints, for `max` at most. Returns whether it has.
@@ -348,11 +361,34 @@
     tokio::spawn(fallback_discovery::run(proxy.clone()));
     let serving = tokio::spawn(listener::run(proxy.clone(), clients));
     crate::signals::terminated().await;
-    let in_progress = proxy.requests_in_progress();
-    tracing::info!(target: "proxy", "Shutting down: {in_progress} requests in progress.");
-    proxy.shut_down();
-    let _ = serving.await;
-    proxy.drained().await;
-    tracing::info!(target: "proxy", "Shut down.");
+    finish(&proxy, serving).await;
     Ok(())
 }
+
+/// Shuts down, and logs what is waited for meanwhile.
+async fn finish(proxy: &Proxy, serving: JoinHandle<()>) {
+    let started_at = now();
+    proxy.shut_down();
+    let finished = async {
+        let _ = serving.await;
+        proxy.drained().await;
+    };
+    tokio::select! {
+        biased;
+        () = finished => {}
+        () = shutdown::report(|| proxy.unfinished()) => {}
+    }
+    let elapsed_ms = (now() - started_at) / 1000;
+    match proxy.unfinished() {
+        Unfinished {
+            requests: 0,
+            attempts: 0,
+            ..
+        } => {
+            tracing::info!(target: "proxy", "Shut down after {elapsed_ms} ms.");
+        }
+        unfinished => {
+            tracing::warn!(target: "proxy", "Shut down after {elapsed_ms} ms; cut off: {unfinished}.");
+        }
+    }
+}
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -179,6 +179,9 @@
         on_idempotent();
     }
     let deadline = received_at.saturating_add(client_timeout(&head).min(resolved.route.timeout));
+    if !proxy.admits(deadline) {
+        return responses::shutting_down(deadline);
+    }
     let request = UpstreamRequest::new(head, body, deadline);
     forwarding::forward(proxy, resolved, Arc::new(request)).await
 }
--- a/crates/gateway/src/proxy/responses.rs
+++ b/crates/gateway/src/proxy/responses.rs
@@ -54,6 +54,11 @@
     closing(rejected(RETRY_AFTER_REJECTION * 3))
 }
 
+/// Returns the rejection of a request that might be cut off, as the proxy shuts down.
+pub(super) fn shutting_down(deadline: Micros) -> ProxyResponse {
+    closing(rejected(deadline.saturating_sub(now())))
+}
+
 /// Returns the response to a request that no route is for.
 pub(super) fn no_route(host: &str, path: &str) -> ProxyResponse {
     own(
