--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -52,10 +52,8 @@
 
 /// Waits until nothing more is accepted.
 async fn accepting_ends(proxy: &Proxy) {
-    proxy.shutdown.begun().await;
-    if let Some(deadlines) = proxy.shutdown.deadlines() {
-        clock::sleep_until(deadlines.accept_until).await;
-    }
+    let deadlines = proxy.shutdown.begun().await;
+    clock::sleep_until(deadlines.accept_until).await;
 }
 
 /// Counts a client's connection while it is served, however it ends.
@@ -99,7 +97,9 @@
     // Its flushing of several responses at once stays off: it keeps a response back while bytes of a body are unread.
     builder.max_buf_size(MAX_HEAD_BYTES);
     let serving = builder.serve_connection(ClientIo(connection.clone()), service);
-    let shutdown = proxy.shutdown.begun();
+    let shutdown = async {
+        proxy.shutdown.begun().await;
+    };
     let given_up_after = connection
         .run(
             serving,
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -169,11 +169,8 @@
 
     /// Waits until nothing is waited for any more; for ever while it does not shut down.
     async fn shutdown_ends(&self) {
-        self.shutdown.begun().await;
-        match self.shutdown.deadlines() {
-            Some(deadlines) => clock::sleep_until(deadlines.end_at).await,
-            None => std::future::pending().await,
-        }
+        let deadlines = self.shutdown.begun().await;
+        clock::sleep_until(deadlines.end_at).await;
     }
 
     /// Waits until it has a configuration and endpoints, for `max` at most. Returns whether it has.
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -6,7 +6,7 @@
 use super::responses::{self, ProxyResponse};
 use super::upstream_request::{UpstreamRequest, TIME_LEFT};
 use super::{forwarding, Proxy};
-use crate::clock::Micros;
+use crate::clock::{self, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -160,8 +160,16 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let client_timeout = client_timeout(&head);
     let max_body_bytes = resolved.config.client_limits.body_bytes;
-    let body = match read_body(&head, body, max_body_bytes).await {
+    // Each byte of a body restarts its idle timeout; the deadline bounds them all.
+    let body_deadline = received_at.saturating_add(client_timeout.min(resolved.route.timeout));
+    let body = tokio::select! {
+        biased;
+        body = read_body(&head, body, max_body_bytes) => body,
+        () = clock::sleep_until(body_deadline) => Err(Box::new(responses::body_too_late())),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(response) => return *response,
     };
@@ -178,7 +186,7 @@
     if resolved.route.idempotency == Idempotency::Idempotent {
         on_idempotent();
     }
-    let deadline = received_at.saturating_add(client_timeout(&head).min(resolved.route.timeout));
+    let deadline = received_at.saturating_add(client_timeout.min(resolved.route.timeout));
     if !proxy.admits(deadline) {
         return responses::shutting_down(deadline);
     }
--- a/crates/gateway/src/proxy/responses.rs
+++ b/crates/gateway/src/proxy/responses.rs
@@ -83,6 +83,14 @@
     ))
 }
 
+/// Returns the response to a request whose body was not there by its deadline.
+pub(super) fn body_too_late() -> ProxyResponse {
+    closing(own(
+        StatusCode::REQUEST_TIMEOUT,
+        "The body did not come in time; it was not run.\n",
+    ))
+}
+
 /// Returns the response to a request that must not run twice and may have run.
 pub(super) fn duplicate() -> ProxyResponse {
     own(
--- a/crates/gateway/src/proxy/shutdown.rs
+++ b/crates/gateway/src/proxy/shutdown.rs
@@ -7,11 +7,11 @@
 use std::sync::OnceLock;
 use tokio_util::sync::CancellationToken;
 
-/// Clients are sent here until the platform believes that the proxy is not ready: two failed probes, a second apart. A connection
-/// that is refused costs its client a retry only, and must be ended in order with time to spare.
-const ACCEPT_TIME: Micros = 2_000_000;
+/// Clients are sent here until the platform believes that the proxy is not ready: two failed probes a second apart, and some time to
+/// act on them. A connection that is refused then costs its client a retry.
+const ACCEPT_TIME: Micros = 2_500_000;
 /// Nothing is accepted beyond this part of the grace period, however short that is.
-const ACCEPT_PART: f64 = 1.0 / 3.0;
+const ACCEPT_PART: f64 = 5.0 / 12.0;
 /// A request that was received within this part of the grace period is served even if its deadline lies beyond the end.
 const ADMIT_PART: f64 = 1.0 / 2.0;
 /// What is at work then is cut off, and the process ends before it is killed.
@@ -72,8 +72,9 @@
     }
 
     /// Waits until it begins.
-    pub(super) async fn begun(&self) {
+    pub(super) async fn begun(&self) -> ShutdownDeadlines {
         self.token.cancelled().await;
+        self.deadlines().expect("they are set before it begins")
     }
 
     /// Returns its deadlines once it has begun.
--- a/crates/gateway/tests/proxy_loopback/requests.rs
+++ b/crates/gateway/tests/proxy_loopback/requests.rs
@@ -1,7 +1,9 @@
 //! What reaches an endpoint of what clients send, and what they are answered.
 
 use crate::fixture::{request, rest, run, until, EndpointRequest, Fixture, CONFIG};
-use tokio::io::AsyncWriteExt;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::sleep;
 
 /// Guards against smuggling through the real server: what came before is served, the odd request is answered with
 /// 400 by the proxy, what is hidden behind it goes nowhere, and the connection ends in order.
@@ -232,6 +234,36 @@
     });
 }
 
+/// Guards against a request that is never answered, as each byte of its body restarts the idle timeout: by its deadline it is
+/// answered with 408, and reaches nobody.
+#[test]
+fn a_body_that_trickles_is_answered_by_its_deadline() {
+    run(async {
+        let mut fixture = Fixture::new().await;
+        let mut client = fixture.client().await;
+        let head = request("PUT", "/once/a", "t1").replace("9000", "400");
+        let head = head.replace("\r\n\r\n", "\r\nContent-Length: 1000\r\n\r\n");
+        client.write_all(head.as_bytes()).await.expect("sent");
+        let (mut reader, mut writer) = client.split();
+        let trickle = async {
+            while writer.write_all(b"x").await.is_ok() {
+                sleep(Duration::from_millis(50)).await;
+            }
+            std::future::pending::<()>().await;
+        };
+        let mut text = String::new();
+        tokio::select! {
+            read = reader.read_to_string(&mut text) => drop(read),
+            () = trickle => {}
+        }
+        assert!(
+            text.starts_with("HTTP/1.1 408 ") && text.contains("connection: close"),
+            "{text}"
+        );
+        assert!(fixture.asked.try_recv().is_err(), "nothing was asked");
+    });
+}
+
 /// Guards against clients that hold connections for ever, and against ending one under a request: one that sends
 /// nothing is let go, a head or a body that stops is answered with 408, and an endpoint may take its time.
 #[test]
