--- a/tools/proxy-simulation/src/http_reader.rs
+++ b/tools/proxy-simulation/src/http_reader.rs
@@ -1,43 +1,46 @@
 //! A plain reader of HTTP/1.1, with nothing in common with the gateway's own.
 
-use crate::memory_stream::MemoryStream;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// A message.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Message {
-    pub(crate) start_line: String,
+pub struct Message {
+    /// Its first line.
+    pub start_line: String,
     /// Names in lower case, and values.
     headers: Vec<(String, String)>,
-    pub(crate) body: Vec<u8>,
+    /// Its body, once that is read.
+    pub body: Vec<u8>,
 }
 
 impl Message {
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    /// Returns the value of a header by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
         let header = self.headers.iter().find(|(known, _)| known == name);
         header.map(|(_, value)| value.as_str())
     }
 
     /// Returns the status of a response.
-    pub(crate) fn status(&self) -> u16 {
+    pub fn status(&self) -> u16 {
         let status = self.start_line.split(' ').nth(1);
         status.and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 
-    pub(crate) fn content_length(&self) -> usize {
+    /// Returns the length of the body as the head gives it; 0 if it gives none.
+    pub fn content_length(&self) -> usize {
         let length = self.header("content-length");
         length.and_then(|length| length.parse().ok()).unwrap_or(0)
     }
 
     /// Whether it is the last on its connection.
-    pub(crate) fn is_last(&self) -> bool {
+    pub fn is_last(&self) -> bool {
         let connection = self.header("connection");
         connection.is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
 
 /// Parses a head, if `bytes` hold all of it. Returns its length, too.
-pub(crate) fn parse_head(bytes: &[u8]) -> Option<(Message, usize)> {
+pub fn parse_head(bytes: &[u8]) -> Option<(Message, usize)> {
     let len = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
     let text = String::from_utf8_lossy(&bytes[..len]);
     let mut lines = text.split("\r\n");
@@ -54,13 +57,13 @@
 
 /// Reads messages off a connection.
 #[derive(Default)]
-pub(crate) struct Reader {
+pub struct Reader {
     buffer: Vec<u8>,
 }
 
 /// Why there is no message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ReadError {
+pub enum ReadError {
     /// The connection ended in order, before a byte of it.
     End,
     /// It ended in the middle of a message, or was reset.
@@ -69,7 +72,14 @@
 
 impl Reader {
     /// Reads some more bytes.
-    pub(crate) async fn read_more(&mut self, stream: &mut MemoryStream) -> Result<(), ReadError> {
+    ///
+    /// # Errors
+    ///
+    /// If the connection has ended.
+    pub async fn read_more(
+        &mut self,
+        stream: &mut (impl AsyncRead + Unpin),
+    ) -> Result<(), ReadError> {
         match stream.read_buf(&mut self.buffer).await {
             Ok(0) if self.buffer.is_empty() => Err(ReadError::End),
             Ok(0) | Err(_) => Err(ReadError::ConnectionLost),
@@ -78,9 +88,13 @@
     }
 
     /// Reads the head of the next message.
-    pub(crate) async fn read_head(
+    ///
+    /// # Errors
+    ///
+    /// If the connection ends before.
+    pub async fn read_head(
         &mut self,
-        stream: &mut MemoryStream,
+        stream: &mut (impl AsyncRead + Unpin),
     ) -> Result<Message, ReadError> {
         loop {
             if let Some((message, len)) = parse_head(&self.buffer) {
@@ -92,9 +106,13 @@
     }
 
     /// Reads the body of a message, by its length or in chunks.
-    pub(crate) async fn read_body(
+    ///
+    /// # Errors
+    ///
+    /// If the connection ends before, or a chunk has no length.
+    pub async fn read_body(
         &mut self,
-        stream: &mut MemoryStream,
+        stream: &mut (impl AsyncRead + Unpin),
         message: &mut Message,
     ) -> Result<(), ReadError> {
         let read = match message.header("transfer-encoding") {
@@ -106,7 +124,7 @@
 
     async fn read_length(
         &mut self,
-        stream: &mut MemoryStream,
+        stream: &mut (impl AsyncRead + Unpin),
         message: &mut Message,
     ) -> Result<(), ReadError> {
         let length = message.content_length();
@@ -119,7 +137,7 @@
 
     async fn read_chunks(
         &mut self,
-        stream: &mut MemoryStream,
+        stream: &mut (impl AsyncRead + Unpin),
         message: &mut Message,
     ) -> Result<(), ReadError> {
         loop {
--- a/tools/proxy-simulation/src/lib.rs
+++ b/tools/proxy-simulation/src/lib.rs
@@ -13,7 +13,7 @@
 mod client;
 mod endpoint;
 mod environment;
-mod http_reader;
+pub mod http_reader;
 mod memory_stream;
 mod recorder;
 mod scenario;
--- /dev/null
+++ b/tools/soak/src/endpoint.rs
@@ -0,0 +1,161 @@
+//! Endpoints and the platform's list of them.
+
+use crate::recorder::{Recorder, Run};
+use crate::surroundings::Surroundings;
+use magpieline_proxy_simulation::http_reader::{Message, Reader};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Requests that an endpoint works on at a time, and that wait beside them.
+pub(crate) const CONCURRENCY: usize = 8;
+const MAX_QUEUED: usize = 8;
+
+/// An endpoint.
+pub(crate) struct Endpoint {
+    pub(crate) id: String,
+    pub(crate) service: &'static str,
+    pub(crate) address: SocketAddr,
+    pub(crate) is_draining: AtomicBool,
+    at_work: AtomicUsize,
+    recorder: Recorder,
+    surroundings: Arc<Surroundings>,
+}
+
+/// Counts a request at work, however it ends.
+struct AtWork<'a>(&'a AtomicUsize);
+
+impl Drop for AtWork<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Endpoint {
+    /// Starts an endpoint on a free port.
+    pub(crate) async fn start(
+        id: String,
+        service: &'static str,
+        recorder: Recorder,
+        surroundings: Arc<Surroundings>,
+    ) -> std::io::Result<(Arc<Endpoint>, tokio::task::JoinHandle<()>)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let endpoint = Arc::new(Endpoint {
+            id,
+            service,
+            address: listener.local_addr()?,
+            is_draining: AtomicBool::new(false),
+            at_work: AtomicUsize::new(0),
+            recorder,
+            surroundings,
+        });
+        let serving = tokio::spawn(endpoint.clone().serve(listener));
+        Ok((endpoint, serving))
+    }
+
+    async fn serve(self: Arc<Endpoint>, listener: TcpListener) {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                    connections.spawn(self.clone().serve_connection(stream));
+                },
+                Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            }
+        }
+    }
+
+    async fn serve_connection(self: Arc<Endpoint>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut reader = Reader::default();
+        while let Ok(mut request) = reader.read_head(&mut stream).await {
+            if reader.read_body(&mut stream, &mut request).await.is_err() {
+                return;
+            }
+            if !self.handle(&mut stream, &mut reader, &request).await {
+                return;
+            }
+        }
+    }
+
+    /// Handles a request. Returns whether the connection goes on.
+    async fn handle(&self, stream: &mut TcpStream, reader: &mut Reader, request: &Message) -> bool {
+        let id = request.header("try-id").unwrap_or("").to_owned();
+        let is_other = request
+            .header("addressee")
+            .is_some_and(|other| other != self.id);
+        if is_other {
+            return self.reject(stream, &id, 421).await;
+        }
+        let number = self.record_arrival(&id);
+        let is_full = self.at_work.load(Ordering::Relaxed) >= CONCURRENCY + MAX_QUEUED;
+        if is_full {
+            return self.reject(stream, &id, 503).await;
+        }
+        self.at_work.fetch_add(1, Ordering::Relaxed);
+        let _at_work = AtWork(&self.at_work);
+        let now = self.recorder.now();
+        self.recorder.lock().runs[number].began_at = Some(now);
+        // Nothing may come while it works: what ends the work is the end of the connection.
+        let is_interrupted = tokio::select! {
+            () = self.work() => false,
+            _ = reader.read_more(stream) => true,
+        };
+        let has_answered = !is_interrupted && self.answer(stream, &id).await;
+        let now = self.recorder.now();
+        let run = &mut self.recorder.lock().runs[number];
+        (run.stopped_at, run.has_answered) = (Some(now), has_answered);
+        has_answered && !self.is_draining.load(Ordering::Relaxed)
+    }
+
+    fn record_arrival(&self, id: &str) -> usize {
+        let arrived_at = self.recorder.now();
+        let mut recording = self.recorder.lock();
+        recording.runs.push(Run {
+            id: id.to_owned(),
+            endpoint: self.id.clone(),
+            arrived_at,
+            began_at: None,
+            stopped_at: None,
+            has_answered: false,
+        });
+        recording.runs.len() - 1
+    }
+
+    async fn work(&self) {
+        tokio::time::sleep(Duration::from_millis(self.surroundings.draw_work_ms())).await;
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, id: &str) -> bool {
+        let headers = "Postmark: stamped\r\n";
+        self.write(stream, id, 200, headers, id).await
+    }
+
+    async fn reject(&self, stream: &mut TcpStream, id: &str, status: u16) -> bool {
+        self.write(stream, id, status, "Not-Delivered: full\r\n", "")
+            .await
+    }
+
+    async fn write(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        status: u16,
+        headers: &str,
+        body: &str,
+    ) -> bool {
+        let load = self.at_work.load(Ordering::Relaxed);
+        let close = match self.is_draining.load(Ordering::Relaxed) {
+            true => "Connection: close\r\n",
+            false => "",
+        };
+        let text = format!(
+            "HTTP/1.1 {status} X\r\nTry-Id: {id}\r\nLoad: {load},0,{CONCURRENCY}\r\n{headers}{close}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+}
--- /dev/null
+++ b/tools/soak/src/lib.rs
@@ -0,0 +1,190 @@
+//! Real agents as processes on loopback, under signals, restarts and changes that come in series and overlap, while clients go on
+//! using the connections that they have until the process is gone.
+//!
+//! A seed draws the [`plan`]; endpoints, the platform's list, clients and the operator are played in this process, and all that they
+//! see is recorded. [`run`] returns what was violated. Time is real, so a seed repeats what is done, not what comes of it.
+
+#![warn(missing_docs, unreachable_pub)]
+
+mod agents;
+pub mod checks;
+mod clients;
+mod endpoint;
+mod entry;
+mod http_call;
+mod operator;
+pub mod plan;
+mod platform;
+pub mod recorder;
+pub mod report;
+mod surroundings;
+
+use agents::{Agents, Network};
+use checks::Finding;
+use clients::World;
+use entry::Entry;
+use operator::Operator;
+use plan::{Action, Agent, Event, Plan, Size};
+use platform::Platform;
+use rand::{Rng, SeedableRng};
+use recorder::{Recorder, Recording};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use surroundings::Surroundings;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// The random numbers of a run.
+pub type SeededRng = rand_chacha::ChaCha8Rng;
+
+/// All agents serve within this, on a busy machine.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// After the last event all that was begun has come to its end within this.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// What clients have left behind stops within this.
+const AFTERMATH: Duration = Duration::from_secs(3);
+
+pub(crate) fn rng(seed: u64) -> SeededRng {
+    SeededRng::seed_from_u64(seed)
+}
+
+/// What came of a run.
+pub struct Outcome {
+    /// What was violated, in the order of time.
+    pub findings: Vec<Finding>,
+    /// What was seen.
+    pub recording: Recording,
+}
+
+/// Draws the plan of a seed.
+pub fn draw_plan(seed: u64, size: Size) -> Plan {
+    Plan::draw(&mut rng(seed), size)
+}
+
+/// Runs a seed with the gateway's `program`; `dir` takes settings, stores and logs of the agents.
+///
+/// # Errors
+///
+/// If the program can't be started, or the agents do not serve in time.
+pub async fn run(program: &Path, dir: &Path, seed: u64, size: Size) -> std::io::Result<Outcome> {
+    let plan = draw_plan(seed, size);
+    let mut rng = rng(!seed);
+    // Runs at the same time differ in their addresses.
+    let network = Network(((std::process::id() as u64 + seed) % 200) as u8 + 20);
+    let recorder = Recorder::default();
+    let surroundings = Arc::new(Surroundings::new(rng.gen()));
+    let (platform, _serving) =
+        Platform::start(network.platform(), recorder.clone(), surroundings.clone()).await?;
+    let agents = Agents::start(program, dir, network, size, recorder.clone())?;
+    let deeds = Arc::new(Deeds {
+        agents,
+        platform,
+        operator: Operator::new(network, size.controllers, recorder.clone(), rng.gen()),
+        surroundings: surroundings.clone(),
+        recorder: recorder.clone(),
+    });
+    let world = Arc::new(World {
+        network,
+        entry: Entry::new(network, size.proxies),
+        recorder: recorder.clone(),
+        surroundings,
+        is_over: AtomicBool::new(false),
+    });
+    wait_until_serving(&deeds, &world, size).await?;
+    let mut background = JoinSet::new();
+    let watched = deeds.clone();
+    background.spawn(async move { watched.agents.watch().await });
+    for proxy in 0..size.proxies {
+        let world = world.clone();
+        background.spawn(async move { world.entry.probe(proxy).await });
+    }
+    let mut clients = JoinSet::new();
+    for number in 0..size.clients {
+        clients.spawn(clients::run(world.clone(), number, self::rng(rng.gen())));
+    }
+    play(&deeds, &plan, Duration::from_secs(size.seconds)).await;
+    world.is_over.store(true, Ordering::Relaxed);
+    while clients.join_next().await.is_some() {}
+    sleep(AFTERMATH).await;
+    deeds.operator.read_back().await;
+    deeds.agents.record_resources();
+    let recording = std::mem::take(&mut *recorder.lock());
+    Ok(Outcome {
+        findings: checks::findings(&recording),
+        recording,
+    })
+}
+
+/// Sends the first configuration and waits until all proxies are ready.
+async fn wait_until_serving(deeds: &Deeds, world: &World, size: Size) -> std::io::Result<()> {
+    let serving = async {
+        while !deeds.operator.change_config().await {}
+        for proxy in 0..size.proxies {
+            while !world.entry.is_ready(proxy).await {
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    };
+    let is_serving = timeout(START_TIMEOUT, serving).await;
+    is_serving.map_err(|_| std::io::Error::other("the agents do not serve in time"))
+}
+
+/// What can be done to agents and their surroundings.
+struct Deeds {
+    agents: Agents,
+    platform: Arc<Platform>,
+    operator: Operator,
+    surroundings: Arc<Surroundings>,
+    recorder: Recorder,
+}
+
+/// Carries out a plan; actions overlap. Returns after `time`, or once all of them have come to their end.
+async fn play(deeds: &Arc<Deeds>, plan: &Plan, time: Duration) {
+    let began = Instant::now();
+    let mut actions = JoinSet::new();
+    for Event { at, action } in &plan.events {
+        sleep_until(began + *at).await;
+        actions.spawn(deeds.clone().carry_out(*action));
+    }
+    sleep_until(began + time).await;
+    let ending = async { while actions.join_next().await.is_some() {} };
+    let _ = timeout(SETTLE_TIMEOUT, ending).await;
+}
+
+impl Deeds {
+    async fn carry_out(self: Arc<Deeds>, action: Action) {
+        let (agent, is_unplanned) = match action {
+            Action::Kill(agent) | Action::Freeze(agent, _) => (Some(agent), true),
+            Action::Terminate(agent) | Action::Hangup(agent) => (Some(agent), false),
+            Action::ChangeConfig
+            | Action::ReplaceEndpoint
+            | Action::SlowEndpoints(..)
+            | Action::Impatience(..) => (None, false),
+        };
+        let incident = self.recorder.begin(agent, is_unplanned, action.to_string());
+        match action {
+            Action::ChangeConfig => drop(self.operator.change_config().await),
+            Action::ReplaceEndpoint => self.platform.replace_oldest().await,
+            Action::SlowEndpoints(factor, ms) => {
+                self.surroundings
+                    .slow_down(factor, Duration::from_millis(ms));
+            }
+            Action::Impatience(share, ms) => {
+                self.surroundings
+                    .make_impatient(share, Duration::from_millis(ms));
+            }
+            _ => self.agents.carry_out(action).await,
+        }
+        self.recorder.end(incident);
+    }
+}
+
+/// Returns the agents of a size, proxies first.
+pub fn agents_of(size: Size) -> Vec<Agent> {
+    let proxies = (0..size.proxies).map(Agent::Proxy);
+    proxies
+        .chain((0..size.controllers).map(Agent::Controller))
+        .collect()
+}
--- /dev/null
+++ b/tools/soak/src/surroundings.rs
@@ -0,0 +1,77 @@
+//! What changes for all endpoints and clients during a run.
+
+use crate::{rng, SeededRng};
+use rand::Rng;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// An endpoint's work, in milliseconds, where nothing slows it.
+const WORK_MS: std::ops::Range<f64> = 5.0..60.0;
+
+/// A factor or a share that holds until some time.
+#[derive(Clone, Copy, Debug)]
+struct Temporary {
+    value: f64,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    rng: SeededRng,
+    slowness: Option<Temporary>,
+    impatience: Option<Temporary>,
+}
+
+/// Shared by endpoints and clients.
+#[derive(Debug)]
+pub(crate) struct Surroundings(Mutex<State>);
+
+impl Surroundings {
+    pub(crate) fn new(seed: u64) -> Surroundings {
+        Surroundings(Mutex::new(State {
+            rng: rng(seed),
+            slowness: None,
+            impatience: None,
+        }))
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes endpoints slower for some time.
+    pub(crate) fn slow_down(&self, factor: f64, time: Duration) {
+        self.state().slowness = Some(Temporary {
+            value: factor,
+            until: Instant::now() + time,
+        });
+    }
+
+    /// Makes a share of the clients leave early for some time.
+    pub(crate) fn make_impatient(&self, share: f64, time: Duration) {
+        self.state().impatience = Some(Temporary {
+            value: share,
+            until: Instant::now() + time,
+        });
+    }
+
+    /// Draws how long an endpoint works on a request.
+    pub(crate) fn draw_work_ms(&self) -> u64 {
+        let state = &mut *self.state();
+        let work = state.rng.gen_range(WORK_MS);
+        (work * current(state.slowness, 1.0)) as u64
+    }
+
+    /// Draws whether a client leaves before it is answered.
+    pub(crate) fn draws_leaving(&self, usual_share: f64) -> bool {
+        let state = &mut *self.state();
+        let share = current(state.impatience, usual_share);
+        state.rng.gen_bool(share)
+    }
+}
+
+/// Returns the value that holds now.
+fn current(temporary: Option<Temporary>, usual: f64) -> f64 {
+    let holding = temporary.filter(|temporary| Instant::now() < temporary.until);
+    holding.map_or(usual, |temporary| temporary.value)
+}
