--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt: a request sent to one endpoint, and how that ended.
 
+use super::attempt_plan::Attempt;
+use super::attempt_report::{self, listed, AttemptEnd};
 use super::cancellation::Cancellation;
-use super::metrics::{Requester, WithheldReason};
+use super::metrics::WithheldReason;
 use super::responses::ProxyResponse;
 use super::state::{is_serving_version, ProxyState};
 use super::upstream_connection::{CancelHandle, SendError, UpstreamConnection};
@@ -12,10 +14,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use magpieline_config::route_table::{Idempotency, Route};
 use magpieline_http1::attempt_outcome::AttemptOutcome;
-use magpieline_load_balancer::endpoint_selection::{EndpointSignal, ListedEndpoint, ReportedLoad};
-use magpieline_rollout::trial::{self, stable_hash, AttemptEnd};
+use magpieline_load_balancer::endpoint_selection::ReportedLoad;
 use std::net::SocketAddrV4;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -28,28 +28,6 @@
 /// A connection becomes free within a moment after a response, unless its endpoint has answered without reading all of the
 /// request and does not read the rest.
 const FREE_TIMEOUT: Micros = 1_000_000;
-/// An idempotent attempt that goes on for longer than this after its client has left is logged.
-const MAX_WORK_AFTER_CLIENT: Micros = 500_000;
-
-/// What an attempt is for, and by what it was decided on.
-pub(super) struct Attempt {
-    /// The endpoint's handle, which may pass to another endpoint while a connection comes up.
-    pub(super) endpoint: usize,
-    /// The endpoint's id.
-    pub(super) id: Arc<str>,
-    pub(super) address: SocketAddrV4,
-    pub(super) service: Arc<str>,
-    pub(super) route: Arc<Route>,
-    /// The version of the configuration by which it goes there.
-    pub(super) config_version: u64,
-    /// It goes to a version on trial.
-    pub(super) is_trial: bool,
-    /// It is the first attempt of its request.
-    pub(super) is_first: bool,
-    /// The endpoint was warming up when it was chosen.
-    pub(super) is_warming_up: bool,
-}
-
 /// How an attempt ended.
 pub(super) struct AttemptResult {
     pub(super) outcome: AttemptOutcome,
@@ -94,21 +72,6 @@
         self.was_withheld = true;
         AttemptResult::without_response(AttemptOutcome::NotSent)
     }
-
-    /// Returns what an outcome says of the endpoint.
-    fn signal(&self, outcome: AttemptOutcome) -> EndpointSignal {
-        match outcome {
-            AttemptOutcome::Answered { status } if status < 500 => EndpointSignal::Served,
-            AttemptOutcome::Answered { .. } => EndpointSignal::Failed,
-            AttemptOutcome::Rejected => EndpointSignal::Rejected,
-            AttemptOutcome::NotSent if self.was_withheld => EndpointSignal::Inconclusive,
-            AttemptOutcome::NotSent => EndpointSignal::NoConnection,
-            AttemptOutcome::ConnectionLost => EndpointSignal::ConnectionLost,
-            AttemptOutcome::InvalidResponse => EndpointSignal::InvalidResponse,
-            AttemptOutcome::TimedOut => EndpointSignal::TimedOut,
-            AttemptOutcome::Cancelled => EndpointSignal::Cancelled,
-        }
-    }
 }
 
 /// Counts an attempt while it is in flight, however it ends.
@@ -152,16 +115,15 @@
         let work = run(&proxy, &attempt, &request, &cancellation, &mut progress);
         let (result, client_left_at) = cancellation.observe(timeout(left, work)).await;
         let result = result.unwrap_or_else(|_| progress.on_timeout());
-        report_requester(&proxy, &attempt, &results, client_left_at);
-        {
-            let mut state = proxy.state();
-            let elapsed = now().saturating_sub(sent_at);
-            report_to_trial(&mut state, &attempt, result.outcome, elapsed);
-            let signal = progress.signal(result.outcome);
-            state
-                .load_balancer
-                .on_end(now(), attempt.endpoint, number, signal, progress.load);
-        }
+        attempt_report::to_metrics(&proxy, &attempt, results.is_closed(), client_left_at);
+        let end = AttemptEnd {
+            number,
+            sent_at,
+            outcome: result.outcome,
+            was_withheld: progress.was_withheld,
+            load: progress.load,
+        };
+        attempt_report::to_state(&mut proxy.state(), &attempt, &end);
         let _ = results.send(result);
         drop(request);
         // Nobody waits for this any more.
@@ -171,31 +133,6 @@
     });
 }
 
-/// Counts who still waited for an attempt that has ended, and logs an idempotent one that went on for too long for nobody.
-fn report_requester(
-    proxy: &Proxy,
-    attempt: &Attempt,
-    results: &UnboundedSender<AttemptResult>,
-    client_left_at: Option<Micros>,
-) {
-    let Some(left_at) = client_left_at else {
-        let requester = match results.is_closed() {
-            true => Requester::Answered,
-            false => Requester::Waiting,
-        };
-        proxy.metrics.on_attempt_end(requester);
-        return;
-    };
-    let since = now().saturating_sub(left_at);
-    proxy.metrics.on_attempt_end(Requester::Gone);
-    proxy.metrics.on_work_after_client(since);
-    let is_idempotent = attempt.route.idempotency == Idempotency::Idempotent;
-    if is_idempotent && since > MAX_WORK_AFTER_CLIENT {
-        let (id, route, ms) = (&attempt.id, &attempt.route.name, since / 1_000);
-        tracing::info!(target: "attempt", "An attempt of {route} at {id} went on for {ms} ms after its client had left.");
-    }
-}
-
 /// Sends a request over a kept connection, or a new one if there is none, and reads the response.
 async fn run(
     proxy: &Arc<Proxy>,
@@ -278,12 +215,6 @@
     UpstreamConnection::handshake(stream).await
 }
 
-/// Returns what is listed of an attempt's endpoint, unless its handle is another endpoint's by now.
-fn listed<'a>(state: &'a ProxyState, attempt: &Attempt) -> Option<&'a ListedEndpoint> {
-    let listed = state.load_balancer.get(attempt.endpoint)?;
-    (listed.id == attempt.id).then_some(listed)
-}
-
 /// Returns why a request may not be written any more to the endpoint that was chosen for it: what was known then may have
 /// changed while the connection came up. None: it may.
 fn withheld_reason(
@@ -337,44 +268,6 @@
             .any(|destination| destination.service == attempt.service)
 }
 
-/// Tells the service's trial, if there is one, how an attempt ended.
-fn report_to_trial(
-    state: &mut ProxyState,
-    attempt: &Attempt,
-    outcome: AttemptOutcome,
-    elapsed: Micros,
-) {
-    let Some(version) = listed(state, attempt).map(|listed| listed.version.clone()) else {
-        return;
-    };
-    let Some(part) = state.rollouts.get_mut(&*attempt.service) else {
-        return;
-    };
-    let end = match outcome {
-        AttemptOutcome::Answered { status } if status < 500 => AttemptEnd::Served,
-        AttemptOutcome::Answered { .. } => AttemptEnd::Failed,
-        AttemptOutcome::TimedOut => AttemptEnd::TimedOut,
-        // It was late already: a version that is slow must not seem fast because clients don't wait for it.
-        AttemptOutcome::Cancelled if elapsed > attempt.route.latency_target => AttemptEnd::TimedOut,
-        // A crash, a cut or a garbled response is no version's doing.
-        AttemptOutcome::Rejected
-        | AttemptOutcome::NotSent
-        | AttemptOutcome::ConnectionLost
-        | AttemptOutcome::InvalidResponse
-        | AttemptOutcome::Cancelled => AttemptEnd::Inconclusive,
-    };
-    part.trial.on_outcome(trial::AttemptOutcome {
-        on_trial: *version == *part.target_version,
-        route: stable_hash(&attempt.route.name),
-        endpoint: stable_hash(&attempt.id) as u32,
-        is_first: attempt.is_first,
-        end,
-        on_time: end == AttemptEnd::Served && elapsed <= attempt.route.latency_target,
-        warming_up: attempt.is_warming_up,
-        elapsed,
-    });
-}
-
 /// Keeps a connection for further requests, once it is free.
 async fn keep_connection(
     proxy: &Proxy,
--- a/crates/gateway/src/proxy/forwarding.rs
+++ b/crates/gateway/src/proxy/forwarding.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to endpoints of its service, again where that is allowed, until its response is known.
 
-use super::attempt::{self, Attempt, AttemptResult};
+use super::attempt::{self, AttemptResult};
+use super::attempt_plan::Attempt;
 use super::responses::{self, ProxyResponse};
 use super::state::{is_serving_version, ProxyState};
 use super::upstream_request::UpstreamRequest;
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -6,6 +6,8 @@
 //! `controller_session` and is held in `state`.
 
 mod attempt;
+mod attempt_plan;
+mod attempt_report;
 mod cancellation;
 mod client_connection;
 mod connection_pool;
