--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -3,7 +3,7 @@
 use super::client_connection::{ClientConnection, ClientIo};
 use super::connector::Stream;
 use super::{request_handler, Proxy};
-use crate::clock::{self, Micros};
+use crate::clock::{self, now, Micros};
 use crate::net;
 use hyper::service::service_fn;
 use magpieline_http1::framing::request_framing::RequestLimits;
@@ -26,10 +26,7 @@
 /// the shutdown lasts.
 pub async fn run(proxy: Arc<Proxy>, listener: TcpListener) {
     let mut connections = JoinSet::new();
-    tokio::select! {
-        () = accept(&proxy, &listener, &mut connections) => {}
-        () = accepting_ends(&proxy) => {}
-    }
+    accept(&proxy, &listener, &mut connections).await;
     drop(listener);
     tokio::select! {
         () = async { while connections.join_next().await.is_some() {} } => {}
@@ -37,23 +34,28 @@
     }
 }
 
-/// Accepts connections, for ever.
+/// Accepts connections until the proxy shuts down, and then for a while.
 async fn accept(proxy: &Arc<Proxy>, listener: &TcpListener, connections: &mut JoinSet<()>) {
+    let mut newest_at = now();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => drop(connections.spawn(serve_socket(proxy.clone(), stream))),
+                Ok((stream, _)) => {
+                    newest_at = now();
+                    connections.spawn(serve_socket(proxy.clone(), stream));
+                }
                 Err(_) => clock::sleep(ACCEPT_BACKOFF).await,
             },
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            () = accepting_ends(proxy, newest_at) => return,
         }
     }
 }
 
-/// Waits until nothing more is accepted.
-async fn accepting_ends(proxy: &Proxy) {
+/// Waits until nothing more is accepted, by when the newest connection came.
+async fn accepting_ends(proxy: &Proxy, newest_at: Micros) {
     let deadlines = proxy.shutdown.begun().await;
-    clock::sleep_until(deadlines.accept_until).await;
+    clock::sleep_until(deadlines.accept_until(newest_at)).await;
 }
 
 /// Counts a client's connection while it is served, however it ends.
--- a/crates/gateway/src/proxy/shutdown.rs
+++ b/crates/gateway/src/proxy/shutdown.rs
@@ -12,6 +12,8 @@
 const ACCEPT_TIME: Micros = 2_500_000;
 /// Nothing is accepted beyond this part of the grace period, however short that is.
 const ACCEPT_PART: f64 = 5.0 / 12.0;
+/// Where no connection comes for this long, clients are sent elsewhere already, and the process need not wait for more.
+const ACCEPT_PAUSE: Micros = 500_000;
 /// A request that was received within this part of the grace period is served even if its deadline lies beyond the end.
 const ADMIT_PART: f64 = 1.0 / 2.0;
 /// What is at work then is cut off, and the process ends before it is killed.
@@ -24,8 +26,8 @@
 pub struct ShutdownDeadlines {
     /// When SIGTERM came.
     pub requested_at: Micros,
-    /// New connections are accepted until then.
-    pub accept_until: Micros,
+    /// No connection is accepted beyond this.
+    accept_end: Micros,
     /// Requests are served as always until then; later ones only if they are sure to end by `end_at`.
     pub admit_until: Micros,
     /// Nothing is waited for beyond this.
@@ -38,12 +40,18 @@
         let part = |part: f64| (grace as f64 * part) as Micros;
         ShutdownDeadlines {
             requested_at,
-            accept_until: requested_at + ACCEPT_TIME.min(part(ACCEPT_PART)),
+            accept_end: requested_at + ACCEPT_TIME.min(part(ACCEPT_PART)),
             admit_until: requested_at + part(ADMIT_PART),
             end_at: requested_at + part(END_PART),
         }
     }
 
+    /// Returns until when connections are accepted, if the newest one came at `newest_at` and no other comes.
+    pub fn accept_until(&self, newest_at: Micros) -> Micros {
+        let pause_ends = newest_at.max(self.requested_at) + ACCEPT_PAUSE;
+        pause_ends.min(self.accept_end)
+    }
+
     /// Whether a request is served that is received at `now` and must be answered by `deadline`. Any other is rejected at once: the
     /// promise that it never ran can be kept now, and could not be once it is cut off.
     pub fn admits(&self, now: Micros, deadline: Micros) -> bool {
--- a/crates/gateway/tests/shutdown_deadlines.rs
+++ b/crates/gateway/tests/shutdown_deadlines.rs
@@ -14,14 +14,30 @@
 fn they_come_in_their_order_within_the_grace_period(#[case] grace_s: u64) {
     let (at, grace) = (100 * SECOND, grace_s * SECOND);
     let deadlines = ShutdownDeadlines::new(at, grace);
-    assert!(at < deadlines.accept_until);
-    assert!(deadlines.accept_until < deadlines.admit_until);
+    // Connections that never pause move it no further.
+    let accept_end = deadlines.accept_until(at + grace);
+    assert!(at < accept_end);
+    assert!(accept_end < deadlines.admit_until);
     assert!(deadlines.admit_until < deadlines.end_at);
     assert!(deadlines.end_at < at + grace);
     // What is at work in the last sixth of the grace period may be cut off, nothing before.
     assert!(deadlines.end_at >= at + grace * 5 / 6);
 }
 
+/// Guards against a process that waits for nobody: where no connection comes, accepting ends after half a second.
+#[test]
+fn accepting_ends_early_where_nobody_comes() {
+    let deadlines = ShutdownDeadlines::new(100 * SECOND, 6 * SECOND);
+    assert_eq!(
+        deadlines.accept_until(20 * SECOND),
+        100 * SECOND + SECOND / 2
+    );
+    assert_eq!(
+        deadlines.accept_until(101 * SECOND),
+        101 * SECOND + SECOND / 2
+    );
+}
+
 /// Guards against a request that is taken late and cut off, and against one refused that was sure to end.
 #[rstest]
 #[case::early(SECOND, 10 * SECOND, true)]
--- a/tools/scenarios/src/lib.rs
+++ b/tools/scenarios/src/lib.rs
@@ -13,6 +13,8 @@
 //!
 //! Days of our own (`tools/scenarios/days/`) may take the place of the deployment's, so that a hunt plays them with many seeds.
 
+pub mod drawn_days;
+
 use std::fmt;
 use std::path::Path;
 use toml::{Table, Value};
--- a/tools/soak/src/endpoint.rs
+++ b/tools/soak/src/endpoint.rs
@@ -41,7 +41,7 @@
         service: &'static str,
         recorder: Recorder,
         surroundings: Arc<Surroundings>,
-    ) -> std::io::Result<(Arc<Endpoint>, tokio::task::JoinHandle<()>)> {
+    ) -> std::io::Result<Arc<Endpoint>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let endpoint = Arc::new(Endpoint {
             id,
@@ -52,8 +52,8 @@
             recorder,
             surroundings,
         });
-        let serving = tokio::spawn(endpoint.clone().serve(listener));
-        Ok((endpoint, serving))
+        tokio::spawn(endpoint.clone().serve(listener));
+        Ok(endpoint)
     }
 
     async fn serve(self: Arc<Endpoint>, listener: TcpListener) {
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -28,11 +28,13 @@
 use platform::Platform;
 use rand::{Rng, SeedableRng};
 use recorder::{Recorder, Recording};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use surroundings::Surroundings;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -46,6 +48,9 @@
 /// What clients have left behind stops within this.
 const AFTERMATH: Duration = Duration::from_secs(3);
 
+/// The second numbers of the loopback addresses that runs choose from.
+const NETWORKS: std::ops::Range<u8> = 20..220;
+
 pub(crate) fn rng(seed: u64) -> SeededRng {
     SeededRng::seed_from_u64(seed)
 }
@@ -71,12 +76,10 @@
 pub async fn run(program: &Path, dir: &Path, seed: u64, size: Size) -> std::io::Result<Outcome> {
     let plan = draw_plan(seed, size);
     let mut rng = rng(!seed);
-    // Runs at the same time differ in their addresses.
-    let network = Network(((std::process::id() as u64 + seed) % 200) as u8 + 20);
     let recorder = Recorder::default();
     let surroundings = Arc::new(Surroundings::new(rng.gen()));
-    let (platform, _serving) =
-        Platform::start(network.platform(), recorder.clone(), surroundings.clone()).await?;
+    let (network, listener) = reserve_network().await?;
+    let platform = Platform::start(listener, recorder.clone(), surroundings.clone()).await?;
     let agents = Agents::start(program, dir, network, size, recorder.clone())?;
     let deeds = Arc::new(Deeds {
         agents,
@@ -117,6 +120,19 @@
     })
 }
 
+/// Returns addresses that no other run on this machine has: whoever listens at the platform's address has them.
+async fn reserve_network() -> std::io::Result<(Network, TcpListener)> {
+    let first = std::process::id() as usize % NETWORKS.len();
+    let candidates = NETWORKS.cycle().skip(first).take(NETWORKS.len());
+    for network in candidates.map(Network) {
+        let bound = TcpListener::bind(SocketAddr::V4(network.platform())).await;
+        if let Ok(listener) = bound {
+            return Ok((network, listener));
+        }
+    }
+    Err(std::io::Error::other("all addresses are in use"))
+}
+
 /// Sends the first configuration and waits until all proxies are ready.
 async fn wait_until_serving(deeds: &Deeds, world: &World, size: Size) -> std::io::Result<()> {
     let serving = async {
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -4,13 +4,11 @@
 use crate::recorder::Recorder;
 use crate::surroundings::Surroundings;
 use magpieline_proxy_simulation::http_reader::Reader;
-use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
 
 /// The services, with their endpoints in the beginning.
 pub(crate) const SERVICES: [(&str, usize); 2] = [("calendar", 6), ("firing", 4)];
@@ -26,12 +24,12 @@
 }
 
 impl Platform {
-    /// Starts the endpoints of the beginning, and the list at an address.
+    /// Starts the endpoints of the beginning, and answers with the list of them.
     pub(crate) async fn start(
-        address: SocketAddrV4,
+        listener: TcpListener,
         recorder: Recorder,
         surroundings: Arc<Surroundings>,
-    ) -> std::io::Result<(Arc<Platform>, JoinHandle<()>)> {
+    ) -> std::io::Result<Arc<Platform>> {
         let platform = Arc::new(Platform {
             endpoints: Mutex::default(),
             started: AtomicUsize::new(0),
@@ -40,12 +38,11 @@
         });
         for (service, count) in SERVICES {
             for _ in 0..count {
-                drop(platform.start_endpoint(service).await?);
+                platform.start_endpoint(service).await?;
             }
         }
-        let listener = TcpListener::bind(SocketAddr::V4(address)).await?;
-        let serving = tokio::spawn(platform.clone().serve(listener));
-        Ok((platform, serving))
+        tokio::spawn(platform.clone().serve(listener));
+        Ok(platform)
     }
 
     fn endpoints(&self) -> MutexGuard<'_, Vec<Arc<Endpoint>>> {
@@ -54,13 +51,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn start_endpoint(&self, service: &'static str) -> std::io::Result<JoinHandle<()>> {
+    async fn start_endpoint(&self, service: &'static str) -> std::io::Result<()> {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let (recorder, surroundings) = (self.recorder.clone(), self.surroundings.clone());
-        let (endpoint, serving) =
+        let endpoint =
             Endpoint::start(format!("i-{number}"), service, recorder, surroundings).await?;
         self.endpoints().push(endpoint);
-        Ok(serving)
+        Ok(())
     }
 
     /// Replaces the oldest endpoint that is not leaving: another one starts, it drains, and is gone some seconds later.
