--- a/tools/scenarios/src/drawn_days.rs
+++ b/tools/scenarios/src/drawn_days.rs
@@ -341,9 +341,11 @@
     day.to_string()
 }
 
-/// A rollout or the replacement of a core machine comes once: the next one waits for it to end.
+/// Whether an entry may come several times in a row. Rollouts and the replacement of a core machine wait for the one before;
+/// factors that overlap would multiply.
 fn may_repeat(kind: &Kind) -> bool {
-    !kind.name.starts_with("rollout") && kind.name != "replace_core"
+    let comes_once = ["replace_core", "burst", "srv_slow", "node_slow"];
+    !kind.name.starts_with("rollout") && !comes_once.contains(&kind.name)
 }
 
 fn draw_entry(rng: &mut ChaCha8Rng, kind: &Kind) -> Table {
