--- a/tools/soak/src/report.rs
+++ b/tools/soak/src/report.rs
@@ -40,7 +40,8 @@
 
 /// Returns how long endpoints worked on idempotent requests after their clients had left.
 fn work_after_clients(recording: &Recording) -> impl Iterator<Item = Micros> + '_ {
-    recording.runs.iter().filter_map(|run| {
+    let begun = recording.runs.iter().filter(|run| run.began_at.is_some());
+    begun.filter_map(|run| {
         let request = recording.requests.get(&run.id)?;
         let (left_at, outcome) = request.outcome.as_ref()?;
         let is_counted = *outcome == ClientOutcome::Left && request.is_idempotent;
