--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -28,7 +28,8 @@
 /// A connection becomes free within a moment after a response, unless its endpoint has answered without reading all of the
 /// request and does not read the rest.
 const FREE_TIMEOUT: Micros = 1_000_000;
-/// How an attempt ended.
+
+/// What an attempt brings its request.
 pub(super) struct AttemptResult {
     pub(super) outcome: AttemptOutcome,
     /// The response for the client, if there is one.
--- a/crates/gateway/src/proxy/attempt_report.rs
+++ b/crates/gateway/src/proxy/attempt_report.rs
@@ -13,7 +13,7 @@
 /// An idempotent attempt that goes on for longer than this after its client has left is logged.
 const MAX_WORK_AFTER_CLIENT: Micros = 500_000;
 
-/// How an attempt ended.
+/// How an attempt ended, for those who learn from it.
 pub(super) struct AttemptEnd {
     /// Its number at the load balancer.
     pub(super) number: u64,
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -24,7 +24,7 @@
 use clients::World;
 use entry::Entry;
 use operator::Operator;
-use plan::{Action, Agent, Event, Plan, Size};
+use plan::{Action, Event, Plan, Size};
 use platform::Platform;
 use rand::{Rng, SeedableRng};
 use recorder::{Recorder, Recording};
@@ -196,11 +196,3 @@
         self.recorder.end(incident);
     }
 }
-
-/// Returns the agents of a size, proxies first.
-pub fn agents_of(size: Size) -> Vec<Agent> {
-    let proxies = (0..size.proxies).map(Agent::Proxy);
-    proxies
-        .chain((0..size.controllers).map(Agent::Controller))
-        .collect()
-}
