--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,14 +3,17 @@
 # Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/invalid_config ] || { echo "run review/build.sh first" >&2; exit 2; }
-REVIEW_PIDS=$(mktemp) || exit 2
-export REVIEW_PIDS
+# All that is made beside record.txt is in a folder of its own.
+TMPDIR=$(mktemp -d) || exit 2
+REVIEW_PIDS=$TMPDIR/pids
+export TMPDIR REVIEW_PIDS
+: >"$REVIEW_PIDS"
 # Ended from outside, it ends what was started, by its ids.
 stop() {
     trap - INT TERM
     kill "$case" 2>/dev/null
     while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$REVIEW_PIDS"
-    rm -f "$REVIEW_PIDS"
+    rm -rf "$TMPDIR"
     exit 2
 }
 target/review/invalid_config review/1 &
@@ -18,5 +21,5 @@
 trap stop INT TERM
 wait "$case"
 code=$?
-rm -f "$REVIEW_PIDS"
+rm -rf "$TMPDIR"
 exit "$code"
