--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -21,11 +21,15 @@
 
 #![warn(missing_docs, unreachable_pub)]
 
+mod config_parser;
 pub mod diagnostic;
 pub mod durations;
+mod fields;
 pub mod gateway_config;
 pub mod node_settings;
-mod reload;
+mod parsed_routes;
+mod route_parser;
+mod route_ranges;
 pub mod route_table;
 
 /// An instant on a monotonic clock, or a span of time, in microseconds.
