Config: a document nested too deeply is invalid route by route, too

`check` and `send` refused a document that a controller accepted (a test with a field of 509 nested lists in a route: parse refuses, parse_after accepts).

--- a/crates/config/src/route_ranges.rs
+++ b/crates/config/src/route_ranges.rs
@@ -2,6 +2,9 @@
 
 use std::ops::Range;
 
+/// Documents nested deeper are parsed whole: the JSON parser bounds the depth of a document, not that of a route by itself.
+const MAX_DEPTH: usize = 64;
+
 /// Which list or object of the document a position is in, on the way to the routes.
 #[derive(Clone, Copy, PartialEq)]
 enum Level {
@@ -14,8 +17,8 @@
 
 /// Returns where the routes' texts stand: each element of each `regulations` of `wickets`.
 ///
-/// None where that can't be told by a scan (a name twice in an object, or written with escapes). The text may be no JSON all
-/// the same.
+/// None where that can't be told by a scan (a name twice in an object, or written with escapes), or where the document is nested
+/// deeply. The text may be no JSON all the same.
 pub(crate) fn route_ranges(text: &str) -> Option<Vec<Range<usize>>> {
     let mut scanner = Scanner {
         text,
@@ -73,6 +76,7 @@
     fn step(&mut self) -> Option<()> {
         match self.bytes[self.at] {
             b'"' => self.string()?,
+            b'{' | b'[' if self.levels.len() >= MAX_DEPTH => return None,
             open @ (b'{' | b'[') => self.open(open),
             b'}' | b']' => {
                 // A plain value, the last one of a list of routes, ends here.
--- a/crates/config/tests/context_free_validity.rs
+++ b/crates/config/tests/context_free_validity.rs
@@ -262,6 +262,24 @@
     );
 }
 
+/// Guards against: documents nested deeper than the JSON parser allows were valid route by route, and invalid as a whole.
+#[test]
+fn a_route_is_nested_no_deeper_than_a_document_may_be() {
+    for depth in [60, 300, 505, 507, 509, 511, 513] {
+        let nested = "[".repeat(depth) + &"]".repeat(depth);
+        let text = split((100, 0), &["a", "b"]);
+        let text: Arc<str> = text
+            .replacen(
+                "\"name\":\"r1\"",
+                &format!("\"x\":{nested},\"name\":\"r1\""),
+                1,
+            )
+            .into();
+        let alone = GatewayConfig::parse(&text);
+        assert_eq!(GatewayConfig::parse_after(&text, None), alone, "{depth}");
+    }
+}
+
 /// What was committed under an earlier release is served as far as it can be, whatever was in force before, and says so.
 #[rstest]
 #[case::weight_0(split((100, 0), &["a"]), 1)]
