--- a/crates/control-plane/src/state_machine.rs
+++ b/crates/control-plane/src/state_machine.rs
@@ -279,6 +279,14 @@
         }
     }
 
+    /// Returns the version under which a document was acknowledged, if it was.
+    pub fn acknowledged_version(&self, digest: &Digest) -> Option<u64> {
+        let mut newest_first = self.acknowledged_configs.iter().rev();
+        newest_first
+            .find(|(_, known)| *known == digest)
+            .map(|(version, _)| *version)
+    }
+
     fn replace_config(&mut self, config: &StoredConfig) -> Effect {
         let digest = Digest::of(&config.text);
         if let Some(effect) = self.known_outcome(config.version, &digest) {
--- a/crates/gateway/src/commands/operator_commands.rs
+++ b/crates/gateway/src/commands/operator_commands.rs
@@ -6,6 +6,7 @@
 use super::{block_on, print, time, Addresses, ExitStatus};
 use crate::clock::{duration, now, Micros};
 use jzon::JsonValue as Json;
+use magpieline_config::diagnostic::Diagnostic;
 use magpieline_config::durations;
 use magpieline_config::gateway_config::GatewayConfig;
 
@@ -229,11 +230,12 @@
         if options.json {
             return print(&answer.text).into();
         }
-        match GatewayConfig::parse(&answer.text) {
+        match GatewayConfig::parse_committed(&answer.text.as_str().into(), None) {
             Ok(config) => print(&format!(
-                "{}{}",
+                "{}{}{}",
                 pairs(&config_lines(&config), ""),
-                route_table(&config)
+                route_table(&config),
+                unknown_services(&config)
             ))
             .into(),
             Err(error) => {
@@ -247,6 +249,12 @@
     })
 }
 
+/// Returns a line for each name of a service that routes have and the configuration doesn't list.
+fn unknown_services(config: &GatewayConfig) -> String {
+    let line = |unknown: &Diagnostic| format!("invalid by today's checks: {unknown}\n");
+    config.unknown_services.iter().map(line).collect()
+}
+
 /// A rollout that is ordered.
 struct Order<'a> {
     version: &'a str,
--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -192,6 +192,12 @@
         Ok(valid)
     }
 
+    /// Returns the version under which a document was acknowledged, as far as it is known here.
+    fn acknowledged_version(&self, text: &str) -> Option<u64> {
+        let digest = Digest::of(text);
+        self.state().control.acknowledged_version(&digest)
+    }
+
     /// Proposes a command, as [`RaftHandle::propose`] does, and counts how that ended. It is
     /// encoded on a thread of its own: a long configuration takes a while.
     ///
--- a/crates/gateway/src/controller/operator_api.rs
+++ b/crates/gateway/src/controller/operator_api.rs
@@ -237,23 +237,37 @@
     }
 }
 
+/// What a check found of a configuration that an operator sent.
+enum CheckedConfig {
+    Valid(Arc<ValidConfig>),
+    /// An invalid one that was acknowledged under this version, by a release that checked less: whoever sends it again is told so
+    /// again.
+    Acknowledged(u64),
+}
+
 /// Parses and checks a configuration on a thread of its own: a long one takes longer than followers wait for their leader's next
 /// heartbeat.
 ///
 /// # Errors
 ///
 /// The reply to a call whose configuration is invalid, or could not be checked.
-async fn validate(controller: &Arc<Controller>, body: Bytes) -> Result<Arc<ValidConfig>, Reply> {
+async fn check_config(controller: &Arc<Controller>, body: Bytes) -> Result<CheckedConfig, Reply> {
     let controller = controller.clone();
-    let parse = move || {
+    let check = move || {
         let text = std::str::from_utf8(&body).map_err(|_| {
             let found = "bytes that are no text";
             vec![Diagnostic::new("document", found, "JSON, whole")]
         })?;
-        controller.validate(text)
+        controller
+            .validate(text)
+            .map(CheckedConfig::Valid)
+            .or_else(|diagnostics| {
+                let known = controller.acknowledged_version(text);
+                known.map(CheckedConfig::Acknowledged).ok_or(diagnostics)
+            })
     };
-    match tokio::task::spawn_blocking(parse).await {
-        Ok(Ok(config)) => Ok(config),
+    match tokio::task::spawn_blocking(check).await {
+        Ok(Ok(checked)) => Ok(checked),
         Ok(Err(diagnostics)) => {
             tracing::warn!(target: "operator_api", "A configuration was refused: {}.", diagnostics[0]);
             Err(refusal(StatusCode::BAD_REQUEST, &diagnostics))
@@ -298,10 +312,30 @@
 }
 
 async fn replace_config(controller: &Arc<Controller>, body: Bytes, path: &str) -> Reply {
-    let valid = match validate(controller, body).await {
-        Ok(valid) => valid,
-        Err(reply) => return reply,
-    };
+    match check_config(controller, body).await {
+        Ok(CheckedConfig::Valid(valid)) => replace_with_valid(controller, &valid, path).await,
+        Ok(CheckedConfig::Acknowledged(version)) => {
+            acknowledge_again(controller, version, path).await
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// Acknowledges a configuration that was acknowledged before, once a majority has confirmed that this controller still leads.
+async fn acknowledge_again(controller: &Controller, version: u64, path: &str) -> Reply {
+    match commit(controller, path, |_| Plan::Known(Effect::Duplicate)).await {
+        Ok(_) => {
+            tracing::warn!(
+                target: "operator_api",
+                "Configuration {version} acknowledged again, as it was before; by today's checks it is invalid."
+            );
+            reply(StatusCode::OK, jzon::object! { edition: version }.dump())
+        }
+        Err(reply) => reply,
+    }
+}
+
+async fn replace_with_valid(controller: &Controller, valid: &ValidConfig, path: &str) -> Reply {
     let (version, digest) = (valid.config.version, valid.digest);
     let plan = |controller: &Controller| match controller
         .state()
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -92,6 +92,8 @@
 /// Figures that are set when they are read.
 struct ProxyGauges {
     config_version: Gauge,
+    config_unreadable_version: Gauge,
+    config_unknown_services: Gauge,
     is_following: Gauge,
     endpoint_list_age: Gauge<f64, AtomicU64>,
     endpoints_ready: Gauge,
@@ -240,6 +242,8 @@
     fn register(registry: &mut Registry) -> ProxyGauges {
         let gauges = ProxyGauges {
             config_version: Gauge::default(),
+            config_unreadable_version: Gauge::default(),
+            config_unknown_services: Gauge::default(),
             is_following: Gauge::default(),
             endpoint_list_age: Gauge::default(),
             endpoints_ready: Gauge::default(),
@@ -252,6 +256,16 @@
             "Version of the configuration in force",
             gauges.config_version.clone(),
         );
+        registry.register(
+            "config_unreadable_version",
+            "Version of a newer configuration that could not be parsed; 0 if there is none",
+            gauges.config_unreadable_version.clone(),
+        );
+        registry.register(
+            "config_unknown_services",
+            "Names of services in routes that the configuration in force doesn't list",
+            gauges.config_unknown_services.clone(),
+        );
         registry.register(
             "following",
             "1 while a leader is followed",
@@ -292,6 +306,13 @@
         let age = state.endpoint_view.as_of().map_or(f64::INFINITY, age);
         let (ready, draining) = state.load_balancer.endpoint_counts();
         self.config_version.set(state.config_version() as i64);
+        let unreadable = state.unreadable_version.unwrap_or(0);
+        self.config_unreadable_version.set(unreadable as i64);
+        let unknown_services = state
+            .config
+            .as_ref()
+            .map_or(0, |config| config.unknown_services.len());
+        self.config_unknown_services.set(unknown_services as i64);
         self.is_following.set(i64::from(state.is_following));
         self.endpoint_list_age.set(age);
         self.endpoints_ready.set(ready as i64);
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -40,6 +40,7 @@
 use magpieline_control_plane::state_machine::{ServiceState, StoredConfig};
 use magpieline_http1::deduplication::SeenRequests;
 use metrics::ProxyMetrics;
+pub use readiness::NotReady;
 use shutdown::{Shutdown, Unfinished};
 use state::ProxyState;
 use std::net::SocketAddrV4;
@@ -194,9 +195,12 @@
         is_initialized()
     }
 
-    /// Whether new clients may come.
-    pub fn is_ready(&self) -> bool {
-        !self.is_shutting_down() && self.state().is_initialized()
+    /// Returns why no new clients may come, if that is so.
+    pub fn not_ready(&self) -> Option<NotReady> {
+        match self.is_shutting_down() {
+            true => Some(NotReady::ShuttingDown),
+            false => self.state().not_initialized(),
+        }
     }
 
     /// Takes note that a leader which a majority has confirmed since this proxy asked has told it all.
@@ -212,22 +216,31 @@
         }
         let previous = self.state().config.clone();
         let started_at = now();
-        match GatewayConfig::parse_after(&stored.text, previous.as_deref()) {
+        match GatewayConfig::parse_committed(&stored.text, previous.as_deref()) {
             Ok(config) => {
                 let elapsed = now() - started_at;
                 tracing::debug!(target: "config", "Configuration {} took {elapsed} us to parse.", stored.version);
-                if self.state().set_config(stored, config) {
-                    tracing::info!(target: "config", "Configuration {} is in force.", stored.version);
-                }
-                self.initialized.notify_waiters();
+                self.put_in_force(stored, config);
             }
-            // It was checked before it was committed; a proxy of another build may know less.
+            // It was checked before it was committed; a controller of another release may have checked something else.
             Err(errors) => {
+                self.state().unreadable_version = Some(stored.version);
                 tracing::error!(target: "config", "Configuration {} can't be parsed: {}.", stored.version, errors[0]);
             }
         }
     }
 
+    fn put_in_force(&self, stored: &StoredConfig, config: GatewayConfig) {
+        let unknown = config.unknown_services.first().cloned();
+        if self.state().set_config(stored, config) {
+            tracing::info!(target: "config", "Configuration {} is in force.", stored.version);
+            if let Some(unknown) = unknown {
+                tracing::warn!(target: "config", "Configuration {} names services that it doesn't list: {unknown}.", stored.version);
+            }
+        }
+        self.initialized.notify_waiters();
+    }
+
     /// Returns the configuration in force, as it was received.
     fn stored_config(&self) -> Option<StoredConfig> {
         self.state().stored_config().cloned()
--- a/crates/gateway/src/proxy/state.rs
+++ b/crates/gateway/src/proxy/state.rs
@@ -1,6 +1,7 @@
 //! What a proxy knows: the configuration and the services' states from the controllers, the endpoints, and what it has counted
 //! itself.
 
+use super::NotReady;
 use crate::clock::Micros;
 use crate::view;
 use magpieline_config::gateway_config::GatewayConfig;
@@ -77,6 +78,8 @@
     pub(super) config: Option<Arc<GatewayConfig>>,
     /// The same as it was received.
     stored_config: Option<StoredConfig>,
+    /// The version of a newer configuration that could not be parsed.
+    pub(super) unreadable_version: Option<u64>,
     /// States of services, by name, as the leader has told them.
     pub(super) services: HashMap<String, ServiceState>,
     pub(super) load_balancer: LoadBalancer,
@@ -102,6 +105,7 @@
         ProxyState {
             config: None,
             stored_config: None,
+            unreadable_version: None,
             services: HashMap::new(),
             load_balancer: LoadBalancer::new(&settings.zone, incarnation),
             retry_budget: RetryBudget::new(guarantees.retry_ratio, guarantees.retry_slack),
@@ -115,10 +119,20 @@
         }
     }
 
-    /// Whether there is enough to serve by: a configuration and endpoints, and all that was in force when this proxy first
-    /// asked.
+    /// Whether there is enough to serve by.
     pub(super) fn is_initialized(&self) -> bool {
-        self.confirmed_at.is_some() && self.config.is_some() && self.has_endpoints
+        self.not_initialized().is_none()
+    }
+
+    /// Returns what is missing to serve by: a configuration and endpoints, and all that was in force when this proxy first asked.
+    pub(super) fn not_initialized(&self) -> Option<NotReady> {
+        match (&self.config, self.unreadable_version) {
+            (None, Some(version)) => Some(NotReady::UnreadableConfig(version)),
+            (None, None) => Some(NotReady::NoConfig),
+            (Some(_), _) if !self.has_endpoints => Some(NotReady::NoEndpoints),
+            (Some(_), _) if self.confirmed_at.is_none() => Some(NotReady::Unconfirmed),
+            (Some(_), _) => None,
+        }
     }
 
     pub(super) fn stored_config(&self) -> Option<&StoredConfig> {
@@ -138,6 +152,9 @@
         }
         self.config = Some(Arc::new(config));
         self.stored_config = Some(stored.clone());
+        self.unreadable_version = self
+            .unreadable_version
+            .filter(|version| *version > stored.version);
         true
     }
 
--- /dev/null
+++ b/crates/gateway/tests/proxy_loopback/committed_config.rs
@@ -0,0 +1,62 @@
+//! What a proxy serves by a committed configuration that is invalid by its own checks.
+
+use crate::fixture::{request, run, until, Fixture, CONFIG};
+use magpieline_control_plane::state_machine::StoredConfig;
+use magpieline_gateway::proxy::NotReady;
+use tokio::io::AsyncWriteExt;
+
+/// A route names a service with share 0 that the document doesn't list: an earlier release acknowledged that.
+fn with_unknown_service() -> String {
+    CONFIG.replacen(
+        r#""dispatch":{"service":"s","#,
+        r#""dispatch":{"apportion":[{"service":"s","share":100},{"service":"gone","share":0}],"#,
+        1,
+    )
+}
+
+async fn is_served(fixture: &mut Fixture, id: &str) {
+    let mut client = fixture.client().await;
+    let sent = request("GET", "/safe/a", id);
+    client.write_all(sent.as_bytes()).await.expect("sent");
+    fixture.asked().await.answer("", "");
+    let text = until(&mut client, id).await;
+    assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+}
+
+/// Guards against: after a restart every proxy answered 503 to everything, as none could read the configuration that earlier
+/// processes had acknowledged.
+#[test]
+fn a_restarted_proxy_serves_by_a_configuration_that_an_earlier_release_acknowledged() {
+    run(async {
+        let mut fixture = Fixture::with(&with_unknown_service()).await;
+        assert_eq!(fixture.proxy.not_ready(), None);
+        is_served(&mut fixture, "t1").await;
+    });
+}
+
+/// What can't be read at all leaves the configuration before in force; a proxy that has none says why it is not ready.
+#[test]
+fn an_unreadable_configuration_leaves_the_one_before_in_force() {
+    let unreadable = |version| StoredConfig {
+        version,
+        text: CONFIG.replace("9s", "0s").into(),
+    };
+    run(async {
+        let mut fixture = Fixture::new().await;
+        fixture.proxy.apply_config(&unreadable(2));
+        assert_eq!(
+            (fixture.proxy.config_version(), fixture.proxy.not_ready()),
+            (1, None)
+        );
+        is_served(&mut fixture, "t1").await;
+        let restarted = Fixture::with(&unreadable(1).text).await;
+        let reason = restarted.proxy.not_ready();
+        assert_eq!(reason, Some(NotReady::UnreadableConfig(1)));
+        // A higher version is the way out.
+        restarted.proxy.apply_config(&StoredConfig {
+            version: 2,
+            text: CONFIG.into(),
+        });
+        assert_eq!(restarted.proxy.not_ready(), None);
+    });
+}
