--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod commands;
 pub mod controller;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod net;
 pub mod platform_client;
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -169,7 +169,7 @@
         let cancelled = cancellation.of_sent(connection.cancel_handle());
         let exchanged = tokio::select! {
             biased;
-            exchanged = exchange(&mut connection, sent, request) => exchanged,
+            exchanged = exchange(proxy, &mut connection, sent, request) => exchanged,
             is_unsent = cancelled => {
                 return match is_unsent {
                     true => progress.withhold(proxy, WithheldReason::ClientLeft),
@@ -203,12 +203,13 @@
 
 /// Sends a request over a connection and reads the response whole.
 async fn exchange(
+    proxy: &Proxy,
     connection: &mut UpstreamConnection,
     sent: Request<Full<Bytes>>,
     request: &UpstreamRequest,
 ) -> Result<UpstreamResponse, SendError> {
     let response = connection.send(sent).await?;
-    Ok(upstream_response::read(request, response).await)
+    Ok(upstream_response::read(&proxy.memory, request, response).await)
 }
 
 async fn connect(proxy: &Proxy, address: SocketAddrV4) -> Option<UpstreamConnection> {
--- a/crates/gateway/src/proxy/client_connection.rs
+++ b/crates/gateway/src/proxy/client_connection.rs
@@ -6,6 +6,7 @@
 
 use super::responses::ProxyResponse;
 use crate::clock::{duration, now, Micros};
+use crate::memory::Reservation;
 use crate::net::poll_read_some;
 use hyper::body::Body;
 use magpieline_http1::framing::request_framing::{
@@ -14,7 +15,7 @@
 use magpieline_http1::framing::FramingError;
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::{pin, Pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
@@ -98,6 +99,8 @@
     /// What hyper has written and the stream has not taken yet, from `written` on.
     output: Vec<u8>,
     written: usize,
+    /// Of the body of the response that is being written.
+    output_reservation: Option<Reservation>,
     is_at_end: bool,
     read_error: Option<io::ErrorKind>,
     /// When the end of the stream, or an error, was read.
@@ -120,6 +123,7 @@
             now,
             output: Vec::new(),
             written: 0,
+            output_reservation: None,
             is_at_end: false,
             read_error: None,
             ended_at: None,
@@ -168,9 +172,11 @@
         }
     }
 
-    /// Takes note that the current request has its response. Returns whether requests behind it are in progress already.
-    pub(super) fn finish_request(&self) -> bool {
+    /// Takes note that the current request has its response, whose bytes are reserved until they are written. Returns whether
+    /// requests behind it are in progress already.
+    pub(super) fn finish_request(&self, reservation: Option<Reservation>) -> bool {
         let mut inner = self.inner();
+        inner.output_reservation = reservation;
         inner.framing.on_answered();
         !inner.early.is_empty()
     }
@@ -338,6 +344,7 @@
     /// Goes on to the next request if the response to this one is written.
     fn advance(&mut self) {
         if !self.has_output() {
+            self.output_reservation = None;
             self.framing.advance(self.now, &self.limits);
         }
     }
@@ -379,6 +386,19 @@
         self.written < self.output.len()
     }
 
+    /// Writes bytes, as far as the stream takes them; the rest becomes output.
+    fn write_or_hold(&mut self, cx: &mut Context<'_>, mut rest: &[u8]) -> io::Result<()> {
+        while !rest.is_empty() && !self.has_output() {
+            match Pin::new(&mut self.stream).poll_write(cx, rest)? {
+                Poll::Ready(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Poll::Ready(len) => rest = &rest[len..],
+                Poll::Pending => break,
+            }
+        }
+        self.output.extend_from_slice(rest);
+        Ok(())
+    }
+
     /// Writes output, as far as the stream takes it. Ready once some was written or there is none.
     fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let before = self.written;
@@ -433,24 +453,42 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> hyper::rt::Write for ClientIo<S> {
-    /// Takes all of it: so it is known that hyper is done with a request once it was answered and there is no output.
-    /// No more than one response waits to be written at a time.
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    /// hyper would copy a response into a buffer of its own, whose capacity it keeps for as long as the connection lasts.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// Takes all of it: so it is known that hyper is done with a request once it was answered and there is no output.
+    /// No more than one response waits to be written at a time.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let inner = &mut *self.0.inner();
-        let mut rest = bytes;
-        while !rest.is_empty() && !inner.has_output() {
-            match Pin::new(&mut inner.stream).poll_write(cx, rest)? {
-                Poll::Ready(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
-                Poll::Ready(len) => rest = &rest[len..],
-                Poll::Pending => break,
-            }
+        let mut written = match inner.has_output() {
+            true => 0,
+            false => match Pin::new(&mut inner.stream).poll_write_vectored(cx, parts)? {
+                Poll::Ready(written) => written,
+                Poll::Pending => 0,
+            },
+        };
+        let mut total = 0;
+        for part in parts {
+            total += part.len();
+            let skipped = written.min(part.len());
+            written -= skipped;
+            inner.write_or_hold(cx, &part[skipped..])?;
         }
-        inner.output.extend_from_slice(rest);
-        Poll::Ready(Ok(bytes.len()))
+        Poll::Ready(Ok(total))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 mod controller_session;
 mod fallback_discovery;
 mod forwarding;
+mod held_body;
 pub mod listener;
 mod metrics;
 mod readiness;
@@ -29,6 +30,7 @@
 mod upstream_response;
 
 use crate::clock::{self, now, Micros};
+use crate::memory::{MemoryBudget, MemoryUse};
 use crate::net;
 use crate::settings::SettingsWatch;
 use connection_pool::ConnectionPool;
@@ -76,6 +78,8 @@
     /// Notified when this proxy may have learnt enough to serve.
     initialized: Notify,
     connector: Connector,
+    /// Memory for bodies of requests and responses.
+    memory: MemoryBudget,
     metrics: ProxyMetrics,
 }
 
@@ -84,6 +88,7 @@
     pub fn new(settings: SettingsWatch, incarnation: u64, connector: Connector) -> Proxy {
         let settings_at_start = NodeSettings::clone(&settings.borrow());
         Proxy {
+            memory: MemoryBudget::new(settings_at_start.memory_mb),
             state: Mutex::new(ProxyState::new(&settings_at_start, incarnation)),
             settings_at_start,
             settings,
@@ -153,6 +158,11 @@
         self.attempts_in_flight.load(Ordering::Relaxed)
     }
 
+    /// Returns how much memory is reserved for bodies.
+    pub fn memory_use(&self) -> MemoryUse {
+        self.memory.usage()
+    }
+
     /// Waits until all attempts have ended, also those of clients that have left, until the end of a shutdown at the latest.
     pub async fn drained(&self) {
         let drained = async {
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -3,12 +3,13 @@
 use super::client_connection::{ClientConnection, EarlyResponse};
 use super::connector::Stream;
 use super::forwarding::ResolvedRoute;
+use super::held_body::{HeldBody, ReadError};
 use super::responses::{self, ProxyResponse};
 use super::upstream_request::{UpstreamRequest, TIME_LEFT, TRY_ID};
 use super::{forwarding, Proxy};
-use crate::clock::{self, Micros};
+use crate::clock::{self, now, Micros};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use http_body_util::Empty;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
@@ -17,7 +18,7 @@
 use magpieline_http1::attempt_outcome::NextStep;
 use magpieline_http1::framing::request_framing::EarlyRequest;
 use magpieline_http1::framing::{head, FramingError};
-use std::error::Error;
+use magpieline_memory_budget::Purpose;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -26,6 +27,8 @@
 const INITIALIZATION_TIMEOUT: Micros = 500_000;
 /// A client that does not say how long it waits is taken to wait as long as its route allows.
 const UNLIMITED: Micros = Micros::MAX;
+/// A request waits for memory for its body during this part of the time that it has: the body is still to come then.
+const MEMORY_WAIT_PART: Micros = 3;
 /// Headers that a request usually has.
 const COMMON_HEADERS: usize = 12;
 
@@ -64,7 +67,7 @@
         response = invalid_body(error);
     }
     // Those behind it that are in progress get their responses first.
-    let has_early = connection.finish_request();
+    let has_early = connection.finish_request(response.body_mut().take_reservation());
     if !has_early && proxy.is_shutting_down() {
         response = responses::closing(response);
     }
@@ -158,7 +161,6 @@
 ) -> ProxyResponse
 where
     B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let client_timeout = client_timeout(&head);
     let max_body_bytes = resolved.config.client_limits.body_bytes;
@@ -166,14 +168,25 @@
     let body_deadline = received_at.saturating_add(client_timeout.min(resolved.route.timeout));
     let body = tokio::select! {
         biased;
-        body = read_body(&head, body, max_body_bytes) => body,
+        body = read_body(proxy, &head, body, max_body_bytes, body_deadline) => body,
         () = clock::sleep_until(body_deadline) => {
             return unforwarded(proxy, &head, &resolved.route, responses::body_too_late());
         }
     };
     let body = match body {
         Ok(body) => body,
-        Err(response) => return *response,
+        Err(ReadError::TooLong) => return responses::body_too_large(max_body_bytes),
+        Err(ReadError::Incomplete) => return responses::incomplete_body(),
+        Err(ReadError::NoMemory(refusal)) => {
+            proxy.metrics.on_memory_refused(refusal);
+            tracing::debug!(target: "request", "Not read: {refusal}.");
+            return unforwarded(
+                proxy,
+                &head,
+                &resolved.route,
+                responses::no_memory(body_deadline),
+            );
+        }
     };
     // It is received now, and what is in force now holds for it: a body may have been long in coming.
     let is_current = proxy.config_version() == resolved.config.version;
@@ -214,31 +227,37 @@
     }
 }
 
-/// Reads a body of `max` bytes at most.
+/// Reads a body of `max` bytes at most, once there is memory for it: for that it waits a part of the time left until `deadline`.
 ///
 /// # Errors
 ///
-/// If it is longer, or does not come whole; the error is the response.
-async fn read_body<B>(head: &Parts, body: B, max: u64) -> Result<Bytes, Box<ProxyResponse>>
+/// If it is longer, there is no memory for it, or it does not come whole.
+async fn read_body<B>(
+    proxy: &Proxy,
+    head: &Parts,
+    body: B,
+    max: u64,
+    deadline: Micros,
+) -> Result<HeldBody, ReadError>
 where
     B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let length = head
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok());
-    let length = length.and_then(|length| length.parse::<u64>().ok());
-    if length.is_some_and(|length| length > max) {
-        return Err(Box::new(responses::body_too_large(max)));
+    if body.is_end_stream() {
+        return Ok(HeldBody::default());
     }
-    match Limited::new(body, max as usize).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(Box::new(responses::body_too_large(max)))
-        }
-        Err(_) => Err(Box::new(responses::incomplete_body())),
+    let length = content_length(head).unwrap_or(0);
+    if length > max {
+        return Err(ReadError::TooLong);
     }
+    let wait_until = now() + deadline.saturating_sub(now()) / MEMORY_WAIT_PART;
+    let reservation = proxy.memory.reserve(Purpose::Request, length, wait_until);
+    let reservation = reservation.await.map_err(ReadError::NoMemory)?;
+    HeldBody::read(body, max, reservation).await
+}
+
+fn content_length(head: &Parts) -> Option<u64> {
+    let value = head.headers.get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
 }
 
 /// Returns how long a client waits.
--- a/crates/gateway/src/proxy/responses.rs
+++ b/crates/gateway/src/proxy/responses.rs
@@ -1,30 +1,31 @@
 //! Responses to clients: an endpoint's, and the gateway's own.
 
+use super::held_body::{HeldBody, ResponseBody};
 use crate::clock::{now, Micros};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use magpieline_http1::attempt_outcome::{retry_after_seconds, NextStep};
 
 /// A response to a client.
-pub(super) type ProxyResponse = Response<Full<Bytes>>;
+pub(super) type ProxyResponse = Response<ResponseBody>;
 
 /// A rejected client is told to come back after this, at most a third of the time that it has left: by then about one
 /// request's time has passed.
 const RETRY_AFTER_REJECTION: Micros = 150_000;
+/// Long bodies take a while to come and go.
+const RETRY_AFTER_NO_MEMORY: Micros = 1_000_000;
 
 /// Returns an endpoint's response.
-pub(super) fn upstream(status: StatusCode, headers: HeaderMap, body: Bytes) -> ProxyResponse {
-    let mut response = Response::new(Full::new(body));
+pub(super) fn upstream(status: StatusCode, headers: HeaderMap, body: HeldBody) -> ProxyResponse {
+    let mut response = Response::new(body.into());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
 }
 
 /// Returns a response of the gateway's own.
-pub(super) fn own(status: StatusCode, text: impl Into<Bytes>) -> ProxyResponse {
-    let mut response = Response::new(Full::new(text.into()));
+pub(super) fn own(status: StatusCode, text: impl Into<HeldBody>) -> ProxyResponse {
+    let mut response = Response::new(text.into().into());
     *response.status_mut() = status;
     response
 }
@@ -38,11 +39,13 @@
 
 /// Returns the rejection of a request that never ran, by the time that its client has left.
 fn rejected(left: Micros) -> ProxyResponse {
-    let mut response = own(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "It was not run; come back.\n",
-    );
-    let seconds = retry_after_seconds(RETRY_AFTER_REJECTION, left);
+    rejected_for(RETRY_AFTER_REJECTION, "It was not run; come back.\n", left)
+}
+
+/// Returns the rejection of a request that never ran; its client is to come back after `wanted`, if it has left so much.
+fn rejected_for(wanted: Micros, text: &'static str, left: Micros) -> ProxyResponse {
+    let mut response = own(StatusCode::SERVICE_UNAVAILABLE, text);
+    let seconds = retry_after_seconds(wanted, left);
     if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
@@ -75,6 +78,13 @@
     ))
 }
 
+/// Returns the rejection of a request for whose body there is no memory.
+pub(super) fn no_memory(deadline: Micros) -> ProxyResponse {
+    let text = "There is no memory for its body now; it was not run; come back.\n";
+    let left = deadline.saturating_sub(now());
+    closing(rejected_for(RETRY_AFTER_NO_MEMORY, text, left))
+}
+
 /// Returns the response to a request whose body has broken off.
 pub(super) fn incomplete_body() -> ProxyResponse {
     closing(own(
--- a/crates/gateway/src/proxy/upstream_request.rs
+++ b/crates/gateway/src/proxy/upstream_request.rs
@@ -1,5 +1,6 @@
 //! A request as it is sent to endpoints.
 
+use super::held_body::HeldBody;
 use crate::clock::{now, Micros};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -34,13 +35,13 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: HeldBody,
     pub(super) deadline: Micros,
 }
 
 impl UpstreamRequest {
     /// Creates it from a client's request.
-    pub(super) fn new(mut head: Parts, body: Bytes, deadline: Micros) -> UpstreamRequest {
+    pub(super) fn new(mut head: Parts, body: HeldBody, deadline: Micros) -> UpstreamRequest {
         if let (None, Some(host)) = (head.headers.get(HOST), head.uri.host()) {
             if let Ok(host) = HeaderValue::from_str(host) {
                 head.headers.insert(HOST, host);
@@ -73,7 +74,7 @@
 
     /// Returns what is sent to the endpoint with an id.
     pub(super) fn for_endpoint(&self, id: &str) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes().clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
--- a/crates/gateway/src/proxy/upstream_response.rs
+++ b/crates/gateway/src/proxy/upstream_response.rs
@@ -1,17 +1,19 @@
 //! Reads an endpoint's response whole, and says what it proves.
 
+use super::held_body::HeldBody;
 use super::responses::{self, ProxyResponse};
 use super::upstream_request::{without_hop_by_hop, UpstreamRequest, TRY_ID};
 use crate::clock::Micros;
-use http_body_util::{BodyExt, Limited};
+use crate::memory::MemoryBudget;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, CONTENT_ENCODING, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use magpieline_http1::attempt_outcome::{promises_unprocessed, AttemptOutcome};
 use magpieline_load_balancer::endpoint_selection::ReportedLoad;
+use magpieline_memory_budget::Purpose;
 
 /// The longest body that is held.
-const MAX_BODY_BYTES: usize = 16 << 20;
+const MAX_BODY_BYTES: u64 = 16 << 20;
 
 /// A successful response carries this one.
 const POSTMARK: HeaderName = HeaderName::from_static("postmark");
@@ -48,8 +50,9 @@
     }
 }
 
-/// Reads the response to a request.
+/// Reads the response to a request, once there is memory for its body.
 pub(super) async fn read(
+    memory: &MemoryBudget,
     request: &UpstreamRequest,
     response: Response<Incoming>,
 ) -> UpstreamResponse {
@@ -61,7 +64,7 @@
     // Without a length the end of a body can't be told from a lost connection.
     let has_end =
         body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+    let Some(body) = read_body(memory, body, request.deadline).await else {
         return UpstreamResponse::unusable(AttemptOutcome::ConnectionLost);
     };
     let load = parse_load(&head.headers);
@@ -83,11 +86,24 @@
         result.outcome = AttemptOutcome::Rejected;
     } else if !promises_unprocessed(status) {
         let headers = without_hop_by_hop(head.headers);
-        result.response = Some(responses::upstream(head.status, headers, body.to_bytes()));
+        result.response = Some(responses::upstream(head.status, headers, body));
     }
     result
 }
 
+/// Reads a body whole; none if it is too long or breaks off. It waits for memory until the deadline: its request has run, and
+/// nobody is helped by giving it up before.
+async fn read_body(memory: &MemoryBudget, body: Incoming, deadline: Micros) -> Option<HeldBody> {
+    let length = body.size_hint().exact().unwrap_or(0);
+    if length > MAX_BODY_BYTES {
+        return None;
+    }
+    let reservation = memory.reserve(Purpose::Response, length, deadline).await;
+    HeldBody::read(body, MAX_BODY_BYTES, reservation.ok()?)
+        .await
+        .ok()
+}
+
 /// Whether the endpoint itself has sent the response, as it was.
 fn is_genuine(status: StatusCode, headers: &HeaderMap) -> bool {
     let has_postmark = headers.contains_key(POSTMARK) || !status.is_success();
--- a/crates/gateway/tests/common/agents.rs
+++ b/crates/gateway/tests/common/agents.rs
@@ -37,6 +37,17 @@
     }
 }
 
+impl Process {
+    /// Returns the most memory that was resident at once, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("a number") * 1024
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.0.kill();
