--- a/crates/gateway/tests/common/agents.rs
+++ b/crates/gateway/tests/common/agents.rs
@@ -39,6 +39,7 @@
 
 impl Process {
     /// Returns the most memory that was resident at once, in bytes.
+    #[allow(dead_code)] // not every test binary with this module asks
     pub fn peak_memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
         let status = status.expect("it runs");
