--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -192,13 +192,28 @@
     /// # Errors
     ///
     /// If there is no room for them.
-    pub fn grow(&mut self, needed: u64) -> Result<(), Refusal> {
-        if needed <= self.bytes {
-            return Ok(());
-        }
+    pub fn grow_amply(&mut self, needed: u64) -> Result<(), Refusal> {
         let step = MIN_GROWTH.max(self.bytes / 8);
         let ample = needed.max(self.bytes.saturating_add(step));
-        self.resize(ample).or_else(|_| self.resize(needed))
+        match needed <= self.bytes {
+            true => Ok(()),
+            false => self.grow_to(ample).or_else(|_| self.grow_to(needed)),
+        }
+    }
+
+    /// Reserves so many bytes in all, if it has fewer.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for them.
+    pub fn grow_to(&mut self, bytes: u64) -> Result<(), Refusal> {
+        if bytes > self.bytes {
+            let mut shared = self.budget.shared();
+            shared.budget.resize(self.purpose, self.bytes, bytes)?;
+            drop(shared);
+            self.bytes = bytes;
+        }
+        Ok(())
     }
 
     /// Releases what is reserved beyond so many bytes.
@@ -211,14 +226,6 @@
             self.bytes = bytes;
         }
     }
-
-    fn resize(&mut self, bytes: u64) -> Result<(), Refusal> {
-        let mut shared = self.budget.shared();
-        shared.budget.resize(self.purpose, self.bytes, bytes)?;
-        drop(shared);
-        self.bytes = bytes;
-        Ok(())
-    }
 }
 
 impl Drop for Reservation {
--- a/crates/gateway/src/proxy/client_connection.rs
+++ b/crates/gateway/src/proxy/client_connection.rs
@@ -28,10 +28,14 @@
 /// After the last response a connection is read until its client ends it or sends nothing for so long: bytes left unread
 /// would reset it, and the response might be lost with it. A client in the middle of a body may send on for a while,
 const LINGER_IDLE: Micros = 500_000;
-/// but for so long at most.
-const MAX_LINGER: Micros = 3_000_000;
+/// but for so long at most: one that sends all of a body that was refused reads the answer only then.
+const MAX_LINGER: Micros = 10_000_000;
 /// New limits are looked at this often at least.
 const REFRESH_INTERVAL: Micros = 5_000_000;
+/// A connection whose head or next requests find no memory reads on after this.
+const MEMORY_RETRY_INTERVAL: Micros = 50_000;
+/// Bytes that each connection may hold without a reservation: most requests are shorter.
+const UNRESERVED_BYTES: usize = 4 << 10;
 /// Shown to hyper at once; it doubles its buffer whenever 8 KiB are filled.
 const MAX_SHOWN: usize = (8 << 10) - 1;
 /// No more requests are started early while responses of so many bytes wait on a connection.
@@ -101,6 +105,10 @@
     written: usize,
     /// Of the body of the response that is being written.
     output_reservation: Option<Reservation>,
+    /// Of heads and requests that hyper does not see yet, beyond [`UNRESERVED_BYTES`].
+    input_reservation: Reservation,
+    /// There was no memory to read on.
+    is_short_of_memory: bool,
     is_at_end: bool,
     read_error: Option<io::ErrorKind>,
     /// When the end of the stream, or an error, was read.
@@ -114,7 +122,12 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> ClientConnection<S> {
-    pub(super) fn new(stream: S, limits: RequestLimits) -> Arc<ClientConnection<S>> {
+    /// Creates a connection. `input_reservation` grows with what hyper does not see yet.
+    pub(super) fn new(
+        stream: S,
+        limits: RequestLimits,
+        input_reservation: Reservation,
+    ) -> Arc<ClientConnection<S>> {
         let now = now();
         let inner = Inner {
             stream,
@@ -124,6 +137,8 @@
             output: Vec::new(),
             written: 0,
             output_reservation: None,
+            input_reservation,
+            is_short_of_memory: false,
             is_at_end: false,
             read_error: None,
             ended_at: None,
@@ -225,7 +240,11 @@
                 continue;
             }
             let next_timeout = inner.framing.next_timeout(&inner.limits);
-            let wake_at = next_timeout.min(inner.now + REFRESH_INTERVAL);
+            let refresh_after = match inner.is_short_of_memory {
+                true => MEMORY_RETRY_INTERVAL,
+                false => REFRESH_INTERVAL,
+            };
+            let wake_at = next_timeout.min(inner.now + refresh_after);
             if wake_at < timer_at || timer_at <= inner.now {
                 timer_at = wake_at;
                 let left = duration(wake_at.saturating_sub(inner.now));
@@ -313,6 +332,10 @@
     /// Reads all that has come and may be held.
     fn fill(&mut self, cx: &mut Context<'_>) {
         while !self.is_at_end && !self.is_drained && self.read_error.is_none() {
+            let capacity = self.read_capacity();
+            if capacity == 0 {
+                return;
+            }
             let Inner {
                 stream,
                 framing,
@@ -320,10 +343,6 @@
                 now,
                 ..
             } = self;
-            let capacity = framing.capacity(limits);
-            if capacity == 0 {
-                return;
-            }
             match poll_read_some(stream, cx, capacity, |bytes| {
                 framing.feed(*now, limits, bytes)
             }) {
@@ -341,6 +360,29 @@
         }
     }
 
+    /// Returns how many bytes may be read now: none while there is no memory for them, or enough are held.
+    fn read_capacity(&mut self) -> usize {
+        self.is_short_of_memory = false;
+        let capacity = self.framing.capacity(&self.limits);
+        let unseen = self.framing.unseen_bytes();
+        let reserved = unseen.saturating_sub(UNRESERVED_BYTES) as u64;
+        self.input_reservation.shrink(reserved);
+        if self.framing.is_passing_on() {
+            return capacity;
+        }
+        if unseen < UNRESERVED_BYTES {
+            return capacity.min(UNRESERVED_BYTES - unseen);
+        }
+        let more = capacity.min(UNRESERVED_BYTES);
+        match self.input_reservation.grow_to(reserved + more as u64) {
+            Ok(()) => more,
+            Err(_) => {
+                self.is_short_of_memory = true;
+                0
+            }
+        }
+    }
+
     /// Goes on to the next request if the response to this one is written.
     fn advance(&mut self) {
         if !self.has_output() {
--- a/crates/gateway/src/proxy/held_body.rs
+++ b/crates/gateway/src/proxy/held_body.rs
@@ -72,7 +72,9 @@
             if length > max {
                 return Err(ReadError::TooLong);
             }
-            reservation.grow(length).map_err(ReadError::NoMemory)?;
+            reservation
+                .grow_amply(length)
+                .map_err(ReadError::NoMemory)?;
             if bytes.is_empty() && body.is_end_stream() {
                 reservation.shrink(length);
                 return Ok(HeldBody {
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -7,6 +7,7 @@
 use crate::net;
 use hyper::service::service_fn;
 use magpieline_http1::framing::request_framing::RequestLimits;
+use magpieline_memory_budget::Purpose;
 use std::convert::Infallible;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -85,7 +86,8 @@
 
 /// Serves a client's connection to its end.
 pub async fn serve_connection<S: Stream + 'static>(proxy: Arc<Proxy>, stream: S) {
-    let connection = ClientConnection::new(stream, limits(&proxy));
+    let input_reservation = proxy.memory.empty(Purpose::Request);
+    let connection = ClientConnection::new(stream, limits(&proxy), input_reservation);
     let service = {
         let (proxy, connection) = (proxy.clone(), connection.clone());
         service_fn(move |request| {
--- a/crates/http1/src/framing/request_framing.rs
+++ b/crates/http1/src/framing/request_framing.rs
@@ -229,6 +229,19 @@
         max.saturating_sub(self.held.len() - self.start)
     }
 
+    /// Returns how many bytes are held that the server does not see yet: a head that is not whole, and requests behind the current
+    /// one.
+    pub fn unseen_bytes(&self) -> usize {
+        self.held.len() - self.visible_end
+    }
+
+    /// Whether what comes next is of no lasting size: the server sees it at once, as it belongs to the body of the current request,
+    /// or it is dropped.
+    pub fn is_passing_on(&self) -> bool {
+        let is_in_body = self.parser.is_in_body() && self.queue.is_empty();
+        is_in_body || self.is_discarding()
+    }
+
     /// Takes bytes that have come, at most as many as there is capacity for.
     pub fn feed(&mut self, now: Micros, limits: &RequestLimits, bytes: &[u8]) {
         if self.is_discarding() {
