--- a/crates/gateway/src/controller/metrics.rs
+++ b/crates/gateway/src/controller/metrics.rs
@@ -3,6 +3,7 @@
 use super::raft_driver::RequestError;
 use super::Controller;
 use crate::clock::{now, Micros};
+use crate::memory_metrics::MemoryMetrics;
 use crate::metrics::{seconds, seconds_histogram, EventCount, ListReadMetrics};
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::family::Family;
@@ -64,6 +65,7 @@
     proposal_duration: Histogram,
     sessions: Family<SessionLabels, EventCount>,
     heartbeat_delay: Histogram,
+    pub(super) memory: MemoryMetrics,
     gauges: ControllerGauges,
 }
 
@@ -95,6 +97,7 @@
             "How late heartbeats to proxies were sent: how long other work has held up this thread",
             heartbeat_delay.clone(),
         );
+        let memory = MemoryMetrics::register(&mut registry);
         let gauges = ControllerGauges::register(&mut registry);
         ControllerMetrics {
             registry,
@@ -103,6 +106,7 @@
             proposal_duration,
             sessions,
             heartbeat_delay,
+            memory,
             gauges,
         }
     }
@@ -205,6 +209,7 @@
     /// Returns this controller's figures, as of now.
     pub(super) fn metrics_registry(&self) -> &Registry {
         self.metrics.gauges.refresh(self);
+        self.metrics.memory.refresh(&self.memory.usage());
         &self.metrics.registry
     }
 }
--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -22,6 +22,7 @@
 pub mod store_recovery;
 
 use crate::clock::{self, now, Micros};
+use crate::memory::MemoryBudget;
 use crate::net;
 use crate::settings::SettingsWatch;
 use crate::view::phase_name;
@@ -56,14 +57,24 @@
 /// So much of `grace` is left for that and for the end of the process: less on a machine short of processor time.
 const GRACE_RESERVE: Micros = 1_000_000;
 
-/// A configuration that was found valid.
+/// A configuration that was found valid, as long as it is being committed: what it says is not kept, as that takes several times
+/// the memory of its text.
+#[derive(Clone)]
 pub struct ValidConfig {
     /// As it was sent.
     pub text: Arc<str>,
     /// The digest of the text.
     pub digest: Digest,
-    /// What it says.
-    pub config: GatewayConfig,
+    /// Its version.
+    pub version: u64,
+    /// How many routes it has.
+    pub route_count: usize,
+}
+
+/// The last valid configuration, after which the next one is parsed.
+struct LastValidConfig {
+    valid: ValidConfig,
+    parsed: GatewayConfig,
 }
 
 /// What all parts of a controller share. Locks are held for a few microseconds, never across an await.
@@ -76,7 +87,9 @@
     pub raft: RaftHandle,
     state: Mutex<ControllerState>,
     /// The last valid configuration that an operator sent here: the next one is parsed after it.
-    last_valid_config: Mutex<Option<Arc<ValidConfig>>>,
+    last_valid_config: Mutex<Option<LastValidConfig>>,
+    /// Memory for the documents that operators send.
+    memory: MemoryBudget,
     metrics: ControllerMetrics,
 }
 
@@ -173,22 +186,27 @@
     /// # Errors
     ///
     /// What is wrong with it.
-    pub fn validate(&self, text: &str) -> Result<Arc<ValidConfig>, Vec<Diagnostic>> {
+    pub fn validate(&self, text: &str) -> Result<ValidConfig, Vec<Diagnostic>> {
         let mut last = self
             .last_valid_config
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        if let Some(known) = last.as_ref().filter(|known| *known.text == *text) {
-            return Ok(known.clone());
+        if let Some(known) = last.as_ref().filter(|last| *last.valid.text == *text) {
+            return Ok(known.valid.clone());
         }
         let text: Arc<str> = text.into();
-        let before = last.as_ref().map(|before| &before.config);
-        let valid = Arc::new(ValidConfig {
-            config: GatewayConfig::parse_after(&text, before)?,
+        let before = last.as_ref().map(|before| &before.parsed);
+        let parsed = GatewayConfig::parse_after(&text, before)?;
+        let valid = ValidConfig {
             digest: Digest::of(&text),
+            version: parsed.version,
+            route_count: parsed.routes().count(),
             text,
+        };
+        *last = Some(LastValidConfig {
+            valid: valid.clone(),
+            parsed,
         });
-        *last = Some(valid.clone());
         Ok(valid)
     }
 
@@ -407,6 +425,7 @@
     };
     let acceptance_clock = AcceptanceClock::new(now(), clock::time_of_day());
     let controller = Arc::new(Controller {
+        memory: MemoryBudget::new(initial_settings.memory_mb),
         initial_settings,
         settings,
         raft,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod clock;
 pub mod commands;
 pub mod controller;
+mod held_body;
 pub mod logging;
 pub mod memory;
+mod memory_metrics;
 pub mod metrics;
 pub mod net;
 pub mod platform_client;
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -2,10 +2,9 @@
 
 use super::Proxy;
 use crate::clock::{now, Micros};
-use crate::memory::MemoryUse;
+use crate::memory_metrics::MemoryMetrics;
 use crate::metrics::{seconds, seconds_histogram, EventCount, ListReadMetrics};
 use magpieline_control_plane::endpoint_view::UpdateSource;
-use magpieline_memory_budget::{Purpose, Refusal};
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -66,56 +65,6 @@
     Ended,
 }
 
-/// Why a request's body was not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-enum RefusalReason {
-    /// No memory became free in time.
-    Exhausted,
-    /// It would never find room.
-    TooLong,
-    /// Enough others wait.
-    QueueFull,
-    /// Another one.
-    Other,
-}
-
-impl From<Refusal> for RefusalReason {
-    fn from(refusal: Refusal) -> RefusalReason {
-        match refusal {
-            Refusal::Exhausted => RefusalReason::Exhausted,
-            Refusal::TooLong => RefusalReason::TooLong,
-            Refusal::QueueFull => RefusalReason::QueueFull,
-            _ => RefusalReason::Other,
-        }
-    }
-}
-
-/// What memory is reserved for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-enum MemoryPurpose {
-    Request,
-    Response,
-}
-
-impl From<Purpose> for MemoryPurpose {
-    fn from(purpose: Purpose) -> MemoryPurpose {
-        match purpose {
-            Purpose::Request => MemoryPurpose::Request,
-            Purpose::Response => MemoryPurpose::Response,
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct RefusalLabels {
-    reason: RefusalReason,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PurposeLabels {
-    purpose: MemoryPurpose,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SourceLabels {
     source: Source,
@@ -152,10 +101,6 @@
     endpoints_draining: Gauge,
     requests_in_progress: Gauge,
     attempts_in_flight: Gauge,
-    memory_reserved: Family<PurposeLabels, Gauge>,
-    memory_peak: Gauge,
-    memory_limit: Gauge,
-    memory_waiting: Gauge,
 }
 
 /// What a proxy counts.
@@ -172,7 +117,7 @@
     work_after_client: Histogram,
     clients_left: EventCount,
     close_noticed: Histogram,
-    memory_refusals: Family<RefusalLabels, EventCount>,
+    pub(super) memory: MemoryMetrics,
     gauges: ProxyGauges,
 }
 
@@ -192,7 +137,7 @@
             work_after_client: seconds_histogram(),
             clients_left: EventCount::default(),
             close_noticed: seconds_histogram(),
-            memory_refusals: Family::default(),
+            memory: MemoryMetrics::register(&mut registry),
             gauges: ProxyGauges::register(&mut registry),
             registry: Registry::default(),
         };
@@ -246,11 +191,6 @@
             "Time from reading the end of a client's connection to giving its requests up",
             metrics.close_noticed.clone(),
         );
-        registry.register(
-            "memory_refusals",
-            "Requests that were refused as there was no memory for their bodies",
-            metrics.memory_refusals.clone(),
-        );
         ProxyMetrics {
             registry,
             ..metrics
@@ -295,13 +235,6 @@
         self.close_noticed.observe(seconds(noticed_after));
     }
 
-    /// Counts a request that was refused as there was no memory for its body.
-    pub(super) fn on_memory_refused(&self, refusal: Refusal) {
-        let reason = RefusalReason::from(refusal);
-        let labels = RefusalLabels { reason };
-        self.memory_refusals.get_or_create(&labels).inc();
-    }
-
     /// Takes note of how old the endpoint list is by which an attempt is written.
     pub(super) fn on_attempt(&self, list_age: Micros) {
         self.list_age_at_attempt.observe(seconds(list_age));
@@ -320,10 +253,6 @@
             endpoints_draining: Gauge::default(),
             requests_in_progress: Gauge::default(),
             attempts_in_flight: Gauge::default(),
-            memory_reserved: Family::default(),
-            memory_peak: Gauge::default(),
-            memory_limit: Gauge::default(),
-            memory_waiting: Gauge::default(),
         };
         registry.register(
             "config_version",
@@ -370,26 +299,6 @@
             "Attempts in flight",
             gauges.attempts_in_flight.clone(),
         );
-        registry.register(
-            "memory_reserved_bytes",
-            "Memory reserved for bodies",
-            gauges.memory_reserved.clone(),
-        );
-        registry.register(
-            "memory_reserved_peak_bytes",
-            "The most memory that was reserved for bodies at once since the start",
-            gauges.memory_peak.clone(),
-        );
-        registry.register(
-            "memory_limit_bytes",
-            "Memory that may be reserved for bodies",
-            gauges.memory_limit.clone(),
-        );
-        registry.register(
-            "memory_waiting",
-            "Bodies that wait for memory",
-            gauges.memory_waiting.clone(),
-        );
         gauges
     }
 
@@ -415,20 +324,6 @@
         self.requests_in_progress.set(in_progress as i64);
         let in_flight = proxy.attempts_in_flight();
         self.attempts_in_flight.set(in_flight as i64);
-        self.refresh_memory(&proxy.memory_use());
-    }
-
-    fn refresh_memory(&self, memory: &MemoryUse) {
-        for (purpose, reserved) in Purpose::ALL.into_iter().zip(memory.reserved) {
-            let purpose = MemoryPurpose::from(purpose);
-            let gauge = self
-                .memory_reserved
-                .get_or_create(&PurposeLabels { purpose });
-            gauge.set(reserved as i64);
-        }
-        self.memory_peak.set(memory.peak as i64);
-        self.memory_limit.set(memory.limits.total() as i64);
-        self.memory_waiting.set(memory.waiting as i64);
     }
 }
 
@@ -436,6 +331,7 @@
     /// Returns this proxy's figures, as of now.
     pub(super) fn metrics_registry(&self) -> &Registry {
         self.metrics.gauges.refresh(self);
+        self.metrics.memory.refresh(&self.memory_use());
         &self.metrics.registry
     }
 }
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -3,11 +3,11 @@
 use super::client_connection::{ClientConnection, EarlyResponse};
 use super::connector::Stream;
 use super::forwarding::ResolvedRoute;
-use super::held_body::{HeldBody, ReadError};
 use super::responses::{self, ProxyResponse};
 use super::upstream_request::{UpstreamRequest, TIME_LEFT, TRY_ID};
 use super::{forwarding, Proxy};
 use crate::clock::{self, now, Micros};
+use crate::held_body::{HeldBody, ReadError};
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::body::{Body, Incoming};
@@ -178,7 +178,7 @@
         Err(ReadError::TooLong) => return responses::body_too_large(max_body_bytes),
         Err(ReadError::Incomplete) => return responses::incomplete_body(),
         Err(ReadError::NoMemory(refusal)) => {
-            proxy.metrics.on_memory_refused(refusal);
+            proxy.metrics.memory.on_refused(refusal);
             tracing::debug!(target: "request", "Not read: {refusal}.");
             return unforwarded(
                 proxy,
--- a/crates/gateway/src/proxy/responses.rs
+++ b/crates/gateway/src/proxy/responses.rs
@@ -1,7 +1,8 @@
 //! Responses to clients: an endpoint's, and the gateway's own.
 
-use super::held_body::{HeldBody, ResponseBody};
+use super::response_body::ResponseBody;
 use crate::clock::{now, Micros};
+use crate::held_body::HeldBody;
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use magpieline_http1::attempt_outcome::{retry_after_seconds, NextStep};
--- a/crates/gateway/src/proxy/upstream_request.rs
+++ b/crates/gateway/src/proxy/upstream_request.rs
@@ -1,7 +1,7 @@
 //! A request as it is sent to endpoints.
 
-use super::held_body::HeldBody;
 use crate::clock::{now, Micros};
+use crate::held_body::HeldBody;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{
--- a/crates/gateway/src/proxy/upstream_response.rs
+++ b/crates/gateway/src/proxy/upstream_response.rs
@@ -1,9 +1,9 @@
 //! Reads an endpoint's response whole, and says what it proves.
 
-use super::held_body::HeldBody;
 use super::responses::{self, ProxyResponse};
 use super::upstream_request::{without_hop_by_hop, UpstreamRequest, TRY_ID};
 use crate::clock::Micros;
+use crate::held_body::HeldBody;
 use crate::memory::MemoryBudget;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, CONTENT_ENCODING, TRANSFER_ENCODING};
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -5,7 +5,7 @@
 #[allow(dead_code)]
 mod agents;
 
-use agents::{accept, proxy_settings, status, Connection, Process, TIMEOUT};
+use agents::{accept, controller_settings, proxy_settings, status, Connection, Process, TIMEOUT};
 use magpieline_control_plane::delta;
 use magpieline_control_plane::messages::{
     ConfigChunk, ControllerMessage, Endpoint, EndpointState, EndpointUpdate, Hello, ProxyMessage,
@@ -348,3 +348,70 @@
     let peak = fixture.process.peak_memory();
     assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes at the peak");
 }
+
+/// `memory_mb` of the controller.
+const CONTROLLER_MEMORY_MB: u64 = 56;
+/// Routes of a long configuration, and how many come at once.
+const ROUTES: usize = 4_000;
+const DOCUMENTS: u64 = 24;
+
+fn document(version: u64) -> String {
+    let route = |i: usize| {
+        format!(
+            r#"{{"name":"r-{i}","sort":"safe","target":"{}ms","sorting":{{"lane_prefix":"/p{i}/"}},"dispatch":{{"service":"s","give_up":"1500ms","tries":2}}}}"#,
+            600 + version
+        )
+    };
+    let routes: Vec<String> = (0..ROUTES).map(route).collect();
+    let routes = routes.join(",");
+    format!(
+        r#"{{"edition":{version},"wickets":[{{"depot":"h","regulations":[{routes}]}}],"fleets":[{{"name":"s"}}]}}"#
+    )
+}
+
+/// Guards against: several long configurations at once took a controller over `memory_mb`, as each pending one was held with all
+/// that was parsed of it. Those that find no memory are told so, and all are acknowledged in the end.
+#[test]
+fn long_configurations_at_once_stay_within_the_memory_of_a_controller() {
+    let net = format!("127.81.{}", std::process::id() % 250);
+    let limits = format!("[self.allowances]\nmemory_mb = {CONTROLLER_MEMORY_MB}\n");
+    let settings = controller_settings(&net, 1, 1, &limits);
+    let process = Process::start("controller", "memory-controller", &settings);
+    let control = format!("{net}.1:7080").parse().expect("an address");
+    let send_until_acknowledged = |document: &str| {
+        let until = Instant::now() + TIMEOUT;
+        let mut statuses = Vec::new();
+        while statuses.last() != Some(&Some(200)) {
+            assert!(Instant::now() < until, "{statuses:?}");
+            statuses.push(status(
+                control,
+                "POST /v1/rpc?call=config.replace",
+                document,
+            ));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        statuses
+    };
+    send_until_acknowledged(&document(1));
+    let statuses: Vec<_> = std::thread::scope(|scope| {
+        let send = &send_until_acknowledged;
+        let senders: Vec<_> = (2..2 + DOCUMENTS)
+            .map(|version| scope.spawn(move || send(&document(version))))
+            .collect();
+        let statuses = senders
+            .into_iter()
+            .map(|sender| sender.join().expect("no panic"));
+        statuses.flatten().collect()
+    });
+    let peak = process.peak_memory();
+    assert!(
+        peak <= CONTROLLER_MEMORY_MB * 1_000_000,
+        "{peak} bytes at the peak, {statuses:?}"
+    );
+    assert!(
+        statuses
+            .iter()
+            .all(|status| matches!(status, Some(200 | 503))),
+        "{statuses:?}"
+    );
+}
--- a/crates/gateway/tests/proxy_loopback/fixture.rs
+++ b/crates/gateway/tests/proxy_loopback/fixture.rs
@@ -161,11 +161,21 @@
 
     /// Creates a proxy that reaches its endpoint by `connector`.
     pub async fn connected_by(connector: Connector, config: &str) -> Fixture {
+        Fixture::with_settings(SETTINGS, connector, config).await
+    }
+
+    /// Creates a proxy with so many megabytes of memory.
+    pub async fn with_memory(memory_mb: u64, config: &str) -> Fixture {
+        let limits = format!("{SETTINGS}[self.allowances]\nmemory_mb = {memory_mb}\n");
+        Fixture::with_settings(&limits, connector::tcp(), config).await
+    }
+
+    async fn with_settings(settings: &str, connector: Connector, config: &str) -> Fixture {
         let (far, address) = local().await;
         let (tell, asked) = mpsc::unbounded_channel();
         tokio::spawn(serve_endpoint(far, tell));
         let proxy = Arc::new(Proxy::new(
-            tokio::sync::watch::channel(Arc::new(NodeSettings::parse(SETTINGS).expect("sound"))).1,
+            tokio::sync::watch::channel(Arc::new(NodeSettings::parse(settings).expect("sound"))).1,
             1,
             connector,
         ));
--- a/crates/gateway/tests/proxy_loopback/main.rs
+++ b/crates/gateway/tests/proxy_loopback/main.rs
@@ -3,5 +3,6 @@
 mod client_leaving;
 mod committed_config;
 mod fixture;
+mod memory;
 mod requests;
 mod shutdown;
