Soak: long bodies and long responses at once, and the memory of each process

Agents have 72 MB; the most that each process has had is recorded ten times a second and held against that (MEMORY), and endpoints check that a body arrived as it was sent.

--- a/tools/soak/src/agents.rs
+++ b/tools/soak/src/agents.rs
@@ -1,6 +1,6 @@
 //! The agents: the real program as processes on loopback, each at an address of its own, started again when it has ended.
 
-use crate::checks::GRACE;
+use crate::checks::{GRACE, MEMORY_MB};
 use crate::plan::{Action, Agent, Size};
 use crate::recorder::{Recorder, Shutdown};
 use rustix::process::{kill_process, Pid, Signal};
@@ -132,6 +132,7 @@
         let text = format!(
             "[self]\nnode = \"{agent}\"\nmachine_class = \"{class}\"\nip = \"{ip}\"\nzone = \"hall\"\nregion = \"valley\"\n\
              first_run = {is_first_run}\n{store}\
+             [self.allowances]\nmemory_mb = {MEMORY_MB}\n\
              [network]\ninner_ports = [7720, 7735]\nseed_depots = [{}]\n[network.posts]\n{posts}\n\
              [network.zones]\nhall = \"valley\"\n\
              [carrier.carrier_api]\naddress = \"{}\"\nper_s = 200.0\nlag = \"200ms\"\n\
@@ -231,7 +232,8 @@
             Action::ChangeConfig
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
-            | Action::Impatience(..) => {}
+            | Action::Impatience(..)
+            | Action::LongBodies(..) => {}
         }
     }
 
@@ -294,6 +296,7 @@
     pub(crate) async fn watch(&self) {
         loop {
             sleep(POLL_INTERVAL * 5).await;
+            self.record_memory();
             let agents: Vec<Agent> = {
                 let processes = self.processes();
                 let unasked = processes.iter().filter(|(_, process)| !process.is_ending);
@@ -310,21 +313,36 @@
         }
     }
 
+    /// Records the most memory that each process has had.
+    fn record_memory(&self) {
+        let processes = self.processes();
+        let peaks = &mut self.recorder.lock().memory_peaks;
+        for (agent, process) in processes.iter() {
+            let peak_kb = memory_kb(process.pid.as_raw_nonzero().get(), "VmHWM:");
+            let known = peaks.entry(*agent).or_default();
+            *known = peak_kb.max(*known);
+        }
+    }
+
     /// Records what each agent holds.
     pub(crate) fn record_resources(&self) {
         let processes = self.processes();
         let resources = processes.iter().map(|(agent, process)| {
             let pid = process.pid.as_raw_nonzero();
-            (*agent, memory_kb(pid.get()), descriptors(pid.get()))
+            (
+                *agent,
+                memory_kb(pid.get(), "VmRSS:"),
+                descriptors(pid.get()),
+            )
         });
         self.recorder.lock().resources = resources.collect();
     }
 }
 
-/// Returns the memory of a process, in kB.
-fn memory_kb(pid: i32) -> u64 {
+/// Returns a figure of a process's memory, in kB: `VmRSS:` is what it has, `VmHWM:` the most that it has had.
+fn memory_kb(pid: i32, name: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
     let number = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse().ok());
     number.unwrap_or(0)
 }
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -15,6 +15,8 @@
 const DRAIN: Micros = 4 * SECOND;
 /// Statuses that promise that a request never ran and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// The memory of an agent, as in its settings.
+pub(crate) const MEMORY_MB: u64 = 72;
 /// What an agent may hold in the end, in kB and descriptors.
 const MAX_MEMORY_KB: u64 = 128 << 10;
 const MAX_DESCRIPTORS: usize = 1_000;
@@ -147,6 +149,13 @@
 }
 
 fn check_unasked(recording: &Recording, findings: &mut Vec<Finding>) {
+    for text in &recording.altered {
+        findings.push(Finding {
+            rule: "UNASKED",
+            at: 0,
+            text: text.clone(),
+        });
+    }
     for run in &recording.runs {
         if !recording.requests.contains_key(&run.id) {
             findings.push(Finding {
@@ -197,6 +206,15 @@
             });
         }
     }
+    for (agent, peak_kb) in &recording.memory_peaks {
+        if peak_kb * 1024 > MEMORY_MB * 1_000_000 {
+            findings.push(Finding {
+                rule: "MEMORY",
+                at: 0,
+                text: format!("{agent} had {peak_kb} kB, beyond its {MEMORY_MB} MB"),
+            });
+        }
+    }
     for (agent, memory_kb, descriptors) in &recording.resources {
         if *memory_kb > MAX_MEMORY_KB || *descriptors > MAX_DESCRIPTORS {
             findings.push(Finding {
--- a/tools/soak/src/clients.rs
+++ b/tools/soak/src/clients.rs
@@ -26,7 +26,9 @@
 const HALF_BODY: f64 = 0.01;
 /// A client leaves so many milliseconds after it has sent its request.
 const LEAVES_AFTER_MS: std::ops::Range<u64> = 1..400;
-const BODY: &str = "0123456789";
+pub(crate) const BODY: &str = "0123456789";
+/// What long bodies are filled with.
+pub(crate) const FILLER: u8 = b'x';
 
 /// What clients share.
 pub(crate) struct World {
@@ -107,8 +109,8 @@
     /// Sends half a request and leaves.
     async fn send_half(&mut self, connection: &mut Connection) -> bool {
         let id = self.next_id();
-        let text = request_text(&id, false);
-        let half = &text.as_bytes()[..text.len() - BODY.len() / 2];
+        let text = request_text(&id, false, 0);
+        let half = &text[..text.len() - BODY.len() / 2];
         let _ = connection.stream.write_all(half).await;
         sleep(Duration::from_millis(self.rng.gen_range(0..200))).await;
         false
@@ -124,17 +126,19 @@
         };
         let is_idempotent = count > 1 || self.rng.gen_bool(0.6);
         let ids: Vec<String> = (0..count).map(|_| self.next_id()).collect();
+        let extra_bytes = self.world.surroundings.draw_extra_bytes();
         for id in &ids {
-            let text = request_text(id, is_idempotent);
+            let text = request_text(id, is_idempotent, extra_bytes);
             self.record(id, connection.proxy, is_idempotent);
-            if connection.stream.write_all(text.as_bytes()).await.is_err() {
+            if connection.stream.write_all(&text).await.is_err() {
                 self.close_all(&ids);
                 return false;
             }
         }
         let leaves = self.world.surroundings.draws_leaving(USUAL_LEAVING);
         let leaves_after = Duration::from_millis(self.rng.gen_range(LEAVES_AFTER_MS));
-        let reading = read_answers(&self.world.recorder, connection, &ids);
+        let extra_bytes = if is_idempotent { extra_bytes } else { 0 };
+        let reading = read_answers(&self.world.recorder, connection, &ids, extra_bytes);
         let patience = if leaves {
             leaves_after
         } else {
@@ -197,13 +201,19 @@
     }
 }
 
-/// Reads the answers to requests in their order. Returns whether the connection goes on.
-async fn read_answers(recorder: &Recorder, connection: &mut Connection, ids: &[String]) -> bool {
+/// Reads the answers to requests in their order; their bodies have so many bytes more than usual. Returns whether the connection
+/// goes on.
+async fn read_answers(
+    recorder: &Recorder,
+    connection: &mut Connection,
+    ids: &[String],
+    extra_bytes: usize,
+) -> bool {
     for (i, id) in ids.iter().enumerate() {
         let begun_at = recorder.now();
         match read_answer(connection).await {
             Ok(answer) => {
-                recorder.on_outcome(id, outcome_of(&answer, id));
+                recorder.on_outcome(id, outcome_of(&answer, id, extra_bytes));
                 on_latency(recorder, id, begun_at);
                 if answer.is_last() {
                     for behind in &ids[i + 1..] {
@@ -237,14 +247,22 @@
     Ok(answer)
 }
 
-fn outcome_of(answer: &Message, id: &str) -> ClientOutcome {
+fn outcome_of(answer: &Message, id: &str, extra_bytes: usize) -> ClientOutcome {
+    let is_own = answer.header("try-id") == Some(id);
     ClientOutcome::Answered {
         status: answer.status(),
         has_postmark: answer.header("postmark").is_some(),
-        is_own: answer.header("try-id") == Some(id) && answer.body == id.as_bytes(),
+        is_own: is_own && is_filled(&answer.body, id, extra_bytes),
     }
 }
 
+/// Whether a body begins so, and goes on with so many bytes.
+pub(crate) fn is_filled(body: &[u8], begin: &str, extra_bytes: usize) -> bool {
+    let extra = body.strip_prefix(begin.as_bytes());
+    extra
+        .is_some_and(|extra| extra.len() == extra_bytes && extra.iter().all(|byte| *byte == FILLER))
+}
+
 /// Takes note of the time from a request's sending, or its turn on its connection, to its answer.
 fn on_latency(recorder: &Recorder, id: &str, begun_at: Micros) {
     let now = recorder.now();
@@ -264,14 +282,25 @@
     }
 }
 
-fn request_text(id: &str, is_idempotent: bool) -> String {
-    match is_idempotent {
-        true => format!(
-            "GET /safe/{id} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n\r\n"
-        ),
-        false => format!(
-            "POST /once/{id} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\nContent-Length: {}\r\n\r\n{BODY}",
-            BODY.len()
-        ),
+/// Returns a request. The response to an idempotent one, or else its own body, has so many bytes more than usual; a body of an odd
+/// length is sent in chunks.
+fn request_text(id: &str, is_idempotent: bool, extra_bytes: usize) -> Vec<u8> {
+    let head = format!(
+        "{id}?extra={extra_bytes} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n"
+    );
+    if is_idempotent {
+        return format!("GET /safe/{head}\r\n").into();
+    }
+    let length = BODY.len() + extra_bytes;
+    let is_chunked = length % 2 == 1;
+    let framing = match is_chunked {
+        true => format!("Transfer-Encoding: chunked\r\n\r\n{length:x}"),
+        false => format!("Content-Length: {length}\r\n"),
+    };
+    let mut text = format!("POST /once/{head}{framing}\r\n{BODY}").into_bytes();
+    text.resize(text.len() + extra_bytes, FILLER);
+    if is_chunked {
+        text.extend_from_slice(b"\r\n0\r\n\r\n");
     }
+    text
 }
--- a/tools/soak/src/endpoint.rs
+++ b/tools/soak/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! Endpoints and the platform's list of them.
 
+use crate::clients::{is_filled, BODY, FILLER};
 use crate::recorder::{Recorder, Run};
 use crate::surroundings::Surroundings;
 use magpieline_proxy_simulation::http_reader::{Message, Reader};
@@ -104,7 +105,8 @@
             () = self.work() => false,
             _ = reader.read_more(stream) => true,
         };
-        let has_answered = !is_interrupted && self.answer(stream, &id).await;
+        let extra_bytes = self.check_body(request, &id);
+        let has_answered = !is_interrupted && self.answer(stream, &id, extra_bytes).await;
         let now = self.recorder.now();
         let run = &mut self.recorder.lock().runs[number];
         (run.stopped_at, run.has_answered) = (Some(now), has_answered);
@@ -129,13 +131,31 @@
         tokio::time::sleep(Duration::from_millis(self.surroundings.draw_work_ms())).await;
     }
 
-    async fn answer(&self, stream: &mut TcpStream, id: &str) -> bool {
+    /// Checks that a body arrived as it was sent. Returns how many bytes more than usual the response is to have.
+    fn check_body(&self, request: &Message, id: &str) -> usize {
+        let target = request.start_line.split(' ').nth(1).unwrap_or("");
+        let extra = target.split_once("?extra=");
+        let extra_bytes = extra.and_then(|(_, bytes)| bytes.parse().ok()).unwrap_or(0);
+        if request.start_line.starts_with("GET ") {
+            return extra_bytes;
+        }
+        if !is_filled(&request.body, BODY, extra_bytes) {
+            let length = request.body.len();
+            let text = format!("{id} arrived with another body, of {length} bytes: {target}");
+            self.recorder.lock().altered.push(text);
+        }
+        0
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, id: &str, extra_bytes: usize) -> bool {
         let headers = "Postmark: stamped\r\n";
-        self.write(stream, id, 200, headers, id).await
+        let mut body = id.as_bytes().to_vec();
+        body.resize(id.len() + extra_bytes, FILLER);
+        self.write(stream, id, 200, headers, &body).await
     }
 
     async fn reject(&self, stream: &mut TcpStream, id: &str, status: u16) -> bool {
-        self.write(stream, id, status, "Not-Delivered: full\r\n", "")
+        self.write(stream, id, status, "Not-Delivered: full\r\n", b"")
             .await
     }
 
@@ -145,7 +165,7 @@
         id: &str,
         status: u16,
         headers: &str,
-        body: &str,
+        body: &[u8],
     ) -> bool {
         let load = self.at_work.load(Ordering::Relaxed);
         let close = match self.is_draining.load(Ordering::Relaxed) {
@@ -153,9 +173,10 @@
             false => "",
         };
         let text = format!(
-            "HTTP/1.1 {status} X\r\nTry-Id: {id}\r\nLoad: {load},0,{CONCURRENCY}\r\n{headers}{close}Content-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status} X\r\nTry-Id: {id}\r\nLoad: {load},0,{CONCURRENCY}\r\n{headers}{close}Content-Length: {}\r\n\r\n",
             body.len()
         );
-        stream.write_all(text.as_bytes()).await.is_ok()
+        let text = [text.as_bytes(), body].concat();
+        stream.write_all(&text).await.is_ok()
     }
 }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -177,7 +177,8 @@
             Action::ChangeConfig
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
-            | Action::Impatience(..) => (None, false),
+            | Action::Impatience(..)
+            | Action::LongBodies(..) => (None, false),
         };
         let incident = self.recorder.begin(agent, is_unplanned, action.to_string());
         match action {
@@ -191,6 +192,9 @@
                 self.surroundings
                     .make_impatient(share, Duration::from_millis(ms));
             }
+            Action::LongBodies(share, ms) => {
+                self.surroundings.lengthen(share, Duration::from_millis(ms));
+            }
             _ => self.agents.carry_out(action).await,
         }
         self.recorder.end(incident);
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -50,6 +50,8 @@
     SlowEndpoints(f64, u64),
     /// So many of the clients leave before they are answered, for some milliseconds.
     Impatience(f64, u64),
+    /// So many of the requests have long bodies, or long responses, for some milliseconds.
+    LongBodies(f64, u64),
 }
 
 impl fmt::Display for Action {
@@ -71,6 +73,13 @@
                     share * 100.0
                 )
             }
+            Action::LongBodies(share, ms) => {
+                write!(
+                    f,
+                    "{:.0}% of the requests are long for {ms} ms",
+                    share * 100.0
+                )
+            }
         }
     }
 }
@@ -127,7 +136,7 @@
     let mut proxies: Vec<usize> = (0..size.proxies).collect();
     proxies.shuffle(rng);
     let controller = Agent::Controller(rng.gen_range(0..size.controllers));
-    let kind = rng.gen_range(0..9);
+    let kind = rng.gen_range(0..10);
     for i in 0..count {
         let proxy = Agent::Proxy(proxies[i as usize % proxies.len()]);
         let action = match kind {
@@ -138,6 +147,7 @@
             5 => Action::ChangeConfig,
             6 => Action::ReplaceEndpoint,
             7 => Action::Impatience(rng.gen_range(0.2..1.0), rng.gen_range(500..4_000)),
+            8 => Action::LongBodies(rng.gen_range(0.2..1.0), rng.gen_range(200..2_000)),
             // One controller at a time: more than half of them go on.
             _ if i == 0 => *[
                 Action::Terminate(controller),
--- a/tools/soak/src/recorder.rs
+++ b/tools/soak/src/recorder.rs
@@ -115,6 +115,10 @@
     pub latencies: Vec<Micros>,
     /// Memory in kB and open descriptors of each agent, as they were in the end.
     pub resources: Vec<(Agent, u64, usize)>,
+    /// The most memory in kB that a process of each agent had.
+    pub memory_peaks: BTreeMap<Agent, u64>,
+    /// Requests whose body arrived changed, in words.
+    pub altered: Vec<String>,
 }
 
 /// Shared by all that see something.
--- a/tools/soak/src/surroundings.rs
+++ b/tools/soak/src/surroundings.rs
@@ -8,6 +8,9 @@
 /// An endpoint's work, in milliseconds, where nothing slows it.
 const WORK_MS: std::ops::Range<f64> = 5.0..60.0;
 
+/// Bytes of a long body.
+const LONG_BODY_BYTES: std::ops::Range<usize> = 100_000..8_000_000;
+
 /// A factor or a share that holds until some time.
 #[derive(Clone, Copy, Debug)]
 struct Temporary {
@@ -20,6 +23,7 @@
     rng: SeededRng,
     slowness: Option<Temporary>,
     impatience: Option<Temporary>,
+    long_bodies: Option<Temporary>,
 }
 
 /// Shared by endpoints and clients.
@@ -32,6 +36,7 @@
             rng: rng(seed),
             slowness: None,
             impatience: None,
+            long_bodies: None,
         }))
     }
 
@@ -55,6 +60,24 @@
         });
     }
 
+    /// Makes a share of the requests long for some time.
+    pub(crate) fn lengthen(&self, share: f64, time: Duration) {
+        self.state().long_bodies = Some(Temporary {
+            value: share,
+            until: Instant::now() + time,
+        });
+    }
+
+    /// Draws the length of a body, beyond what it usually has.
+    pub(crate) fn draw_extra_bytes(&self) -> usize {
+        let state = &mut *self.state();
+        let share = current(state.long_bodies, 0.0);
+        match state.rng.gen_bool(share) {
+            true => state.rng.gen_range(LONG_BODY_BYTES),
+            false => 0,
+        }
+    }
+
     /// Draws how long an endpoint works on a request.
     pub(crate) fn draw_work_ms(&self) -> u64 {
         let state = &mut *self.state();
