Check and log: how much memory there is for bodies

`check` shows it beside the machine's bounds (JSON: body_bytes_in_all); a proxy logs a configuration that allows longer bodies than it can hold.

--- a/crates/gateway/src/commands/check.rs
+++ b/crates/gateway/src/commands/check.rs
@@ -2,12 +2,14 @@
 
 use super::tables::{columns, join, pairs};
 use super::{print, ExitStatus};
+use crate::memory::{self, MEGABYTE};
 use jzon::JsonValue as Json;
 use magpieline_config::diagnostic::Diagnostic;
 use magpieline_config::durations;
 use magpieline_config::gateway_config::GatewayConfig;
 use magpieline_config::node_settings::NodeSettings;
 use magpieline_config::route_table::{Idempotency, Route};
+use magpieline_memory_budget::Purpose;
 use std::io::Read;
 
 #[derive(gumdrop::Options)]
@@ -255,6 +257,7 @@
                 settings.memory_mb, settings.max_descriptors, settings.disk_mb
             ),
         ),
+        ("bodies", body_memory(settings)),
         (
             "withstands",
             format!("the loss of {}", settings.tolerated_machines),
@@ -263,6 +266,17 @@
     ]
 }
 
+/// Returns how much of the memory is for bodies.
+fn body_memory(settings: &NodeSettings) -> String {
+    let limits = memory::limits(settings.memory_mb);
+    format!(
+        "{} MB of memory in all, {} MB for long requests, {} MB for long responses",
+        limits.total() / MEGABYTE,
+        limits.large(Purpose::Request) / MEGABYTE,
+        limits.large(Purpose::Response) / MEGABYTE
+    )
+}
+
 fn settings_json(settings: &NodeSettings) -> Json {
     let mut posts = Json::new_object();
     settings
@@ -281,7 +295,7 @@
         seeds: settings.controller_seeds.iter().map(|s| s.to_string()).collect::<Vec<_>>(),
         platform: settings.platform.address.map(|a| a.to_string()),
         zones: settings.zones.keys().map(String::as_str).collect::<Vec<_>>(),
-        memory_mb: settings.memory_mb, descriptors: settings.max_descriptors, disk_mb: settings.disk_mb,
+        memory_mb: settings.memory_mb, body_bytes_in_all: memory::limits(settings.memory_mb).total(), descriptors: settings.max_descriptors, disk_mb: settings.disk_mb,
         withstand: settings.tolerated_machines, terms: terms_shown
     }
 }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 /// Bytes of a unit of `memory_mb`.
-const MEGABYTE: u64 = 1_000_000;
+pub(crate) const MEGABYTE: u64 = 1_000_000;
 /// Returns the limits of a process with so many megabytes of memory.
 pub fn limits(memory_mb: u64) -> Limits {
     Limits::of_memory(memory_mb.saturating_mul(MEGABYTE))
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -41,6 +41,7 @@
 use magpieline_control_plane::messages::{EndpointUpdate, TrialEvidence, TrialStage};
 use magpieline_control_plane::state_machine::{ServiceState, StoredConfig};
 use magpieline_http1::deduplication::SeenRequests;
+use magpieline_memory_budget::Purpose;
 use metrics::ProxyMetrics;
 pub use readiness::NotReady;
 use shutdown::{Shutdown, Unfinished};
@@ -242,11 +243,16 @@
 
     fn put_in_force(&self, stored: &StoredConfig, config: GatewayConfig) {
         let unknown = config.unknown_services.first().cloned();
+        let max_body_bytes = config.client_limits.body_bytes;
         if self.state().set_config(stored, config) {
             tracing::info!(target: "config", "Configuration {} is in force.", stored.version);
             if let Some(unknown) = unknown {
                 tracing::warn!(target: "config", "Configuration {} names services that it doesn't list: {unknown}.", stored.version);
             }
+            let longest = self.memory_use().limits.longest(Purpose::Request);
+            if max_body_bytes > longest {
+                tracing::warn!(target: "config", "Configuration {} allows bodies of {max_body_bytes} bytes; this machine has memory for {longest}.", stored.version);
+            }
         }
         self.initialized.notify_waiters();
     }
