--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -9,7 +9,10 @@
 
 /// Bytes of a unit of `memory_mb`.
 pub(crate) const MEGABYTE: u64 = 1_000_000;
-/// Returns the limits of a process with so many megabytes of memory.
+/// A configuration takes so many times the bytes of its text, while the next one is parsed beside it.
+const CONFIG_COPIES: u64 = 8;
+
+/// Returns the limits of a process with so many megabytes of memory, before it has a configuration.
 pub fn limits(memory_mb: u64) -> Limits {
     Limits::of_memory(memory_mb.saturating_mul(MEGABYTE))
 }
@@ -23,11 +26,22 @@
 #[derive(Debug)]
 struct Shared {
     budget: Budget,
+    memory_bytes: u64,
+    /// Bytes of the configuration's text.
+    config_bytes: u64,
     /// Who is told when a wait has its reservation.
     waiters: HashMap<WaitId, oneshot::Sender<()>>,
 }
 
 impl Shared {
+    /// Counts by what the configuration leaves of the memory.
+    fn update_limits(&mut self) {
+        let config_bytes = self.config_bytes.saturating_mul(CONFIG_COPIES);
+        let left = self.memory_bytes.saturating_sub(config_bytes);
+        let granted = self.budget.set_limits(Limits::of_memory(left));
+        self.wake(granted);
+    }
+
     fn wake(&mut self, granted: Vec<WaitId>) {
         for id in granted {
             // A waiter that has gone finds its reservation when it cancels.
@@ -55,6 +69,8 @@
     pub fn new(memory_mb: u64) -> MemoryBudget {
         let shared = Shared {
             budget: Budget::new(limits(memory_mb)),
+            memory_bytes: memory_mb.saturating_mul(MEGABYTE),
+            config_bytes: 0,
             waiters: HashMap::new(),
         };
         MemoryBudget {
@@ -69,8 +85,15 @@
     /// Takes over how much memory the process has from now on.
     pub fn set_memory(&self, memory_mb: u64) {
         let mut shared = self.shared();
-        let granted = shared.budget.set_limits(limits(memory_mb));
-        shared.wake(granted);
+        shared.memory_bytes = memory_mb.saturating_mul(MEGABYTE);
+        shared.update_limits();
+    }
+
+    /// Takes over how long the text of the configuration in force is: what that takes is not there for bodies.
+    pub fn set_config_bytes(&self, bytes: usize) {
+        let mut shared = self.shared();
+        shared.config_bytes = bytes as u64;
+        shared.update_limits();
     }
 
     /// Returns how much is reserved now.
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -246,6 +246,7 @@
         let max_body_bytes = config.client_limits.body_bytes;
         if self.state().set_config(stored, config) {
             tracing::info!(target: "config", "Configuration {} is in force.", stored.version);
+            self.memory.set_config_bytes(stored.text.len());
             if let Some(unknown) = unknown {
                 tracing::warn!(target: "config", "Configuration {} names services that it doesn't list: {unknown}.", stored.version);
             }
