Rollouts: each ends by itself, whatever is lost

What operators saw: all endpoints of a new version were lost, `editions.read` said in_transit for ever, and each later order for the service got 409. Cause: the analysis of a trial waited for an endpoint of the version that is ready, whatever the time; and for ten outcomes, which a service without requests never has. A promotion whose new endpoints were gone could complete. Change: without any listed endpoint a trial is rolled back when its time is nearly over, undecided in any case after twice its time; a promotion with none is rolled back. That the list is too old to tell is told apart from an empty one.

--- a/crates/control-plane/src/endpoint_list.rs
+++ b/crates/control-plane/src/endpoint_list.rs
@@ -52,13 +52,11 @@
         &self,
         now: Micros,
         max_age: Micros,
-    ) -> impl Iterator<Item = (&Endpoint, Micros)> {
-        let is_recent = move |snapshot: &&Snapshot| now <= snapshot.read_at + max_age;
-        let snapshot = self.0.iter().filter(is_recent);
-        snapshot.flat_map(|snapshot| {
-            let endpoints = snapshot.endpoints.values();
-            endpoints.map(|endpoint| (endpoint, snapshot.read_at + endpoint.warmup_left))
-        })
+    ) -> Option<impl Iterator<Item = (&Endpoint, Micros)>> {
+        let is_recent = |snapshot: &&Snapshot| now <= snapshot.read_at + max_age;
+        let snapshot = self.0.as_ref().filter(is_recent)?;
+        let endpoints = snapshot.endpoints.values();
+        Some(endpoints.map(|endpoint| (endpoint, snapshot.read_at + endpoint.warmup_left)))
     }
 
     /// Takes over a list that was read just now. Returns what proxies with a session are to be sent, if anything has changed.
--- a/crates/control-plane/tests/endpoint_list.rs
+++ b/crates/control-plane/tests/endpoint_list.rs
@@ -100,7 +100,7 @@
         ..ready()
     };
     known.replace(S, list([("a", cold.clone()), ("b", ready())]));
-    let recent: Vec<_> = known.recent(4 * S, 3 * S).collect();
+    let recent: Vec<_> = known.recent(4 * S, 3 * S).expect("read lately").collect();
     assert_eq!(recent, [(&cold, 3 * S), (&ready(), S)]);
-    assert_eq!(known.recent(4 * S + 1, 3 * S).count(), 0);
+    assert!(known.recent(4 * S + 1, 3 * S).is_none());
 }
--- a/crates/gateway/src/controller/rollout_controller.rs
+++ b/crates/gateway/src/controller/rollout_controller.rs
@@ -147,7 +147,7 @@
             warm_since: None,
         }
     });
-    known.warm_since = if new_version.is_warm() {
+    known.warm_since = if new_version.as_ref().is_some_and(NewVersion::is_warm) {
         known.warm_since.or(Some(now))
     } else {
         None
@@ -156,7 +156,7 @@
     let observation = Observation {
         now,
         pooled: &pooled,
-        ready_endpoints: new_version.ready,
+        ready_endpoints: new_version.as_ref().map(|version| version.ready),
         warm_since: known.warm_since,
         drain: state.proxies.drain_progress(now, service, rollout.id),
         away_proxies: state
@@ -180,12 +180,18 @@
 }
 
 impl NewVersion {
-    fn of(state: &ControllerState, service: &str, rollout: &Rollout, now: Micros) -> NewVersion {
+    /// Counts them; none if the list is too old to tell.
+    fn of(
+        state: &ControllerState,
+        service: &str,
+        rollout: &Rollout,
+        now: Micros,
+    ) -> Option<NewVersion> {
         let mut counts = NewVersion {
             ready: 0,
             warming_up: 0,
         };
-        for (endpoint, warm_at) in state.endpoints.recent(now, MAX_LIST_AGE) {
+        for (endpoint, warm_at) in state.endpoints.recent(now, MAX_LIST_AGE)? {
             let is_of_version =
                 &*endpoint.service == service && *endpoint.version == *rollout.target_version;
             if is_of_version && endpoint.state == EndpointState::Ready {
@@ -193,7 +199,7 @@
                 counts.warming_up += usize::from(warm_at > now);
             }
         }
-        counts
+        Some(counts)
     }
 
     /// Some may be cold again after a crash; most have to be warm.
--- a/crates/rollout/src/analysis.rs
+++ b/crates/rollout/src/analysis.rs
@@ -49,6 +49,9 @@
 /// Time that is kept for the promotion before the rollout's time is over.
 const PROMOTION_RESERVE: Micros = 4_500_000;
 const MIN_PROMOTION: Micros = 700_000;
+/// A trial that can't be decided is rolled back after so many times the time that it may take: nobody waits for ever, and the next
+/// order is accepted.
+const MAX_TRIAL: u64 = 2;
 /// A promotion waits so long for proxies that can't be reached; by then their own lists have shown them.
 const MAX_PROMOTION: Micros = 4_000_000;
 /// Routes that the duel tells apart; more of them share the last position.
@@ -71,8 +74,8 @@
     pub now: Micros,
     /// What all proxies have seen.
     pub pooled: &'a PooledEvidence,
-    /// Endpoints of the version on trial that are listed as ready.
-    pub ready_endpoints: usize,
+    /// Endpoints of the version on trial that are listed as ready; none if the list is too old to tell.
+    pub ready_endpoints: Option<usize>,
     /// Since when most of them have been warm.
     pub warm_since: Option<Micros>,
     /// How far proxies have drained the earlier version.
@@ -363,7 +366,10 @@
 
     fn decide_trial(&mut self, observation: Observation, outcomes: u32) -> Decision {
         let now = observation.now;
-        if observation.ready_endpoints == 0 {
+        if self.is_undecidable(&observation) {
+            return Decision::Advance(Phase::RolledBack);
+        }
+        if observation.ready_endpoints.unwrap_or(0) == 0 {
             return Decision::Wait;
         }
         let idempotent_only = self.is_idempotent_only(now, outcomes);
@@ -382,14 +388,25 @@
         if !is_doubtful && self.is_due(&observation, outcomes) {
             return Decision::Advance(Phase::Promoting);
         }
-        let ends_at = self.started_at + self.within;
-        let is_last_moment = now + DECISION_MARGIN.min(self.within / 6) >= ends_at;
-        if is_doubtful && is_last_moment {
+        if is_doubtful && self.is_last_moment(now) {
             return Decision::Advance(Phase::RolledBack);
         }
         Decision::Wait
     }
 
+    fn is_last_moment(&self, now: Micros) -> bool {
+        let ends_at = self.started_at + self.within;
+        now + DECISION_MARGIN.min(self.within / 6) >= ends_at
+    }
+
+    /// Whether nothing more is to be learnt in a trial: its endpoints are gone when its time is nearly over, or its time was over
+    /// long ago.
+    fn is_undecidable(&self, observation: &Observation) -> bool {
+        let is_over = observation.now >= self.started_at + MAX_TRIAL * self.within;
+        let has_no_endpoints = observation.ready_endpoints == Some(0);
+        is_over || (has_no_endpoints && self.is_last_moment(observation.now))
+    }
+
     fn is_idempotent_only(&mut self, now: Micros, outcomes: u32) -> bool {
         let stage_since = *self.stage_since.get_or_insert(now);
         if self.is_open {
@@ -423,8 +440,8 @@
         let is_drained =
             observation.drain == DrainProgress::default() && observation.away_proxies == 0;
         let has_waited = now >= since + MAX_PROMOTION;
-        // The earlier endpoints end as soon as the rollout is completed: with a doubt left it is not.
-        if self.doubt() >= DOUBTFUL {
+        // The earlier endpoints end as soon as the rollout is completed: with a doubt left, or none of the new ones, it is not.
+        if self.doubt() >= DOUBTFUL || observation.ready_endpoints == Some(0) {
             return if has_waited {
                 Decision::Advance(Phase::RolledBack)
             } else {
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -14,6 +14,8 @@
 
 const MS: Micros = 1000;
 const WITHIN: Micros = 14_000 * MS;
+/// How often the leader looks at what proxies have reported.
+const ANALYSIS_INTERVAL: Micros = 150 * MS;
 const SHARE: f64 = 0.1;
 const SLACK: f64 = 50.0;
 
@@ -45,6 +47,19 @@
     Restarts,
     /// No request of the service is idempotent.
     NoIdempotentRequests,
+    /// All endpoints of the new version are lost for good at this time; the leader changes then, too.
+    EndpointsLost(Micros),
+    /// The service gets no requests at all.
+    NoRequests,
+}
+
+/// When another leader takes over, if one does.
+fn changes_leader_at(fault: Fault) -> Option<Micros> {
+    match fault {
+        Fault::LeaderChange => Some(7_000 * MS),
+        Fault::EndpointsLost(at) => Some(at),
+        _ => None,
+    }
 }
 
 struct Outcome {
@@ -101,7 +116,7 @@
     // Outcomes in flight: when they are seen, by whom, what.
     let mut in_flight: Vec<(Micros, usize, AttemptOutcome)> = Vec::new();
     for now in (0..30_000 * MS).step_by(10_000) {
-        if fault == Fault::LeaderChange && now == 7_000 * MS {
+        if changes_leader_at(fault) == Some(now) {
             (analysis, opened) = (new_analysis(now), false);
             registry.set_leadership(None);
             registry.set_leadership(Some(1));
@@ -117,14 +132,20 @@
                 restarted.enter(analysis.stage());
             }
         }
-        let ready_endpoints = if now >= 1_200 * MS { 24 } else { 0 };
+        let are_lost = matches!(fault, Fault::EndpointsLost(at) if now >= at);
+        let ready_endpoints = if now >= 1_200 * MS && !are_lost {
+            24
+        } else {
+            0
+        };
         let cold = now < 4_500 * MS;
-        if ready_endpoints > 0 && !cold {
-            warm_since = warm_since.or(Some(now));
-        }
+        warm_since = match ready_endpoints > 0 && !cold {
+            true => warm_since.or(Some(now)),
+            false => None,
+        };
         // Requests: each proxy's part of the rate, by chance.
         for (c, trial) in trials.iter_mut().enumerate() {
-            if !rng.gen_bool(rate / proxies as f64 * 0.01) {
+            if fault == Fault::NoRequests || !rng.gen_bool(rate / proxies as f64 * 0.01) {
                 continue;
             }
             requests += 1.0;
@@ -150,7 +171,10 @@
                     Version::UnderLoad => phase == Phase::Promoting || rng.gen_bool(0.04),
                 };
             let sick = fault == Fault::UnhealthyEndpoints && endpoint % 8 == 0 && rng.gen_bool(0.7);
-            let failed = sick || (bad && version != Version::Slow) || rng.gen_bool(0.002);
+            let failed = sick
+                || (to_trial && are_lost)
+                || (bad && version != Version::Slow)
+                || rng.gen_bool(0.002);
             let slow = (bad && version == Version::Slow) || rng.gen_bool(0.01);
             let elapsed = (rng.gen_range(80..320) * if slow { 8 } else { 1 }) * MS;
             let outcome = AttemptOutcome {
@@ -184,11 +208,8 @@
         };
         if now % every == 0 {
             for (c, trial) in trials.iter().enumerate() {
-                let session = if fault == Fault::LeaderChange && now >= 7_000 * MS {
-                    None
-                } else {
-                    Some(c as u64)
-                };
+                let has_changed = changes_leader_at(fault).is_some_and(|at| now >= at);
+                let session = if has_changed { None } else { Some(c as u64) };
                 let session = session.unwrap_or_else(|| proxies as u64 + 1 + c as u64);
                 let evidence = TrialEvidence {
                     phase: Some(phase),
@@ -206,13 +227,13 @@
                 );
             }
         }
-        if now % (150 * MS) == 0 {
+        if now % ANALYSIS_INTERVAL == 0 {
             let pooled = registry.pooled_evidence("s", 1);
             let drain = registry.drain_progress(now, "s", 1);
             match analysis.decide(Observation {
                 now,
                 pooled: &pooled,
-                ready_endpoints,
+                ready_endpoints: Some(ready_endpoints),
                 warm_since,
                 drain,
                 away_proxies: 0,
@@ -346,3 +367,28 @@
     }
     assert!(completed >= 9, "{completed} of 10");
 }
+
+/// Guards against a rollout that never ends: all endpoints of its version were lost, or nothing was learnt of it, and its service
+/// refused each later order.
+#[rstest]
+fn a_rollout_ends_whatever_is_lost(
+    #[values(
+        Fault::EndpointsLost(0),
+        Fault::EndpointsLost(1_500 * MS),
+        Fault::EndpointsLost(7_050 * MS),
+        Fault::EndpointsLost(10_050 * MS),
+        Fault::NoRequests
+    )]
+    fault: Fault,
+    #[values((1, 60.0), (9, 110.0), (12, 250.0))] size: (usize, f64),
+) {
+    for seed in 0..12 {
+        let end = play(seed, Version::Good, fault, size.0, size.1);
+        assert_eq!(end.phase, Phase::RolledBack, "seed {seed}: {}", end.summary);
+        assert!(
+            end.at <= 2 * WITHIN + ANALYSIS_INTERVAL,
+            "seed {seed}: {} ms",
+            end.at / 1000
+        );
+    }
+}
