--- a/crates/dispatch/src/exchange/tests.rs
+++ b/crates/dispatch/src/exchange/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
+use magpieline_degradation::{Door as LevelDoor, Ended};
 use magpieline_operator_config::versions::Staging;
+use magpieline_operator_config::versions::Versions;
+use magpieline_operator_config::{watch, Values};
 
 /// A way on which nothing ever comes back.
 struct Silence;
