--- /dev/null
+++ b/crates/gateway/src/proxy/client_connection/client_io.rs
@@ -0,0 +1,92 @@
+//! A client's connection as hyper reads and writes it.
+
+use super::{ClientConnection, MAX_SHOWN};
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// What hyper reads and writes.
+pub(in crate::proxy) struct ClientIo<S>(pub(in crate::proxy) Arc<ClientConnection<S>>);
+
+impl<S: AsyncRead + AsyncWrite + Unpin> hyper::rt::Read for ClientIo<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut into: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let inner = &mut *self.0.inner();
+        if inner.framing.visible().is_empty() {
+            inner.advance();
+            inner.fill(cx);
+        }
+        let visible = inner.framing.visible();
+        if !visible.is_empty() {
+            let len = visible.len().min(into.remaining()).min(MAX_SHOWN);
+            into.put_slice(&visible[..len]);
+            inner.framing.consume(inner.now, len);
+            return Poll::Ready(Ok(()));
+        }
+        if inner.framing.body_error().is_some() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        if let Some(kind) = inner.read_error {
+            return Poll::Ready(Err(kind.into()));
+        }
+        if inner.is_at_end {
+            return Poll::Ready(Ok(()));
+        }
+        inner.is_reader_waiting = true;
+        Poll::Pending
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> hyper::rt::Write for ClientIo<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    /// hyper would copy a response into a buffer of its own, whose capacity it keeps for as long as the connection lasts.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// Takes all of it: so it is known that hyper is done with a request once it was answered and there is no output.
+    /// No more than one response waits to be written at a time.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let inner = &mut *self.0.inner();
+        let mut written = match inner.has_output() {
+            true => 0,
+            false => match Pin::new(&mut inner.stream).poll_write_vectored(cx, parts)? {
+                Poll::Ready(written) => written,
+                Poll::Pending => 0,
+            },
+        };
+        let mut total = 0;
+        for part in parts {
+            total += part.len();
+            let skipped = written.min(part.len());
+            written -= skipped;
+            inner.write_or_hold(cx, &part[skipped..])?;
+        }
+        Poll::Ready(Ok(total))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    /// The connection is ended by its task.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/gateway/src/proxy/client_connection.rs
+++ b/crates/gateway/src/proxy/client_connection/mod.rs
@@ -4,25 +4,27 @@
 //! all that hyper writes, and has requests started early. What hyper must not answer is answered here, after hyper has
 //! answered all that came before.
 
-use super::responses::ProxyResponse;
+mod client_io;
+
+use super::early_response::EarlyResponse;
 use crate::clock::{duration, now, Micros};
 use crate::memory::Reservation;
 use crate::net::poll_read_some;
-use hyper::body::Body;
 use magpieline_http1::framing::request_framing::{
     ConnectionStatus, EarlyRequest, RequestFraming, RequestLimits,
 };
 use magpieline_http1::framing::FramingError;
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
-use std::io::{self, IoSlice};
+use std::io;
 use std::pin::{pin, Pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout, Instant};
 
+pub(super) use client_io::ClientIo;
+
 /// At shutdown a client is told so by a response; one that sends nothing keeps the process no longer than this.
 const IDLE_AT_SHUTDOWN: Micros = 500_000;
 /// After the last response a connection is read until its client ends it or sends nothing for so long: bytes left unread
@@ -41,47 +43,6 @@
 /// No more requests are started early while responses of so many bytes wait on a connection.
 const MAX_WAITING_BYTES: usize = 256 << 10;
 
-/// The response to a request that was started early. Dropped, the request is given up, and its attempts are cancelled.
-pub(super) struct EarlyResponse {
-    task: JoinHandle<ProxyResponse>,
-    /// The response, once it was looked at.
-    response: Option<ProxyResponse>,
-}
-
-impl EarlyResponse {
-    pub(super) fn new(task: JoinHandle<ProxyResponse>) -> EarlyResponse {
-        EarlyResponse {
-            task,
-            response: None,
-        }
-    }
-
-    /// Waits for the response; none if its task panicked.
-    pub(super) async fn response(mut self) -> Option<ProxyResponse> {
-        match self.response.take() {
-            Some(response) => Some(response),
-            None => (&mut self.task).await.ok(),
-        }
-    }
-
-    /// Returns the bytes of the response if it waits already.
-    fn waiting_bytes(&mut self, cx: &mut Context<'_>) -> usize {
-        if self.response.is_none() && self.task.is_finished() {
-            if let Poll::Ready(Ok(response)) = Pin::new(&mut self.task).poll(cx) {
-                self.response = Some(response);
-            }
-        }
-        let bytes = |response: &ProxyResponse| response.body().size_hint().lower() as usize;
-        self.response.as_ref().map_or(0, bytes)
-    }
-}
-
-impl Drop for EarlyResponse {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// How the serving of a connection ended.
 enum ServeEnd {
     /// hyper has ended it, or it was lost.
@@ -459,90 +420,6 @@
     }
 }
 
-/// What hyper reads and writes.
-pub(super) struct ClientIo<S>(pub(super) Arc<ClientConnection<S>>);
-
-impl<S: AsyncRead + AsyncWrite + Unpin> hyper::rt::Read for ClientIo<S> {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut into: hyper::rt::ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let inner = &mut *self.0.inner();
-        if inner.framing.visible().is_empty() {
-            inner.advance();
-            inner.fill(cx);
-        }
-        let visible = inner.framing.visible();
-        if !visible.is_empty() {
-            let len = visible.len().min(into.remaining()).min(MAX_SHOWN);
-            into.put_slice(&visible[..len]);
-            inner.framing.consume(inner.now, len);
-            return Poll::Ready(Ok(()));
-        }
-        if inner.framing.body_error().is_some() {
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
-        if let Some(kind) = inner.read_error {
-            return Poll::Ready(Err(kind.into()));
-        }
-        if inner.is_at_end {
-            return Poll::Ready(Ok(()));
-        }
-        inner.is_reader_waiting = true;
-        Poll::Pending
-    }
-}
-
-impl<S: AsyncRead + AsyncWrite + Unpin> hyper::rt::Write for ClientIo<S> {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
-    }
-
-    /// hyper would copy a response into a buffer of its own, whose capacity it keeps for as long as the connection lasts.
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    /// Takes all of it: so it is known that hyper is done with a request once it was answered and there is no output.
-    /// No more than one response waits to be written at a time.
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let inner = &mut *self.0.inner();
-        let mut written = match inner.has_output() {
-            true => 0,
-            false => match Pin::new(&mut inner.stream).poll_write_vectored(cx, parts)? {
-                Poll::Ready(written) => written,
-                Poll::Pending => 0,
-            },
-        };
-        let mut total = 0;
-        for part in parts {
-            total += part.len();
-            let skipped = written.min(part.len());
-            written -= skipped;
-            inner.write_or_hold(cx, &part[skipped..])?;
-        }
-        Poll::Ready(Ok(total))
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    /// The connection is ended by its task.
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
-
 /// Returns the response to what can't be taken, the last on its connection.
 fn rejection(error: FramingError) -> Vec<u8> {
     let (status, text) = (error.status(), error.text());
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 mod connection_pool;
 pub mod connector;
 mod controller_session;
+mod early_response;
 mod fallback_discovery;
 mod forwarding;
 pub mod listener;
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -1,7 +1,8 @@
 //! Handles one request of a client: finds its route, reads its body, and responds.
 
-use super::client_connection::{ClientConnection, EarlyResponse};
+use super::client_connection::ClientConnection;
 use super::connector::Stream;
+use super::early_response::EarlyResponse;
 use super::forwarding::ResolvedRoute;
 use super::responses::{self, ProxyResponse};
 use super::upstream_request::{UpstreamRequest, TIME_LEFT, TRY_ID};
