--- a/crates/gateway/src/body_pieces.rs
+++ b/crates/gateway/src/body_pieces.rs
@@ -1,7 +1,7 @@
 //! A body in memory, in one piece or several, and how it is sent.
 //!
-//! A body whose length isn't known beforehand grows by pieces: one buffer that grows is copied again and again, and leaves holes
-//! of all sizes in the allocator's memory.
+//! Long bodies are held in pieces of one size. One buffer for each would leave holes of all sizes in the allocator's memory, and one
+//! that grows would be copied again and again.
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
--- a/crates/gateway/src/held_body.rs
+++ b/crates/gateway/src/held_body.rs
@@ -9,9 +9,9 @@
 use std::fmt;
 use std::pin::pin;
 
-/// A body whose length isn't known is held in pieces of so many bytes,
+/// A long body is held in pieces of so many bytes: buffers of one size leave no holes in the allocator's memory.
 const PIECE_BYTES: usize = 64 << 10;
-/// but the first is shorter, as most bodies are.
+/// The first piece of a body whose length isn't known: most bodies are short.
 const FIRST_PIECE_BYTES: usize = 16 << 10;
 
 /// Why a body could not be read whole.
@@ -163,9 +163,9 @@
         reservation: &mut Reservation,
     ) -> Result<(), Refusal> {
         let size = match known_length {
-            Some(length) if self.capacity == 0 => length as usize,
-            _ if self.capacity == 0 => FIRST_PIECE_BYTES,
-            _ => PIECE_BYTES,
+            Some(length) => PIECE_BYTES.min((length as usize).saturating_sub(self.capacity).max(1)),
+            None if self.capacity == 0 => FIRST_PIECE_BYTES,
+            None => PIECE_BYTES,
         };
         let capacity = self.capacity + size;
         reservation.grow_to(capacity as u64)?;
