--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -206,6 +206,18 @@
     }
 }
 
+/// Does something so many times at once. Returns the results in order.
+fn all_at_once<T: Send>(count: usize, work: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    std::thread::scope(|scope| {
+        let work = &work;
+        let threads: Vec<_> = (0..count)
+            .map(|number| scope.spawn(move || work(number)))
+            .collect();
+        let results = threads.into_iter().map(|thread| thread.join());
+        results.map(|result| result.expect("no panic")).collect()
+    })
+}
+
 /// How a body of so many bytes is sent.
 #[derive(Clone, Copy)]
 enum Body {
@@ -263,18 +275,8 @@
     #[case] fit_at_once: usize,
 ) {
     let fixture = Fixture::new(test);
-    let send_all = || {
-        std::thread::scope(|scope| {
-            let send = |client| post(fixture.connect(), &format!("long-{client}"), body);
-            let senders: Vec<_> = (0..CLIENTS)
-                .map(|client| scope.spawn(move || send(client)))
-                .collect();
-            let statuses = senders
-                .into_iter()
-                .map(|sender| sender.join().expect("no panic"));
-            statuses.collect::<Vec<_>>()
-        })
-    };
+    let send = |client| post(fixture.connect(), &format!("long-{client}"), body);
+    let send_all = || all_at_once(CLIENTS, send);
     let (statuses, sent, served) = fixture.short_requests_beside(send_all);
     let peak = fixture.process.peak_memory();
     assert!(
@@ -313,18 +315,7 @@
         let is_whole = skip(&mut from, content_length(&head));
         (read_status(&head), is_whole)
     };
-    let get_all = || {
-        std::thread::scope(|scope| {
-            let get = &get;
-            let readers: Vec<_> = (0..CLIENTS)
-                .map(|client| scope.spawn(move || get(client)))
-                .collect();
-            let results = readers
-                .into_iter()
-                .map(|reader| reader.join().expect("no panic"));
-            results.collect::<Vec<_>>()
-        })
-    };
+    let get_all = || all_at_once(CLIENTS, get);
     let (results, sent, served) = fixture.short_requests_beside(get_all);
     let peak = fixture.process.peak_memory();
     assert!(
@@ -357,7 +348,7 @@
 const CONTROLLER_MEMORY_MB: u64 = 56;
 /// Routes of a long configuration, and how many come at once.
 const ROUTES: usize = 4_000;
-const DOCUMENTS: u64 = 24;
+const DOCUMENTS: usize = 24;
 
 fn document(version: u64) -> String {
     let route = |i: usize| {
@@ -397,16 +388,8 @@
         statuses
     };
     send_until_acknowledged(&document(1));
-    let statuses: Vec<_> = std::thread::scope(|scope| {
-        let send = &send_until_acknowledged;
-        let senders: Vec<_> = (2..2 + DOCUMENTS)
-            .map(|version| scope.spawn(move || send(&document(version))))
-            .collect();
-        let statuses = senders
-            .into_iter()
-            .map(|sender| sender.join().expect("no panic"));
-        statuses.flatten().collect()
-    });
+    let send = |sender| send_until_acknowledged(&document(2 + sender as u64));
+    let statuses = all_at_once(DOCUMENTS, send).concat();
     let peak = process.peak_memory();
     assert!(
         peak <= CONTROLLER_MEMORY_MB * 1_000_000,
