Rollouts: many small failures convince, not only few large ones

Cause: a version that fails a little more often than the earlier one (132 of 3,440 against 31 of 56,756) is a reason to doubt, which tells only when the time is nearly over; on 300 machines such a version has fifty bad answers within two seconds. Evidence: a_version_that_fails_a_little_is_rolled_back_in_time_where_it_has_many_requests (60 and 300 proxies) fails without the change.

--- a/crates/rollout/src/analysis.rs
+++ b/crates/rollout/src/analysis.rs
@@ -33,6 +33,8 @@
 const MIN_USUAL_RATE_FOR_SMALL_EXCESS: f64 = 0.003;
 /// Such failures count for this much of the others: the promotion shows them anyway, and two by chance must not stop a version.
 const SMALL_EXCESS_WEIGHT: f64 = 0.7;
+/// Many of them convince: where a version on trial has many requests, what fails a little more often does so many times.
+const CONVINCING_SMALL_EXCESS: f64 = 2.0 * CONVINCING;
 /// Of the share that is allowed so much is used: retries and requests that arrive later count, too.
 const USED_PART_OF_SHARE: f64 = 0.65;
 /// The stage for idempotent requests only lasts so long from the first outcomes on; then others may go to the version on trial.
@@ -261,12 +263,16 @@
         self.scores.iter().filter(counts).map(|(_, scores)| scores)
     }
 
-    /// Returns what speaks against the version without convincing; above `DOUBTFUL` it is not promoted.
-    pub fn doubt(&self) -> f64 {
+    /// Returns the strongest evidence that the version fails a little more often than the earlier one.
+    fn evidence_of_small_excess(&self) -> f64 {
         let strongest =
             |most: f64, scores: &Scores| most.max(SMALL_EXCESS_WEIGHT * scores.few_failures);
-        self.counted_scores()
-            .fold(self.evidence_against(), strongest)
+        self.counted_scores().fold(0.0, strongest)
+    }
+
+    /// Returns what speaks against the version, convincing or not; above `DOUBTFUL` it is not promoted.
+    pub fn doubt(&self) -> f64 {
+        self.evidence_against().max(self.evidence_of_small_excess())
     }
 
     /// Says in a line what a decision rests on.
@@ -359,7 +365,9 @@
     /// Whether the version is bad. One endpoint that is unhealthy or stalls condemns no version.
     fn must_roll_back(&self, pooled: &PooledEvidence) -> bool {
         let evidence = self.evidence_against();
-        let is_convincing = evidence >= CONVINCING || self.duel.dropped() == Some(TRIAL);
+        let is_convincing = evidence >= CONVINCING
+            || self.evidence_of_small_excess() >= CONVINCING_SMALL_EXCESS
+            || self.duel.dropped() == Some(TRIAL);
         let is_voted = pooled.rollback_votes >= MIN_ROLLBACK_VOTES && evidence >= DOUBTFUL;
         is_widespread(pooled) && (is_convincing || is_voted)
     }
