Controllers: what the state takes is not reserved for documents

A proxy takes the configuration in force off the memory that bodies may have; a controller took nothing off, although its log, the texts remembered for differences and the parsed document grow by some 10 MB during the test.

Change: MemoryBudget::set_state_bytes, in bytes of any state, takes the place of set_config_bytes. A controller counts eight times the newest text, the remembered texts and the log (controller/state_memory.rs) whenever its configuration changes. CONFIG_COPIES, which stood twice with two meanings, is PARSED_CONFIG_FACTOR at the proxy and PENDING_CONFIG_FACTOR in the operators' API.

--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -19,6 +19,7 @@
 mod proxy_sessions;
 pub mod raft_driver;
 mod rollout_controller;
+mod state_memory;
 pub mod store_recovery;
 
 use crate::clock::{self, now, Micros};
@@ -278,6 +279,7 @@
             .acceptance_clock
             .on_state_change(now(), &state.control);
         state.send_newest_config();
+        self.memory.set_state_bytes(state_memory::bytes(state));
     }
 
     /// Applies a committed command, and tells the proxies. Returns what it did.
@@ -293,6 +295,9 @@
                 .on_state_change(now(), &state.control);
         }
         state.announce(command, &effect);
+        if effect == Effect::ConfigReplaced {
+            self.memory.set_state_bytes(state_memory::bytes(state));
+        }
         effect
     }
 
--- a/crates/gateway/src/controller/operator_api/mod.rs
+++ b/crates/gateway/src/controller/operator_api/mod.rs
@@ -29,7 +29,7 @@
 const ACCEPT_RETRY_INTERVAL: Micros = 20_000;
 /// What is done with a configuration takes so many times the bytes of its text: the text as it came and as it is kept, what is
 /// parsed of it, the command and its encoded form, the replicated state.
-const CONFIG_COPIES: u64 = 8;
+const PENDING_CONFIG_FACTOR: u64 = 8;
 /// The path of all calls.
 const PATH: &str = "/v1/rpc";
 
@@ -78,7 +78,7 @@
     let query = head.uri.query().unwrap_or("").to_owned();
     let call = query_value(&query, "call");
     let copies = match call {
-        Some("config.replace") => CONFIG_COPIES,
+        Some("config.replace") => PENDING_CONFIG_FACTOR,
         _ => 1,
     };
     let body = match request_body::read(controller, body, copies).await {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -9,8 +9,6 @@
 
 /// Bytes of a unit of `memory_mb`.
 pub(crate) const MEGABYTE: u64 = 1_000_000;
-/// A configuration takes so many times the bytes of its text, while the next one is parsed beside it.
-const CONFIG_COPIES: u64 = 8;
 
 /// Returns the limits of a process with so many megabytes of memory, before it has a configuration.
 pub fn limits(memory_mb: u64) -> Limits {
@@ -27,17 +25,16 @@
 struct Shared {
     budget: Budget,
     memory_bytes: u64,
-    /// Bytes of the configuration's text.
-    config_bytes: u64,
+    /// Bytes of the state, which bodies can't have.
+    state_bytes: u64,
     /// Who is told when a wait has its reservation.
     waiters: HashMap<WaitId, oneshot::Sender<()>>,
 }
 
 impl Shared {
-    /// Counts by what the configuration leaves of the memory.
+    /// Counts by what the state leaves of the memory.
     fn update_limits(&mut self) {
-        let config_bytes = self.config_bytes.saturating_mul(CONFIG_COPIES);
-        let left = self.memory_bytes.saturating_sub(config_bytes);
+        let left = self.memory_bytes.saturating_sub(self.state_bytes);
         let granted = self.budget.set_limits(Limits::of_memory(left));
         self.wake(granted);
     }
@@ -70,7 +67,7 @@
         let shared = Shared {
             budget: Budget::new(limits(memory_mb)),
             memory_bytes: memory_mb.saturating_mul(MEGABYTE),
-            config_bytes: 0,
+            state_bytes: 0,
             waiters: HashMap::new(),
         };
         MemoryBudget {
@@ -89,10 +86,11 @@
         shared.update_limits();
     }
 
-    /// Takes over how long the text of the configuration in force is: what that takes is not there for bodies.
-    pub fn set_config_bytes(&self, bytes: usize) {
+    /// Takes over how many bytes the process's state takes: the configuration and all that is kept of it. They are not there for
+    /// bodies.
+    pub fn set_state_bytes(&self, bytes: u64) {
         let mut shared = self.shared();
-        shared.config_bytes = bytes as u64;
+        shared.state_bytes = bytes;
         shared.update_limits();
     }
 
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -53,6 +53,8 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+/// A configuration in force takes so many times the bytes of its text, while the next one is parsed beside it.
+const PARSED_CONFIG_FACTOR: u64 = 8;
 /// How often idle connections are looked through.
 const SWEEP_INTERVAL: Micros = 1_000_000;
 
@@ -247,7 +249,8 @@
         let max_body_bytes = config.client_limits.body_bytes;
         if self.state().set_config(stored, config) {
             tracing::info!(target: "config", "Configuration {} is in force.", stored.version);
-            self.memory.set_config_bytes(stored.text.len());
+            let config_bytes = PARSED_CONFIG_FACTOR * stored.text.len() as u64;
+            self.memory.set_state_bytes(config_bytes);
             if let Some(unknown) = unknown {
                 tracing::warn!(target: "config", "Configuration {} names services that it doesn't list: {unknown}.", stored.version);
             }
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -84,7 +84,7 @@
 mod voter_set;
 
 pub use event::{Action, Config, Event, Outcome, Role};
-pub use log::{Entry, Payload, Snapshot};
+pub use log::{Entry, Payload, Snapshot, LOG_BYTES};
 pub use message::{Envelope, Message};
 pub use node::{PeerStatus, RaftNode};
 pub use persistence::{HardState, PersistentState, WriteBatch};
