Clients' connections: hyper writes to the stream, and waits where it takes nothing

Cause (case_2_read_slowly of the list of known failures): a connection took all that hyper wrote, so that it was known when hyper was done with a request. What a slow reader hadn't taken moved to one buffer that grew, beside the pieces that hyper still held: a response was there twice, with the copies of a growing buffer on top. Beside it: a client that took nothing of a response on a kept connection was never given up here, only by the system.

Change: poll_write passes on what the stream says. hyper is done with a request once it is answered and its writer doesn't wait; until then the next request isn't shown and the end of the stream isn't, as hyper would give up the response for a client that has only ended its own side. A client that takes nothing for the idle timeout is given up, and its response's memory released. The buffer and what wrote it are gone.

--- a/crates/gateway/src/proxy/client_connection/client_io.rs
+++ b/crates/gateway/src/proxy/client_connection/client_io.rs
@@ -31,11 +31,14 @@
         if inner.framing.body_error().is_some() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
-        if let Some(kind) = inner.read_error {
-            return Poll::Ready(Err(kind.into()));
-        }
-        if inner.is_at_end {
-            return Poll::Ready(Ok(()));
+        // hyper would give up the response that it is writing; a client that sends no more may still read.
+        if !inner.is_writer_waiting() {
+            if let Some(kind) = inner.read_error {
+                return Poll::Ready(Err(kind.into()));
+            }
+            if inner.is_at_end {
+                return Poll::Ready(Ok(()));
+            }
         }
         inner.is_reader_waiting = true;
         Poll::Pending
@@ -56,29 +59,17 @@
         true
     }
 
-    /// Takes all of it: so it is known that hyper is done with a request once it was answered and there is no output.
-    /// No more than one response waits to be written at a time.
+    /// Holds no bytes back: hyper writes on until it has written all of a response or has to wait. So hyper is done with a request
+    /// once that was answered and the writer isn't waiting.
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let inner = &mut *self.0.inner();
-        let mut written = match inner.has_output() {
-            true => 0,
-            false => match Pin::new(&mut inner.stream).poll_write_vectored(cx, parts)? {
-                Poll::Ready(written) => written,
-                Poll::Pending => 0,
-            },
-        };
-        let mut total = 0;
-        for part in parts {
-            total += part.len();
-            let skipped = written.min(part.len());
-            written -= skipped;
-            inner.write_or_hold(cx, &part[skipped..])?;
-        }
-        Poll::Ready(Ok(total))
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(cx, parts);
+        inner.on_write(written.is_pending());
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/proxy/client_connection/mod.rs
+++ b/crates/gateway/src/proxy/client_connection/mod.rs
@@ -1,7 +1,7 @@
 //! Clients' connections: [`RequestFraming`] between a stream and hyper, which sees no byte before it was checked.
 //!
-//! The task of a connection reads its stream whether hyper wants to read or not, shows hyper one request at a time, takes
-//! all that hyper writes, and has requests started early. What hyper must not answer is answered here, after hyper has
+//! The task of a connection reads its stream whether hyper wants to read or not, shows hyper one request at a time, once it has
+//! written the response to the one before, and has requests started early. What hyper must not answer is answered here, after hyper has
 //! answered all that came before.
 
 mod client_io;
@@ -49,6 +49,8 @@
     Served,
     /// The framing has ended it.
     Framing(ConnectionStatus),
+    /// Its client takes nothing of a response for too long.
+    Stalled,
 }
 
 /// A client's connection, shared by its task, hyper's reading and writing, and the current request.
@@ -61,9 +63,8 @@
     framing: RequestFraming,
     limits: RequestLimits,
     now: Micros,
-    /// What hyper has written and the stream has not taken yet, from `written` on.
-    output: Vec<u8>,
-    written: usize,
+    /// Since when the stream takes nothing of what hyper writes; none while it does, or hyper has nothing to write.
+    writer_waiting_since: Option<Micros>,
     /// Of the body of the response that is being written.
     output_reservation: Option<Reservation>,
     /// Of heads and requests that hyper does not see yet, beyond [`UNRESERVED_BYTES`].
@@ -95,8 +96,7 @@
             framing: RequestFraming::new(now),
             limits,
             now,
-            output: Vec::new(),
-            written: 0,
+            writer_waiting_since: None,
             output_reservation: None,
             input_reservation,
             is_short_of_memory: false,
@@ -184,7 +184,7 @@
                 let by = inner.now + IDLE_AT_SHUTDOWN;
                 inner.framing.shut_down_by(by);
             }
-            if let Some(end) = inner.read_and_write(cx) {
+            if let Some(end) = inner.read(cx) {
                 return Poll::Ready(end);
             }
             drop(inner);
@@ -205,7 +205,9 @@
                 true => MEMORY_RETRY_INTERVAL,
                 false => REFRESH_INTERVAL,
             };
-            let wake_at = next_timeout.min(inner.now + refresh_after);
+            let wake_at = next_timeout
+                .min(inner.write_deadline())
+                .min(inner.now + refresh_after);
             if wake_at < timer_at || timer_at <= inner.now {
                 timer_at = wake_at;
                 let left = duration(wake_at.saturating_sub(inner.now));
@@ -222,14 +224,15 @@
     /// Writes what is still to be said and ends the connection in order.
     async fn close(&self, end: ServeEnd) {
         let was_idle = matches!(end, ServeEnd::Framing(ConnectionStatus::IdleTimeout));
-        {
-            let mut inner = self.inner();
-            inner.early.clear();
-            if let ServeEnd::Framing(ConnectionStatus::Rejected(error)) = end {
-                inner.output.extend_from_slice(&rejection(error));
+        self.inner().early.clear();
+        let written = match end {
+            ServeEnd::Framing(ConnectionStatus::Rejected(error)) => {
+                self.write_all(&rejection(error)).await
             }
-        }
-        if self.flush().await.is_err() {
+            ServeEnd::Stalled => Err(io::ErrorKind::TimedOut.into()),
+            ServeEnd::Framing(_) | ServeEnd::Served => Ok(()),
+        };
+        if written.is_err() {
             return;
         }
         let shutdown = poll_fn(|cx| Pin::new(&mut self.inner().stream).poll_shutdown(cx)).await;
@@ -238,11 +241,15 @@
         }
     }
 
-    /// Writes all output, unless the client takes nothing for too long.
-    async fn flush(&self) -> io::Result<()> {
+    /// Writes bytes, unless the client takes nothing for too long.
+    async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
         let idle_timeout = duration(self.inner().limits.body_idle_timeout);
-        while self.inner().has_output() {
-            timeout(idle_timeout, poll_fn(|cx| self.inner().poll_output(cx))).await??;
+        while !bytes.is_empty() {
+            let write = poll_fn(|cx| Pin::new(&mut self.inner().stream).poll_write(cx, bytes));
+            match timeout(idle_timeout, write).await?? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                written => bytes = &bytes[written..],
+            }
         }
         Ok(())
     }
@@ -263,12 +270,12 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Inner<S> {
-    /// Reads and writes what can be, lets time pass, and goes on where a response is written.
-    fn read_and_write(&mut self, cx: &mut Context<'_>) -> Option<ServeEnd> {
+    /// Reads what can be read, lets time pass, and goes on where a response is written.
+    fn read(&mut self, cx: &mut Context<'_>) -> Option<ServeEnd> {
         self.is_drained = false;
         self.fill(cx);
-        if let Poll::Ready(Err(_)) = self.poll_output(cx) {
-            return Some(ServeEnd::Served);
+        if self.write_deadline() <= self.now {
+            return Some(ServeEnd::Stalled);
         }
         self.framing.on_tick(self.now, &self.limits);
         self.advance();
@@ -346,7 +353,7 @@
 
     /// Goes on to the next request if the response to this one is written.
     fn advance(&mut self) {
-        if !self.has_output() {
+        if !self.is_writer_waiting() {
             self.output_reservation = None;
             self.framing.advance(self.now, &self.limits);
         }
@@ -379,44 +386,30 @@
 
     /// Whether hyper can read something, or that there is nothing more.
     fn has_something_to_read(&self) -> bool {
+        let has_ended = self.is_at_end || self.read_error.is_some();
         !self.framing.visible().is_empty()
             || self.framing.body_error().is_some()
-            || self.is_at_end
-            || self.read_error.is_some()
+            || (has_ended && !self.is_writer_waiting())
     }
 
-    fn has_output(&self) -> bool {
-        self.written < self.output.len()
+    /// Whether hyper has something to write that the stream doesn't take yet.
+    fn is_writer_waiting(&self) -> bool {
+        self.writer_waiting_since.is_some()
     }
 
-    /// Writes bytes, as far as the stream takes them; the rest becomes output.
-    fn write_or_hold(&mut self, cx: &mut Context<'_>, mut rest: &[u8]) -> io::Result<()> {
-        while !rest.is_empty() && !self.has_output() {
-            match Pin::new(&mut self.stream).poll_write(cx, rest)? {
-                Poll::Ready(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Poll::Ready(len) => rest = &rest[len..],
-                Poll::Pending => break,
-            }
-        }
-        self.output.extend_from_slice(rest);
-        Ok(())
+    /// Takes note that hyper has written something, or has to wait.
+    fn on_write(&mut self, has_to_wait: bool) {
+        self.writer_waiting_since = match has_to_wait {
+            true => self.writer_waiting_since.or(Some(self.now)),
+            false => None,
+        };
     }
 
-    /// Writes output, as far as the stream takes it. Ready once some was written or there is none.
-    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let before = self.written;
-        while self.has_output() {
-            let rest = &self.output[self.written..];
-            match Pin::new(&mut self.stream).poll_write(cx, rest) {
-                Poll::Ready(Ok(0)) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
-                Poll::Ready(Ok(len)) => self.written += len,
-                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
-                Poll::Pending if self.written == before => return Poll::Pending,
-                Poll::Pending => return Poll::Ready(Ok(())),
-            }
-        }
-        (self.output, self.written) = (Vec::new(), 0);
-        Poll::Ready(Ok(()))
+    /// Returns when a client that takes nothing is given up.
+    fn write_deadline(&self) -> Micros {
+        self.writer_waiting_since.map_or(Micros::MAX, |since| {
+            since.saturating_add(self.limits.body_idle_timeout)
+        })
     }
 }
 
--- a/crates/gateway/tests/proxy_loopback/main.rs
+++ b/crates/gateway/tests/proxy_loopback/main.rs
@@ -6,3 +6,4 @@
 mod memory;
 mod requests;
 mod shutdown;
+mod slow_readers;
