Rollouts: endpoints beside the worst speak against a version by themselves

Change: failures are widespread, too, where the other endpoints, taken by themselves, fail more often than the earlier version beyond doubt (a log likelihood ratio against an excess of 1 in 100). An eighth of the endpoints still condemns no version, however often they fail.

--- a/crates/rollout/src/analysis.rs
+++ b/crates/rollout/src/analysis.rs
@@ -7,9 +7,10 @@
 
 use crate::Micros;
 use magpieline::{Duel, Evidence, EARLIER, TRIAL};
-use magpieline_control_plane::messages::{ArmTotals, TrialStage};
+use magpieline_control_plane::messages::{ArmTotals, EndpointTotals, TrialStage};
 use magpieline_control_plane::proxy_registry::{DrainProgress, PooledEvidence};
 use magpieline_control_plane::state_machine::Phase;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// Evidence that convinces: a log likelihood ratio, as in the sidecar; by chance once in e^6 trials.
@@ -62,6 +63,9 @@
 const WIDESPREAD_OUTCOMES: u32 = 3;
 /// The worst endpoints that are left out: one in so many.
 const LEFT_OUT_ONE_IN: usize = 8;
+/// The others speak against the version by themselves if they fail this much more often than the earlier one: a version that is
+/// bad under load fails most where it has most of it.
+const WIDESPREAD_EXCESS_RATE: f64 = 0.01;
 /// The votes of so many proxies for rolling back suffice where there is doubt.
 const MIN_ROLLBACK_VOTES: u32 = 2;
 /// How many outcomes of all routes a route's own rate starts from, and the prior of that rate.
@@ -192,22 +196,44 @@
 }
 
 /// Whether what is bad comes from many of the endpoints of the version on trial: with the worst eighth of them left out there
-/// is still some, and a quarter of all.
+/// is still some, and that is a quarter of all or enough to speak against the version by itself.
 fn is_widespread(pooled: &PooledEvidence) -> bool {
-    let seen = pooled
-        .endpoints
-        .values()
-        .filter(|endpoint| endpoint.outcomes > 0);
-    let mut bad: Vec<u32> = seen.map(|endpoint| endpoint.bad + endpoint.late).collect();
-    bad.sort_unstable_by(|a, b| b.cmp(a));
-    let left_out = if bad.len() > 1 {
-        bad.len().div_ceil(LEFT_OUT_ONE_IN)
-    } else {
-        0
+    let seen = pooled.endpoints.values();
+    let mut seen: Vec<&EndpointTotals> = seen.filter(|endpoint| endpoint.outcomes > 0).collect();
+    seen.sort_unstable_by_key(|endpoint| Reverse(bad_outcomes(endpoint)));
+    let left_out = match seen.len() {
+        0 | 1 => 0,
+        count => count.div_ceil(LEFT_OUT_ONE_IN),
     };
-    let all: u32 = bad.iter().sum();
-    let rest: u32 = bad[left_out..].iter().sum();
-    rest >= WIDESPREAD_OUTCOMES && 4 * rest >= all
+    let (worst, rest) = seen.split_at(left_out);
+    let bad = |endpoints: &[&EndpointTotals]| -> u32 {
+        endpoints
+            .iter()
+            .map(|endpoint| bad_outcomes(endpoint))
+            .sum()
+    };
+    let (worst_bad, rest_bad) = (bad(worst), bad(rest));
+    let is_large_part = 3 * rest_bad >= worst_bad;
+    rest_bad >= WIDESPREAD_OUTCOMES && (is_large_part || fails_more_than_usual(rest, pooled))
+}
+
+fn bad_outcomes(endpoint: &EndpointTotals) -> u32 {
+    endpoint.bad + endpoint.late
+}
+
+/// Whether some endpoints of the version on trial fail more often than the earlier version does, beyond doubt.
+fn fails_more_than_usual(endpoints: &[&EndpointTotals], pooled: &PooledEvidence) -> bool {
+    let [earlier, _] = sum_over_routes(pooled);
+    let usual = UsualRates::of(&earlier, &earlier)
+        .failure
+        .max(MIN_USUAL_RATE_FOR_SMALL_EXCESS);
+    let bad: u32 = endpoints.iter().map(|endpoint| endpoint.bad).sum();
+    let outcomes: u32 = endpoints.iter().map(|endpoint| endpoint.outcomes).sum();
+    let good = outcomes - bad.min(outcomes);
+    let worse = (usual + WIDESPREAD_EXCESS_RATE).min(MAX_RATE);
+    let mut evidence = 0.0;
+    Evidence::lean(&mut evidence, f64::from(bad), f64::from(good), usual, worse);
+    evidence >= CONVINCING
 }
 
 impl RolloutAnalysis {
--- a/crates/rollout/tests/many_requests.rs
+++ b/crates/rollout/tests/many_requests.rs
@@ -14,6 +14,8 @@
 /// When the endpoints of the new version come, and are warm.
 const READY_AT: Micros = 1_200 * MS;
 const ENDPOINTS: u32 = 24;
+/// An eighth of them.
+const WORST_ENDPOINTS: u32 = 3;
 
 /// Totals after so many outcomes, of which `bad_share` are bad.
 fn totals(outcomes: u32, bad_share: f64) -> ArmTotals {
@@ -28,14 +30,42 @@
     }
 }
 
+/// How the new version fails.
+#[derive(Clone, Copy)]
+struct Failures {
+    /// The part of its answers that are bad.
+    bad_share: f64,
+    /// The part of the bad answers that come from an eighth of its endpoints, beyond what all give.
+    from_worst: f64,
+}
+
+impl Failures {
+    const fn everywhere(bad_share: f64) -> Failures {
+        Failures {
+            bad_share,
+            from_worst: 0.0,
+        }
+    }
+
+    /// Returns how many of the bad answers come from one endpoint.
+    fn of_endpoint(self, endpoint: u32, bad: u32) -> u32 {
+        let from_each = f64::from(bad) * (1.0 - self.from_worst) / f64::from(ENDPOINTS);
+        let from_worst = match endpoint < WORST_ENDPOINTS {
+            true => f64::from(bad) * self.from_worst / f64::from(WORST_ENDPOINTS),
+            false => 0.0,
+        };
+        (from_each + from_worst) as u32
+    }
+}
+
 /// What all proxies have seen after some time: 300 requests a second at the new version, ten times as many at the earlier one.
-fn pooled(time: Micros, bad_share: f64) -> PooledEvidence {
+fn pooled(time: Micros, failures: Failures) -> PooledEvidence {
     let outcomes = (time / (10 * MS)) as u32 * 3;
-    let trial = totals(outcomes, bad_share);
+    let trial = totals(outcomes, failures.bad_share);
     let endpoint = |endpoint| EndpointTotals {
         endpoint,
         outcomes: outcomes / ENDPOINTS,
-        bad: trial.bad / ENDPOINTS,
+        bad: failures.of_endpoint(endpoint, trial.bad),
         late: 0,
     };
     PooledEvidence {
@@ -48,12 +78,12 @@
 }
 
 /// Plays a rollout until it is decided; returns the phase, when, and when the fiftieth bad answer was seen.
-fn play(bad_share: f64) -> (Phase, Micros, Option<Micros>) {
+fn play(failures: Failures) -> (Phase, Micros, Option<Micros>) {
     let mut analysis = RolloutAnalysis::new(0, WITHIN, Phase::Trial, 0.1, 3_000.0);
     let mut fiftieth_bad_at = None;
     for now in (0..2 * WITHIN).step_by(150 * 1000) {
         let is_ready = now >= READY_AT;
-        let pooled = pooled(now.saturating_sub(READY_AT), bad_share);
+        let pooled = pooled(now.saturating_sub(READY_AT), failures);
         if pooled.routes[&0][1].bad >= 50 {
             fiftieth_bad_at.get_or_insert(now);
         }
@@ -75,11 +105,12 @@
 /// Guards against a version that fails a little more often than the earlier one and stays until its time is nearly over, long
 /// after its fiftieth bad answer.
 #[rstest]
-#[case(0.02)]
-#[case(0.04)]
-#[case(0.1)]
-fn a_version_that_fails_a_little_is_rolled_back_in_time(#[case] bad_share: f64) {
-    let (phase, at, fiftieth_bad_at) = play(bad_share);
+#[case(Failures::everywhere(0.02))]
+#[case(Failures::everywhere(0.04))]
+#[case(Failures::everywhere(0.1))]
+#[case::mostly_at_the_busiest(Failures { bad_share: 0.05, from_worst: 0.75 })]
+fn a_version_that_fails_a_little_is_rolled_back_in_time(#[case] failures: Failures) {
+    let (phase, at, fiftieth_bad_at) = play(failures);
     assert_eq!(phase, Phase::RolledBack);
     let bound = fiftieth_bad_at.map_or(Micros::MAX, |bad_at| bad_at + RECALL);
     assert!(
@@ -91,5 +122,18 @@
 /// A version that fails as rarely as the earlier one goes on, however many requests it has.
 #[test]
 fn a_good_version_goes_on() {
-    assert_eq!(play(0.0005).0, Phase::Promoting);
+    assert_eq!(play(Failures::everywhere(0.0005)).0, Phase::Promoting);
+}
+
+/// An eighth of the endpoints, unhealthy by themselves, condemns no version, however often they fail: it is rolled back in doubt,
+/// when its time is nearly over, and not before.
+#[test]
+fn a_few_unhealthy_endpoints_do_not_convince() {
+    const NEARLY_OVER: Micros = WITHIN - 2_000 * MS;
+    let unhealthy = Failures {
+        bad_share: 0.0875,
+        from_worst: 1.0,
+    };
+    let (_, at, _) = play(unhealthy);
+    assert!(at >= NEARLY_OVER, "at {at}");
 }
