Configurations: an absent version has a type of its own, and version 0 is a version

Cause: proxies and the sender of configurations wrote "none" as version 0.

Change: Option<u64> in the proxy, the sender, the receiver and the messages. The frames are what they were, for releases before: a message writes 0 for none and for version 0, and its receiver takes it for none. So version 0 is sent again to a proxy that opens a session, is in force once a full transfer has been acknowledged, and is never the base of a difference.

Tests: version_0_is_distributed (sender and receiver), version_0_is_in_force (a proxy and its endpoint).

--- a/crates/control-plane/src/config_receiver.rs
+++ b/crates/control-plane/src/config_receiver.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Default)]
 pub struct ConfigReceiver {
     version: u64,
-    base_version: u64,
+    base_version: Option<u64>,
     /// What has arrived; its length is where the next chunk begins.
     bytes: Vec<u8>,
 }
@@ -47,8 +47,8 @@
         }
         let difference = std::mem::take(self).bytes;
         let base = match current {
-            _ if chunk.base_version == 0 => Some(""),
-            Some(current) if current.version == chunk.base_version => Some(&*current.text),
+            _ if chunk.base_version.is_none() => Some(""),
+            Some(current) if Some(current.version) == chunk.base_version => Some(&*current.text),
             _ => None,
         };
         match base.and_then(|base| delta::apply(base, &difference, MAX_FRAME_BYTES)) {
--- a/crates/control-plane/src/config_sender.rs
+++ b/crates/control-plane/src/config_sender.rs
@@ -43,8 +43,8 @@
     Opened {
         /// The session.
         session: u64,
-        /// The version of the configuration in force there; 0: none.
-        version: u64,
+        /// The version of the configuration in force there.
+        version: Option<u64>,
     },
     /// A proxy has acknowledged chunks.
     ChunkReceived {
@@ -59,8 +59,8 @@
     ConfigApplied {
         /// The session.
         session: u64,
-        /// The version in force there; 0: the difference did not apply to the version that the proxy has.
-        version: u64,
+        /// The version in force there; none: the difference did not apply to the version that the proxy has.
+        version: Option<u64>,
     },
     /// A session has ended.
     Closed {
@@ -114,14 +114,14 @@
 /// The newest configuration, encoded for proxies that have a certain version.
 struct EncodedConfig {
     version: u64,
-    /// The version that it applies to; 0: it is sent in full.
-    base_version: u64,
+    /// The version that it applies to; none: it is sent in full.
+    base_version: Option<u64>,
     total_bytes: u32,
     chunks: Vec<ChunkFrame>,
 }
 
 impl EncodedConfig {
-    fn new(term: u64, version: u64, base_version: u64, encoded: &[u8]) -> EncodedConfig {
+    fn new(term: u64, version: u64, base_version: Option<u64>, encoded: &[u8]) -> EncodedConfig {
         let total_bytes = encoded.len() as u32;
         let chunk_frame = |(i, bytes): (usize, &[u8])| {
             let offset = (i * CHUNK_BYTES) as u32;
@@ -193,12 +193,12 @@
 /// One proxy's session.
 struct Session {
     /// The version in force there.
-    version: u64,
+    version: Option<u64>,
     /// The newest version when the session opened; none once the proxy has it.
     awaited_version: Option<u64>,
     transfer: Option<Transfer>,
     /// The proxy could not apply this version: it is not sent again.
-    refused_version: u64,
+    refused_version: Option<u64>,
     /// It waits in the queue for its turn.
     is_queued: bool,
 }
@@ -214,7 +214,7 @@
     earlier: VecDeque<StoredConfig>,
     sessions: BTreeMap<u64, Session>,
     /// The newest configuration, encoded by the version that the receiver has.
-    encoded: BTreeMap<u64, Arc<EncodedConfig>>,
+    encoded: BTreeMap<Option<u64>, Arc<EncodedConfig>>,
     /// Sessions that wait for their turn.
     queue: VecDeque<u64>,
     /// Bytes in flight to all proxies that aren't stalled.
@@ -265,7 +265,7 @@
 
     /// Returns how many proxies don't have the newest configuration in force.
     pub fn outdated_proxies(&self) -> usize {
-        let newest = self.newest.as_ref().map_or(0, |newest| newest.version);
+        let newest = self.newest.as_ref().map(|newest| newest.version);
         self.sessions
             .values()
             .filter(|session| session.version < newest)
@@ -280,7 +280,7 @@
                 .transfer
                 .as_ref()
                 .is_some_and(|transfer| transfer.is_stalled);
-            session.version >= version || session.refused_version >= version || is_stalled
+            session.version.max(session.refused_version) >= Some(version) || is_stalled
         };
         self.sessions.values().all(has_or_cannot)
     }
@@ -311,15 +311,15 @@
         count > MAX_REMEMBERED || (count > 1 && bytes > MAX_REMEMBERED_BYTES)
     }
 
-    fn on_opened(&mut self, session: u64, version: u64) {
+    fn on_opened(&mut self, session: u64, version: Option<u64>) {
         self.remove(session);
         let newest = self.newest.as_ref().map(|newest| newest.version);
-        let awaited_version = newest.filter(|newest| *newest > version);
+        let awaited_version = newest.filter(|newest| Some(*newest) > version);
         let opened = Session {
             version,
             awaited_version,
             transfer: None,
-            refused_version: 0,
+            refused_version: None,
             is_queued: false,
         };
         self.sessions.insert(session, opened);
@@ -377,7 +377,7 @@
         self.enqueue(session);
     }
 
-    fn on_applied(&mut self, now: Micros, session: u64, version: u64) {
+    fn on_applied(&mut self, now: Micros, session: u64, mut version: Option<u64>) {
         let elapsed = now.saturating_sub(self.newest_since);
         let Some(state) = self.sessions.get_mut(&session) else {
             return;
@@ -385,22 +385,28 @@
         if let Some(transfer) = state.transfer.take() {
             self.in_flight -= transfer.counted_in_flight();
             let sent = &transfer.config;
-            if version == sent.version {
+            // What is sent in full always applies: this proxy has version 0, which a message can't tell from none.
+            if version.is_none() && sent.version == 0 && sent.base_version.is_none() {
+                version = Some(0);
+            }
+            if version == Some(sent.version) {
                 self.actions.push(Action::Applied {
                     session,
-                    version,
+                    version: sent.version,
                     bytes: sent.total_bytes,
                     elapsed,
                 });
-            } else if version < sent.version && (sent.base_version == 0 || version != 0) {
-                state.refused_version = sent.version;
+            } else if version < Some(sent.version)
+                && (sent.base_version.is_none() || version.is_some())
+            {
+                state.refused_version = Some(sent.version);
             }
         }
         state.version = version;
         let done_with = version.max(state.refused_version);
         if state
             .awaited_version
-            .is_some_and(|awaited| done_with >= awaited)
+            .is_some_and(|awaited| done_with >= Some(awaited))
         {
             state.awaited_version = None;
             self.actions.push(Action::UpToDate { session });
@@ -470,7 +476,7 @@
         if state.transfer.is_some() {
             return true;
         }
-        if state.version >= newest || state.refused_version >= newest {
+        if state.version.max(state.refused_version) >= Some(newest) {
             return false;
         }
         let config = self.encoded_for(state.version);
@@ -489,10 +495,14 @@
     }
 
     /// Returns the newest configuration as it is sent to a proxy that has `version`: in full where that one isn't remembered.
-    fn encoded_for(&mut self, version: u64) -> Arc<EncodedConfig> {
+    fn encoded_for(&mut self, version: Option<u64>) -> Arc<EncodedConfig> {
         let newest = self.newest.as_ref().expect("asked for where there is one");
-        let base = self.earlier.iter().find(|config| config.version == version);
-        let (base_version, text) = base.map_or((0, ""), |base| (base.version, &*base.text));
+        // A message can't name version 0 as the base.
+        let base_version = version.filter(|version| *version > 0);
+        let mut earlier = self.earlier.iter();
+        let base = earlier.find(|config| Some(config.version) == base_version);
+        let (base_version, text) =
+            base.map_or((None, ""), |base| (Some(base.version), &*base.text));
         let term = self.term;
         let encode = || {
             let difference = delta::diff(text, &newest.text);
--- a/crates/control-plane/src/controller_client.rs
+++ b/crates/control-plane/src/controller_client.rs
@@ -97,7 +97,7 @@
     /// All that was acknowledged before this moment is known here; none: nothing is.
     confirmed_at: Option<Micros>,
     /// The version of the configuration in force here.
-    config_version: u64,
+    config_version: Option<u64>,
     proxies: u32,
 }
 
@@ -120,7 +120,7 @@
             connection_term: None,
             led_at: None,
             confirmed_at: None,
-            config_version: 0,
+            config_version: None,
             proxies: 0,
         }
     }
@@ -172,7 +172,7 @@
     }
 
     /// Takes note of the version of the configuration in force here.
-    pub fn set_config_version(&mut self, version: u64) {
+    pub fn set_config_version(&mut self, version: Option<u64>) {
         self.config_version = version;
     }
 
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -164,8 +164,9 @@
     pub zone: String,
     /// Different at each start of the process.
     pub incarnation: u64,
-    /// The version of the configuration that it has; 0: none.
-    pub config_version: u64,
+    /// The version of the configuration that it has.
+    #[serde(with = "absent_as_zero")]
+    pub config_version: Option<u64>,
     /// The highest term that a leader has spoken to it in; 0: none since its start.
     pub term: u64,
     /// When it sends this, on its own clock.
@@ -176,7 +177,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The version of the configuration in force.
-    pub config_version: u64,
+    #[serde(with = "absent_as_zero")]
+    pub config_version: Option<u64>,
     /// Its evidence on rollouts.
     pub evidence: Vec<TrialEvidence>,
     /// As in [`Hello`].
@@ -190,8 +192,9 @@
 pub struct ConfigChunk {
     /// The version of the configuration.
     pub version: u64,
-    /// The version that the difference applies to; 0: none, it is sent in full.
-    pub base_version: u64,
+    /// The version that the difference applies to; none: the configuration is sent in full.
+    #[serde(with = "absent_as_zero")]
+    pub base_version: Option<u64>,
     /// Bytes of all chunks together.
     pub total_bytes: u32,
     /// How many bytes come before this chunk.
@@ -214,11 +217,12 @@
         /// Bytes that are here.
         received: u32,
     },
-    /// The transfer of a configuration is over, and this version is in force; 0: the difference did not apply to the version
+    /// The transfer of a configuration is over, and this version is in force; none: the difference did not apply to the version
     /// that the proxy has.
     ConfigApplied {
         /// The version in force.
-        version: u64,
+        #[serde(with = "absent_as_zero")]
+        version: Option<u64>,
     },
 }
 
@@ -269,7 +273,8 @@
         /// When the proxy sent its newest report, on the proxy's clock.
         confirmed_at: Micros,
         /// The version of the newest configuration.
-        config_version: u64,
+        #[serde(with = "absent_as_zero")]
+        config_version: Option<u64>,
     },
     /// All that the platform's list showed up to `as_of` is known to the proxy by now.
     EndpointsConfirmed {
@@ -330,3 +335,23 @@
     bytes.drain(..end);
     Ok(Some(message))
 }
+
+/// Versions that may be absent, as numbers: 0 stands for none. So it does for version 0, which its receiver takes for an absent one:
+/// it is sent again where it may be there already, and never serves as the base of a difference.
+mod absent_as_zero {
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(
+        version: &Option<u64>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(version.unwrap_or(0))
+    }
+
+    pub(super) fn deserialize<'a, D: Deserializer<'a>>(
+        deserializer: D,
+    ) -> Result<Option<u64>, D::Error> {
+        let version = u64::deserialize(deserializer)?;
+        Ok((version != 0).then_some(version))
+    }
+}
--- a/crates/control-plane/src/proxy_registry.rs
+++ b/crates/control-plane/src/proxy_registry.rs
@@ -25,7 +25,7 @@
     /// Different at each start of its process.
     pub incarnation: u64,
     /// The version of the configuration in force there.
-    pub config_version: u64,
+    pub config_version: Option<u64>,
     /// When it was last heard.
     pub heard_at: Micros,
     /// Its session, if it has one.
--- a/crates/control-plane/tests/config_sender.rs
+++ b/crates/control-plane/tests/config_sender.rs
@@ -74,7 +74,7 @@
         &mut sender,
         Event::Opened {
             session: 1,
-            version: 0,
+            version: None,
         },
     );
     assert!(sent.len() > 1 && sent.len() <= 3 && !current);
@@ -86,12 +86,14 @@
         );
     }
     let full = receive_all(&mut sender, sent);
-    assert!(full.iter().all(|p| (p.version, p.base_version) == (3, 0)));
+    assert!(full
+        .iter()
+        .all(|p| (p.version, p.base_version) == (3, None)));
     let (next, current) = chunks(
         &mut sender,
         Event::ConfigApplied {
             session: 1,
-            version: 3,
+            version: Some(3),
         },
     );
     assert!(current, "it has what was newest when its session opened");
@@ -99,7 +101,7 @@
         next.iter()
             .map(|p| (p.version, p.base_version))
             .collect::<Vec<_>>(),
-        [(7, 3)]
+        [(7, Some(3))]
     );
     assert!(
         next[0].total_bytes < 200,
@@ -116,7 +118,7 @@
             &mut sender,
             Event::ConfigApplied {
                 session: 1,
-                version: 7
+                version: Some(7)
             }
         ),
         (vec![], false)
@@ -134,32 +136,32 @@
         &mut sender,
         Event::Opened {
             session: 1,
-            version: 3,
+            version: Some(3),
         },
     );
-    assert_eq!((sent.len(), sent[0].base_version), (1, 3));
+    assert_eq!((sent.len(), sent[0].base_version), (1, Some(3)));
     let (sent, _) = chunks(
         &mut sender,
         Event::ConfigApplied {
             session: 1,
-            version: 0,
+            version: None,
         },
     );
-    assert_eq!((sent[0].version, sent[0].base_version), (4, 0));
+    assert_eq!((sent[0].version, sent[0].base_version), (4, None));
     receive_all(&mut sender, sent);
     assert_eq!(
         chunks(
             &mut sender,
             Event::ConfigApplied {
                 session: 1,
-                version: 3
+                version: Some(3)
             }
         ),
         (vec![], true),
         "it stays at 3"
     );
     let (sent, _) = chunks(&mut sender, Event::NewConfig(config(5)));
-    assert_eq!((sent[0].version, sent[0].base_version), (5, 3));
+    assert_eq!((sent[0].version, sent[0].base_version), (5, Some(3)));
 }
 
 /// A proxy neither goes back to an older configuration nor puts together chunks of different ones.
@@ -171,7 +173,7 @@
         &mut sender,
         Event::Opened {
             session: 1,
-            version: 0,
+            version: None,
         },
     );
     let sent = receive_all(&mut sender, sent);
@@ -228,16 +230,45 @@
     sender.step(0, Event::LeadershipChanged { term: Some(1) });
     assert!(sender.is_distributed(1), "there is no proxy");
     for session in [1, 2] {
-        let version = 0;
+        let version = None;
         sender.step(0, Event::Opened { session, version });
     }
     sender.step(0, Event::NewConfig(config(1)));
     assert!(!sender.is_distributed(1));
     let applied = |session, version| Event::ConfigApplied { session, version };
-    sender.step(1, applied(1, 1));
+    sender.step(1, applied(1, Some(1)));
     assert!(!sender.is_distributed(1), "one proxy does not have it");
     // The other one acknowledges nothing for a second.
     sender.step(1_000_000, Event::Tick);
     assert!(sender.is_distributed(1));
     assert!(!sender.is_distributed(2), "the first one does not have it");
 }
+
+/// Version 0 is a version like others, although messages write it as they write an absent one: it is sent, it counts as in force
+/// once it is, and the next one follows in full.
+#[test]
+fn version_0_is_distributed() {
+    let mut sender = ConfigSender::default();
+    sender.step(0, Event::NewConfig(config(0)));
+    let opened = Event::Opened {
+        session: 1,
+        version: None,
+    };
+    let (sent, current) = chunks(&mut sender, opened);
+    assert!(!sent.is_empty() && !current);
+    assert!(!sender.is_distributed(0));
+    let mut receiver = ConfigReceiver::default();
+    let received = receive_all(&mut sender, sent);
+    let received = received.iter().map(|chunk| receiver.receive(None, chunk));
+    assert_eq!(received.last(), Some(Received::Complete(config(0))));
+    let applied = Event::ConfigApplied {
+        session: 1,
+        version: None,
+    };
+    assert_eq!(chunks(&mut sender, applied), (vec![], true));
+    assert!(sender.is_distributed(0));
+    assert_eq!(sender.outdated_proxies(), 0);
+    let (next, _) = chunks(&mut sender, Event::NewConfig(config(1)));
+    assert!(next.iter().all(|chunk| chunk.base_version.is_none()));
+    assert!(!next.is_empty());
+}
--- a/crates/control-plane/tests/controller_client.rs
+++ b/crates/control-plane/tests/controller_client.rs
@@ -42,7 +42,7 @@
         message: ControllerMessage::Heartbeat {
             proxies: 9,
             confirmed_at,
-            config_version: 0,
+            config_version: None,
         },
     }
 }
--- a/crates/control-plane/tests/messages.rs
+++ b/crates/control-plane/tests/messages.rs
@@ -9,7 +9,7 @@
 fn frames_are_complete_or_wait_or_are_refused() {
     let (first, second) = (
         ProxyMessage::Report(Report {
-            config_version: 3,
+            config_version: Some(3),
             ..Report::default()
         }),
         Fenced {
@@ -17,7 +17,7 @@
             message: ControllerMessage::Heartbeat {
                 proxies: 9,
                 confirmed_at: 5,
-                config_version: 0,
+                config_version: None,
             },
         },
     );
--- a/crates/control-plane/tests/narrow_links.rs
+++ b/crates/control-plane/tests/narrow_links.rs
@@ -258,7 +258,7 @@
         let number = edition.version;
         let down = said(ControllerMessage::ConfigChunk(ConfigChunk {
             version: number,
-            base_version: 0,
+            base_version: None,
             total_bytes: 0,
             offset: 0,
             bytes: Vec::new(),
@@ -294,7 +294,7 @@
                 let beat = said(ControllerMessage::Heartbeat {
                     proxies: 88,
                     confirmed_at: self.now,
-                    config_version: 1,
+                    config_version: Some(1),
                 });
                 let links: Vec<u64> = self.links.keys().copied().collect();
                 links
@@ -352,7 +352,7 @@
                 match self.way {
                     Way::Paced => self.feed(Event::Opened {
                         session: link,
-                        version: held,
+                        version: Some(held),
                     }),
                     Way::Fifo => {
                         let newest = self.agreed.checked_sub(1).map(|i| self.editions[i].clone());
@@ -421,7 +421,7 @@
             }),
             Then::Held(link, edition) => self.feed(Event::ConfigApplied {
                 session: link,
-                version: edition,
+                version: Some(edition),
             }),
         }
     }
--- a/crates/gateway/src/controller/proxy_outbox.rs
+++ b/crates/gateway/src/controller/proxy_outbox.rs
@@ -74,7 +74,7 @@
     pub fn begin_config_transfer(
         &mut self,
         session: u64,
-        config_version: u64,
+        config_version: Option<u64>,
         welcome: &ControllerMessage,
     ) {
         let frame = self.fenced(welcome);
@@ -103,11 +103,7 @@
     /// Sends a heartbeat to all proxies.
     pub fn send_heartbeats(&mut self) {
         let proxies = self.proxies.count(now());
-        let config_version = self
-            .control
-            .config
-            .as_ref()
-            .map_or(0, |config| config.version);
+        let config_version = self.control.config.as_ref().map(|config| config.version);
         let reports: Vec<(u64, Micros)> = self.proxies.report_times().collect();
         for (session, confirmed_at) in reports {
             self.send(
--- a/crates/gateway/src/proxy/controller_session.rs
+++ b/crates/gateway/src/proxy/controller_session.rs
@@ -203,7 +203,7 @@
             Received::Stale => Some(self.config_applied()),
             Received::BaseMismatch => {
                 tracing::warn!(target: "config", "A difference does not apply to the configuration here; all of it is asked for.");
-                Some(ProxyMessage::ConfigApplied { version: 0 })
+                Some(ProxyMessage::ConfigApplied { version: None })
             }
         }
     }
--- a/crates/gateway/src/proxy/metrics.rs
+++ b/crates/gateway/src/proxy/metrics.rs
@@ -348,7 +348,8 @@
         let age = |as_of| seconds(now().saturating_sub(as_of));
         let age = state.endpoint_view.as_of().map_or(f64::INFINITY, age);
         let (ready, draining) = state.load_balancer.endpoint_counts();
-        self.config_version.set(state.config_version() as i64);
+        self.config_version
+            .set(state.config_version().unwrap_or(0) as i64);
         let unreadable = state.unreadable_version.unwrap_or(0);
         self.config_unreadable_version.set(unreadable as i64);
         let unknown_services = state
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -225,7 +225,7 @@
 
     /// Puts a configuration in force if it is newer than the one that is.
     pub fn apply_config(&self, stored: &StoredConfig) {
-        if stored.version <= self.config_version() {
+        if Some(stored.version) <= self.config_version() {
             return;
         }
         let previous = self.state().config.clone();
@@ -268,7 +268,7 @@
     }
 
     /// Returns the version of the configuration in force; 0: there is none.
-    pub fn config_version(&self) -> u64 {
+    pub fn config_version(&self) -> Option<u64> {
         self.state().config_version()
     }
 
--- a/crates/gateway/src/proxy/request_handler.rs
+++ b/crates/gateway/src/proxy/request_handler.rs
@@ -190,7 +190,7 @@
         }
     };
     // It is received now, and what is in force now holds for it: a body may have been long in coming.
-    let is_current = proxy.config_version() == resolved.config.version;
+    let is_current = proxy.config_version() == Some(resolved.config.version);
     let resolved = match is_current {
         true => Ok(resolved),
         false => resolve(proxy, &head),
--- a/crates/gateway/src/proxy/state.rs
+++ b/crates/gateway/src/proxy/state.rs
@@ -139,15 +139,13 @@
         self.stored_config.as_ref()
     }
 
-    pub(super) fn config_version(&self) -> u64 {
-        self.stored_config
-            .as_ref()
-            .map_or(0, |stored| stored.version)
+    pub(super) fn config_version(&self) -> Option<u64> {
+        self.stored_config.as_ref().map(|stored| stored.version)
     }
 
     /// Puts a configuration in force unless a newer one is by now. Returns whether it was.
     pub(super) fn set_config(&mut self, stored: &StoredConfig, config: GatewayConfig) -> bool {
-        if stored.version <= self.config_version() {
+        if Some(stored.version) <= self.config_version() {
             return false;
         }
         self.config = Some(Arc::new(config));
--- a/crates/gateway/tests/common/agents.rs
+++ b/crates/gateway/tests/common/agents.rs
@@ -134,7 +134,7 @@
 }
 
 /// Waits for a report, by which all that was said before has been taken in.
-pub fn reported_version(connection: &mut Connection) -> u64 {
+pub fn reported_version(connection: &mut Connection) -> Option<u64> {
     loop {
         match connection
             .next::<ProxyMessage>()
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -35,7 +35,7 @@
         term,
         ControllerMessage::ConfigChunk(ConfigChunk {
             version: number,
-            base_version: 0,
+            base_version: None,
             total_bytes: length,
             offset: 0,
             bytes,
@@ -43,7 +43,9 @@
     );
     // A leader waits until it is in force, or the connection has ended.
     let applied = connection.next::<ProxyMessage>();
-    let expected = ProxyMessage::ConfigApplied { version: number };
+    let expected = ProxyMessage::ConfigApplied {
+        version: Some(number),
+    };
     assert!(applied.is_none_or(|applied| applied == expected));
     connection.send(
         term,
@@ -74,7 +76,7 @@
         let (mut connection, hello) = accept(&inner);
         assert_eq!(
             (hello.term, hello.config_version, ready()),
-            (0, 0, Some(503))
+            (0, None, Some(503))
         );
         connection.send(
             9,
@@ -100,7 +102,7 @@
         5,
         ControllerMessage::ConfigChunk(ConfigChunk {
             version: 7,
-            base_version: 0,
+            base_version: None,
             total_bytes: length,
             offset: 0,
             bytes,
@@ -108,21 +110,24 @@
     );
     assert_eq!(
         connection.next::<ProxyMessage>(),
-        Some(ProxyMessage::ConfigApplied { version: 7 })
+        Some(ProxyMessage::ConfigApplied { version: Some(7) })
     );
     assert_eq!(ready(), Some(503));
     drop(connection);
     let (mut connection, hello) = accept(&inner);
-    assert_eq!((hello.term, hello.config_version), (5, 7));
+    assert_eq!((hello.term, hello.config_version), (5, Some(7)));
     welcome(&mut connection, 5, EDITION, 7, &hello);
-    assert_eq!((reported_version(&mut connection), ready()), (7, Some(200)));
+    assert_eq!(
+        (reported_version(&mut connection), ready()),
+        (Some(7), Some(200))
+    );
     // A message of a lower term ends the connection; so does a whole welcome in one.
     connection.send(
         4,
         ControllerMessage::Heartbeat {
             proxies: 1,
             confirmed_at: hello.sent_at,
-            config_version: 7,
+            config_version: Some(7),
         },
     );
     connection.wait_for_end();
@@ -138,7 +143,7 @@
     let (mut connection, hello) = accept(&inner);
     assert_eq!(
         (hello.term, hello.config_version, ready()),
-        (5, 7, Some(200))
+        (5, Some(7), Some(200))
     );
     welcome(
         &mut connection,
@@ -147,7 +152,7 @@
         8,
         &hello,
     );
-    assert_eq!(reported_version(&mut connection), 8);
+    assert_eq!(reported_version(&mut connection), Some(8));
 }
 
 /// Guards against a controller that can't show that it leads and hands out anything else than addresses, or answers
@@ -246,7 +251,7 @@
         node: "counter-1".into(),
         zone: "a".into(),
         incarnation: 5,
-        config_version: 7,
+        config_version: Some(7),
         ..Hello::default()
     };
     let purpose = encode_frame(&ConnectionPurpose::ProxySession);
@@ -265,7 +270,7 @@
         matches!(message, ControllerMessage::Heartbeat { .. })
     });
     assert!(!call.is_finished(), "acknowledged before it is in force");
-    let applied = encode_frame(&ProxyMessage::ConfigApplied { version: 9 });
+    let applied = encode_frame(&ProxyMessage::ConfigApplied { version: Some(9) });
     proxy.stream.write_all(&applied).expect("taken");
     assert_eq!(call.join().expect("answered"), Some(200));
 }
--- a/crates/gateway/tests/endpoint_views.rs
+++ b/crates/gateway/tests/endpoint_views.rs
@@ -206,14 +206,14 @@
     let bytes = delta::diff("", CONFIG);
     let chunk = ConfigChunk {
         version: CONFIG_VERSION,
-        base_version: 0,
+        base_version: None,
         total_bytes: bytes.len() as u32,
         offset: 0,
         bytes,
     };
     connection.send(TERM, ControllerMessage::ConfigChunk(chunk));
     let applied = ProxyMessage::ConfigApplied {
-        version: CONFIG_VERSION,
+        version: Some(CONFIG_VERSION),
     };
     assert_eq!(connection.next::<ProxyMessage>(), Some(applied));
 }
@@ -230,7 +230,7 @@
         confirmed_at: hello.sent_at,
     };
     connection.send(TERM, welcome);
-    assert_eq!(reported_version(connection), CONFIG_VERSION);
+    assert_eq!(reported_version(connection), Some(CONFIG_VERSION));
 }
 
 /// Guards against a proxy whose own reading of the list, begun before its leader told it that an endpoint drains, makes the
@@ -283,7 +283,7 @@
         let heartbeat = ControllerMessage::Heartbeat {
             proxies: 1,
             confirmed_at: report.sent_at,
-            config_version: CONFIG_VERSION,
+            config_version: Some(CONFIG_VERSION),
         };
         connection.send(TERM, heartbeat);
         if let Some(call) = fixture.list_call() {
--- a/crates/gateway/tests/golden_frames.rs
+++ b/crates/gateway/tests/golden_frames.rs
@@ -240,7 +240,7 @@
         node: "c-1".into(),
         zone: "a".into(),
         incarnation: 4,
-        config_version: 3,
+        config_version: Some(3),
         term: 2,
         sent_at: 1_000,
     };
@@ -248,7 +248,7 @@
     check(
         "up-report",
         ProxyMessage::Report(Report {
-            config_version: 3,
+            config_version: Some(3),
             evidence: vec![evidence()],
             term: 2,
             sent_at: 1_000,
@@ -263,7 +263,11 @@
         },
         all,
     );
-    check("up-holds", ProxyMessage::ConfigApplied { version: 3 }, all);
+    check(
+        "up-holds",
+        ProxyMessage::ConfigApplied { version: Some(3) },
+        all,
+    );
     let controllers = vec![address(16), address(17)];
     check(
         "down-elsewhere",
@@ -284,7 +288,7 @@
     );
     let chunk = ConfigChunk {
         version: 4,
-        base_version: 3,
+        base_version: Some(3),
         total_bytes: 9000,
         offset: 8192,
         bytes: b"piece".to_vec(),
@@ -322,7 +326,7 @@
         down(ControllerMessage::Heartbeat {
             proxies: 9,
             confirmed_at: 1_000,
-            config_version: 4,
+            config_version: Some(4),
         }),
         all,
     );
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -132,14 +132,17 @@
     let bytes = delta::diff("", CONFIG);
     let chunk = ConfigChunk {
         version: 1,
-        base_version: 0,
+        base_version: None,
         total_bytes: bytes.len() as u32,
         offset: 0,
         bytes,
     };
     connection.send(1, ControllerMessage::ConfigChunk(chunk));
     let applied = connection.next::<ProxyMessage>();
-    assert_eq!(applied, Some(ProxyMessage::ConfigApplied { version: 1 }));
+    assert_eq!(
+        applied,
+        Some(ProxyMessage::ConfigApplied { version: Some(1) })
+    );
     let welcome = ControllerMessage::Welcome {
         controllers: Vec::new(),
         proxies: 1,
--- a/crates/gateway/tests/proxy_loopback/committed_config.rs
+++ b/crates/gateway/tests/proxy_loopback/committed_config.rs
@@ -46,7 +46,7 @@
         fixture.proxy.apply_config(&unreadable(2));
         assert_eq!(
             (fixture.proxy.config_version(), fixture.proxy.not_ready()),
-            (1, None)
+            (Some(1), None)
         );
         is_served(&mut fixture, "t1").await;
         let restarted = Fixture::with(&unreadable(1).text).await;
@@ -60,3 +60,19 @@
         assert_eq!(restarted.proxy.not_ready(), None);
     });
 }
+
+/// Guards against a first configuration of version 0 that is acknowledged and never in force.
+#[test]
+fn version_0_is_in_force() {
+    run(async {
+        let mut fixture = Fixture::with(&CONFIG.replace(r#""edition":1"#, r#""edition":0"#)).await;
+        assert_eq!(fixture.proxy.config_version(), Some(0));
+        is_served(&mut fixture, "t1").await;
+        fixture.proxy.apply_config(&StoredConfig {
+            version: 1,
+            text: CONFIG.into(),
+        });
+        assert_eq!(fixture.proxy.config_version(), Some(1));
+        is_served(&mut fixture, "t2").await;
+    });
+}
--- a/crates/gateway/tests/proxy_loopback/fixture.rs
+++ b/crates/gateway/tests/proxy_loopback/fixture.rs
@@ -189,8 +189,9 @@
             1,
             connector,
         ));
+        let document = jzon::parse(config).expect("JSON");
         proxy.apply_config(&StoredConfig {
-            version: 1,
+            version: document["edition"].as_u64().expect("a number"),
             text: config.into(),
         });
         let endpoint = Endpoint {
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -77,7 +77,7 @@
         node: proxy.to_string(),
         zone: "z".into(),
         incarnation,
-        config_version: 1,
+        config_version: Some(1),
         term: 1,
         sent_at: 0,
     }
@@ -220,7 +220,7 @@
                     now,
                     session,
                     Report {
-                        config_version: 1,
+                        config_version: Some(1),
                         evidence: vec![evidence],
                         ..Report::default()
                     },
--- a/tools/raft-simulation/tests/contact/machines.rs
+++ b/tools/raft-simulation/tests/contact/machines.rs
@@ -70,7 +70,7 @@
     /// The clock at the last step.
     pub now: Micros,
     pub controller_client: ControllerClient,
-    pub config_version: u64,
+    pub config_version: Option<u64>,
     config: Option<StoredConfig>,
     config_receiver: ConfigReceiver,
     connection: Option<(u64, SocketAddrV4, Pipe)>,
@@ -370,11 +370,7 @@
             self.heartbeat_at = now + HEARTBEAT_INTERVAL;
             if let (true, Some(term)) = (self.raft.holds_lease(now), self.registry.term()) {
                 let proxies = self.registry.count(now);
-                let edition = self
-                    .state
-                    .config
-                    .as_ref()
-                    .map_or(0, |config| config.version);
+                let edition = self.state.config.as_ref().map(|config| config.version);
                 let asked: Vec<(u64, Micros)> = self.registry.report_times().collect();
                 for (connection, asked) in asked {
                     let message = ControllerMessage::Heartbeat {
@@ -404,7 +400,7 @@
 impl Proxy {
     /// Whether it is ready, and serves.
     pub fn is_initialized(&self) -> bool {
-        self.is_confirmed && self.config_version > 0
+        self.is_confirmed && self.config_version.is_some()
     }
 
     fn perform(
@@ -478,7 +474,7 @@
                     });
                 }
                 if let Received::Complete(config) = taken {
-                    (self.config_version, self.config) = (config.version, Some(config));
+                    (self.config_version, self.config) = (Some(config.version), Some(config));
                 }
                 return Some(ProxyMessage::ConfigApplied {
                     version: self.config_version,
@@ -610,7 +606,7 @@
             last_connection: 0,
             now,
             controller_client: ControllerClient::new(now, seeds, seed as usize % 1000),
-            config_version: 0,
+            config_version: None,
             config: None,
             config_receiver: ConfigReceiver::default(),
             connection: None,
--- a/tools/raft-simulation/tests/contact/main.rs
+++ b/tools/raft-simulation/tests/contact/main.rs
@@ -23,7 +23,7 @@
     acknowledged: Vec<(Micros, u64, Term)>,
     /// By proxy and its version in the incarnation that runs.
     terms: HashMap<usize, u64>,
-    config_versions: HashMap<usize, u64>,
+    config_versions: HashMap<usize, Option<u64>>,
 }
 
 impl Checks {
@@ -67,10 +67,10 @@
         let before = self
             .config_versions
             .insert(machine, proxy.config_version)
-            .unwrap_or(0);
+            .unwrap_or_default();
         assert!(
             proxy.config_version >= before,
-            "proxy {machine} went back from {before} to {}",
+            "proxy {machine} went back from {before:?} to {:?}",
             proxy.config_version
         );
         // Clocks run up to a thousandth too fast: that much longer ago is sure.
@@ -79,8 +79,8 @@
         if let Some(at) = confirmed {
             let newest = self.newest(ago(at));
             assert!(
-                proxy.config_version >= newest,
-                "proxy {machine} has {} and calls itself up to date as of {} ms, when {newest} was acknowledged",
+                proxy.config_version.unwrap_or(0) >= newest,
+                "proxy {machine} has {:?} and calls itself up to date as of {} ms, when {newest} was acknowledged",
                 proxy.config_version,
                 ago(at) / MILLI
             );
@@ -182,7 +182,7 @@
         self.proxies().all(|machine| {
             self.proxy(machine).is_some_and(|proxy| {
                 proxy.is_initialized()
-                    && proxy.config_version >= newest
+                    && proxy.config_version.unwrap_or(0) >= newest
                     && proxy
                         .controller_client
                         .is_following(self.simulator.clock(machine))
@@ -300,8 +300,8 @@
         cluster.run_for(SECOND);
         let proxy = cluster.proxy(anew).expect("it runs");
         assert!(
-            !proxy.is_initialized() && proxy.config_version == 0,
-            "it serves by version {}",
+            !proxy.is_initialized() && proxy.config_version.is_none(),
+            "it serves by version {:?}",
             proxy.config_version
         );
         let now = cluster.simulator.clock(stuck);
@@ -315,8 +315,9 @@
         );
         assert!(!cluster.is_acknowledged(refused) || cluster.checks.newest(Micros::MAX) >= newest);
     }
-    assert!((controllers..controllers + 2)
-        .all(|c| cluster.proxy(c).is_some_and(|c| c.config_version >= newest)));
+    assert!((controllers..controllers + 2).all(|c| cluster
+        .proxy(c)
+        .is_some_and(|c| c.config_version.unwrap_or(0) >= newest)));
     cluster.repair_all();
     let end = cluster.simulator.now() + 2 * SECOND;
     assert!(
--- a/tools/scale-test/src/main.rs
+++ b/tools/scale-test/src/main.rs
@@ -124,7 +124,7 @@
                 },
                 Received::Complete(config) => Event::ConfigApplied {
                     session,
-                    version: config.version,
+                    version: Some(config.version),
                 },
                 other => panic!("{other:?}"),
             });
@@ -229,7 +229,7 @@
             0,
             Event::Opened {
                 session,
-                version: 1,
+                version: Some(1),
             },
         );
     }
@@ -244,7 +244,7 @@
     let opened = sessions()
         .map(|session| Event::Opened {
             session,
-            version: 0,
+            version: None,
         })
         .collect();
     let full = distribute(&mut new_leader, &mut receivers, None, opened);
@@ -302,14 +302,14 @@
             node: format!("proxy-{session}"),
             zone: "zone".to_owned(),
             incarnation: 1,
-            config_version: 1,
+            config_version: Some(1),
             term: 1,
             sent_at: 0,
         };
         registry.register(0, session, 1, &hello);
     }
     let report = Report {
-        config_version: 2,
+        config_version: Some(2),
         evidence: Vec::new(),
         term: 1,
         sent_at: 1,
@@ -326,7 +326,7 @@
     let message = ControllerMessage::Heartbeat {
         proxies: proxies as u32,
         confirmed_at: 1 << 40,
-        config_version: 2,
+        config_version: Some(2),
     };
     let heartbeat = encode_frame(&Fenced { term: 1, message });
     let per_second = heartbeat.len() as f64 * proxies as f64 / HEARTBEAT_INTERVAL_S;
