--- a/tools/soak/src/agents.rs
+++ b/tools/soak/src/agents.rs
@@ -233,7 +233,8 @@
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
             | Action::Impatience(..)
-            | Action::LongBodies(..) => {}
+            | Action::LongBodies(..)
+            | Action::SlowReaders(..) => {}
         }
     }
 
--- a/tools/soak/src/clients.rs
+++ b/tools/soak/src/clients.rs
@@ -138,11 +138,12 @@
         let leaves = self.world.surroundings.draws_leaving(USUAL_LEAVING);
         let leaves_after = Duration::from_millis(self.rng.gen_range(LEAVES_AFTER_MS));
         let extra_bytes = if is_idempotent { extra_bytes } else { 0 };
-        let reading = read_answers(&self.world.recorder, connection, &ids, extra_bytes);
+        let pause = self.world.surroundings.draw_read_pause();
+        let reading = read_answers(&self.world.recorder, connection, &ids, extra_bytes, pause);
         let patience = if leaves {
             leaves_after
         } else {
-            ANSWER_TIMEOUT * count as u32
+            (ANSWER_TIMEOUT + pause) * count as u32
         };
         match timeout(patience, reading).await {
             Ok(goes_on) => goes_on,
@@ -201,17 +202,18 @@
     }
 }
 
-/// Reads the answers to requests in their order; their bodies have so many bytes more than usual. Returns whether the connection
-/// goes on.
+/// Reads the answers to requests in their order, with a pause before each body; their bodies have so many bytes more than usual.
+/// Returns whether the connection goes on.
 async fn read_answers(
     recorder: &Recorder,
     connection: &mut Connection,
     ids: &[String],
     extra_bytes: usize,
+    pause: Duration,
 ) -> bool {
     for (i, id) in ids.iter().enumerate() {
         let begun_at = recorder.now();
-        match read_answer(connection).await {
+        match read_answer(connection, pause).await {
             Ok(answer) => {
                 recorder.on_outcome(id, outcome_of(&answer, id, extra_bytes));
                 on_latency(recorder, id, begun_at);
@@ -240,9 +242,12 @@
     true
 }
 
-async fn read_answer(connection: &mut Connection) -> Result<Message, ReadError> {
+async fn read_answer(connection: &mut Connection, pause: Duration) -> Result<Message, ReadError> {
     let Connection { stream, reader, .. } = connection;
     let mut answer = reader.read_head(stream).await?;
+    if !pause.is_zero() {
+        sleep(pause).await;
+    }
     reader.read_body(stream, &mut answer).await?;
     Ok(answer)
 }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -178,7 +178,8 @@
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
             | Action::Impatience(..)
-            | Action::LongBodies(..) => (None, false),
+            | Action::LongBodies(..)
+            | Action::SlowReaders(..) => (None, false),
         };
         let incident = self.recorder.begin(agent, is_unplanned, action.to_string());
         match action {
@@ -195,6 +196,10 @@
             Action::LongBodies(share, ms) => {
                 self.surroundings.lengthen(share, Duration::from_millis(ms));
             }
+            Action::SlowReaders(share, ms) => {
+                self.surroundings
+                    .slow_readers(share, Duration::from_millis(ms));
+            }
             _ => self.agents.carry_out(action).await,
         }
         self.recorder.end(incident);
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -12,6 +12,8 @@
 const QUIET_END_MS: u64 = 8_000;
 /// Series of events per ten seconds.
 const SERIES_PER_10_S: u64 = 6;
+/// Kinds of series.
+const KINDS: u32 = 11;
 
 /// An agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -52,6 +54,8 @@
     Impatience(f64, u64),
     /// So many of the requests have long bodies, or long responses, for some milliseconds.
     LongBodies(f64, u64),
+    /// So many of the clients pause before they read a response's body, for some milliseconds.
+    SlowReaders(f64, u64),
 }
 
 impl fmt::Display for Action {
@@ -80,6 +84,13 @@
                     share * 100.0
                 )
             }
+            Action::SlowReaders(share, ms) => {
+                write!(
+                    f,
+                    "{:.0}% of the clients pause before they read for {ms} ms",
+                    share * 100.0
+                )
+            }
         }
     }
 }
@@ -136,7 +147,7 @@
     let mut proxies: Vec<usize> = (0..size.proxies).collect();
     proxies.shuffle(rng);
     let controller = Agent::Controller(rng.gen_range(0..size.controllers));
-    let kind = rng.gen_range(0..10);
+    let kind = rng.gen_range(0..KINDS);
     for i in 0..count {
         let proxy = Agent::Proxy(proxies[i as usize % proxies.len()]);
         let action = match kind {
@@ -148,6 +159,7 @@
             6 => Action::ReplaceEndpoint,
             7 => Action::Impatience(rng.gen_range(0.2..1.0), rng.gen_range(500..4_000)),
             8 => Action::LongBodies(rng.gen_range(0.2..1.0), rng.gen_range(200..2_000)),
+            9 => Action::SlowReaders(rng.gen_range(0.2..1.0), rng.gen_range(500..4_000)),
             // One controller at a time: more than half of them go on.
             _ if i == 0 => *[
                 Action::Terminate(controller),
--- a/tools/soak/src/surroundings.rs
+++ b/tools/soak/src/surroundings.rs
@@ -10,6 +10,8 @@
 
 /// Bytes of a long body.
 const LONG_BODY_BYTES: std::ops::Range<usize> = 100_000..8_000_000;
+/// For how many milliseconds a slow reader pauses: less than what ends a connection whose window is closed.
+const READ_PAUSE_MS: std::ops::Range<u64> = 100..1_000;
 
 /// A factor or a share that holds until some time.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +26,7 @@
     slowness: Option<Temporary>,
     impatience: Option<Temporary>,
     long_bodies: Option<Temporary>,
+    slow_readers: Option<Temporary>,
 }
 
 /// Shared by endpoints and clients.
@@ -37,6 +40,7 @@
             slowness: None,
             impatience: None,
             long_bodies: None,
+            slow_readers: None,
         }))
     }
 
@@ -68,6 +72,24 @@
         });
     }
 
+    /// Makes a share of the clients read slowly for some time.
+    pub(crate) fn slow_readers(&self, share: f64, time: Duration) {
+        self.state().slow_readers = Some(Temporary {
+            value: share,
+            until: Instant::now() + time,
+        });
+    }
+
+    /// Draws how long a client pauses before it reads a response's body.
+    pub(crate) fn draw_read_pause(&self) -> Duration {
+        let state = &mut *self.state();
+        let share = current(state.slow_readers, 0.0);
+        match state.rng.gen_bool(share) {
+            true => Duration::from_millis(state.rng.gen_range(READ_PAUSE_MS)),
+            false => Duration::ZERO,
+        }
+    }
+
     /// Draws the length of a body, beyond what it usually has.
     pub(crate) fn draw_extra_bytes(&self) -> usize {
         let state = &mut *self.state();
