--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -14,8 +14,7 @@
 /// the disk (256 MB) then holds a few times the state at most, and writing the state costs no more than the commands did.
 const COMPACT_AFTER_ENTRIES: u64 = 10_000;
 const COMPACT_AFTER_BYTES: usize = 4 << 20;
-/// Bytes that the log takes in memory, for a state that is short: one that is longer than half of [`COMPACT_AFTER_BYTES`] has a log
-/// of twice its length.
+/// Bytes that the log takes in memory where the state is short. A state of more than 2 MB has a log of twice its length.
 pub const LOG_BYTES: usize = COMPACT_AFTER_BYTES + TAIL_BYTES;
 /// Bytes that an entry takes beside those of its command.
 const ENTRY_OVERHEAD: usize = 32;
