Clients' connections: a proxy that stood still gives no slow reader up

Cause: whether a client had taken nothing for too long was looked at before what the stream takes by now was written to it. It is looked at behind that now; the same order holds for reading already (what has come is read before time passes).

The function that reads, lets time pass and goes on to the next request is named after all of that.

--- a/crates/gateway/src/proxy/client_connection/mod.rs
+++ b/crates/gateway/src/proxy/client_connection/mod.rs
@@ -184,7 +184,7 @@
                 let by = inner.now + IDLE_AT_SHUTDOWN;
                 inner.framing.shut_down_by(by);
             }
-            if let Some(end) = inner.read(cx) {
+            if let Some(end) = inner.read_and_advance(cx) {
                 return Poll::Ready(end);
             }
             drop(inner);
@@ -192,6 +192,10 @@
                 return Poll::Ready(ServeEnd::Served);
             }
             let inner = &mut *self.inner();
+            // Only now: what the stream takes again was written just before.
+            if inner.write_deadline() <= inner.now {
+                return Poll::Ready(ServeEnd::Stalled);
+            }
             if !is_shutting_down {
                 inner.start_early(cx, &mut start);
             }
@@ -271,12 +275,9 @@
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Inner<S> {
     /// Reads what can be read, lets time pass, and goes on where a response is written.
-    fn read(&mut self, cx: &mut Context<'_>) -> Option<ServeEnd> {
+    fn read_and_advance(&mut self, cx: &mut Context<'_>) -> Option<ServeEnd> {
         self.is_drained = false;
         self.fill(cx);
-        if self.write_deadline() <= self.now {
-            return Some(ServeEnd::Stalled);
-        }
         self.framing.on_tick(self.now, &self.limits);
         self.advance();
         self.is_reader_waiting = false;
--- a/crates/gateway/tests/proxy_loopback/slow_readers.rs
+++ b/crates/gateway/tests/proxy_loopback/slow_readers.rs
@@ -4,6 +4,7 @@
 use magpieline_gateway::proxy::listener::serve_connection;
 use magpieline_memory_budget::Purpose;
 use rstest::rstest;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 
 /// Bytes that the stream holds for a client that doesn't read.
@@ -108,7 +109,7 @@
         let mut taken = 0;
         let mut piece = vec![0; LONG_BYTES / 10];
         for _ in 0..5 {
-            tokio::time::sleep(std::time::Duration::from_millis(IDLE_MS / 2)).await;
+            tokio::time::sleep(Duration::from_millis(IDLE_MS / 2)).await;
             taken += slow.read_exact(&mut piece).await.expect("more");
         }
         let mut rest = Vec::new();
@@ -120,3 +121,38 @@
         until_nothing_is_reserved(&fixture).await;
     });
 }
+
+/// Guards against a client that is given up because the proxy stood still: what its client has taken meanwhile counts first.
+#[test]
+fn a_proxy_that_stood_still_gives_no_reader_up() {
+    const IDLE: Duration = Duration::from_millis(300);
+    let config = CONFIG.replace(
+        r#""header_bytes":2000"#,
+        r#""header_bytes":2000,"idle":"300ms""#,
+    );
+    let body = long_body();
+    run(async {
+        let mut fixture = Fixture::with(&config).await;
+        let mut client = narrow_client(&fixture);
+        send(&mut client, &request("GET", "/safe/a", "t1")).await;
+        fixture.asked().await.answer_in_chunks(&body);
+        let start = client.read_u8().await.expect("the response has begun");
+        assert_eq!(start, b'H');
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        // All that the stream holds is taken; the only thread then does nothing for longer than the idle timeout.
+        client
+            .read_exact(&mut [0; STREAM_BYTES])
+            .await
+            .expect("more");
+        std::thread::sleep(IDLE + IDLE);
+        let mut rest = Vec::new();
+        while !rest.ends_with(&body.as_bytes()[LONG_BYTES - 100..]) {
+            assert!(
+                client.read_buf(&mut rest).await.expect("more") > 0,
+                "the end"
+            );
+        }
+    });
+}
