--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -267,7 +267,7 @@
         self.state().stored_config().cloned()
     }
 
-    /// Returns the version of the configuration in force; 0: there is none.
+    /// Returns the version of the configuration in force.
     pub fn config_version(&self) -> Option<u64> {
         self.state().config_version()
     }
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -11,6 +11,7 @@
     ConfigChunk, ControllerMessage, Endpoint, EndpointState, EndpointUpdate, Hello, ProxyMessage,
 };
 use rstest::rstest;
+use std::fmt::Debug;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -264,6 +265,19 @@
     head.first()?.split(' ').nth(1)?.parse().ok()
 }
 
+fn assert_within_memory(process: &Process, memory_mb: u64, results: &dyn Debug) {
+    let peak = process.peak_memory();
+    assert!(
+        peak <= memory_mb * 1_000_000,
+        "{peak} bytes at the peak, {results:?}"
+    );
+}
+
+fn assert_served_or_refused(statuses: &[Option<u16>]) {
+    let is_proper = |status: &Option<u16>| matches!(status, Some(200 | 503));
+    assert!(statuses.iter().all(is_proper), "{statuses:?}");
+}
+
 /// As many are served, at least, as find room at once: long requests may have 36 MB of the 72.
 ///
 /// Guards against: five clients that sent 64 MB each, within `body_bytes`, took a proxy over `memory_mb`; it was killed, and
@@ -281,17 +295,8 @@
     let send = |client| post(fixture.connect(), &format!("long-{client}"), body);
     let send_all = || all_at_once(CLIENTS, send);
     let (statuses, sent, served) = fixture.short_requests_beside(send_all);
-    let peak = fixture.process.peak_memory();
-    assert!(
-        peak <= MEMORY_MB * 1_000_000,
-        "{peak} bytes at the peak, {statuses:?}"
-    );
-    assert!(
-        statuses
-            .iter()
-            .all(|status| matches!(status, Some(200 | 503))),
-        "{statuses:?}"
-    );
+    assert_within_memory(&fixture.process, MEMORY_MB, &statuses);
+    assert_served_or_refused(&statuses);
     let is_served = |status: &&Option<u16>| **status == Some(200);
     assert!(
         statuses.iter().filter(is_served).count() >= fit_at_once,
@@ -320,11 +325,7 @@
     };
     let get_all = || all_at_once(CLIENTS, get);
     let (results, sent, served) = fixture.short_requests_beside(get_all);
-    let peak = fixture.process.peak_memory();
-    assert!(
-        peak <= MEMORY_MB * 1_000_000,
-        "{peak} bytes at the peak, {results:?}"
-    );
+    assert_within_memory(&fixture.process, MEMORY_MB, &results);
     assert_eq!(results, vec![(Some(200), true); CLIENTS]);
     assert_eq!(served, sent, "short requests");
 }
@@ -343,8 +344,7 @@
         assert_eq!(read_status(&head), Some(200));
         assert!(skip(&mut from, LONG_BYTES));
     }
-    let peak = fixture.process.peak_memory();
-    assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes at the peak");
+    assert_within_memory(&fixture.process, MEMORY_MB, &());
 }
 
 /// `memory_mb` of the controller.
@@ -393,15 +393,6 @@
     send_until_acknowledged(&document(1));
     let send = |sender| send_until_acknowledged(&document(2 + sender as u64));
     let statuses = all_at_once(DOCUMENTS, send).concat();
-    let peak = process.peak_memory();
-    assert!(
-        peak <= CONTROLLER_MEMORY_MB * 1_000_000,
-        "{peak} bytes at the peak, {statuses:?}"
-    );
-    assert!(
-        statuses
-            .iter()
-            .all(|status| matches!(status, Some(200 | 503))),
-        "{statuses:?}"
-    );
+    assert_within_memory(&process, CONTROLLER_MEMORY_MB, &statuses);
+    assert_served_or_refused(&statuses);
 }
--- a/crates/gateway/tests/proxy_loopback/fixture.rs
+++ b/crates/gateway/tests/proxy_loopback/fixture.rs
@@ -250,6 +250,12 @@
     format!("{method} {path} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\nTime-Left-Ms: 9000\r\n\r\n")
 }
 
+/// Returns a body of so many bytes, in which each place can be told from the others.
+pub fn numbered_body(bytes: usize) -> String {
+    let numbers = (0u32..).flat_map(|i| format!("{i},").into_bytes());
+    numbers.take(bytes).map(char::from).collect()
+}
+
 /// Returns a body in chunks of odd lengths.
 pub fn in_chunks(body: &str) -> String {
     const CHUNK_BYTES: usize = 9_973;
--- a/crates/gateway/tests/proxy_loopback/memory.rs
+++ b/crates/gateway/tests/proxy_loopback/memory.rs
@@ -1,6 +1,6 @@
 //! The budget for bodies and heads, as clients meet it.
 
-use crate::fixture::{in_chunks, request, rest, run, until, Fixture, CONFIG};
+use crate::fixture::{in_chunks, numbered_body, request, rest, run, until, Fixture, CONFIG};
 use magpieline_memory_budget::{Limits, Purpose};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -186,11 +186,7 @@
 #[case::two_full_pieces(80 << 10)]
 #[case::many_pieces(300_001)]
 fn bodies_arrive_unchanged(#[case] bytes: usize) {
-    let body: String = (0u32..)
-        .flat_map(|i| format!("{i},").into_bytes())
-        .take(bytes)
-        .map(char::from)
-        .collect();
+    let body = numbered_body(bytes);
     let known = format!("Content-Length: {bytes}\r\n\r\n{body}");
     let chunked = format!("Transfer-Encoding: chunked\r\n\r\n{}", in_chunks(&body));
     run(async {
--- a/crates/gateway/tests/proxy_loopback/slow_readers.rs
+++ b/crates/gateway/tests/proxy_loopback/slow_readers.rs
@@ -1,6 +1,6 @@
 //! Clients that take a response slowly, or not at all, over a stream that holds few bytes.
 
-use crate::fixture::{request, run, Fixture, CONFIG};
+use crate::fixture::{numbered_body, request, run, Fixture, CONFIG};
 use magpieline_gateway::proxy::listener::serve_connection;
 use magpieline_memory_budget::Purpose;
 use rstest::rstest;
@@ -34,12 +34,6 @@
     (String::from_utf8(head).expect("text"), body)
 }
 
-/// A body in which each place can be told from the others.
-fn long_body() -> String {
-    let numbers = (0u32..).flat_map(|i| format!("{i},").into_bytes());
-    numbers.take(LONG_BYTES).map(char::from).collect()
-}
-
 fn reserved(fixture: &Fixture) -> u64 {
     fixture.proxy.memory_use().reserved[Purpose::Response as usize]
 }
@@ -56,7 +50,7 @@
 #[case::sending_side_open(false)]
 #[case::sending_side_ended(true)]
 fn responses_wait_for_a_slow_client(#[case] ends_sending: bool) {
-    let body = long_body();
+    let body = numbered_body(LONG_BYTES);
     run(async {
         let mut fixture = Fixture::new().await;
         let mut client = narrow_client(&fixture);
@@ -104,7 +98,10 @@
         let (mut silent, mut slow) = (narrow_client(&fixture), narrow_client(&fixture));
         for client in [&mut silent, &mut slow] {
             send(client, &request("GET", "/safe/a", "t1")).await;
-            fixture.asked().await.answer_in_chunks(&long_body());
+            fixture
+                .asked()
+                .await
+                .answer_in_chunks(&numbered_body(LONG_BYTES));
         }
         let mut taken = 0;
         let mut piece = vec![0; LONG_BYTES / 10];
@@ -130,7 +127,7 @@
         r#""header_bytes":2000"#,
         r#""header_bytes":2000,"idle":"300ms""#,
     );
-    let body = long_body();
+    let body = numbered_body(LONG_BYTES);
     run(async {
         let mut fixture = Fixture::with(&config).await;
         let mut client = narrow_client(&fixture);
--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -60,6 +60,17 @@
 }
 
 impl Service {
+    /// Creates a service of which one endpoint is known, which works on so many requests at a time.
+    fn new(concurrency: f64) -> Service {
+        Service {
+            endpoints: Vec::new(),
+            mean_latency: FIRST_LATENCY,
+            mean_others: 0.0,
+            mean_concurrency: concurrency,
+            reported_at: 0,
+        }
+    }
+
     /// Returns how many requests of other proxies there are for each that an endpoint works on at a time, as far as it is
     /// remembered.
     fn mean_load(&self, now: Micros) -> f64 {
@@ -75,19 +86,6 @@
     }
 }
 
-impl Service {
-    /// Creates a service of which one endpoint is known, which works on so many requests at a time.
-    fn new(concurrency: f64) -> Service {
-        Service {
-            endpoints: Vec::new(),
-            mean_latency: FIRST_LATENCY,
-            mean_others: 0.0,
-            mean_concurrency: concurrency,
-            reported_at: 0,
-        }
-    }
-}
-
 /// What an endpoint is asked for.
 #[derive(Clone, Copy)]
 pub struct SelectionRequest<'a> {
--- a/crates/rollout/src/analysis.rs
+++ b/crates/rollout/src/analysis.rs
@@ -395,7 +395,7 @@
             || self.evidence_of_small_excess() >= CONVINCING_SMALL_EXCESS
             || self.duel.dropped() == Some(TRIAL);
         let is_voted = pooled.rollback_votes >= MIN_ROLLBACK_VOTES && evidence >= DOUBTFUL;
-        is_widespread(pooled) && (is_convincing || is_voted)
+        (is_convincing || is_voted) && is_widespread(pooled)
     }
 
     fn decide_trial(&mut self, observation: Observation, outcomes: u32) -> Decision {
--- a/tools/soak/src/surroundings.rs
+++ b/tools/soak/src/surroundings.rs
@@ -20,6 +20,13 @@
     until: Instant,
 }
 
+impl Temporary {
+    fn new(value: f64, time: Duration) -> Temporary {
+        let until = Instant::now() + time;
+        Temporary { value, until }
+    }
+}
+
 #[derive(Debug)]
 struct State {
     rng: SeededRng,
@@ -50,34 +57,22 @@
 
     /// Makes endpoints slower for some time.
     pub(crate) fn slow_down(&self, factor: f64, time: Duration) {
-        self.state().slowness = Some(Temporary {
-            value: factor,
-            until: Instant::now() + time,
-        });
+        self.state().slowness = Some(Temporary::new(factor, time));
     }
 
     /// Makes a share of the clients leave early for some time.
     pub(crate) fn make_impatient(&self, share: f64, time: Duration) {
-        self.state().impatience = Some(Temporary {
-            value: share,
-            until: Instant::now() + time,
-        });
+        self.state().impatience = Some(Temporary::new(share, time));
     }
 
     /// Makes a share of the requests long for some time.
     pub(crate) fn lengthen(&self, share: f64, time: Duration) {
-        self.state().long_bodies = Some(Temporary {
-            value: share,
-            until: Instant::now() + time,
-        });
+        self.state().long_bodies = Some(Temporary::new(share, time));
     }
 
     /// Makes a share of the clients read slowly for some time.
     pub(crate) fn slow_readers(&self, share: f64, time: Duration) {
-        self.state().slow_readers = Some(Temporary {
-            value: share,
-            until: Instant::now() + time,
-        });
+        self.state().slow_readers = Some(Temporary::new(share, time));
     }
 
     /// Draws how long a client pauses before it reads a response's body.
