--- a/crates/dispatch/src/exchange/nodes_listed.rs
+++ b/crates/dispatch/src/exchange/nodes_listed.rs
@@ -47,6 +47,7 @@
             .listed(self.clock.now(), whole, fresh, &listed);
     }
 
+    /// A reading of the platform's list has failed.
     pub fn list_failed(&self) {
         self.follow.take_back();
         self.state
@@ -55,6 +56,7 @@
             .list_failed(self.clock.now());
     }
 
+    /// The platform has said where the release stands.
     pub fn heard(&self, news: News) {
         let state = &mut *self.state.borrow_mut();
         let stands = (news.build, news.stage, news.phase);
--- a/crates/rollout/src/analysis.rs
+++ b/crates/rollout/src/analysis.rs
@@ -200,24 +200,22 @@
 fn is_widespread(pooled: &PooledEvidence) -> bool {
     let seen = pooled.endpoints.values();
     let mut seen: Vec<&EndpointTotals> = seen.filter(|endpoint| endpoint.outcomes > 0).collect();
-    seen.sort_unstable_by_key(|endpoint| Reverse(bad_outcomes(endpoint)));
+    seen.sort_unstable_by_key(|endpoint| Reverse(bad_or_late(endpoint)));
     let left_out = match seen.len() {
         0 | 1 => 0,
         count => count.div_ceil(LEFT_OUT_ONE_IN),
     };
     let (worst, rest) = seen.split_at(left_out);
     let bad = |endpoints: &[&EndpointTotals]| -> u32 {
-        endpoints
-            .iter()
-            .map(|endpoint| bad_outcomes(endpoint))
-            .sum()
+        endpoints.iter().map(|endpoint| bad_or_late(endpoint)).sum()
     };
     let (worst_bad, rest_bad) = (bad(worst), bad(rest));
     let is_large_part = 3 * rest_bad >= worst_bad;
     rest_bad >= WIDESPREAD_OUTCOMES && (is_large_part || fails_more_than_usual(rest, pooled))
 }
 
-fn bad_outcomes(endpoint: &EndpointTotals) -> u32 {
+/// Returns how many answers of an endpoint failed or were late.
+fn bad_or_late(endpoint: &EndpointTotals) -> u32 {
     endpoint.bad + endpoint.late
 }
 
