Load balancer: proxies prefer different endpoints whatever their ids look like

Cause: the upper half of FNV-1a hardly depends on the last characters of a text, so that a proxy preferred all endpoints of such ids alike, and took the first one listed, as did all others that preferred it. Change: XXH3, by a library, in place of an own hash. Evidence: proxies_differ_in_the_endpoint_that_they_prefer failed before.

--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -13,6 +13,7 @@
 use slab::Slab;
 use std::collections::HashMap;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub use crate::endpoint::{EndpointSignal, ListedEndpoint, ReportedLoad};
 
@@ -398,11 +399,8 @@
         && max_hash.is_none_or(|max| hash(0, &listed.id) <= max)
 }
 
-/// Returns a number that differs by seed and endpoint (FNV-1a).
+/// Returns a number that differs by seed and endpoint, the same at all proxies for one seed. Ids that differ in their last
+/// character only have numbers as far apart as any others.
 fn hash(seed: u64, id: &str) -> u32 {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64 ^ seed;
-    for byte in id.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
-    }
-    (hash >> 32) as u32
+    (xxh3_64_with_seed(id.as_bytes(), seed) >> 32) as u32
 }
--- a/crates/load-balancer/tests/endpoint_selection.rs
+++ b/crates/load-balancer/tests/endpoint_selection.rs
@@ -301,3 +301,31 @@
         Ok(chosen)
     );
 }
+
+/// Guards against proxies that all prefer the same endpoints: ids often differ in their last character only.
+#[test]
+fn proxies_differ_in_the_endpoint_that_they_prefer() {
+    let ids = ["i-0001", "i-0002", "i-0003", "i-0004", "i-0005", "i-0006"];
+    let mut chosen = HashMap::<String, u32>::new();
+    let mut second = HashMap::<(String, String), u32>::new();
+    for seed in 0..600 {
+        let mut balancer = LoadBalancer::new("a", seed);
+        ids.iter()
+            .for_each(|id| balancer.upsert(0, listed(id, "a", "v1")));
+        let first = select(&mut balancer, 0, true).expect("idle");
+        let handle = balancer.find(&first).expect("listed");
+        let next = balancer.select(0, request(&any, &[handle], true));
+        let next = balancer.get(next.expect("idle").endpoint).expect("listed");
+        *second
+            .entry((first.clone(), next.id.to_string()))
+            .or_default() += 1;
+        *chosen.entry(first).or_default() += 1;
+    }
+    assert!(
+        ids.iter().all(|id| (60..=140).contains(&chosen[*id])),
+        "{chosen:?}"
+    );
+    // What comes second does not follow from what comes first.
+    assert_eq!(second.len(), 30, "{second:?}");
+    assert!(second.values().all(|count| *count <= 50), "{second:?}");
+}
