Load balancer: an endpoint's failures and latency are forgotten while it gives no answers

The class: an estimate that only an answer changes, and that decides whether there will be an answer. What callers saw: after an overload of endpoints of unequal sizes that fail requests when full, most requests went on to the small ones and failed there while the large one was idle; an endpoint that had been slow or failing for a while got no request any more once it was well, so that the others answered later than they had to. Cause: error_rate and log_latency of an endpoint changed with answers only, and raise its cost up to 5 and 4.5 times. Where others have room, nothing is sent, so nothing is answered. Change: both are averages that fade, half in five seconds without a sample (fading_mean.rs). What has faded counts again if the next sample bears it out, so that an endpoint that stays ill is tried once in some twenty seconds by each proxy, and not three times in a row.

--- a/crates/load-balancer/src/endpoint.rs
+++ b/crates/load-balancer/src/endpoint.rs
@@ -1,13 +1,22 @@
 //! One endpoint: what the platform lists of it, and what this proxy's attempts have shown.
 
+use crate::fading_mean::{FadingMean, FadingMeanParameters};
 use crate::Micros;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 /// What an endpoint reported of others' requests is half forgotten after this: about one request's time.
 const REPORT_HALF_LIFE: f64 = 250_000.0;
-/// The weight of the old mean latency of an endpoint at each answer: a mean over about eight answers.
-const LATENCY_DECAY: f64 = 0.88;
+/// An endpoint's latency, as the logarithm of its part of the service's mean: a mean over about eight answers.
+const LOG_LATENCY: FadingMeanParameters = FadingMeanParameters {
+    gain: 0.12,
+    half_life: 5_000_000.0,
+};
+/// The part of an endpoint's answers that are failures: a mean over about ten answers.
+const ERROR_RATE: FadingMeanParameters = FadingMeanParameters {
+    gain: 0.1,
+    half_life: 5_000_000.0,
+};
 /// An endpoint that is warming up is taken to be so many times slower.
 const WARMUP_FACTOR: f64 = 2.0;
 /// An endpoint that owes an answer for so many mean latencies of its service, at least [`MIN_PATIENCE`], and has given none
@@ -22,17 +31,13 @@
 const MAX_CONSECUTIVE_FAILURES: u32 = 4;
 /// One that rejected a request is left alone until about half of its queue is done.
 const REJECTION_BACKOFF: Micros = 150_000;
-/// The weight of the newest answer in the error rate, and in the service's mean of reported requests.
-const ERROR_RATE_GAIN: f64 = 0.1;
-pub(crate) const OTHERS_GAIN: f64 = 0.05;
 /// A latency counts for so many mean latencies at most; for less where requests of this proxy queued at the endpoint, as
 /// what waited there is no slowness of its own.
 const MAX_LATENCY: f64 = 4.0;
 const MAX_LATENCY_QUEUED: f64 = 1.5;
-/// Bounds of the logarithm of one latency over the mean, and of the endpoint's own mean of it.
+/// Bounds of the logarithm of one latency over the mean: an endpoint is at most twice as fast and 4.5 times as slow.
+const MIN_LOG_RATIO: f64 = -0.7;
 const MAX_LOG_RATIO: f64 = 1.5;
-const MIN_LOG_LATENCY: f64 = -0.7;
-const MAX_LOG_LATENCY: f64 = 1.5;
 
 /// Returns how long an endpoint may owe an answer before it is suspected to be dead.
 fn patience(mean_latency: f64) -> Micros {
@@ -124,14 +129,13 @@
     pub(crate) listed: ListedEndpoint,
     /// This proxy's preference among equal endpoints, 0 to 1, the same for as long as both live.
     pub(crate) preference: f64,
-    /// Part of its last answers that were failures.
-    pub(crate) error_rate: f64,
+    error_rate: FadingMean,
     in_flight: Vec<InFlight>,
     /// Requests of other proxies there, as last reported, and when.
     others: f64,
     reported_at: Micros,
     /// Logarithm of its latency over the mean of the service.
-    log_latency: f64,
+    log_latency: FadingMean,
     answered_at: Micros,
     /// How long cancelled attempts have waited in vain since the last answer, and until when that is counted.
     silence: Micros,
@@ -145,11 +149,11 @@
         EndpointState {
             listed,
             preference,
-            error_rate: 0.0,
+            error_rate: FadingMean::new(ERROR_RATE),
             in_flight: Vec::new(),
             others: 0.0,
             reported_at: now,
-            log_latency: 0.0,
+            log_latency: FadingMean::new(LOG_LATENCY),
             answered_at: now,
             silence: 0,
             silence_until: 0,
@@ -192,7 +196,12 @@
         } else {
             1.0
         };
-        mean * self.log_latency.exp() * warmup
+        mean * self.log_latency.at(now).exp() * warmup
+    }
+
+    /// Returns the part of its last answers that were failures, as far as it is remembered.
+    pub(crate) fn error_rate(&self, now: Micros) -> f64 {
+        self.error_rate.at(now)
     }
 
     fn is_warming_up(&self, now: Micros) -> bool {
@@ -252,9 +261,9 @@
             MAX_LATENCY
         } * mean;
         let latency = (latency as f64).min(max).max(1.0);
-        let ratio = (latency / mean).ln().clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO);
-        let log_latency = LATENCY_DECAY * self.log_latency + (1.0 - LATENCY_DECAY) * ratio;
-        self.log_latency = log_latency.clamp(MIN_LOG_LATENCY, MAX_LOG_LATENCY);
+        let ratio = (latency / mean).ln();
+        self.log_latency
+            .add(now, ratio.clamp(MIN_LOG_RATIO, MAX_LOG_RATIO));
         Some(latency)
     }
 
@@ -267,7 +276,7 @@
         mean_latency: f64,
     ) {
         if let Some(error) = signal.error() {
-            self.error_rate += ERROR_RATE_GAIN * (error - self.error_rate);
+            self.error_rate.add(now, error);
         }
         match signal {
             EndpointSignal::Served => {
--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -4,9 +4,10 @@
 //! endpoint is faster or slower, and what waits there already. What other proxies have in flight there is known from what
 //! the endpoint itself reported with its last answer; between answers it is taken to drift back to the mean of the service, in
 //! proportion to the endpoint's size, and that mean is forgotten while nothing is answered: a service that seems full for what
-//! others have there is tried again, by one attempt at a time at each endpoint.
+//! others have there is tried again, by one attempt at a time at each endpoint. In the same way an endpoint's latency and failures
+//! are forgotten while it gives no answers: an idle one that was slow or failed is tried again.
 
-use crate::endpoint::{EndpointState, OTHERS_GAIN};
+use crate::endpoint::EndpointState;
 use crate::Micros;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -37,6 +38,8 @@
 /// not tried how many.
 const MAX_QUEUED: [f64; 3] = [5.0, 4.0, 3.0];
 
+/// The weight of a new report in the service's mean of reported requests.
+const OTHERS_GAIN: f64 = 0.05;
 /// What was reported of load holds for this long,
 const LOAD_LIFETIME: Micros = 500_000;
 /// and is half forgotten after this, half more or less by the endpoint, so that proxies don't all try again at once.
@@ -319,7 +322,7 @@
             };
             let preference = (PREFERENCE_COST + jitter) * endpoint.preference(mean_concurrency);
             let utilization = UTILIZATION_COST * (ahead / concurrency).min(1.0);
-            let cost = selection.expected_latency * (1.0 + ERROR_COST * endpoint.error_rate)
+            let cost = selection.expected_latency * (1.0 + ERROR_COST * endpoint.error_rate(now))
                 + service.mean_latency * (zone + preference + utilization);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, selection));
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod endpoint;
 pub mod endpoint_selection;
+mod fading_mean;
 pub mod retry_budget;
 
 /// An instant on a monotonic clock, or a span of time, in microseconds.
--- a/crates/load-balancer/tests/overload.rs
+++ b/crates/load-balancer/tests/overload.rs
@@ -13,6 +13,8 @@
 const MIN_REQUESTS: u32 = 5;
 /// Calm windows are looked at from so long after the last overload on.
 const RECOVERY: Micros = 5 * SECOND;
+/// The same where endpoints that were full have failed: proxies keep away from those for a time.
+const RECOVERY_FROM_FAILURES: Micros = 25 * SECOND;
 
 fn setup(seed: u64, proxies: usize, sizes: &[usize], queue_size: usize) -> Setup<'_> {
     Setup {
@@ -68,6 +70,24 @@
     }
 }
 
+/// Guards against: after an overload most requests went to small endpoints and failed there, while the large one was idle, as
+/// nothing made up for its failures and latencies of before but further answers.
+#[rstest]
+fn proxies_find_out_that_endpoints_fail_no_more_once_an_overload_is_over(
+    #[values(16, 300, 1400)] proxies: usize,
+    #[values(&[2; 8], &[16, 2, 2, 2])] sizes: &[usize],
+    #[values(3.3, 12.0)] overload: f64,
+    #[values(WhenFull::StaysSilent, WhenFull::Resets)] when_full: WhenFull,
+) {
+    for seed in 0..3 {
+        let setup = Setup {
+            when_full,
+            ..setup(seed, proxies, sizes, 10)
+        };
+        play_overload(&setup, overload, RECOVERY_FROM_FAILURES);
+    }
+}
+
 /// Guards against: the largest endpoint of a service left in order, and all proxies took the small ones, idle, for full for ever.
 #[rstest]
 fn small_endpoints_are_not_measured_by_a_large_one(
