Load balancer: requests that must not run twice find out that an endpoint serves again

What callers saw: a service that takes only requests that must not run twice sent none to an endpoint that had once taken no connection or left one unanswered, for as long as any other had room; once a proxy had been cut off from all of them, all went to the few that were tried first, up to their queues. Cause: a failure in a row was made up for by answers alone, and only idempotent requests tried such an endpoint. Change: an endpoint that took no connection is ejected as before, and then tried by any request: nothing was sent, so nothing can run twice. One that left a request unanswered is kept from requests that must not run twice for six ejection times more (3 s to 24 s, growing with each failure in a row), and gets one of them then. Idempotent requests try it at once after the ejection, as before.

--- a/crates/load-balancer/src/endpoint.rs
+++ b/crates/load-balancer/src/endpoint.rs
@@ -26,6 +26,8 @@
 /// A dead one is ejected for this, doubling with each further failure.
 const EJECTION_TIME: Micros = 500_000;
 const MAX_EJECTION_TIME: Micros = 4_000_000;
+/// For so many ejection times more a request that must not run twice is kept from an endpoint that has left one unanswered.
+const SUSPICION: Micros = 6;
 /// Failures in a row that still double the ejection time, and those that are counted.
 const MAX_DOUBLINGS: u32 = 3;
 const MAX_CONSECUTIVE_FAILURES: u32 = 4;
@@ -141,9 +143,20 @@
     silence: Micros,
     silence_until: Micros,
     ejected_until: Micros,
+    /// Until when a request that must not run twice does not probe it.
+    suspect_until: Micros,
     consecutive_failures: u32,
 }
 
+/// What an endpoint that is ejected did with the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EjectionReason {
+    /// It took no connection, so the request was not sent.
+    Unreachable,
+    /// It left the request unanswered; it may have run.
+    Unanswered,
+}
+
 impl EndpointState {
     pub(crate) fn new(now: Micros, listed: ListedEndpoint, preference: f64) -> EndpointState {
         EndpointState {
@@ -158,6 +171,7 @@
             silence: 0,
             silence_until: 0,
             ejected_until: 0,
+            suspect_until: 0,
             consecutive_failures: 0,
         }
     }
@@ -212,13 +226,15 @@
         now < self.ejected_until
     }
 
-    /// Whether it may be dead: it owes an answer for too long, or it has failed and this request must not run twice.
+    /// Whether it may be dead: it owes an answer for too long, or it has failed, and another request finds out whether it serves
+    /// again. One that must not run twice waits longer before it is that request.
     pub(crate) fn is_suspect(&self, mean_latency: f64, now: Micros, is_idempotent: bool) -> bool {
         let patience = patience(mean_latency);
         let oldest = self.in_flight.iter().map(|attempt| attempt.sent_at).min();
         let is_overdue = oldest
             .is_some_and(|sent_at| now + self.silence > sent_at.max(self.answered_at) + patience);
-        let may_probe = is_idempotent && self.in_flight.is_empty();
+        let is_trusted = is_idempotent || now >= self.suspect_until;
+        let may_probe = is_trusted && self.in_flight.is_empty();
         is_overdue || (self.consecutive_failures > 0 && !may_probe)
     }
 
@@ -289,16 +305,16 @@
                 self.silence = 0;
                 self.ejected_until = now + REJECTION_BACKOFF;
             }
-            EndpointSignal::NoConnection => self.eject(now),
+            EndpointSignal::NoConnection => self.eject(now, EjectionReason::Unreachable),
             // One lost connection after an answer is no death; silence is told by what it owes.
             EndpointSignal::ConnectionLost => {
                 if self.consecutive_failures > 0 || self.answered_at <= sent_at {
-                    self.eject(now);
+                    self.eject(now, EjectionReason::Unanswered);
                 }
             }
             EndpointSignal::TimedOut => {
                 if self.answered_at <= sent_at {
-                    self.eject(now);
+                    self.eject(now, EjectionReason::Unanswered);
                 }
             }
             EndpointSignal::Cancelled => self.on_cancelled(now, sent_at, mean_latency),
@@ -313,7 +329,7 @@
         self.silence_until = now;
         if self.silence > patience(mean_latency) {
             self.silence = 0;
-            self.eject(now);
+            self.eject(now, EjectionReason::Unanswered);
         }
     }
 
@@ -324,9 +340,13 @@
     }
 
     /// Leaves it alone for a while.
-    fn eject(&mut self, now: Micros) {
+    fn eject(&mut self, now: Micros, reason: EjectionReason) {
         let time = EJECTION_TIME << self.consecutive_failures.min(MAX_DOUBLINGS);
-        self.ejected_until = now + time.min(MAX_EJECTION_TIME);
+        let time = time.min(MAX_EJECTION_TIME);
+        self.ejected_until = now + time;
+        if reason == EjectionReason::Unanswered {
+            self.suspect_until = self.ejected_until + SUSPICION * time;
+        }
         self.consecutive_failures = (self.consecutive_failures + 1).min(MAX_CONSECUTIVE_FAILURES);
     }
 }
--- a/crates/load-balancer/tests/recovery.rs
+++ b/crates/load-balancer/tests/recovery.rs
@@ -62,16 +62,18 @@
 }
 
 /// Guards against: an endpoint that had been slow or failing for a while got no request any more once it was well, as only answers
-/// could make up for that.
+/// could make up for that. One that does not take connections, or is silent, was left out for ever by services that take only requests
+/// that must not run twice.
 #[rstest]
 fn an_endpoint_that_is_well_again_gets_its_share(
     #[values(Health::Fails, Health::IsSilent, Health::Refuses, Health::Serves(6.0))] health: Health,
+    #[values(true, false)] is_idempotent: bool,
     #[values(1, 9, 88)] proxies: usize,
     #[values(0.2, 0.5)] load: f64,
 ) {
     let shares = |health| {
         mean_shares(|seed| {
-            let setup = setup(seed, proxies, true);
+            let setup = setup(seed, proxies, is_idempotent);
             play_illness(&setup, load, &[ILL], health).after
         })
     };
@@ -79,6 +81,29 @@
     assert!(share > 0.5 * usual, "{share} of {usual}");
 }
 
+/// Guards against: once a proxy had been cut off from all endpoints of a service, it sent all requests that must not run twice to the
+/// few that happened to answer first.
+#[rstest]
+fn all_endpoints_get_requests_again_after_a_partition(
+    #[values(Health::IsSilent, Health::Refuses)] health: Health,
+    #[values(1, 9)] proxies: usize,
+) {
+    let all: Vec<usize> = (0..ENDPOINTS).collect();
+    let smallest_share = |health| {
+        let tallies = (0..SEEDS).map(|seed| {
+            let setup = setup(seed, proxies, false);
+            play_illness(&setup, 0.4, &all, health).after
+        });
+        let smallest = |tally: Tally| {
+            let shares = all.iter().map(|endpoint| tally.share_of(*endpoint));
+            shares.fold(1.0, f64::min)
+        };
+        tallies.map(smallest).sum::<f64>() / SEEDS as f64
+    };
+    let (share, usual) = (smallest_share(health), smallest_share(WELL));
+    assert!(share > 0.5 * usual, "{share} of {usual}");
+}
+
 /// Guards against proxies that find out too often: each learns from some ten answers, and then tries the endpoint about
 /// once in ten seconds.
 #[rstest]
