Load balancer: a refusal by estimate alone ends after a second, by one attempt

The mean load of a service is one fading average of requests of others by size, in place of three numbers with an ageing of their own. An endpoint that seems full by a report a second old, and has nothing of this proxy, gets one attempt, however much was reported; before it was one once enough of the report was forgotten, from 1 s to 3 s and more by what it said. The pace that differed by proxy and endpoint is gone: requests come at different moments, and no test told the difference.

--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -3,11 +3,14 @@
 //! An endpoint is chosen by the time that its answer is expected to take: the service's mean latency, by how much this
 //! endpoint is faster or slower, and what waits there already. What other proxies have in flight there is known from what
 //! the endpoint itself reported with its last answer; between answers it is taken to drift back to the mean of the service, in
-//! proportion to the endpoint's size, and that mean is forgotten while nothing is answered: a service that seems full for what
-//! others have there is tried again, by one attempt at a time at each endpoint. In the same way an endpoint's latency and failures
-//! are forgotten while it gives no answers: an idle one that was slow or failed is tried again.
+//! proportion to the endpoint's size.
+//!
+//! All that is learnt from answers, and decides who is asked next, is forgotten while there are none: a service that seems full
+//! for what others have there is refused requests for a second at a time, and an idle endpoint that was slow or failed, or seemed
+//! dead, is tried again within half a minute.
 
 use crate::endpoint::EndpointState;
+use crate::fading_mean::{FadingMean, FadingMeanParameters};
 use crate::Micros;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -38,18 +41,14 @@
 /// not tried how many.
 const MAX_QUEUED: [f64; 3] = [5.0, 4.0, 3.0];
 
-/// The weight of a new report in the service's mean of reported requests.
-const OTHERS_GAIN: f64 = 0.05;
-/// What was reported of load holds for this long,
-const LOAD_LIFETIME: Micros = 500_000;
-/// and is half forgotten after this, half more or less by the endpoint, so that proxies don't all try again at once.
-const LOAD_HALF_LIFE: f64 = 1_000_000.0;
-
-/// Returns the part of a load reported at `reported_at` that is remembered; `pace` is how fast it is forgotten, 1 as a rule.
-fn remembered(reported_at: Micros, now: Micros, pace: f64) -> f64 {
-    let age = now.saturating_sub(reported_at + LOAD_LIFETIME) as f64;
-    0.5f64.powf(age * pace / LOAD_HALF_LIFE)
-}
+/// The load of a service's endpoints, as requests of other proxies for each that an endpoint works on at a time: a mean over about
+/// twenty reports.
+const MEAN_LOAD: FadingMeanParameters = FadingMeanParameters {
+    gain: 0.05,
+    half_life: 1_000_000.0,
+};
+/// An endpoint that seems full only for what other proxies have there is refused requests until its last report is this old.
+const REPORT_LIFETIME: Micros = 1_000_000;
 
 /// What is known of a service.
 #[derive(Clone, Debug)]
@@ -57,37 +56,17 @@
     endpoints: Vec<usize>,
     /// Mean latency, in microseconds.
     mean_latency: f64,
-    /// Mean number of other proxies' requests at one endpoint, and of those that it works on at a time, by reports.
-    mean_others: f64,
-    mean_concurrency: f64,
-    reported_at: Micros,
+    mean_load: FadingMean,
 }
 
-impl Service {
-    /// Creates a service of which one endpoint is known, which works on so many requests at a time.
-    fn new(concurrency: f64) -> Service {
+impl Default for Service {
+    fn default() -> Service {
         Service {
             endpoints: Vec::new(),
             mean_latency: FIRST_LATENCY,
-            mean_others: 0.0,
-            mean_concurrency: concurrency,
-            reported_at: 0,
+            mean_load: FadingMean::new(MEAN_LOAD),
         }
     }
-
-    /// Returns how many requests of other proxies there are for each that an endpoint works on at a time, as far as it is
-    /// remembered.
-    fn mean_load(&self, now: Micros) -> f64 {
-        self.mean_others / self.mean_concurrency * remembered(self.reported_at, now, 1.0)
-    }
-
-    /// Takes note of a report: so many requests of other proxies at an endpoint that works on so many at a time.
-    fn on_report(&mut self, now: Micros, others: f64, concurrency: f64) {
-        let known = self.mean_others * remembered(self.reported_at, now, 1.0);
-        self.mean_others = known + OTHERS_GAIN * (others - known);
-        self.mean_concurrency += OTHERS_GAIN * (concurrency - self.mean_concurrency);
-        self.reported_at = now;
-    }
 }
 
 /// What an endpoint is asked for.
@@ -163,12 +142,13 @@
         let preference = f64::from(hash(self.seed, &listed.id)) / f64::from(u32::MAX);
         let (id, service) = (listed.id.clone(), listed.service.clone());
         let endpoint = EndpointState::new(now, listed, preference);
-        let concurrency = endpoint.concurrency();
         let handle = self.endpoints.insert(endpoint);
         self.by_id.insert(id, handle);
-        let service = self.services.entry(service);
-        let service = service.or_insert_with(|| Service::new(concurrency));
-        service.endpoints.push(handle);
+        self.services
+            .entry(service)
+            .or_default()
+            .endpoints
+            .push(handle);
     }
 
     /// Removes an endpoint. Its handle is used again: nothing may come for it later.
@@ -280,7 +260,7 @@
         let jitter = self.rng.gen_range(0.0..MAX_JITTER);
         let max_hash = self.max_hash(service, &request);
         let mean_concurrency = self.mean_concurrency(service);
-        let mean_load = service.mean_load(now);
+        let mean_load = service.mean_load.at(now);
         let max_queued = MAX_QUEUED[(request.precedence as usize).min(MAX_QUEUED.len() - 1)];
         let mut best: Option<(f64, Selection)> = None;
         let mut suspect: Option<Selection> = None;
@@ -361,7 +341,7 @@
         };
         if let Some(load) = load {
             let others = endpoint.on_report(now, load);
-            service.on_report(now, others, endpoint.concurrency());
+            service.mean_load.add(now, others / endpoint.concurrency());
         }
         let latency = now.saturating_sub(sent_at);
         // A cancelled attempt would have taken longer still.
@@ -377,17 +357,12 @@
     }
 }
 
-/// Whether an endpoint has room, where `ahead` requests are taken to be there and `max` may be. One that would have room if what
-/// others had there were forgotten in part, as nothing was heard of it for a while, gets one attempt at a time: its answer
-/// says what is so.
+/// Whether an endpoint has room, where `ahead` requests are taken to be there and `max` may be. One that seems full by an old report,
+/// and has no request of this proxy, gets one: its answer says what is so. No more, as some endpoints never answer what they
+/// can't queue.
 fn has_room(endpoint: &EndpointState, now: Micros, ahead: f64, max: f64) -> bool {
-    if ahead < max {
-        return true;
-    }
-    let own = endpoint.in_flight() as f64;
-    let pace = 0.5 + endpoint.preference;
-    let others = (ahead - own) * remembered(endpoint.reported_at(), now, pace);
-    own == 0.0 && others < max
+    let is_report_old = now >= endpoint.reported_at() + REPORT_LIFETIME;
+    ahead < max || (endpoint.in_flight() == 0 && is_report_old)
 }
 
 /// Whether an endpoint may get the request at all.
--- a/crates/load-balancer/tests/endpoint_selection.rs
+++ b/crates/load-balancer/tests/endpoint_selection.rs
@@ -302,6 +302,107 @@
     );
 }
 
+/// A report of an endpoint that has more requests of others than it may have.
+const CROWDED: ReportedLoad = ReportedLoad {
+    running: 2,
+    waiting: 10,
+    concurrency: 2,
+};
+
+/// Guards against a refusal by estimate alone that does not end: it ends a second after the last report, for one attempt at a time.
+#[test]
+fn an_endpoint_that_seems_full_gets_one_attempt_a_second_after_its_report() {
+    let mut balancer = LoadBalancer::new("a", 3);
+    // Others that report keep the service's mean high.
+    ["x", "y", "z"].iter().for_each(|id| {
+        balancer.upsert(0, listed(id, "a", "v1"));
+    });
+    let handles = ["x", "y", "z"].map(|id| balancer.find(id).expect("listed"));
+    let report = |balancer: &mut LoadBalancer, now: Micros, handle: usize| {
+        let attempt = balancer.on_sent(now, handle);
+        balancer.on_end(now, handle, attempt, EndpointSignal::Served, Some(CROWDED));
+    };
+    for round in 0..100 {
+        handles
+            .iter()
+            .for_each(|handle| report(&mut balancer, round * 10 * MS, *handle));
+    }
+    let last_report = 990 * MS;
+    for now in (last_report..last_report + 1000 * MS).step_by(100 * MS as usize) {
+        handles[1..]
+            .iter()
+            .for_each(|handle| report(&mut balancer, now, *handle));
+        assert_eq!(
+            select(&mut balancer, now, false),
+            Err(NoEndpoint::EstimatedFull)
+        );
+    }
+    let now = last_report + 1000 * MS;
+    assert_eq!(select(&mut balancer, now, false).as_deref(), Ok("x"));
+    balancer.on_sent(now, handles[0]);
+    assert_eq!(
+        select(&mut balancer, now, false),
+        Err(NoEndpoint::EstimatedFull)
+    );
+}
+
+/// Guards against load that is remembered for ever while nothing is sent.
+#[test]
+fn a_service_that_was_full_and_rested_gets_more_than_one_request_at_a_time() {
+    let mut balancer = balancer(&["x"]);
+    let x = balancer.find("x").expect("listed");
+    for round in 0..100 {
+        let attempt = balancer.on_sent(round * MS, x);
+        balancer.on_end(
+            round * MS,
+            x,
+            attempt,
+            EndpointSignal::Served,
+            Some(CROWDED),
+        );
+    }
+    let later = 10_000 * MS;
+    for _ in 0..4 {
+        assert_eq!(select(&mut balancer, later, false).as_deref(), Ok("x"));
+        balancer.on_sent(later, x);
+    }
+}
+
+/// Guards against a small endpoint that is measured by the requests of a large one.
+#[test]
+fn what_a_large_endpoint_has_is_in_proportion_for_a_small_one() {
+    let mut balancer = LoadBalancer::new("a", 3);
+    let large = ListedEndpoint {
+        concurrency: 16,
+        ..listed("large", "a", "v1")
+    };
+    balancer.upsert(0, large);
+    balancer.upsert(0, listed("small", "a", "v1"));
+    let large = balancer.find("large").expect("listed");
+    let small = balancer.find("small").expect("listed");
+    let busy = ReportedLoad {
+        running: 14,
+        waiting: 0,
+        concurrency: 16,
+    };
+    for round in 0..100 {
+        let attempt = balancer.on_sent(round * MS, large);
+        balancer.on_end(
+            round * MS,
+            large,
+            attempt,
+            EndpointSignal::Served,
+            Some(busy),
+        );
+    }
+    let now = 100 * MS;
+    for _ in 0..3 {
+        let selection = balancer.select(now, request(&any, &[large], true));
+        assert_eq!(selection.map(|selection| selection.endpoint), Ok(small));
+        balancer.on_sent(now, small);
+    }
+}
+
 /// Guards against proxies that all prefer the same endpoints: ids often differ in their last character only.
 #[test]
 fn proxies_differ_in_the_endpoint_that_they_prefer() {
