Load balancer: tests of who tries an endpoint once its ejection is over

Without it no test found these two parts taken out: that an endpoint which took no connection is no suspect, and that a suspect one gets one attempt at a time.

--- a/crates/load-balancer/tests/endpoint_selection.rs
+++ b/crates/load-balancer/tests/endpoint_selection.rs
@@ -430,3 +430,31 @@
     assert_eq!(second.len(), 30, "{second:?}");
     assert!(second.values().all(|count| *count <= 50), "{second:?}");
 }
+
+/// Guards against requests that are kept from an endpoint although nothing that was sent there can have run: one that takes no
+/// connection is ejected, and then tried by any request, one at a time.
+#[rstest]
+#[case::no_connection(EndpointSignal::NoConnection, false, "x")]
+#[case::silent(EndpointSignal::TimedOut, false, "y")]
+#[case::silent_and_idempotent(EndpointSignal::TimedOut, true, "x")]
+fn an_endpoint_is_tried_by_one_request_once_its_ejection_is_over(
+    #[case] signal: EndpointSignal,
+    #[case] is_idempotent: bool,
+    #[case] chosen: &str,
+) {
+    let mut balancer = LoadBalancer::new("a", 3);
+    // The far one is taken only where the near one is ejected or suspect.
+    balancer.upsert(0, listed("x", "a", "v1"));
+    balancer.upsert(0, listed("y", "b", "v1"));
+    let x = balancer.find("x").expect("listed");
+    let attempt = balancer.on_sent(0, x);
+    balancer.on_end(100 * MS, x, attempt, signal, None);
+    let ejected = select(&mut balancer, 500 * MS, is_idempotent);
+    assert_eq!(ejected.as_deref(), Ok("y"));
+    let later = 700 * MS;
+    let tried = select(&mut balancer, later, is_idempotent);
+    assert_eq!(tried.as_deref(), Ok(chosen));
+    balancer.on_sent(later, x);
+    let beside = select(&mut balancer, later, is_idempotent);
+    assert_eq!(beside.as_deref(), Ok("y"));
+}
