Sidecar: mutating hits find out that nodes answer again

What callers saw: an agent whose hits are all mutating bounced every one of them, for ever, once each of its nodes had taken no connection or left a hit unanswered, with all nodes idle and well. Cause: strikes are made up for by answers alone, and only repeatable hits tried a node that has one; choose never takes unfit nodes for mutating hits. Change: a node that has been left out is tried by any hit, one at a time, six times as long after it as it was left out (3 s to 24 s). Evidence: mutating_hits_find_out_that_nodes_answer_again failed before.

--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -4,13 +4,14 @@
 
 impl Balancer {
     /// Mechanism 1. Whether a node is fit for a hit. Covers silence, stalls, death, full tables, nodes bad
-    /// for this agent alone. One out of favour is tried by one repeatable hit at a time. May hurt when all
-    /// stall together; `choose` then takes unfit ones for what may run again.
+    /// for this agent alone. One out of favour is tried by one repeatable hit at a time, later by any. May hurt
+    /// when all stall together; `choose` then takes unfit ones for what may run again.
     pub(super) fn fit(&self, node: usize, repeat: Repeat) -> bool {
         let n = &self.nodes[node];
         // Three mean times without any answer while some are owed; a stall below 0.1 s is no matter.
         let silent = n.flying > 0 && self.now - n.owes_since > (3.0 * self.pressure()).clamp(0.1, 2.0);
-        let tried = n.strikes == 0 || (n.flying == 0 && repeat == Repeat::Repeatable);
+        let due = n.shunned_until + 1.5 * 2f64.powi(n.strikes); // six times as long as it was left out
+        let tried = n.strikes == 0 || (n.flying == 0 && (repeat == Repeat::Repeatable || self.now >= due));
         self.now >= n.shunned_until && !silent && tried
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -389,6 +389,27 @@
     assert!(b.fit(4, Repeat::Repeatable) && !b.fit(4, Repeat::Mutating));
 }
 
+/// Lets this many seconds pass with all reviews.
+fn rest(b: &mut Balancer, seconds: u32) {
+    let began = b.now;
+    (1..=10 * seconds).for_each(|tick| _ = b.review(began + TICK * f64::from(tick)));
+}
+
+#[test]
+fn mutating_hits_find_out_that_nodes_answer_again() {
+    // Guards against an agent of mutating hits alone that bounces all of them for ever, once no node has answered.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    for round in 0..4 {
+        for node in 0..8 {
+            flying(&mut b, 2, node).returned(&mut b, 100.0 + f64::from(round), end(Ending::NoAnswer));
+        }
+    }
+    b.now = 104.0;
+    assert!(matches!(b.take(104.0, hit(2)).1, Next::Bounce { .. }));
+    rest(&mut b, 30);
+    assert!(matches!(b.take(134.0, hit(2)).1, Next::Forward { .. }));
+}
+
 #[test]
 fn one_broken_answer_leaves_no_node_out_and_two_in_a_row_do() {
     // Guards against half a fleet left out where one answer in ten breaks off, and against taking that for
