Sidecar: what forwards took is forgotten while none are answered

What callers saw: after a slow spell an agent with few hits went on bouncing them although its nodes were idle: the expected time falls by a part of each bounce, some two hundred of them from 5 s, which are minutes at a hit a second. Cause: the expectation changes with answers and bounces only, whatever time passes. Change: while nothing is answered it halves in three and a half seconds. Evidence: bouncing_ends_within_half_a_minute_where_hits_are_few failed before.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -52,11 +52,11 @@
     pub fn review(&mut self, now: f64) -> Review {
         self.at(now);
         let keep = (-TICK / SPAN).exp();
-        // Where answers are few the present reaches back further.
-        let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) };
+        let reach = if self.lately.present.z > 20.0 { keep } else { keep.powf(0.33) }; // longer where few
         self.lately.fade(keep, reach);
         self.pool.answers *= keep;
-        // Others are taken to hold as much as this agent.
+        // Without answers old times say less and less. Others are taken to hold as much as this agent.
+        self.lately.spent *= if self.lately.done < 0.1 { keep.powf(0.2) } else { 1.0 };
         let usual = (self.agents() - 1.0).max(0.0) * f64::from(self.flying) / self.nodes.len().max(1) as f64;
         for n in &mut self.nodes {
             n.others += (1.0 - keep) * (usual * n.size() - n.others);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -410,6 +410,19 @@
     assert!(matches!(b.take(134.0, hit(2)).1, Next::Forward { .. }));
 }
 
+#[test]
+fn bouncing_ends_within_half_a_minute_where_hits_are_few() {
+    // Guards against an expectation that falls with each bounce only, where few hits come.
+    let mut b = balancer(0, Phase::Released, 1.0, &[]);
+    (b.lately.spent, b.lately.loads) = (5.0, 1.0);
+    let bounced = (0..30).filter(|_| {
+        rest(&mut b, 1);
+        let now = b.now;
+        matches!(b.take(now, hit(0)).1, Next::Bounce { .. })
+    });
+    assert!((1..25).contains(&bounced.count()));
+}
+
 #[test]
 fn one_broken_answer_leaves_no_node_out_and_two_in_a_row_do() {
     // Guards against half a fleet left out where one answer in ten breaks off, and against taking that for
