Proxies: a reading of the list that was not completed tells how long the list is

Cause: how often a proxy may read the list follows from the calls that its last complete reading took. Where the list had grown much since, all proxies together read too often, the platform turned every reading away midway, and so none learnt better: what only an answer changes decides whether there will be an answer. Change: each page that is followed by another one counts, also of a reading that is turned away, and so do the endpoints that are known. Evidence: proxies_learn_that_a_list_has_grown_though_no_reading_is_completed: 1,400 proxies that know one page, a list of 440, 2,000 calls a second, 20 minutes: without it no reading is completed.

--- a/crates/control-plane/src/reading_schedule.rs
+++ b/crates/control-plane/src/reading_schedule.rs
@@ -19,6 +19,46 @@
 /// A proxy that was told of nothing yet looks this often whether it was.
 const CHECK_INTERVAL: Micros = 500_000;
 
+/// Endpoints on one page, until a reading has shown how many there are: the pages of the protocol's examples.
+const USUAL_PAGE_LENGTH: usize = 50;
+
+/// What a reading of the list costs, as far as readings have shown, also those that were not completed: a list that has grown must
+/// not be read as often as the short one was, or no reading is ever completed and nothing is learnt of its length.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadingCost {
+    page_length: usize,
+    /// Calls of the last reading that was completed, or of a later one that was not, if it took more.
+    calls: u32,
+}
+
+impl Default for ReadingCost {
+    fn default() -> ReadingCost {
+        ReadingCost {
+            page_length: USUAL_PAGE_LENGTH,
+            calls: 1,
+        }
+    }
+}
+
+impl ReadingCost {
+    /// Returns how many calls a reading of a list of `endpoints` takes, at least.
+    pub fn calls(&self, endpoints: usize) -> u32 {
+        let pages = endpoints.div_ceil(self.page_length) as u32;
+        pages.max(self.calls)
+    }
+
+    /// Takes note of a page that is followed by another one: the list has had so many endpoints on so many pages so far.
+    pub fn on_page(&mut self, endpoints: usize, pages: u32) {
+        self.page_length = (endpoints / pages.max(1) as usize).max(1);
+        self.calls = self.calls.max(pages + 1);
+    }
+
+    /// Takes note that a reading of so many calls was completed.
+    pub fn on_completed(&mut self, calls: u32) {
+        self.calls = calls;
+    }
+}
+
 /// What a proxy knows of its view of the endpoints, and of others that may read the list.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadingConditions {
--- a/crates/control-plane/tests/reading_schedule.rs
+++ b/crates/control-plane/tests/reading_schedule.rs
@@ -1,6 +1,6 @@
 //! When proxies read the platform's list themselves: all of them together, on a platform that takes few calls.
 
-use magpieline_control_plane::reading_schedule::{ReadingConditions, ReadingSchedule};
+use magpieline_control_plane::reading_schedule::{ReadingConditions, ReadingCost, ReadingSchedule};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -87,3 +87,64 @@
         assert!((0.25..0.65).contains(&used), "{proxies}: {used}");
     }
 }
+
+/// Guards against: proxies knew of a list what it was before it grew, read it far too often, all were turned away midway, and none
+/// ever learnt how long it is.
+#[test]
+fn proxies_learn_that_a_list_has_grown_though_no_reading_is_completed() {
+    const PROXIES: u32 = 1_400;
+    const PAGE_LENGTH: usize = 50;
+    const PAGES: u32 = 440;
+    const CALLS_PER_SECOND: u32 = 2_000;
+    const SECONDS: u32 = 1_200;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut proxies: Vec<(ReadingSchedule, ReadingCost)> = (0..PROXIES)
+        .map(|_| {
+            let mut cost = ReadingCost::default();
+            cost.on_completed(1);
+            (ReadingSchedule::new(rng.gen()), cost)
+        })
+        .collect();
+    // Pages that a proxy has read of the list, one in each step.
+    let mut reading: Vec<Option<u32>> = vec![None; PROXIES as usize];
+    let mut completed = 0;
+    let steps_per_second = (S / STEP) as u32;
+    for step in 0..SECONDS * steps_per_second {
+        let now = 11 * S + u64::from(step) * STEP;
+        let mut calls = CALLS_PER_SECOND / steps_per_second;
+        let first = rng.gen_range(0..proxies.len());
+        for offset in 0..proxies.len() {
+            let proxy = (first + offset) % proxies.len();
+            let (schedule, cost) = &mut proxies[proxy];
+            let cut_off = ReadingConditions {
+                is_following: false,
+                proxies: PROXIES,
+                calls_per_reading: cost.calls(0),
+                calls_per_second: f64::from(CALLS_PER_SECOND),
+                ..conditions()
+            };
+            if reading[proxy].is_none() && now >= schedule.due(now, &cut_off) {
+                schedule.on_reading(now, &cut_off, rng.gen());
+                reading[proxy] = Some(0);
+            }
+            let Some(pages) = reading[proxy] else {
+                continue;
+            };
+            if calls == 0 {
+                reading[proxy] = None;
+                continue;
+            }
+            calls -= 1;
+            let pages = pages + 1;
+            reading[proxy] = Some(pages).filter(|pages| *pages < PAGES);
+            if pages == PAGES {
+                cost.on_completed(pages);
+                completed += 1;
+            } else {
+                cost.on_page(pages as usize * PAGE_LENGTH, pages);
+            }
+        }
+    }
+    // At half of the calls, once the length is known, some two in a second.
+    assert!(completed >= SECONDS, "{completed}");
+}
--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -11,6 +11,7 @@
 use magpieline_config::durations;
 use magpieline_control_plane::endpoint_list::EndpointMap;
 use magpieline_control_plane::messages::{Endpoint, EndpointState};
+use magpieline_control_plane::reading_schedule::ReadingCost;
 use std::fmt;
 use std::net::SocketAddrV4;
 
@@ -22,8 +23,6 @@
 const TOO_MANY_REQUESTS: u16 = 429;
 /// Longest page that is read, in bytes.
 const MAX_PAGE_BYTES: usize = 4 << 20;
-/// Endpoints on one page, until a reading has shown how many there are: the pages of the protocol's examples.
-const USUAL_PAGE_LENGTH: usize = 50;
 /// Pages of one list; more than a million endpoints are not meant.
 const MAX_PAGES: u32 = 20_000;
 
@@ -62,8 +61,7 @@
     address: SocketAddrV4,
     settings: SettingsWatch,
     connection: Option<SendRequest<Empty<Bytes>>>,
-    /// Calls that the last complete reading took; none before the first.
-    calls_per_reading: Option<u32>,
+    reading_cost: ReadingCost,
 }
 
 impl PlatformClient {
@@ -74,15 +72,13 @@
             address,
             settings: settings.clone(),
             connection: None,
-            calls_per_reading: None,
+            reading_cost: ReadingCost::default(),
         })
     }
 
-    /// Returns how many calls a reading of a list of `endpoints` takes: as many as the last one took, or else what pages of
-    /// the usual length make.
+    /// Returns how many calls a reading of a list of `endpoints` takes.
     pub fn calls_per_reading(&self, endpoints: usize) -> u32 {
-        let estimate = endpoints.div_ceil(USUAL_PAGE_LENGTH).max(1) as u32;
-        self.calls_per_reading.unwrap_or(estimate)
+        self.reading_cost.calls(endpoints)
     }
 
     /// Reads the complete list, all its pages. Where the platform turns a call away as there are too many, the call is made again,
@@ -100,9 +96,10 @@
             let text = self.unthrottled_page(page.as_deref(), until).await?;
             page = parse_page(&text, &mut endpoints)?;
             if page.is_none() {
-                self.calls_per_reading = Some(number);
+                self.reading_cost.on_completed(number);
                 return Ok(endpoints);
             }
+            self.reading_cost.on_page(endpoints.len(), number);
         }
         Err(ListError::Malformed("a list without an end"))
     }
