Load balancer: the assessment of one endpoint has a file of its own; views say why endpoints get no requests

endpoint_selection had a function of 90 lines for filter, estimate and cost; it chooses now by what assess says of each endpoint, in the same order and with the same figures. A proxy's view counts a service's endpoints by the same function: available, suspect, ejected, full, estimated_full, draining. Before, nothing told an endpoint that is kept from requests from one that gets few.

--- a/crates/gateway/src/proxy/status.rs
+++ b/crates/gateway/src/proxy/status.rs
@@ -69,8 +69,18 @@
             order: rollout.id
         }
     });
+    let endpoints = state.load_balancer.availability(now(), service);
+    let endpoints = jzon::object! {
+        available: endpoints.available,
+        suspect: endpoints.suspect,
+        ejected: endpoints.ejected,
+        full: endpoints.full,
+        estimated_full: endpoints.estimated_full,
+        draining: endpoints.draining
+    };
     jzon::object! {
         listed: versions,
+        endpoints: endpoints,
         stands: known.and_then(|known| known.version.as_deref()),
         rollout: rollout,
         usual_ms: state.load_balancer.mean_latency(service) / 1e3,
--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -9,6 +9,7 @@
 //! for what others have there is refused requests for a second at a time, and an idle endpoint that was slow or failed, or seemed
 //! dead, is tried again within half a minute.
 
+use crate::assessment::{assess, Assessment, Conditions, MAX_JITTER};
 use crate::endpoint::EndpointState;
 use crate::fading_mean::{FadingMean, FadingMeanParameters};
 use crate::Micros;
@@ -19,37 +20,19 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use crate::assessment::{Availability, NoEndpoint};
 pub use crate::endpoint::{EndpointSignal, ListedEndpoint, ReportedLoad};
 
 /// Until a service has answered, one request is taken to last this long.
 const FIRST_LATENCY: f64 = 150_000.0;
 /// The weight of the old mean latency of a service at each answer: a mean over about thirty answers.
 const LATENCY_DECAY: f64 = 0.97;
-/// Crossing zones costs bytes: an endpoint in another zone has to be quicker by this part of a mean latency.
-const ZONE_COST: f64 = 0.5;
-/// Proxies differ in which of several equal endpoints they prefer, by this part of a mean latency, so that they don't all
-/// choose the same idle one at once.
-const PREFERENCE_COST: f64 = 0.25;
-/// The preference itself varies by up to this much from choice to choice.
-const MAX_JITTER: f64 = 0.02;
-/// A full endpoint costs this part of a mean latency more than an idle one, in proportion to what is used.
-const UTILIZATION_COST: f64 = 0.3;
-/// A failed answer costs further attempts: at an error rate of 1 an answer is taken to last longer by this factor.
-const ERROR_COST: f64 = 4.0;
-/// Requests that may wait at an endpoint beyond those it works on, by the precedence of who asks: what ranks high finds
-/// room where the rest is rejected already. They "queue a few more"; some never answer what they can't queue, so it is
-/// not tried how many.
-const MAX_QUEUED: [f64; 3] = [5.0, 4.0, 3.0];
-
 /// The load of a service's endpoints, as requests of other proxies for each that an endpoint works on at a time: a mean over about
 /// twenty reports.
 const MEAN_LOAD: FadingMeanParameters = FadingMeanParameters {
     gain: 0.05,
     half_life: 1_000_000.0,
 };
-/// An endpoint that seems full only for what other proxies have there is refused requests until its last report is this old.
-const REPORT_LIFETIME: Micros = 1_000_000;
-
 /// What is known of a service.
 #[derive(Clone, Debug)]
 struct Service {
@@ -95,19 +78,6 @@
     pub expected_latency: f64,
 }
 
-/// Why no endpoint was chosen, in the order in which one reason goes before another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum NoEndpoint {
-    /// No endpoint is listed that may get the request.
-    NoneListed,
-    /// All are ejected.
-    Ejected,
-    /// Those that are not ejected are full with attempts of this proxy.
-    Full,
-    /// Those that are not ejected are taken to be full, some with requests of other proxies.
-    EstimatedFull,
-}
-
 /// All endpoints of all services, by handles that are used again once their endpoint is gone.
 pub struct LoadBalancer {
     zone: Arc<str>,
@@ -258,10 +228,8 @@
             return Err(NoEndpoint::NoneListed);
         };
         let jitter = self.rng.gen_range(0.0..MAX_JITTER);
+        let conditions = self.conditions(now, service, &request, jitter);
         let max_hash = self.max_hash(service, &request);
-        let mean_concurrency = self.mean_concurrency(service);
-        let mean_load = service.mean_load.at(now);
-        let max_queued = MAX_QUEUED[(request.precedence as usize).min(MAX_QUEUED.len() - 1)];
         let mut best: Option<(f64, Selection)> = None;
         let mut suspect: Option<Selection> = None;
         let mut reason = NoEndpoint::NoneListed;
@@ -270,48 +238,73 @@
             if request.exclude.contains(handle) || !is_eligible(endpoint, &request, max_hash) {
                 continue;
             }
-            if endpoint.is_ejected(now) {
-                reason = reason.max(NoEndpoint::Ejected);
-                continue;
-            }
-            let concurrency = endpoint.concurrency();
-            let ahead = endpoint.in_flight() as f64 + endpoint.others(mean_load, now);
-            if !has_room(endpoint, now, ahead, concurrency + max_queued) {
-                let is_own = endpoint.in_flight() as f64 >= concurrency + max_queued;
-                reason = reason.max(match is_own {
-                    true => NoEndpoint::Full,
-                    false => NoEndpoint::EstimatedFull,
-                });
-                continue;
-            }
-            let latency = endpoint.latency(service.mean_latency, now);
-            let selection = Selection {
+            let selection = |expected_latency| Selection {
                 endpoint: *handle,
-                expected_latency: latency * ((ahead + 1.0) / concurrency).max(1.0),
+                expected_latency,
             };
-            if endpoint.is_suspect(service.mean_latency, now, request.is_idempotent) {
-                if suspect.is_none_or(|s| selection.expected_latency < s.expected_latency) {
-                    suspect = Some(selection);
+            match assess(endpoint, &conditions) {
+                Assessment::Unavailable(why) => reason = reason.max(why),
+                Assessment::Suspect { expected_latency } => {
+                    if suspect.is_none_or(|s| expected_latency < s.expected_latency) {
+                        suspect = Some(selection(expected_latency));
+                    }
+                }
+                Assessment::Available {
+                    expected_latency,
+                    cost,
+                } => {
+                    if best.is_none_or(|(lowest, _)| cost < lowest) {
+                        best = Some((cost, selection(expected_latency)));
+                    }
                 }
-                continue;
-            }
-            let zone = if endpoint.listed.zone == self.zone {
-                0.0
-            } else {
-                ZONE_COST
-            };
-            let preference = (PREFERENCE_COST + jitter) * endpoint.preference(mean_concurrency);
-            let utilization = UTILIZATION_COST * (ahead / concurrency).min(1.0);
-            let cost = selection.expected_latency * (1.0 + ERROR_COST * endpoint.error_rate(now))
-                + service.mean_latency * (zone + preference + utilization);
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, selection));
             }
         }
         let selection = best.map(|(_, selection)| selection).or(suspect);
         selection.ok_or(reason)
     }
 
+    /// Returns what holds for all endpoints of a service in one choice.
+    fn conditions<'a>(
+        &'a self,
+        now: Micros,
+        service: &Service,
+        request: &SelectionRequest,
+        jitter: f64,
+    ) -> Conditions<'a> {
+        Conditions {
+            now,
+            zone: &self.zone,
+            mean_latency: service.mean_latency,
+            mean_load: service.mean_load.at(now),
+            mean_concurrency: self.mean_concurrency(service),
+            precedence: request.precedence,
+            is_idempotent: request.is_idempotent,
+            jitter,
+        }
+    }
+
+    /// Returns how many endpoints of a service would get an idempotent request of the lowest rank now, and why others would not.
+    pub fn availability(&self, now: Micros, service: &str) -> Availability {
+        let mut availability = Availability::default();
+        let Some(service) = self.services.get(service) else {
+            return availability;
+        };
+        let request = SelectionRequest {
+            service: "",
+            is_allowed_version: &|_| true,
+            exclude: &[],
+            is_idempotent: true,
+            precedence: u32::MAX,
+            max_endpoints: 0,
+        };
+        let conditions = self.conditions(now, service, &request, 0.0);
+        for handle in &service.endpoints {
+            let endpoint = &self.endpoints[*handle];
+            availability.add(endpoint.listed.is_draining, assess(endpoint, &conditions));
+        }
+        availability
+    }
+
     /// Takes note of an attempt that is sent to an endpoint. Returns a number by which its end is told.
     pub fn on_sent(&mut self, now: Micros, endpoint: usize) -> u64 {
         self.last_attempt += 1;
@@ -357,14 +350,6 @@
     }
 }
 
-/// Whether an endpoint has room, where `ahead` requests are taken to be there and `max` may be. One that seems full by an old report,
-/// and has no request of this proxy, gets one: its answer says what is so. No more, as some endpoints never answer what they
-/// can't queue.
-fn has_room(endpoint: &EndpointState, now: Micros, ahead: f64, max: f64) -> bool {
-    let is_report_old = now >= endpoint.reported_at() + REPORT_LIFETIME;
-    ahead < max || (endpoint.in_flight() == 0 && is_report_old)
-}
-
 /// Whether an endpoint may get the request at all.
 fn is_eligible(
     endpoint: &EndpointState,
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs, unreachable_pub)]
 
+mod assessment;
 mod endpoint;
 pub mod endpoint_selection;
 mod fading_mean;
--- a/crates/load-balancer/tests/endpoint_selection.rs
+++ b/crates/load-balancer/tests/endpoint_selection.rs
@@ -1,7 +1,8 @@
 //! The choice of an endpoint: who may get a request, who gets it, and what is learnt from how attempts end.
 
 use magpieline_load_balancer::endpoint_selection::{
-    EndpointSignal, ListedEndpoint, LoadBalancer, NoEndpoint, ReportedLoad, SelectionRequest,
+    Availability, EndpointSignal, ListedEndpoint, LoadBalancer, NoEndpoint, ReportedLoad,
+    SelectionRequest,
 };
 use magpieline_load_balancer::Micros;
 use rstest::rstest;
@@ -458,3 +459,33 @@
     let beside = select(&mut balancer, later, is_idempotent);
     assert_eq!(beside.as_deref(), Ok("y"));
 }
+
+/// Guards against endpoints that get no requests for a reason that nobody can see.
+#[test]
+fn the_availability_of_a_service_says_why_endpoints_get_no_requests() {
+    let ids = ["idle", "silent", "gone", "busy", "crowded"];
+    let mut balancer = balancer(&ids);
+    let leaving = ListedEndpoint {
+        is_draining: true,
+        ..listed("leaving", "a", "v1")
+    };
+    balancer.upsert(0, leaving);
+    let [_, silent, gone, busy, crowded] = ids.map(|id| balancer.find(id).expect("listed"));
+    let now = 1000 * MS;
+    balancer.on_sent(0, silent);
+    let attempt = balancer.on_sent(now, gone);
+    balancer.on_end(now, gone, attempt, EndpointSignal::NoConnection, None);
+    (0..5).for_each(|_| _ = balancer.on_sent(now, busy));
+    let attempt = balancer.on_sent(now, crowded);
+    balancer.on_end(now, crowded, attempt, EndpointSignal::Served, Some(CROWDED));
+    let expected = Availability {
+        available: 1,
+        suspect: 1,
+        ejected: 1,
+        full: 1,
+        estimated_full: 1,
+        draining: 1,
+    };
+    assert_eq!(balancer.availability(now, "s"), expected);
+    assert_eq!(balancer.availability(now, "none"), Availability::default());
+}
