Soak: endpoints of unequal size that are ill for a while, and a check of the calm end

Endpoints work on 3, 6, 8 or 16 requests at a time now; a new kind of series makes a part of them answer 500, or nothing. Once all that a run did is over for five seconds, no more than one in 100 of the requests of a kind may be refused while the endpoints of each service are used less than half (CALM, calm.rs). Actions that last are recorded until their end; nothing begins in the last 12 s of a run, 60 % of a short one.

--- a/tools/soak/src/agents.rs
+++ b/tools/soak/src/agents.rs
@@ -232,6 +232,7 @@
             Action::ChangeConfig
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
+            | Action::IllEndpoints(..)
             | Action::Impatience(..)
             | Action::LongBodies(..)
             | Action::SlowReaders(..) => {}
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -1,5 +1,6 @@
 //! What must hold for all that was seen in a run, by the names of the rules.
 
+use crate::calm;
 use crate::plan::Agent;
 use crate::recorder::{ClientOutcome, Micros, Recording, Run, SentRequest};
 use std::collections::BTreeMap;
@@ -47,6 +48,7 @@
     check_drain(recording, &mut findings);
     check_agents(recording, &mut findings);
     check_configs(recording, &mut findings);
+    calm::check(recording, &mut findings);
     findings.sort_by_key(|finding| finding.at);
     findings
 }
--- a/tools/soak/src/endpoint.rs
+++ b/tools/soak/src/endpoint.rs
@@ -1,9 +1,11 @@
 //! Endpoints and the platform's list of them.
 
 use crate::clients::{is_filled, BODY, FILLER};
-use crate::recorder::{Recorder, Run};
+use crate::plan::Illness;
+use crate::recorder::{EndpointSize, Recorder, Run};
 use crate::surroundings::Surroundings;
 use magpieline_proxy_simulation::http_reader::{Message, Reader};
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -11,16 +13,21 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Requests that an endpoint works on at a time, and that wait beside them.
-pub(crate) const CONCURRENCY: usize = 8;
+/// Requests that wait at an endpoint, beside those at work.
 const MAX_QUEUED: usize = 8;
+/// The stamp of what ran, as a header.
+const STAMP: &str = "Postmark: stamped\r\n";
 
 /// An endpoint.
 pub(crate) struct Endpoint {
     pub(crate) id: String,
     pub(crate) service: &'static str,
     pub(crate) address: SocketAddr,
+    /// Requests that it works on at a time.
+    pub(crate) concurrency: usize,
     pub(crate) is_draining: AtomicBool,
+    /// By how little it gets illnesses, from 0 to 1.
+    resistance: f64,
     at_work: AtomicUsize,
     recorder: Recorder,
     surroundings: Arc<Surroundings>,
@@ -48,11 +55,22 @@
             id,
             service,
             address: listener.local_addr()?,
+            concurrency: surroundings.draw_concurrency(),
             is_draining: AtomicBool::new(false),
+            resistance: surroundings.draw_resistance(),
             at_work: AtomicUsize::new(0),
             recorder,
             surroundings,
         });
+        let size = EndpointSize {
+            service,
+            concurrency: endpoint.concurrency,
+        };
+        endpoint
+            .recorder
+            .lock()
+            .endpoints
+            .insert(endpoint.id.clone(), size);
         tokio::spawn(endpoint.clone().serve(listener));
         Ok(endpoint)
     }
@@ -92,21 +110,22 @@
             return self.reject(stream, &id, 421).await;
         }
         let number = self.record_arrival(&id);
-        let is_full = self.at_work.load(Ordering::Relaxed) >= CONCURRENCY + MAX_QUEUED;
+        let is_full = self.at_work.load(Ordering::Relaxed) >= self.concurrency + MAX_QUEUED;
         if is_full {
             return self.reject(stream, &id, 503).await;
         }
         self.at_work.fetch_add(1, Ordering::Relaxed);
         let _at_work = AtWork(&self.at_work);
+        let illness = self.surroundings.illness(self.resistance);
         let now = self.recorder.now();
         self.recorder.lock().runs[number].began_at = Some(now);
         // Nothing may come while it works: what ends the work is the end of the connection.
         let is_interrupted = tokio::select! {
-            () = self.work() => false,
+            () = self.work(illness) => false,
             _ = reader.read_more(stream) => true,
         };
         let extra_bytes = self.check_body(request, &id);
-        let has_answered = !is_interrupted && self.answer(stream, &id, extra_bytes).await;
+        let has_answered = !is_interrupted && self.respond(stream, &id, illness, extra_bytes).await;
         let now = self.recorder.now();
         let run = &mut self.recorder.lock().runs[number];
         (run.stopped_at, run.has_answered) = (Some(now), has_answered);
@@ -127,7 +146,13 @@
         recording.runs.len() - 1
     }
 
-    async fn work(&self) {
+    /// Works on a request; never ends if the endpoint is silent.
+    async fn work(&self, illness: Option<Illness>) {
+        match illness {
+            Some(Illness::Failing) => return,
+            Some(Illness::Silent) => return pending().await,
+            None => {}
+        }
         tokio::time::sleep(Duration::from_millis(self.surroundings.draw_work_ms())).await;
     }
 
@@ -147,11 +172,23 @@
         0
     }
 
+    async fn respond(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        illness: Option<Illness>,
+        extra_bytes: usize,
+    ) -> bool {
+        match illness {
+            Some(_) => self.write(stream, id, 500, STAMP, b"ill").await,
+            None => self.answer(stream, id, extra_bytes).await,
+        }
+    }
+
     async fn answer(&self, stream: &mut TcpStream, id: &str, extra_bytes: usize) -> bool {
-        let headers = "Postmark: stamped\r\n";
         let mut body = id.as_bytes().to_vec();
         body.resize(id.len() + extra_bytes, FILLER);
-        self.write(stream, id, 200, headers, &body).await
+        self.write(stream, id, 200, STAMP, &body).await
     }
 
     async fn reject(&self, stream: &mut TcpStream, id: &str, status: u16) -> bool {
@@ -173,7 +210,8 @@
             false => "",
         };
         let text = format!(
-            "HTTP/1.1 {status} X\r\nTry-Id: {id}\r\nLoad: {load},0,{CONCURRENCY}\r\n{headers}{close}Content-Length: {}\r\n\r\n",
+            "HTTP/1.1 {status} X\r\nTry-Id: {id}\r\nLoad: {load},0,{}\r\n{headers}{close}Content-Length: {}\r\n\r\n",
+            self.concurrency,
             body.len()
         );
         let text = [text.as_bytes(), body].concat();
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs, unreachable_pub)]
 
 mod agents;
+mod calm;
 pub mod checks;
 mod clients;
 mod endpoint;
@@ -170,6 +171,7 @@
 }
 
 impl Deeds {
+    /// Carries out an action, and waits until it has no more effect.
     async fn carry_out(self: Arc<Deeds>, action: Action) {
         let (agent, is_unplanned) = match action {
             Action::Kill(agent) | Action::Freeze(agent, _) => (Some(agent), true),
@@ -177,6 +179,7 @@
             Action::ChangeConfig
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
+            | Action::IllEndpoints(..)
             | Action::Impatience(..)
             | Action::LongBodies(..)
             | Action::SlowReaders(..) => (None, false),
@@ -185,23 +188,29 @@
         match action {
             Action::ChangeConfig => drop(self.operator.change_config().await),
             Action::ReplaceEndpoint => self.platform.replace_oldest().await,
-            Action::SlowEndpoints(factor, ms) => {
-                self.surroundings
-                    .slow_down(factor, Duration::from_millis(ms));
+            Action::Kill(_) | Action::Freeze(..) | Action::Terminate(_) | Action::Hangup(_) => {
+                self.agents.carry_out(action).await;
             }
-            Action::Impatience(share, ms) => {
-                self.surroundings
-                    .make_impatient(share, Duration::from_millis(ms));
-            }
-            Action::LongBodies(share, ms) => {
-                self.surroundings.lengthen(share, Duration::from_millis(ms));
-            }
-            Action::SlowReaders(share, ms) => {
-                self.surroundings
-                    .slow_readers(share, Duration::from_millis(ms));
-            }
-            _ => self.agents.carry_out(action).await,
+            Action::SlowEndpoints(_, ms)
+            | Action::IllEndpoints(_, _, ms)
+            | Action::Impatience(_, ms)
+            | Action::LongBodies(_, ms)
+            | Action::SlowReaders(_, ms) => self.change_surroundings(action, ms).await,
         }
         self.recorder.end(incident);
     }
+
+    /// Changes the surroundings for some milliseconds, and waits for their end.
+    async fn change_surroundings(&self, action: Action, ms: u64) {
+        let (surroundings, time) = (&self.surroundings, Duration::from_millis(ms));
+        match action {
+            Action::SlowEndpoints(factor, _) => surroundings.slow_down(factor, time),
+            Action::IllEndpoints(illness, share, _) => surroundings.make_ill(illness, share, time),
+            Action::Impatience(share, _) => surroundings.make_impatient(share, time),
+            Action::LongBodies(share, _) => surroundings.lengthen(share, time),
+            Action::SlowReaders(share, _) => surroundings.slow_readers(share, time),
+            _ => {}
+        }
+        sleep(time).await;
+    }
 }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -8,12 +8,14 @@
 
 /// Events begin after this, once all agents serve.
 const FIRST_EVENT_MS: u64 = 1_000;
-/// Nothing begins in the last part of a run: what was begun comes to its end.
-const QUIET_END_MS: u64 = 8_000;
+/// Nothing begins in the last part of a run: what was begun comes to its end, and what proxies believed then is outdated.
+const QUIET_END_MS: u64 = 12_000;
+/// That is no more than this part of a short run.
+const MAX_QUIET_PART: f64 = 0.6;
 /// Series of events per ten seconds.
 const SERIES_PER_10_S: u64 = 6;
 /// Kinds of series.
-const KINDS: u32 = 11;
+const KINDS: u32 = 12;
 
 /// An agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -33,6 +35,15 @@
     }
 }
 
+/// How an endpoint behaves that is ill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Illness {
+    /// It answers 500 at once.
+    Failing,
+    /// It takes requests and answers none.
+    Silent,
+}
+
 /// What is done at a moment of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
@@ -50,6 +61,8 @@
     ReplaceEndpoint,
     /// All endpoints of the platform take so many times as long, for some milliseconds.
     SlowEndpoints(f64, u64),
+    /// So many of the endpoints are ill, for some milliseconds.
+    IllEndpoints(Illness, f64, u64),
     /// So many of the clients leave before they are answered, for some milliseconds.
     Impatience(f64, u64),
     /// So many of the requests have long bodies, or long responses, for some milliseconds.
@@ -70,6 +83,13 @@
             Action::SlowEndpoints(x, ms) => {
                 write!(f, "endpoints are {x:.1} times slower for {ms} ms")
             }
+            Action::IllEndpoints(illness, share, ms) => {
+                let percent = share * 100.0;
+                write!(
+                    f,
+                    "{percent:.0}% of the endpoints are ill ({illness:?}) for {ms} ms"
+                )
+            }
             Action::Impatience(share, ms) => {
                 write!(
                     f,
@@ -127,7 +147,9 @@
 impl Plan {
     /// Draws a plan.
     pub fn draw(rng: &mut SeededRng, size: Size) -> Plan {
-        let end = (size.seconds * 1000).saturating_sub(QUIET_END_MS);
+        let run_ms = size.seconds * 1000;
+        let quiet_end = QUIET_END_MS.min((run_ms as f64 * MAX_QUIET_PART) as u64);
+        let end = run_ms - quiet_end;
         let mut events = Vec::new();
         if end > FIRST_EVENT_MS {
             for _ in 0..(size.seconds * SERIES_PER_10_S / 10).max(1) {
@@ -160,6 +182,12 @@
             7 => Action::Impatience(rng.gen_range(0.2..1.0), rng.gen_range(500..4_000)),
             8 => Action::LongBodies(rng.gen_range(0.2..1.0), rng.gen_range(200..2_000)),
             9 => Action::SlowReaders(rng.gen_range(0.2..1.0), rng.gen_range(500..4_000)),
+            10 => {
+                let illness = *[Illness::Failing, Illness::Silent]
+                    .choose(rng)
+                    .expect("there are some");
+                Action::IllEndpoints(illness, rng.gen_range(0.1..1.0), rng.gen_range(500..5_000))
+            }
             // One controller at a time: more than half of them go on.
             _ if i == 0 => *[
                 Action::Terminate(controller),
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform: lists endpoints, and replaces them.
 
-use crate::endpoint::{Endpoint, CONCURRENCY};
+use crate::endpoint::Endpoint;
 use crate::recorder::Recorder;
 use crate::surroundings::Surroundings;
 use magpieline_proxy_simulation::http_reader::Reader;
@@ -116,7 +116,7 @@
                 address: endpoint.address.to_string(),
                 zone: "hall",
                 edition: "v1",
-                berths: CONCURRENCY,
+                berths: endpoint.concurrency,
                 state: state,
                 cold_left: "0ms"
             };
--- a/tools/soak/src/recorder.rs
+++ b/tools/soak/src/recorder.rs
@@ -64,6 +64,15 @@
     pub has_answered: bool,
 }
 
+/// An endpoint's service and size.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointSize {
+    /// Its service.
+    pub service: &'static str,
+    /// Requests that it works on at a time.
+    pub concurrency: usize,
+}
+
 /// Something that was done to an agent or to the surroundings.
 #[derive(Clone, Debug)]
 pub struct Incident {
@@ -97,6 +106,8 @@
     pub requests: BTreeMap<String, SentRequest>,
     /// What endpoints worked on.
     pub runs: Vec<Run>,
+    /// All endpoints that there were, by their ids.
+    pub endpoints: BTreeMap<String, EndpointSize>,
     /// When endpoints were first listed as leaving, by their ids.
     pub leaving: BTreeMap<String, Micros>,
     /// What was done.
--- a/tools/soak/src/surroundings.rs
+++ b/tools/soak/src/surroundings.rs
@@ -1,6 +1,8 @@
 //! What changes for all endpoints and clients during a run.
 
+use crate::plan::Illness;
 use crate::{rng, SeededRng};
+use rand::seq::SliceRandom;
 use rand::Rng;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,20 +10,23 @@
 /// An endpoint's work, in milliseconds, where nothing slows it.
 const WORK_MS: std::ops::Range<f64> = 5.0..60.0;
 
+/// Requests that endpoints work on at a time; they differ.
+const CONCURRENCIES: [usize; 4] = [3, 6, 8, 16];
+
 /// Bytes of a long body.
 const LONG_BODY_BYTES: std::ops::Range<usize> = 100_000..8_000_000;
 /// For how many milliseconds a slow reader pauses: less than what ends a connection whose window is closed.
 const READ_PAUSE_MS: std::ops::Range<u64> = 100..1_000;
 
-/// A factor or a share that holds until some time.
+/// Something that holds until some time.
 #[derive(Clone, Copy, Debug)]
-struct Temporary {
-    value: f64,
+struct Temporary<T> {
+    value: T,
     until: Instant,
 }
 
-impl Temporary {
-    fn new(value: f64, time: Duration) -> Temporary {
+impl<T> Temporary<T> {
+    fn new(value: T, time: Duration) -> Temporary<T> {
         let until = Instant::now() + time;
         Temporary { value, until }
     }
@@ -30,10 +35,12 @@
 #[derive(Debug)]
 struct State {
     rng: SeededRng,
-    slowness: Option<Temporary>,
-    impatience: Option<Temporary>,
-    long_bodies: Option<Temporary>,
-    slow_readers: Option<Temporary>,
+    slowness: Option<Temporary<f64>>,
+    /// How endpoints are ill, and which part of them.
+    illness: Option<Temporary<(Illness, f64)>>,
+    impatience: Option<Temporary<f64>>,
+    long_bodies: Option<Temporary<f64>>,
+    slow_readers: Option<Temporary<f64>>,
 }
 
 /// Shared by endpoints and clients.
@@ -45,6 +52,7 @@
         Surroundings(Mutex::new(State {
             rng: rng(seed),
             slowness: None,
+            illness: None,
             impatience: None,
             long_bodies: None,
             slow_readers: None,
@@ -60,6 +68,29 @@
         self.state().slowness = Some(Temporary::new(factor, time));
     }
 
+    /// Makes a share of the endpoints ill for some time.
+    pub(crate) fn make_ill(&self, illness: Illness, share: f64, time: Duration) {
+        self.state().illness = Some(Temporary::new((illness, share), time));
+    }
+
+    /// Returns how an endpoint is ill; the lower its resistance, from 0 to 1, the more illnesses it gets.
+    pub(crate) fn illness(&self, resistance: f64) -> Option<Illness> {
+        let (illness, share) = holding(self.state().illness)?;
+        (resistance < share).then_some(illness)
+    }
+
+    /// Draws how many requests an endpoint works on at a time.
+    pub(crate) fn draw_concurrency(&self) -> usize {
+        *CONCURRENCIES
+            .choose(&mut self.state().rng)
+            .expect("there are some")
+    }
+
+    /// Draws an endpoint's resistance to illnesses.
+    pub(crate) fn draw_resistance(&self) -> f64 {
+        self.state().rng.gen()
+    }
+
     /// Makes a share of the clients leave early for some time.
     pub(crate) fn make_impatient(&self, share: f64, time: Duration) {
         self.state().impatience = Some(Temporary::new(share, time));
@@ -110,8 +141,13 @@
     }
 }
 
-/// Returns the value that holds now.
-fn current(temporary: Option<Temporary>, usual: f64) -> f64 {
+/// Returns the value if it holds now.
+fn holding<T>(temporary: Option<Temporary<T>>) -> Option<T> {
     let holding = temporary.filter(|temporary| Instant::now() < temporary.until);
-    holding.map_or(usual, |temporary| temporary.value)
+    holding.map(|temporary| temporary.value)
+}
+
+/// Returns the value that holds now.
+fn current(temporary: Option<Temporary<f64>>, usual: f64) -> f64 {
+    holding(temporary).unwrap_or(usual)
 }
