Soak: several long configurations at once

A new kind of series: the operator sends two to six configurations of 4,000 unused routes at once, each until it is acknowledged. Memory of controllers, what is read back in the end and whether valid ones are refused are checked as before.

--- a/tools/soak/src/agents.rs
+++ b/tools/soak/src/agents.rs
@@ -230,6 +230,7 @@
                 self.signal(agent, Signal::HUP, false);
             }
             Action::ChangeConfig
+            | Action::ChangeLongConfigs(_)
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
             | Action::IllEndpoints(..)
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -46,6 +46,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// After the last event all that was begun has come to its end within this.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Routes of a long configuration that no client uses: some 700 KB.
+const LONG_CONFIG_ROUTES: usize = 4_000;
 /// What clients have left behind stops within this.
 const AFTERMATH: Duration = Duration::from_secs(3);
 
@@ -137,7 +139,7 @@
 /// Sends the first configuration and waits until all proxies are ready.
 async fn wait_until_serving(deeds: &Deeds, world: &World, size: Size) -> std::io::Result<()> {
     let serving = async {
-        while !deeds.operator.change_config().await {}
+        while !deeds.operator.change_config(0).await {}
         for proxy in 0..size.proxies {
             while !world.entry.is_ready(proxy).await {
                 sleep(Duration::from_millis(50)).await;
@@ -177,6 +179,7 @@
             Action::Kill(agent) | Action::Freeze(agent, _) => (Some(agent), true),
             Action::Terminate(agent) | Action::Hangup(agent) => (Some(agent), false),
             Action::ChangeConfig
+            | Action::ChangeLongConfigs(_)
             | Action::ReplaceEndpoint
             | Action::SlowEndpoints(..)
             | Action::IllEndpoints(..)
@@ -186,7 +189,8 @@
         };
         let incident = self.recorder.begin(agent, is_unplanned, action.to_string());
         match action {
-            Action::ChangeConfig => drop(self.operator.change_config().await),
+            Action::ChangeConfig => drop(self.operator.change_config(0).await),
+            Action::ChangeLongConfigs(count) => self.clone().change_long_configs(count).await,
             Action::ReplaceEndpoint => self.platform.replace_oldest().await,
             Action::Kill(_) | Action::Freeze(..) | Action::Terminate(_) | Action::Hangup(_) => {
                 self.agents.carry_out(action).await;
@@ -200,6 +204,16 @@
         self.recorder.end(incident);
     }
 
+    /// Sends long configurations at once, and waits until each was acknowledged or given up.
+    async fn change_long_configs(self: Arc<Deeds>, count: usize) {
+        let mut changes = JoinSet::new();
+        for _ in 0..count {
+            let deeds = self.clone();
+            changes.spawn(async move { deeds.operator.change_config(LONG_CONFIG_ROUTES).await });
+        }
+        while changes.join_next().await.is_some() {}
+    }
+
     /// Changes the surroundings for some milliseconds, and waits for their end.
     async fn change_surroundings(&self, action: Action, ms: u64) {
         let (surroundings, time) = (&self.surroundings, Duration::from_millis(ms));
--- a/tools/soak/src/operator.rs
+++ b/tools/soak/src/operator.rs
@@ -28,19 +28,26 @@
     seed: u64,
 }
 
-/// Returns the text of a configuration; what it says differs by its version.
-fn config_text(version: u64) -> String {
+/// Returns the text of a configuration with so many routes that no client uses; what it says differs by its version.
+fn config_text(version: u64, unused_routes: usize) -> String {
     let once = if version.is_multiple_of(2) {
         "firing"
     } else {
         "calendar"
     };
     let idle_s = 10 + version % 5;
+    let unused = |number| {
+        format!(
+            r#",
+{{"name":"unused-{number}","sort":"safe","target":"600ms","sorting":{{"lane_prefix":"/unused/{number}/"}},"dispatch":{{"service":"calendar","give_up":"2500ms","tries":2}}}}"#
+        )
+    };
+    let unused: String = (0..unused_routes).map(unused).collect();
     format!(
         r#"{{"edition":{version},"allowances":{{"header_bytes":16384,"body_bytes":1048576,"header":"3s","idle":"{idle_s}s"}},
 "wickets":[{{"depot":"h","regulations":[
 {{"name":"lookup","sort":"safe","target":"600ms","precedence":2,"sorting":{{"lane_prefix":"/safe/"}},"dispatch":{{"service":"calendar","give_up":"2500ms","tries":2}}}},
-{{"name":"order","sort":"unsafe","target":"800ms","precedence":1,"sorting":{{"lane_prefix":"/once/"}},"dispatch":{{"service":"{once}","give_up":"2500ms","tries":2}}}}]}}],
+{{"name":"order","sort":"unsafe","target":"800ms","precedence":1,"sorting":{{"lane_prefix":"/once/"}},"dispatch":{{"service":"{once}","give_up":"2500ms","tries":2}}}}{unused}]}}],
 "fleets":[{{"name":"calendar","health_path":"/health","conn_cap":1000}},{{"name":"firing","health_path":"/health","conn_cap":1000}}]}}"#
     )
 }
@@ -65,13 +72,13 @@
         self.network.control(rng.gen_range(0..self.controllers))
     }
 
-    /// Sends the next configuration until it is acknowledged. Returns whether it was.
-    pub(crate) async fn change_config(&self) -> bool {
+    /// Sends the next configuration, with so many routes that no client uses, until it is acknowledged. Returns whether it was.
+    pub(crate) async fn change_config(&self, unused_routes: usize) -> bool {
         let version = self.newest.fetch_add(1, Ordering::Relaxed) + 1;
         let mut rng = rng(self.seed ^ version);
         let sent_at = self.recorder.now();
         self.recorder.lock().sent_configs.insert(version, sent_at);
-        let text = config_text(version);
+        let text = config_text(version, unused_routes);
         let sending = async {
             while !self.send(&mut rng, &text).await {
                 sleep(PAUSE).await;
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -15,7 +15,7 @@
 /// Series of events per ten seconds.
 const SERIES_PER_10_S: u64 = 6;
 /// Kinds of series.
-const KINDS: u32 = 12;
+const KINDS: u32 = 13;
 
 /// An agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -57,6 +57,8 @@
     Hangup(Agent),
     /// The operator sends a new configuration.
     ChangeConfig,
+    /// The operator sends so many long configurations at once.
+    ChangeLongConfigs(usize),
     /// An endpoint drains and leaves; another one takes its place.
     ReplaceEndpoint,
     /// All endpoints of the platform take so many times as long, for some milliseconds.
@@ -79,6 +81,9 @@
             Action::Freeze(agent, ms) => write!(f, "{agent} stands still for {ms} ms"),
             Action::Hangup(agent) => write!(f, "{agent} gets SIGHUP"),
             Action::ChangeConfig => write!(f, "the configuration changes"),
+            Action::ChangeLongConfigs(count) => {
+                write!(f, "{count} long configurations come at once")
+            }
             Action::ReplaceEndpoint => write!(f, "an endpoint is replaced"),
             Action::SlowEndpoints(x, ms) => {
                 write!(f, "endpoints are {x:.1} times slower for {ms} ms")
@@ -188,6 +193,8 @@
                     .expect("there are some");
                 Action::IllEndpoints(illness, rng.gen_range(0.1..1.0), rng.gen_range(500..5_000))
             }
+            11 if i == 0 => Action::ChangeLongConfigs(rng.gen_range(2..=6)),
+            11 => return,
             // One controller at a time: more than half of them go on.
             _ if i == 0 => *[
                 Action::Terminate(controller),
