--- a/tools/soak/src/agents.rs
+++ b/tools/soak/src/agents.rs
@@ -1,7 +1,7 @@
 //! The agents: the real program as processes on loopback, each at an address of its own, started again when it has ended.
 
 use crate::checks::{GRACE, MEMORY_MB};
-use crate::plan::{Action, Agent, Size};
+use crate::plan::{Agent, Size};
 use crate::recorder::{Recorder, Shutdown};
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::BTreeMap;
@@ -220,27 +220,13 @@
         }
     }
 
-    /// Carries out an action on an agent, to its end.
-    pub(crate) async fn carry_out(&self, action: Action) {
-        match action {
-            Action::Terminate(agent) => self.terminate(agent).await,
-            Action::Kill(agent) => self.kill(agent).await,
-            Action::Freeze(agent, ms) => self.freeze(agent, Duration::from_millis(ms)).await,
-            Action::Hangup(agent) => {
-                self.signal(agent, Signal::HUP, false);
-            }
-            Action::ChangeConfig
-            | Action::ChangeLongConfigs(_)
-            | Action::ReplaceEndpoint
-            | Action::SlowEndpoints(..)
-            | Action::IllEndpoints(..)
-            | Action::Impatience(..)
-            | Action::LongBodies(..)
-            | Action::SlowReaders(..) => {}
-        }
+    /// Sends SIGHUP to an agent.
+    pub(crate) fn hang_up(&self, agent: Agent) {
+        self.signal(agent, Signal::HUP, false);
     }
 
-    async fn terminate(&self, agent: Agent) {
+    /// Sends SIGTERM to an agent, waits for its end, and starts it again.
+    pub(crate) async fn terminate(&self, agent: Agent) {
         if !self.signal(agent, Signal::TERM, true) {
             return;
         }
@@ -273,14 +259,16 @@
         self.wait_for_end(agent).await;
     }
 
-    async fn kill(&self, agent: Agent) {
+    /// Kills an agent, and starts it again.
+    pub(crate) async fn kill(&self, agent: Agent) {
         if self.signal(agent, Signal::KILL, true) {
             self.wait_for_end(agent).await;
             self.start_again(agent).await;
         }
     }
 
-    async fn freeze(&self, agent: Agent, time: Duration) {
+    /// Makes an agent stand still for some time.
+    pub(crate) async fn freeze(&self, agent: Agent, time: Duration) {
         if !self.signal(agent, Signal::STOP, false) {
             return;
         }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -175,31 +175,34 @@
 impl Deeds {
     /// Carries out an action, and waits until it has no more effect.
     async fn carry_out(self: Arc<Deeds>, action: Action) {
-        let (agent, is_unplanned) = match action {
-            Action::Kill(agent) | Action::Freeze(agent, _) => (Some(agent), true),
-            Action::Terminate(agent) | Action::Hangup(agent) => (Some(agent), false),
-            Action::ChangeConfig
-            | Action::ChangeLongConfigs(_)
-            | Action::ReplaceEndpoint
-            | Action::SlowEndpoints(..)
-            | Action::IllEndpoints(..)
-            | Action::Impatience(..)
-            | Action::LongBodies(..)
-            | Action::SlowReaders(..) => (None, false),
-        };
-        let incident = self.recorder.begin(agent, is_unplanned, action.to_string());
+        let text = action.to_string();
+        let incident = self
+            .recorder
+            .begin(action.agent(), action.is_unplanned(), text);
+        let (agents, surroundings) = (&self.agents, &self.surroundings);
         match action {
+            Action::Terminate(agent) => agents.terminate(agent).await,
+            Action::Kill(agent) => agents.kill(agent).await,
+            Action::Freeze(agent, ms) => agents.freeze(agent, Duration::from_millis(ms)).await,
+            Action::Hangup(agent) => agents.hang_up(agent),
             Action::ChangeConfig => drop(self.operator.change_config(0).await),
             Action::ChangeLongConfigs(count) => self.clone().change_long_configs(count).await,
             Action::ReplaceEndpoint => self.platform.replace_oldest().await,
-            Action::Kill(_) | Action::Freeze(..) | Action::Terminate(_) | Action::Hangup(_) => {
-                self.agents.carry_out(action).await;
+            Action::SlowEndpoints(factor, ms) => {
+                lasting(ms, |time| surroundings.slow_down(factor, time)).await;
+            }
+            Action::IllEndpoints(illness, share, ms) => {
+                lasting(ms, |time| surroundings.make_ill(illness, share, time)).await;
+            }
+            Action::Impatience(share, ms) => {
+                lasting(ms, |time| surroundings.make_impatient(share, time)).await;
+            }
+            Action::LongBodies(share, ms) => {
+                lasting(ms, |time| surroundings.lengthen(share, time)).await;
+            }
+            Action::SlowReaders(share, ms) => {
+                lasting(ms, |time| surroundings.slow_readers(share, time)).await;
             }
-            Action::SlowEndpoints(_, ms)
-            | Action::IllEndpoints(_, _, ms)
-            | Action::Impatience(_, ms)
-            | Action::LongBodies(_, ms)
-            | Action::SlowReaders(_, ms) => self.change_surroundings(action, ms).await,
         }
         self.recorder.end(incident);
     }
@@ -213,18 +216,11 @@
         }
         while changes.join_next().await.is_some() {}
     }
+}
 
-    /// Changes the surroundings for some milliseconds, and waits for their end.
-    async fn change_surroundings(&self, action: Action, ms: u64) {
-        let (surroundings, time) = (&self.surroundings, Duration::from_millis(ms));
-        match action {
-            Action::SlowEndpoints(factor, _) => surroundings.slow_down(factor, time),
-            Action::IllEndpoints(illness, share, _) => surroundings.make_ill(illness, share, time),
-            Action::Impatience(share, _) => surroundings.make_impatient(share, time),
-            Action::LongBodies(share, _) => surroundings.lengthen(share, time),
-            Action::SlowReaders(share, _) => surroundings.slow_readers(share, time),
-            _ => {}
-        }
-        sleep(time).await;
-    }
+/// Begins what lasts for some milliseconds, and waits for its end.
+async fn lasting(ms: u64, begin: impl FnOnce(Duration)) {
+    let time = Duration::from_millis(ms);
+    begin(time);
+    sleep(time).await;
 }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -73,6 +73,24 @@
     SlowReaders(f64, u64),
 }
 
+impl Action {
+    /// Returns the agent that it is done to; none where it is done to the surroundings.
+    pub fn agent(self) -> Option<Agent> {
+        match self {
+            Action::Terminate(agent)
+            | Action::Kill(agent)
+            | Action::Freeze(agent, _)
+            | Action::Hangup(agent) => Some(agent),
+            _ => None,
+        }
+    }
+
+    /// Whether it leaves requests without answers by its nature.
+    pub fn is_unplanned(self) -> bool {
+        matches!(self, Action::Kill(_) | Action::Freeze(..))
+    }
+}
+
 impl fmt::Display for Action {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
