--- a/crates/load-balancer/tests/retry_budget.rs
+++ b/crates/load-balancer/tests/retry_budget.rs
@@ -50,3 +50,60 @@
     }
     assert!(retries.len() > 500, "nothing was tried: {}", retries.len());
 }
+
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 58.0;
+const PROXIES: u32 = 12;
+
+/// Starts the budgets of all proxies.
+fn started() -> Vec<RetryBudget> {
+    let start = |_| {
+        let mut budget = RetryBudget::new(RATIO, SLACK);
+        budget.set_slack(SLACK, PROXIES);
+        budget
+    };
+    (0..PROXIES).map(start).collect()
+}
+
+/// Spends all that the proxies have. Returns how many retries that was.
+fn spend_all(budgets: &mut [RetryBudget], service: &Arc<str>) -> u32 {
+    let mut retries = 0;
+    for budget in budgets {
+        while budget.balance(service) >= 1.0 {
+            budget.on_retry(service);
+            retries += 1;
+        }
+    }
+    retries
+}
+
+/// Guards against proxies that earn more of each request than the ratio: over a long window the slack doesn't hide it.
+#[test]
+fn proxies_that_always_spend_all_stay_below_the_ratio_in_a_long_window() {
+    const REQUESTS: u32 = 20_000;
+    let service: Arc<str> = "s".into();
+    let mut budgets = started();
+    let mut retries = 0;
+    for request in 0..REQUESTS {
+        budgets[(request % PROXIES) as usize].on_request(&service);
+        retries += spend_all(&mut budgets, &service);
+    }
+    let allowed = RATIO * f64::from(REQUESTS) + SLACK;
+    assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
+    assert!(f64::from(retries) > allowed / 2.0, "{retries} of {allowed}");
+}
+
+/// Guards against slack that is minted by restarts: all proxies have saved up before the window, spend that, are restarted and
+/// spend what they begin with, without a request in between.
+#[test]
+fn a_restart_of_all_proxies_stays_within_the_slack() {
+    let service: Arc<str> = "s".into();
+    let mut budgets = started();
+    for budget in &mut budgets {
+        (0..1_000).for_each(|_| budget.on_request(&service));
+    }
+    let saved = spend_all(&mut budgets, &service);
+    let minted = spend_all(&mut started(), &service);
+    assert!(saved > PROXIES, "nothing was saved up: {saved}");
+    assert!(f64::from(saved + minted) <= SLACK, "{saved} and {minted}");
+}
