--- a/crates/gateway/tests/proxy_loopback/committed_config.rs
+++ b/crates/gateway/tests/proxy_loopback/committed_config.rs
@@ -3,8 +3,12 @@
 use crate::fixture::{request, run, until, Fixture, CONFIG};
 use magpieline_control_plane::state_machine::StoredConfig;
 use magpieline_gateway::proxy::NotReady;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 
+/// A route that no client uses.
+const CONFIG_ROUTE: &str = r#"{"name":"n-NUMBER","sort":"safe","target":"1s","sorting":{"lane_prefix":"/n/NUMBER/"},"dispatch":{"service":"s","give_up":"9s","tries":2}},"#;
+
 /// A route names a service with share 0 that the document doesn't list: an earlier release acknowledged that.
 fn with_unknown_service() -> String {
     CONFIG.replacen(
@@ -76,3 +80,35 @@
         is_served(&mut fixture, "t2").await;
     });
 }
+
+/// Guards against a proxy that goes back to an older configuration: one that comes late, or that took long to parse while a newer one
+/// came.
+#[test]
+fn an_older_configuration_never_comes_into_force_again() {
+    const ROUTES: usize = 10_000;
+    // So many routes take some hundred milliseconds.
+    const BEFORE_IT_IS_PARSED: Duration = Duration::from_millis(20);
+    let stored = |version, text: &str| StoredConfig {
+        version,
+        text: text.into(),
+    };
+    let route = |i: usize| CONFIG_ROUTE.replace("NUMBER", &i.to_string());
+    let routes: String = (0..ROUTES).map(route).collect();
+    let long = CONFIG.replacen(
+        r#""regulations":["#,
+        &format!(r#""regulations":[{routes}"#),
+        1,
+    );
+    run(async {
+        let fixture = Fixture::new().await;
+        fixture.proxy.apply_config(&stored(5, CONFIG));
+        fixture.proxy.apply_config(&stored(4, CONFIG));
+        assert_eq!(fixture.proxy.config_version(), Some(5));
+        let (proxy, long) = (fixture.proxy.clone(), stored(6, &long));
+        let parsing = std::thread::spawn(move || proxy.apply_config(&long));
+        std::thread::sleep(BEFORE_IT_IS_PARSED);
+        fixture.proxy.apply_config(&stored(7, CONFIG));
+        parsing.join().expect("it ends");
+        assert_eq!(fixture.proxy.config_version(), Some(7));
+    });
+}
