--- a/tools/proxy-simulation/src/http_reader.rs
+++ b/tools/proxy-simulation/src/http_reader.rs
@@ -131,7 +131,8 @@
         while self.buffer.len() < length {
             self.read_more(stream).await?;
         }
-        message.body = self.buffer.drain(..length).collect();
+        let rest = self.buffer.split_off(length);
+        message.body = std::mem::replace(&mut self.buffer, rest);
         Ok(())
     }
 
--- a/tools/soak/src/clients.rs
+++ b/tools/soak/src/clients.rs
@@ -28,7 +28,7 @@
 const LEAVES_AFTER_MS: std::ops::Range<u64> = 1..400;
 pub(crate) const BODY: &str = "0123456789";
 /// What long bodies are filled with.
-pub(crate) const FILLER: u8 = b'x';
+const FILLER: u8 = b'x';
 
 /// What clients share.
 pub(crate) struct World {
@@ -257,15 +257,13 @@
     ClientOutcome::Answered {
         status: answer.status(),
         has_postmark: answer.header("postmark").is_some(),
-        is_own: is_own && is_filled(&answer.body, id, extra_bytes),
+        is_own: is_own && answer.body == filled(id, extra_bytes),
     }
 }
 
-/// Whether a body begins so, and goes on with so many bytes.
-pub(crate) fn is_filled(body: &[u8], begin: &str, extra_bytes: usize) -> bool {
-    let extra = body.strip_prefix(begin.as_bytes());
-    extra
-        .is_some_and(|extra| extra.len() == extra_bytes && extra.iter().all(|byte| *byte == FILLER))
+/// Returns a body that begins so, and goes on with so many bytes.
+pub(crate) fn filled(begin: &str, extra_bytes: usize) -> Vec<u8> {
+    [begin.as_bytes(), &vec![FILLER; extra_bytes]].concat()
 }
 
 /// Takes note of the time from a request's sending, or its turn on its connection, to its answer.
@@ -302,8 +300,10 @@
         true => format!("Transfer-Encoding: chunked\r\n\r\n{length:x}"),
         false => format!("Content-Length: {length}\r\n"),
     };
-    let mut text = format!("POST /once/{head}{framing}\r\n{BODY}").into_bytes();
-    text.resize(text.len() + extra_bytes, FILLER);
+    let mut text = filled(
+        &format!("POST /once/{head}{framing}\r\n{BODY}"),
+        extra_bytes,
+    );
     if is_chunked {
         text.extend_from_slice(b"\r\n0\r\n\r\n");
     }
--- a/tools/soak/src/endpoint.rs
+++ b/tools/soak/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints and the platform's list of them.
 
-use crate::clients::{is_filled, BODY, FILLER};
+use crate::clients::{filled, BODY};
 use crate::plan::Illness;
 use crate::recorder::{EndpointSize, Recorder, Run};
 use crate::surroundings::Surroundings;
@@ -164,7 +164,7 @@
         if request.start_line.starts_with("GET ") {
             return extra_bytes;
         }
-        if !is_filled(&request.body, BODY, extra_bytes) {
+        if request.body != filled(BODY, extra_bytes) {
             let length = request.body.len();
             let text = format!("{id} arrived with another body, of {length} bytes: {target}");
             self.recorder.lock().altered.push(text);
@@ -186,9 +186,8 @@
     }
 
     async fn answer(&self, stream: &mut TcpStream, id: &str, extra_bytes: usize) -> bool {
-        let mut body = id.as_bytes().to_vec();
-        body.resize(id.len() + extra_bytes, FILLER);
-        self.write(stream, id, 200, STAMP, &body).await
+        self.write(stream, id, 200, STAMP, &filled(id, extra_bytes))
+            .await
     }
 
     async fn reject(&self, stream: &mut TcpStream, id: &str, status: u16) -> bool {
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -28,7 +28,7 @@
 use plan::{Action, Event, Plan, Size};
 use platform::Platform;
 use rand::{Rng, SeedableRng};
-use recorder::{Recorder, Recording};
+use recorder::{Recorder, Recording, Stall};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -48,6 +48,9 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Routes of a long configuration that no client uses: some 700 KB.
 const LONG_CONFIG_ROUTES: usize = 4_000;
+/// This often it is looked whether this process stands still, and shorter stalls are not recorded.
+const STALL_TICK: Duration = Duration::from_millis(20);
+const MIN_STALL: Duration = Duration::from_millis(100);
 /// What clients have left behind stops within this.
 const AFTERMATH: Duration = Duration::from_secs(3);
 
@@ -102,6 +105,7 @@
     let mut background = JoinSet::new();
     let watched = deeds.clone();
     background.spawn(async move { watched.agents.watch().await });
+    background.spawn(watch_own_stalls(recorder.clone()));
     for proxy in 0..size.proxies {
         let world = world.clone();
         background.spawn(async move { world.entry.probe(proxy).await });
@@ -136,6 +140,19 @@
     Err(std::io::Error::other("all addresses are in use"))
 }
 
+/// Records when this process stands still, for ever.
+async fn watch_own_stalls(recorder: Recorder) {
+    loop {
+        let due = Instant::now() + STALL_TICK;
+        sleep_until(due).await;
+        let late = due.elapsed();
+        if late > MIN_STALL {
+            let (until, length) = (recorder.now(), late.as_micros() as u64);
+            recorder.lock().stalls.push(Stall { until, length });
+        }
+    }
+}
+
 /// Sends the first configuration and waits until all proxies are ready.
 async fn wait_until_serving(deeds: &Deeds, world: &World, size: Size) -> std::io::Result<()> {
     let serving = async {
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -97,7 +97,7 @@
 }
 
 fn run_seeds(options: &Run) -> Result<bool, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
--- a/tools/soak/src/recorder.rs
+++ b/tools/soak/src/recorder.rs
@@ -99,6 +99,15 @@
     pub took: Option<Micros>,
 }
 
+/// A span in which the run's own process stood still: what was seen then is recorded late.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    /// When it ended.
+    pub until: Micros,
+    /// How long it was.
+    pub length: Micros,
+}
+
 /// What was seen in a run.
 #[derive(Default)]
 pub struct Recording {
@@ -128,6 +137,8 @@
     pub resources: Vec<(Agent, u64, usize)>,
     /// The most memory in kB that a process of each agent had.
     pub memory_peaks: BTreeMap<Agent, u64>,
+    /// When clients, endpoints and the platform stood still themselves.
+    pub stalls: Vec<Stall>,
     /// Requests whose body arrived changed, in words.
     pub altered: Vec<String>,
 }
--- a/tools/soak/src/report.rs
+++ b/tools/soak/src/report.rs
@@ -28,13 +28,16 @@
     let latencies = percentiles(recording.latencies.iter().copied());
     let after_client = percentiles(work_after_clients(recording));
     let shutdowns = recording.shutdowns.iter().filter_map(|s| s.took);
+    let longest_stall = recording.stalls.iter().map(|stall| stall.length).max();
     format!(
         "seed {seed}: {} findings; {} requests, {served} served, {rejected} rejected, {left} left; latency ms {latencies}; \
-         work after client ms {after_client}; {} shutdowns, ms {}",
+         work after client ms {after_client}; {} shutdowns, ms {}; {} stalls of its own, ms {} at most",
         outcome.findings.len(),
         recording.requests.len(),
         recording.shutdowns.len(),
         percentiles(shutdowns),
+        recording.stalls.len(),
+        longest_stall.unwrap_or(0) / 1_000,
     )
 }
 
--- a/tools/soak/tests/short_runs.rs
+++ b/tools/soak/tests/short_runs.rs
@@ -40,7 +40,7 @@
         std::process::id()
     ));
     std::fs::create_dir_all(&dir).expect("a directory");
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
         .expect("a runtime");
