Load balancer: the availability of a service needs no request that is none

It built a selection request with an empty service to ask for two of its fields. The conditions of a choice are those of an idempotent request of the lowest rank now, and a selection overrides them by its request's. The doc of EarlyResponse says when attempts end since.

--- a/crates/gateway/src/proxy/early_response.rs
+++ b/crates/gateway/src/proxy/early_response.rs
@@ -7,7 +7,8 @@
 use std::task::{Context, Poll};
 use tokio::task::JoinHandle;
 
-/// The response to a request that was started early. Dropped, the request is given up, and its attempts are cancelled.
+/// The response to a request that was started early. Dropped, the request is given up; its attempts are cancelled with the
+/// client's connection.
 pub(super) struct EarlyResponse {
     task: JoinHandle<ProxyResponse>,
     /// The response, once it was looked at.
--- a/crates/load-balancer/src/endpoint_selection.rs
+++ b/crates/load-balancer/src/endpoint_selection.rs
@@ -228,7 +228,12 @@
             return Err(NoEndpoint::NoneListed);
         };
         let jitter = self.rng.gen_range(0.0..MAX_JITTER);
-        let conditions = self.conditions(now, service, &request, jitter);
+        let conditions = Conditions {
+            precedence: request.precedence,
+            is_idempotent: request.is_idempotent,
+            jitter,
+            ..self.conditions(now, service)
+        };
         let max_hash = self.max_hash(service, &request);
         let mut best: Option<(f64, Selection)> = None;
         let mut suspect: Option<Selection> = None;
@@ -263,23 +268,17 @@
         selection.ok_or(reason)
     }
 
-    /// Returns what holds for all endpoints of a service in one choice.
-    fn conditions<'a>(
-        &'a self,
-        now: Micros,
-        service: &Service,
-        request: &SelectionRequest,
-        jitter: f64,
-    ) -> Conditions<'a> {
+    /// Returns what holds for all endpoints of a service in one choice, for an idempotent request of the lowest rank.
+    fn conditions(&self, now: Micros, service: &Service) -> Conditions<'_> {
         Conditions {
             now,
             zone: &self.zone,
             mean_latency: service.mean_latency,
             mean_load: service.mean_load.at(now),
             mean_concurrency: self.mean_concurrency(service),
-            precedence: request.precedence,
-            is_idempotent: request.is_idempotent,
-            jitter,
+            precedence: u32::MAX,
+            is_idempotent: true,
+            jitter: 0.0,
         }
     }
 
@@ -289,15 +288,7 @@
         let Some(service) = self.services.get(service) else {
             return availability;
         };
-        let request = SelectionRequest {
-            service: "",
-            is_allowed_version: &|_| true,
-            exclude: &[],
-            is_idempotent: true,
-            precedence: u32::MAX,
-            max_endpoints: 0,
-        };
-        let conditions = self.conditions(now, service, &request, 0.0);
+        let conditions = self.conditions(now, service);
         for handle in &service.endpoints {
             let endpoint = &self.endpoints[*handle];
             availability.add(endpoint.listed.is_draining, assess(endpoint, &conditions));
