Tests: what stood twice stands once

The search for files of the repository's own tests, the two endpoints near and far of four tests of the load balancer, and the budget of a proxy that has just started.

--- a/crates/load-balancer/tests/endpoint_selection.rs
+++ b/crates/load-balancer/tests/endpoint_selection.rs
@@ -33,6 +33,15 @@
     balancer
 }
 
+/// Returns a balancer with two equal endpoints, and the handle of "x", which is in its own zone; "y" is not.
+fn near_and_far() -> (LoadBalancer, usize) {
+    let mut balancer = LoadBalancer::new("a", 3);
+    balancer.upsert(0, listed("x", "a", "v1"));
+    balancer.upsert(0, listed("y", "b", "v1"));
+    let near = balancer.find("x").expect("listed");
+    (balancer, near)
+}
+
 fn request<'a>(
     versions: &'a dyn Fn(&str) -> bool,
     exclude: &'a [usize],
@@ -157,11 +166,8 @@
 #[case(0, "y")]
 #[case(3000, "x")]
 fn what_it_told_of_others_counts_and_is_forgotten(#[case] later: u64, #[case] chosen: &str) {
-    let mut balancer = LoadBalancer::new("a", 3);
     // The far one is taken only while the near one is crowded.
-    balancer.upsert(0, listed("x", "a", "v1"));
-    balancer.upsert(0, listed("y", "b", "v1"));
-    let x = balancer.find("x").expect("listed");
+    let (mut balancer, x) = near_and_far();
     let number = balancer.on_sent(0, x);
     let load = ReportedLoad {
         running: 2,
@@ -252,11 +258,8 @@
     #[case] answers: bool,
     #[case] chosen: &str,
 ) {
-    let mut balancer = LoadBalancer::new("a", 3);
     // The far one is taken only where the near one is ejected.
-    balancer.upsert(0, listed("x", "a", "v1"));
-    balancer.upsert(0, listed("y", "b", "v1"));
-    let x = balancer.find("x").expect("listed");
+    let (mut balancer, x) = near_and_far();
     for i in 0..4 {
         let sent_at = i * 200 * MS;
         let attempt = balancer.on_sent(sent_at, x);
@@ -283,11 +286,8 @@
     #[case] cancelled_after: u64,
     #[case] chosen: &str,
 ) {
-    let mut balancer = LoadBalancer::new("a", 3);
     // The far one is taken only where the near one is slower.
-    balancer.upsert(0, listed("x", "a", "v1"));
-    balancer.upsert(0, listed("y", "b", "v1"));
-    let x = balancer.find("x").expect("listed");
+    let (mut balancer, x) = near_and_far();
     for i in 0..8 {
         let sent_at = i * 1000 * MS;
         let cancelled = balancer.on_sent(sent_at, x);
@@ -443,11 +443,8 @@
     #[case] is_idempotent: bool,
     #[case] chosen: &str,
 ) {
-    let mut balancer = LoadBalancer::new("a", 3);
     // The far one is taken only where the near one is ejected or suspect.
-    balancer.upsert(0, listed("x", "a", "v1"));
-    balancer.upsert(0, listed("y", "b", "v1"));
-    let x = balancer.find("x").expect("listed");
+    let (mut balancer, x) = near_and_far();
     let attempt = balancer.on_sent(0, x);
     balancer.on_end(100 * MS, x, attempt, signal, None);
     let ejected = select(&mut balancer, 500 * MS, is_idempotent);
--- a/crates/load-balancer/tests/retry_budget.rs
+++ b/crates/load-balancer/tests/retry_budget.rs
@@ -4,19 +4,29 @@
 use rand::{Rng, SeedableRng};
 use std::sync::Arc;
 
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 58.0;
+const PROXIES: u32 = 12;
+
+/// Returns the budget of a proxy that has just started.
+fn started() -> RetryBudget {
+    let mut budget = RetryBudget::new(RATIO, SLACK);
+    budget.set_slack(SLACK, PROXIES);
+    budget
+}
+
+fn all_started() -> Vec<RetryBudget> {
+    (0..PROXIES).map(|_| started()).collect()
+}
+
 /// Guards against a sum over all proxies that is broken while each keeps its own part: restarts, and proxies that
 /// spend all they have at the worst moment.
 #[test]
 fn parts_of_all_proxies_stay_below_the_whole_in_every_window() {
-    let (ratio, slack, proxies, window) = (0.2, 58.0, 12, 10_000);
+    let window = 10_000;
     let service: Arc<str> = "s".into();
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
-    let fresh = || {
-        let mut budget = RetryBudget::new(ratio, slack);
-        budget.set_slack(slack, proxies);
-        budget
-    };
-    let mut all: Vec<RetryBudget> = (0..proxies).map(|_| fresh()).collect();
+    let mut all = all_started();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for now in 0..60_000u64 {
         let greedy = (now / 5000) % 2 == 1; // saves up for five seconds, then spends all it can
@@ -26,7 +36,7 @@
             requests.push(now);
         }
         if rng.gen_bool(0.0005) {
-            all[one] = fresh();
+            all[one] = started();
         }
         for budget in all.iter_mut().filter(|b| greedy && b.balance("s") >= 1.0) {
             budget.on_retry(&service);
@@ -44,27 +54,13 @@
             within(&retries, from) as f64,
         );
         assert!(
-            retries <= ratio * requests + slack,
+            retries <= RATIO * requests + SLACK,
             "{retries} of {requests} from {from}"
         );
     }
     assert!(retries.len() > 500, "nothing was tried: {}", retries.len());
 }
 
-const RATIO: f64 = 0.2;
-const SLACK: f64 = 58.0;
-const PROXIES: u32 = 12;
-
-/// Starts the budgets of all proxies.
-fn started() -> Vec<RetryBudget> {
-    let start = |_| {
-        let mut budget = RetryBudget::new(RATIO, SLACK);
-        budget.set_slack(SLACK, PROXIES);
-        budget
-    };
-    (0..PROXIES).map(start).collect()
-}
-
 /// Spends all that the proxies have. Returns how many retries that was.
 fn spend_all(budgets: &mut [RetryBudget], service: &Arc<str>) -> u32 {
     let mut retries = 0;
@@ -82,7 +78,7 @@
 fn proxies_that_always_spend_all_stay_below_the_ratio_in_a_long_window() {
     const REQUESTS: u32 = 20_000;
     let service: Arc<str> = "s".into();
-    let mut budgets = started();
+    let mut budgets = all_started();
     let mut retries = 0;
     for request in 0..REQUESTS {
         budgets[(request % PROXIES) as usize].on_request(&service);
@@ -98,12 +94,12 @@
 #[test]
 fn a_restart_of_all_proxies_stays_within_the_slack() {
     let service: Arc<str> = "s".into();
-    let mut budgets = started();
+    let mut budgets = all_started();
     for budget in &mut budgets {
         (0..1_000).for_each(|_| budget.on_request(&service));
     }
     let saved = spend_all(&mut budgets, &service);
-    let minted = spend_all(&mut started(), &service);
+    let minted = spend_all(&mut all_started(), &service);
     assert!(saved > PROXIES, "nothing was saved up: {saved}");
     assert!(f64::from(saved + minted) <= SLACK, "{saved} and {minted}");
 }
--- a/tests/rules_ledger.rs
+++ b/tests/rules_ledger.rs
@@ -1,5 +1,8 @@
 //! The ledger of the rules (`docs/gateway/rules.md`) names files and tests that exist.
 
+mod common;
+
+use common::files;
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -13,22 +16,11 @@
         .collect()
 }
 
-fn collect_sources(dir: &Path, found: &mut Vec<PathBuf>) {
-    for entry in fs::read_dir(dir).expect("a directory") {
-        let path = entry.expect("an entry").path();
-        if path.is_dir() {
-            collect_sources(&path, found);
-        } else if path.extension().is_some_and(|extension| extension == "rs") {
-            found.push(path);
-        }
-    }
-}
-
 /// Returns the names of all functions below the directories that hold code.
 fn function_names(root: &Path) -> BTreeSet<String> {
     let mut sources = Vec::new();
     for dir in ["crates", "src", "tests", "tools"] {
-        collect_sources(&root.join(dir), &mut sources);
+        files(&root.join(dir), &[".rs"], &mut sources);
     }
     let names = |path: PathBuf| {
         let text = fs::read_to_string(path).expect("text");
--- a/tests/terminology.rs
+++ b/tests/terminology.rs
@@ -1,6 +1,9 @@
 //! Names that were withdrawn stay withdrawn: neither the themed names of packages and programs, nor, in the crates that are
 //! finished, the names that their types had.
 
+mod common;
+
+use common::files;
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -50,23 +53,6 @@
     "tools/scale-test",
 ];
 
-fn files(dir: &Path, endings: &[&str], found: &mut Vec<PathBuf>) {
-    for entry in fs::read_dir(dir).expect("a directory") {
-        let path = entry.expect("an entry").path();
-        let name = path
-            .file_name()
-            .and_then(|name| name.to_str())
-            .unwrap_or_default();
-        if path.is_dir() {
-            if !matches!(name, "target" | "corpus" | "golden" | "stores") {
-                files(&path, endings, found);
-            }
-        } else if endings.iter().any(|ending| name.ends_with(ending)) {
-            found.push(path);
-        }
-    }
-}
-
 /// Returns the identifiers of a text: letters, digits and underscores in a row.
 fn identifiers(text: &str) -> impl Iterator<Item = &str> {
     text.split(|letter: char| !letter.is_alphanumeric() && letter != '_')
