--- a/crates/gateway/tests/proxy_loopback/client_leaving.rs
+++ b/crates/gateway/tests/proxy_loopback/client_leaving.rs
@@ -131,7 +131,7 @@
 fn the_slower_attempt_of_a_hedge_ends_when_the_client_leaves(#[case] reads_response: bool) {
     run(async {
         let mut fixture = Fixture::with_retries(CONFIG).await;
-        fixture.list_endpoint("i-2").await;
+        fixture.start_endpoint("i-2").await;
         let mut client = fixture.client().await;
         let sent = request("GET", "/safe/lookup", "hedged");
         client.write_all(sent.as_bytes()).await.expect("sent");
--- a/crates/gateway/tests/proxy_loopback/fixture.rs
+++ b/crates/gateway/tests/proxy_loopback/fixture.rs
@@ -211,13 +211,13 @@
             requests,
             serving,
         };
-        fixture.list_endpoint("i-1").await;
+        fixture.start_endpoint("i-1").await;
         fixture.proxy.on_confirmed();
         fixture
     }
 
     /// Starts an endpoint and lists it beside those that are there.
-    pub async fn list_endpoint(&self, id: &str) {
+    pub async fn start_endpoint(&self, id: &str) {
         let (far, address) = local().await;
         tokio::spawn(serve_endpoint(far, self.requests.clone()));
         let endpoint = Endpoint {
--- a/crates/load-balancer/tests/common/mod.rs
+++ b/crates/load-balancer/tests/common/mod.rs
@@ -83,6 +83,15 @@
 }
 
 impl Endpoint {
+    fn new(size: usize) -> Endpoint {
+        Endpoint {
+            size,
+            health: WELL,
+            running: 0,
+            queue: VecDeque::new(),
+        }
+    }
+
     fn load(&self) -> ReportedLoad {
         ReportedLoad {
             running: self.running as u32,
@@ -171,12 +180,6 @@
             }
             balancer
         };
-        let endpoint = |size: &usize| Endpoint {
-            size: *size,
-            health: WELL,
-            running: 0,
-            queue: VecDeque::new(),
-        };
         World {
             now: 0,
             when_full: setup.when_full,
@@ -184,7 +187,7 @@
             queue_size: setup.queue_size,
             rng,
             proxies: (0..setup.proxies).map(balancer).collect(),
-            endpoints: setup.sizes.iter().map(endpoint).collect(),
+            endpoints: setup.sizes.iter().copied().map(Endpoint::new).collect(),
             events: BinaryHeap::new(),
             open: BTreeSet::new(),
             tallies: Vec::new(),
@@ -204,7 +207,7 @@
     }
 
     /// The platform lists an endpoint no more.
-    pub fn remove(&mut self, endpoint: usize) {
+    pub fn unlist(&mut self, endpoint: usize) {
         for balancer in &mut self.proxies {
             balancer.remove(&name(endpoint));
         }
@@ -213,12 +216,7 @@
     /// The platform lists one more endpoint.
     pub fn add(&mut self, size: usize) {
         let endpoint = self.endpoints.len();
-        self.endpoints.push(Endpoint {
-            size,
-            health: WELL,
-            running: 0,
-            queue: VecDeque::new(),
-        });
+        self.endpoints.push(Endpoint::new(size));
         for balancer in &mut self.proxies {
             balancer.upsert(self.now, listed(endpoint, size));
         }
@@ -250,7 +248,7 @@
         self.tallies
     }
 
-    fn tally(&mut self) -> &mut Tally {
+    fn current_tally(&mut self) -> &mut Tally {
         self.tallies.last_mut().expect("played")
     }
 
@@ -295,8 +293,8 @@
     /// Sends a request: to an endpoint, and to another one if that rejects it.
     fn send(&mut self) {
         let proxy = self.rng.gen_range(0..self.proxies.len());
-        self.tally().sent += 1;
-        self.tally().by_proxy.entry(proxy).or_default().sent += 1;
+        self.current_tally().sent += 1;
+        self.current_tally().by_proxy.entry(proxy).or_default().sent += 1;
         let mut tried = Vec::new();
         while tried.len() < MAX_ATTEMPTS {
             let request = SelectionRequest {
@@ -316,7 +314,7 @@
                 }
                 Err(reason) => {
                     if reason == NoEndpoint::EstimatedFull && tried.is_empty() {
-                        self.tally().estimated_full += 1;
+                        self.current_tally().estimated_full += 1;
                     }
                     break;
                 }
@@ -344,7 +342,7 @@
             attempt,
             play: self.tallies.len() - 1,
         };
-        *self.tally().attempts.entry(endpoint).or_default() += 1;
+        *self.current_tally().attempts.entry(endpoint).or_default() += 1;
         self.open.insert(request);
         let deadline = Reverse((self.now + DEADLINE, Event::DeadlinePasses(request)));
         let when_full = self.when_full;
@@ -371,7 +369,7 @@
             }
             _ => match when_full {
                 WhenFull::Rejects => {
-                    self.tally().rejected += 1;
+                    self.current_tally().rejected += 1;
                     self.end(request, EndpointSignal::Rejected);
                     return false;
                 }
--- a/crates/load-balancer/tests/overload.rs
+++ b/crates/load-balancer/tests/overload.rs
@@ -99,7 +99,7 @@
         let mut world = World::new(&setup(seed, proxies, &sizes, queue_size));
         let rate = world.capacity(1) * CALM;
         let before = world.play(rate, 10 * SECOND);
-        world.remove(0);
+        world.unlist(0);
         world.play(rate, RECOVERY);
         let after = world.play(rate, 20 * SECOND);
         let tallies = world.finish();
@@ -115,7 +115,7 @@
         let mut world = World::new(&setup(seed, 6, &[2; 4], 10));
         let capacity = world.capacity(0);
         world.play(capacity * 12.0, 20 * SECOND);
-        (0..4).for_each(|endpoint| world.remove(endpoint));
+        (0..4).for_each(|endpoint| world.unlist(endpoint));
         (0..4).for_each(|_| world.add(2));
         let after = world.play(capacity * CALM, 10 * SECOND);
         let tallies = world.finish();
