Review case 8: clients that leave with many bytes behind them are not noticed

Cause: once 64 KB of requests are held, the connection is not read, so neither its end nor its reset is seen; the work goes on, and the next requests are begun.

Endpoints of the stand-ins can work for a time and see that their connection is closed.

--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -5,7 +5,7 @@
 use crate::record::Record;
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -45,6 +45,8 @@
     pub id: String,
     pub version: String,
     pub at: f64,
+    /// When it was done, or its connection was closed; none: it is still at work.
+    pub ended_at: Option<f64>,
 }
 
 pub struct Deployment {
@@ -115,12 +117,23 @@
         SocketAddrV4::new(self.ip(Agent::Controller(controller)), CONTROL_PORT)
     }
 
-    /// Starts an endpoint and lists it. `handler` answers what it runs.
+    /// Starts an endpoint that answers at once, and lists it. `handler` answers what it runs.
     pub fn start_endpoint(
         &self,
         service: &str,
         version: &str,
         handler: Arc<Handler>,
+    ) -> Result<(), String> {
+        self.start_working_endpoint(service, version, Duration::ZERO, handler)
+    }
+
+    /// Starts an endpoint that works on each request for so long, unless its connection is closed before.
+    pub fn start_working_endpoint(
+        &self,
+        service: &str,
+        version: &str,
+        work: Duration,
+        handler: Arc<Handler>,
     ) -> Result<(), String> {
         let number = {
             let mut next = self.next_endpoint.lock().unwrap();
@@ -145,6 +158,7 @@
             version: version.to_owned(),
             record,
             runs,
+            work,
             handler,
         });
         thread::spawn(move || {
@@ -496,6 +510,7 @@
     version: String,
     record: Record,
     runs: Arc<Mutex<Vec<Run>>>,
+    work: Duration,
     handler: Arc<Handler>,
 }
 
@@ -510,37 +525,74 @@
                 .header("addressee")
                 .is_some_and(|addressee| addressee != self.id);
             let answer = match is_for_another {
-                true => format!("HTTP/1.1 421 X\r\nTry-Id: {id}\r\nNot-Delivered: x\r\nContent-Length: 0\r\n\r\n").into_bytes(),
-                false => self.run(&request, &id),
+                true => Some(format!("HTTP/1.1 421 X\r\nTry-Id: {id}\r\nNot-Delivered: x\r\nContent-Length: 0\r\n\r\n").into_bytes()),
+                false => self.run(&stream, &request, &id),
             };
+            let Some(answer) = answer else { return };
             if stream.write_all(&answer).is_err() {
                 return;
             }
         }
     }
 
-    /// Runs a request. Returns the answer's bytes.
-    fn run(&self, request: &Message, id: &str) -> Vec<u8> {
-        self.runs.lock().unwrap().push(Run {
-            id: id.to_owned(),
-            version: self.version.clone(),
-            at: self.record.now(),
-        });
-        let (status, body) = (self.handler)(request);
+    /// Runs a request. Returns the answer's bytes; none if its connection was closed while it was at work.
+    fn run(&self, stream: &TcpStream, request: &Message, id: &str) -> Option<Vec<u8>> {
         let Server {
             service,
             version,
             id: own,
             ..
         } = self;
-        let (line, length) = (&request.start_line, body.len());
+        let line = &request.start_line;
+        self.record
+            .line(format!("{service} {version} {own} runs {id}: {line}"));
+        let position = {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push(Run {
+                id: id.to_owned(),
+                version: version.clone(),
+                at: self.record.now(),
+                ended_at: None,
+            });
+            runs.len() - 1
+        };
+        let is_done = self.work_on(stream);
+        let answer = is_done.then(|| (self.handler)(request));
+        self.runs.lock().unwrap()[position].ended_at = Some(self.record.now());
+        let Some((status, body)) = answer else {
+            self.record.line(format!(
+                "{service} {version} {own} drops {id}: its connection was closed"
+            ));
+            return None;
+        };
+        let length = body.len();
         self.record.line(format!(
-            "{service} {version} {own} runs {id}: {line}; answers {status} with {length} bytes"
+            "{service} {version} {own} answers {id} with {status} and {length} bytes"
         ));
         let head = format!(
             "HTTP/1.1 {status} X\r\nTry-Id: {id}\r\nPostmark: {own}.{id}\r\nLoad: 0,0,4\r\nContent-Length: {length}\r\n\r\n"
         );
-        [head.as_bytes(), &body].concat()
+        Some([head.as_bytes(), &body].concat())
+    }
+
+    /// Works for its time. Returns false as soon as the connection is closed.
+    fn work_on(&self, stream: &TcpStream) -> bool {
+        const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+        let until = Instant::now() + self.work;
+        let mut is_open = true;
+        while is_open && Instant::now() < until {
+            let _ = stream.set_read_timeout(Some(LOOK_INTERVAL));
+            is_open = match stream.peek(&mut [0]) {
+                Ok(0) => false,
+                Ok(_) => {
+                    thread::sleep(LOOK_INTERVAL);
+                    true
+                }
+                Err(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+            };
+        }
+        let _ = stream.set_read_timeout(None);
+        is_open
     }
 }
 
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,7 +6,7 @@
 //! could not run.
 
 mod case_fields;
-mod case_invalid;
+mod case_leaving;
 mod case_order;
 mod case_reader;
 mod deployment;
@@ -22,7 +22,7 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let [case, folder] = &arguments[..] else {
-        eprintln!("usage: review-2 reader|fields|order|invalid FOLDER");
+        eprintln!("usage: review-2 reader|fields|order|leaving FOLDER");
         return ExitCode::from(2);
     };
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -39,7 +39,7 @@
         "reader" => case_reader::run(&record, with_trouble),
         "fields" => case_fields::run(&record, with_trouble),
         "order" => case_order::run(&record, with_trouble),
-        "invalid" => case_invalid::run(&record, with_trouble),
+        "leaving" => case_leaving::run(&record, with_trouble),
         _ => Err("no such case".to_owned()),
     };
     let (code, text) = match &verdict {
