Review stand-ins: the record leaves out a program's example of an address

Cause: the record of case 5 quoted the error of the gateway with the example that follows it, an address that is not loopback. No process of the case has such an address.

--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -284,7 +284,12 @@
             .find(|line| !line.is_empty())
             .unwrap_or("")
             .to_owned();
-        line.replace(&self.folder.display().to_string(), "")
+        let line = line.replace(&self.folder.display().to_string(), "");
+        // The example that the program gives after this is no address of the case.
+        line.split(", expected ")
+            .next()
+            .unwrap_or_default()
+            .to_owned()
     }
 
     fn write_settings(&self, agent: Agent, is_first_run: bool) -> Result<PathBuf, String> {
