--- a/review/stand-ins-2/case_leaving.rs
+++ b/review/stand-ins-2/case_leaving.rs
@@ -18,8 +18,8 @@
 const COOKIE_BYTES: usize = 12_000;
 const ENDPOINTS: usize = 16;
 const WORK: Duration = Duration::from_millis(2_000);
-/// When the clients leave; their deadline is later.
-const LEAVE_AFTER: Duration = Duration::from_millis(400);
+/// When the clients leave: half of the aim of 600 ms.
+const LEAVE_AFTER: Duration = Duration::from_millis(300);
 const DEADLINE_MS: u64 = 2_500;
 /// Of the rule, in seconds.
 const MAX_WORK_AFTER_CLIENT: f64 = 0.5;
